--- /dev/null
+++ b/crates/thymeshift_config/src/check.rs
@@ -0,0 +1,125 @@
+//! Checks that need more than one field: names that must be unique or must exist, and
+//! figures that must fit each other.
+
+use std::collections::HashSet;
+
+use thymeshift_types::DataHallName;
+
+use crate::Configuration;
+use crate::Kind;
+use crate::Mistake;
+use crate::Mistakes;
+use crate::Repeat;
+use crate::Service;
+use crate::configuration::TEXT_BYTES_MAX;
+use crate::decode::add;
+use crate::tree::Node;
+
+struct Checker<'a> {
+    node: &'a Node,
+    mistakes: &'a mut Mistakes,
+}
+
+impl Checker<'_> {
+    fn refuse(&mut self, path: &str, found: impl Into<String>, expected: impl Into<String>) {
+        add(self.node.place_of(path), path, found.into(), expected.into(), self.mistakes);
+    }
+
+    fn unique<'n>(&mut self, list: &str, field: &str, names: impl Iterator<Item = &'n str>) {
+        let mut seen = HashSet::new();
+        for (index, name) in names.enumerate() {
+            if !seen.insert(name) {
+                let path = format!("{list}[{index}]{field}");
+                self.refuse(&path, format!("'{name}' a second time"), "a unique name");
+            }
+        }
+    }
+}
+
+pub(crate) fn check(configuration: &Configuration, node: &Node, mistakes: &mut Mistakes) {
+    let mut checker = Checker { node, mistakes };
+    let halls = configuration.data_halls.iter().map(DataHallName::as_str);
+    checker.unique("data_halls", "", halls);
+    let services = configuration.services.iter().map(|service| service.name.as_str());
+    checker.unique("services", ".name", services);
+    let kinds = configuration.kinds.iter().map(|kind| kind.name.as_str());
+    checker.unique("kinds", ".name", kinds);
+    for (index, service) in configuration.services.iter().enumerate() {
+        check_service(configuration, service, &format!("services[{index}]"), &mut checker);
+    }
+    for (index, kind) in configuration.kinds.iter().enumerate() {
+        check_kind(configuration, kind, &format!("kinds[{index}]"), &mut checker);
+    }
+    check_reachable(configuration, &mut checker);
+}
+
+fn check_service(
+    configuration: &Configuration,
+    service: &Service,
+    path: &str,
+    checker: &mut Checker<'_>,
+) {
+    let names = service.targets.iter().map(|target| target.name.as_str());
+    checker.unique(&format!("{path}.targets"), ".name", names);
+    for (index, target) in service.targets.iter().enumerate() {
+        if !configuration.data_halls.contains(&target.data_hall) {
+            let path = format!("{path}.targets[{index}].data_hall");
+            checker.refuse(&path, format!("'{}'", target.data_hall), "a name from data_halls");
+        }
+    }
+    if service.connections_per_target < configuration.entry_vms_max {
+        let found = format!("'{}'", service.connections_per_target);
+        let expected = format!(
+            "at least one connection for each of {} entry VMs",
+            configuration.entry_vms_max
+        );
+        checker.refuse(&format!("{path}.connections_per_target"), found, expected);
+    }
+    if service.measuring_budget_us_per_s > 0 && service.probe.is_none() {
+        let path = format!("{path}.measuring_budget_us_per_s");
+        let found = format!("'{}' without a probe", service.measuring_budget_us_per_s);
+        checker.refuse(&path, found, "the field 'probe', or a budget of 0");
+    }
+}
+
+fn check_kind(configuration: &Configuration, kind: &Kind, path: &str, checker: &mut Checker<'_>) {
+    if configuration.service_index(kind.service.as_str()).is_none() {
+        checker.refuse(&format!("{path}.service"), format!("'{}'", kind.service), "a service");
+    }
+    if kind.wait_max_ms > kind.deadline_ms {
+        let found = format!("'{}'", kind.wait_max_ms);
+        let expected = format!("at most deadline_ms ({})", kind.deadline_ms);
+        checker.refuse(&format!("{path}.wait_max_ms"), found, expected);
+    }
+    if kind.repeat == Repeat::Unsafe && kind.hedge_after_ms > 0 {
+        let found = format!("'{}'", kind.hedge_after_ms);
+        checker.refuse(&format!("{path}.hedge_after_ms"), found, "0: an unsafe kind runs once");
+    }
+    if let Some(prefix) = &kind.rules.path_prefix
+        && !prefix.starts_with('/')
+    {
+        let path = format!("{path}.match.path_prefix");
+        checker.refuse(&path, format!("'{}'", prefix.escape_debug()), "a path that starts with /");
+    }
+}
+
+/// A kind behind another with the same rules would never be found.
+fn check_reachable(configuration: &Configuration, checker: &mut Checker<'_>) {
+    for (index, kind) in configuration.kinds.iter().enumerate() {
+        let earlier = &configuration.kinds[..index];
+        if let Some(same) = earlier.iter().find(|earlier| earlier.rules == kind.rules) {
+            let found = format!("the rules of '{}' again", same.name);
+            checker.refuse(&format!("kinds[{index}].match"), found, "rules of its own");
+        }
+    }
+}
+
+pub(crate) fn too_long(length: usize) -> Mistake {
+    Mistake {
+        line: 1,
+        column: 1,
+        field: String::new(),
+        found: format!("a text of {length} bytes"),
+        expected: format!("at most {TEXT_BYTES_MAX} bytes"),
+    }
+}
--- /dev/null
+++ b/crates/thymeshift_config/src/configuration.rs
@@ -0,0 +1,93 @@
+//! What the platform publishes for the whole fleet.
+
+use serde::Serialize;
+use thymeshift_types::DataHallName;
+
+use crate::Kind;
+use crate::Limits;
+use crate::Mistakes;
+use crate::RequestHead;
+use crate::Service;
+use crate::check;
+use crate::decode::Decode;
+use crate::decode::MapReader;
+use crate::tree::Node;
+
+/// Largest published text, in bytes: the platform holds values up to a megabyte.
+pub(crate) const TEXT_BYTES_MAX: usize = 1_024 * 1_024;
+
+/// A whole configuration that passed every check.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Configuration {
+    /// Most entry VMs that may run at one time, those being replaced included. Shares
+    /// of budgets and connections are divided by it and not by a count of live VMs,
+    /// because VMs may disagree about who is alive.
+    pub entry_vms_max: u64,
+    /// All data halls.
+    pub data_halls: Vec<DataHallName>,
+    /// Time of one way between two data halls, in microseconds.
+    pub data_hall_one_way_us: u64,
+    /// Limits on callers.
+    pub limits: Limits,
+    /// Services, each with its targets.
+    pub services: Vec<Service>,
+    /// Request kinds; the first whose rules match is a request's kind.
+    pub kinds: Vec<Kind>,
+}
+
+impl Configuration {
+    /// Reads and checks a configuration from YAML.
+    pub fn parse(text: &str) -> Result<Self, Mistakes> {
+        let mut mistakes = Mistakes::default();
+        if text.len() > TEXT_BYTES_MAX {
+            mistakes.add(check::too_long(text.len()));
+            return Err(mistakes);
+        }
+        let node = match Node::parse(text) {
+            Ok(node) => node,
+            Err(mistake) => {
+                mistakes.add(mistake);
+                return Err(mistakes);
+            }
+        };
+        let decoded = Self::decode(&node, "", &mut mistakes);
+        if let Some(configuration) = &decoded {
+            check::check(configuration, &node, &mut mistakes);
+        }
+        match decoded {
+            Some(configuration) if mistakes.is_empty() => Ok(configuration),
+            _ => Err(mistakes),
+        }
+    }
+
+    /// Index in `kinds` of the kind of a request.
+    pub fn kind_of(&self, head: &impl RequestHead) -> Option<usize> {
+        self.kinds.iter().position(|kind| kind.rules.is_match(head))
+    }
+
+    /// Index in `services` of the service called `name`.
+    pub fn service_index(&self, name: &str) -> Option<usize> {
+        self.services.iter().position(|service| service.name.as_str() == name)
+    }
+}
+
+impl Decode for Configuration {
+    fn decode(node: &Node, path: &str, mistakes: &mut Mistakes) -> Option<Self> {
+        let mut map = MapReader::new(node, path, mistakes)?;
+        let entry_vms_max = map.number("entry_vms_max", 1..=100_000);
+        let data_halls = map.required("data_halls");
+        let data_hall_one_way_us = map.number_or("data_hall_one_way_us", 0..=1_000_000, 1_500);
+        let limits = map.or("limits", Limits::default());
+        let services = map.required("services");
+        let kinds = map.required("kinds");
+        map.finish();
+        Some(Self {
+            entry_vms_max: entry_vms_max?,
+            data_halls: data_halls?,
+            data_hall_one_way_us: data_hall_one_way_us?,
+            limits: limits?,
+            services: services?,
+            kinds: kinds?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/thymeshift_config/src/lib.rs
@@ -0,0 +1,37 @@
+//! Typed settings and configuration with every mistake reported at its place.
+//!
+//! * [`Settings`] belong to one VM and are read from a local YAML file.
+//! * [`Configuration`] belongs to the whole fleet and is published by the platform as
+//!   YAML (JSON, being YAML, is accepted too).
+//!
+//! Both refuse unknown fields and report all mistakes of a text at once, each with its
+//! line, field, what was found and what was expected. The verdict depends on the bytes
+//! alone, so that every VM accepts or refuses the same revision.
+
+mod check;
+mod configuration;
+mod decode;
+mod kind;
+mod limits;
+mod mistake;
+mod service;
+mod settings;
+mod tree;
+
+pub use configuration::Configuration;
+pub use kind::HeaderRule;
+pub use kind::Kind;
+pub use kind::KindMatch;
+pub use kind::Repeat;
+pub use kind::RequestHead;
+pub use limits::Limits;
+pub use mistake::Mistake;
+pub use mistake::Mistakes;
+pub use service::Ejection;
+pub use service::Probe;
+pub use service::Service;
+pub use service::StrategyName;
+pub use service::Target;
+pub use service::TargetState;
+pub use settings::LogLevel;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/thymeshift_config/src/service.rs
@@ -0,0 +1,220 @@
+//! Services and their targets.
+
+use std::net::SocketAddr;
+
+use derive_more::Display;
+use serde::Serialize;
+use thymeshift_types::DataHallName;
+use thymeshift_types::Incarnation;
+use thymeshift_types::ServiceName;
+use thymeshift_types::TargetName;
+
+use crate::Mistakes;
+use crate::decode::Decode;
+use crate::decode::MapReader;
+use crate::decode::decode_word;
+use crate::tree::Node;
+
+/// One second in microseconds: a budget above this would be more than a target's slot.
+const SECOND_US: u64 = 1_000_000;
+
+/// How a target is chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum StrategyName {
+    /// Any target, evenly.
+    #[display("random")]
+    Random,
+    /// One after the other.
+    #[display("round_robin")]
+    RoundRobin,
+    /// The target with the fewest requests in flight from this VM.
+    #[display("least_in_flight")]
+    LeastInFlight,
+    /// The better of two random targets by own requests in flight.
+    #[display("two_choices")]
+    TwoChoices,
+    /// The better of two random targets by latency seen and own requests in flight.
+    #[display("latency_two_choices")]
+    LatencyTwoChoices,
+    /// The target with the smallest expected time, from reports, age, own requests in
+    /// flight, latency seen and distance.
+    #[display("expected_time")]
+    ExpectedTime,
+}
+
+decode_word!(StrategyName {
+    "random" => Random,
+    "round_robin" => RoundRobin,
+    "least_in_flight" => LeastInFlight,
+    "two_choices" => TwoChoices,
+    "latency_two_choices" => LatencyTwoChoices,
+    "expected_time" => ExpectedTime,
+});
+
+/// Whether a target may receive new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TargetState {
+    /// It may.
+    #[display("serving")]
+    Serving,
+    /// It may not, and this incarnation never will again.
+    #[display("leaving")]
+    Leaving,
+}
+
+decode_word!(TargetState { "serving" => Serving, "leaving" => Leaving });
+
+/// One target of a service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Target {
+    /// Name, unique in its service.
+    pub name: TargetName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The data hall it stands in.
+    pub data_hall: DataHallName,
+    /// Raised each time it starts anew.
+    pub incarnation: Incarnation,
+    /// Whether it may receive new work.
+    pub state: TargetState,
+}
+
+/// How a service's targets may be probed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Probe {
+    /// Path of the probe request.
+    pub path: String,
+    /// Target time that one probe costs, in microseconds.
+    pub cost_us: u64,
+    /// Longest wait for the answer, in milliseconds.
+    pub timeout_ms: u64,
+}
+
+/// When a failing target is set aside for a while.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Ejection {
+    /// Failures in a row that eject.
+    pub failures: u64,
+    /// First time aside, in milliseconds; it doubles with each ejection in a row.
+    pub base_ms: u64,
+    /// Largest share of targets set aside at one time, in percent (panic bound).
+    pub share_max_percent: u64,
+}
+
+impl Default for Ejection {
+    fn default() -> Self {
+        Self { failures: 5, base_ms: 1_000, share_max_percent: 34 }
+    }
+}
+
+/// A group of targets that do the same work.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Service {
+    /// Name, unique in the configuration.
+    pub name: ServiceName,
+    /// How a target is chosen.
+    pub strategy: StrategyName,
+    /// Requests that one target runs at a time.
+    pub slots_per_target: u64,
+    /// Connections that one target accepts from all VMs together.
+    pub connections_per_target: u64,
+    /// Longest time to open a connection, in milliseconds.
+    pub connect_timeout_ms: u64,
+    /// How long an unused connection is kept, in milliseconds.
+    pub idle_connection_ms: u64,
+    /// Whether a target's answer "shed" proves that the request did not run.
+    pub shed_means_not_run: bool,
+    /// Target time that all VMs together may spend measuring one target, in
+    /// microseconds each second. 0 forbids probes.
+    pub measuring_budget_us_per_s: u64,
+    /// How to probe; without it nothing is probed.
+    pub probe: Option<Probe>,
+    /// When a failing target is set aside.
+    pub ejection: Ejection,
+    /// Time over which a new target is brought to its full share, in milliseconds.
+    pub cold_start_ramp_ms: u64,
+    /// Retries and hedges allowed, in percent of successes.
+    pub retry_budget_percent: u64,
+    /// The targets.
+    pub targets: Vec<Target>,
+}
+
+impl Decode for Target {
+    fn decode(node: &Node, path: &str, mistakes: &mut Mistakes) -> Option<Self> {
+        let mut map = MapReader::new(node, path, mistakes)?;
+        let name = map.required("name");
+        let address = map.required("address");
+        let data_hall = map.required("data_hall");
+        let incarnation = map.or("incarnation", Incarnation::new(1));
+        let state = map.or("state", TargetState::Serving);
+        map.finish();
+        Some(Self {
+            name: name?,
+            address: address?,
+            data_hall: data_hall?,
+            incarnation: incarnation?,
+            state: state?,
+        })
+    }
+}
+
+impl Decode for Probe {
+    fn decode(node: &Node, path: &str, mistakes: &mut Mistakes) -> Option<Self> {
+        let mut map = MapReader::new(node, path, mistakes)?;
+        let probe_path = map.or("path", "/probe".to_owned());
+        let cost_us = map.number("cost_us", 1..=SECOND_US);
+        let timeout_ms = map.number_or("timeout_ms", 1..=60_000, 100);
+        map.finish();
+        Some(Self { path: probe_path?, cost_us: cost_us?, timeout_ms: timeout_ms? })
+    }
+}
+
+impl Decode for Ejection {
+    fn decode(node: &Node, path: &str, mistakes: &mut Mistakes) -> Option<Self> {
+        let base = Self::default();
+        let mut map = MapReader::new(node, path, mistakes)?;
+        let failures = map.number_or("failures", 1..=1_000, base.failures);
+        let base_ms = map.number_or("base_ms", 1..=600_000, base.base_ms);
+        let share_max_percent = map.number_or("share_max_percent", 0..=100, base.share_max_percent);
+        map.finish();
+        Some(Self { failures: failures?, base_ms: base_ms?, share_max_percent: share_max_percent? })
+    }
+}
+
+impl Decode for Service {
+    fn decode(node: &Node, path: &str, mistakes: &mut Mistakes) -> Option<Self> {
+        let mut map = MapReader::new(node, path, mistakes)?;
+        let name = map.required("name");
+        let strategy = map.or("strategy", StrategyName::ExpectedTime);
+        let slots_per_target = map.number("slots_per_target", 1..=100_000);
+        let connections_per_target = map.number("connections_per_target", 1..=1_000_000);
+        let connect_timeout_ms = map.number_or("connect_timeout_ms", 1..=60_000, 50);
+        let idle_connection_ms = map.number_or("idle_connection_ms", 1..=3_600_000, 30_000);
+        let shed_means_not_run = map.or("shed_means_not_run", false);
+        let measuring_budget_us_per_s =
+            map.number_or("measuring_budget_us_per_s", 0..=SECOND_US, 0);
+        let probe = map.optional("probe");
+        let ejection = map.or("ejection", Ejection::default());
+        let cold_start_ramp_ms = map.number_or("cold_start_ramp_ms", 0..=600_000, 2_000);
+        let retry_budget_percent = map.number_or("retry_budget_percent", 0..=100, 10);
+        let targets = map.required("targets");
+        map.finish();
+        Some(Self {
+            name: name?,
+            strategy: strategy?,
+            slots_per_target: slots_per_target?,
+            connections_per_target: connections_per_target?,
+            connect_timeout_ms: connect_timeout_ms?,
+            idle_connection_ms: idle_connection_ms?,
+            shed_means_not_run: shed_means_not_run?,
+            measuring_budget_us_per_s: measuring_budget_us_per_s?,
+            probe: probe?,
+            ejection: ejection?,
+            cold_start_ramp_ms: cold_start_ramp_ms?,
+            retry_budget_percent: retry_budget_percent?,
+            targets: targets?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/thymeshift_config/src/settings.rs
@@ -0,0 +1,118 @@
+//! What one VM knows about itself, from a local YAML file.
+
+use std::net::SocketAddr;
+
+use serde::Serialize;
+use thymeshift_types::DataHallName;
+use thymeshift_types::VmName;
+
+use crate::Mistakes;
+use crate::decode::Decode;
+use crate::decode::MapReader;
+use crate::decode::decode_word;
+use crate::tree::Node;
+
+/// Longest time a planned stop may be given, in milliseconds.
+const STOP_MS_MAX: u64 = 3_600_000;
+
+/// How much is logged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogLevel {
+    /// Only what an operator must act on.
+    Error,
+    /// Also what may become a failure.
+    Warn,
+    /// Also one line for each change of state and each failed request.
+    Info,
+    /// Also one line for each request.
+    Debug,
+}
+
+decode_word!(LogLevel {
+    "error" => Error,
+    "warn" => Warn,
+    "info" => Info,
+    "debug" => Debug,
+});
+
+/// Settings of one entry process.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Settings {
+    /// This VM's name, unique in the fleet.
+    pub vm: VmName,
+    /// The data hall it stands in.
+    pub data_hall: DataHallName,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where other entry processes connect.
+    pub peer_address: SocketAddr,
+    /// Where the operators' program connects. Keep it apart from callers.
+    pub control_address: SocketAddr,
+    /// Where `/live`, `/ready` and `/metrics` are served.
+    pub observe_address: SocketAddr,
+    /// The platform's configuration service.
+    pub platform_address: SocketAddr,
+    /// Peer addresses of other entry processes; the platform's list adds to them.
+    pub peers: Vec<SocketAddr>,
+    /// Worker threads; 0 takes one for each processor.
+    pub worker_threads: u64,
+    /// How long a stopping process goes on accepting after `/ready` has begun to fail,
+    /// in milliseconds, so that the platform's balancer can notice.
+    pub stop_readiness_lag_ms: u64,
+    /// How long a stopping process waits for work in flight, in milliseconds.
+    pub stop_bound_ms: u64,
+    /// How much is logged.
+    pub log_level: LogLevel,
+}
+
+impl Settings {
+    /// Reads settings from YAML.
+    pub fn parse(text: &str) -> Result<Self, Mistakes> {
+        let mut mistakes = Mistakes::default();
+        let node = match Node::parse(text) {
+            Ok(node) => node,
+            Err(mistake) => {
+                mistakes.add(mistake);
+                return Err(mistakes);
+            }
+        };
+        match Self::decode(&node, "", &mut mistakes) {
+            Some(settings) if mistakes.is_empty() => Ok(settings),
+            _ => Err(mistakes),
+        }
+    }
+}
+
+impl Decode for Settings {
+    fn decode(node: &Node, path: &str, mistakes: &mut Mistakes) -> Option<Self> {
+        let mut map = MapReader::new(node, path, mistakes)?;
+        let vm = map.required("vm");
+        let data_hall = map.required("data_hall");
+        let caller_address = map.required("caller_address");
+        let peer_address = map.required("peer_address");
+        let control_address = map.required("control_address");
+        let observe_address = map.required("observe_address");
+        let platform_address = map.required("platform_address");
+        let peers = map.or("peers", Vec::new());
+        let worker_threads = map.number_or("worker_threads", 0..=1_024, 0);
+        let stop_readiness_lag_ms = map.number_or("stop_readiness_lag_ms", 0..=STOP_MS_MAX, 3_000);
+        let stop_bound_ms = map.number_or("stop_bound_ms", 0..=STOP_MS_MAX, 60_000);
+        let log_level = map.or("log_level", LogLevel::Info);
+        map.finish();
+        Some(Self {
+            vm: vm?,
+            data_hall: data_hall?,
+            caller_address: caller_address?,
+            peer_address: peer_address?,
+            control_address: control_address?,
+            observe_address: observe_address?,
+            platform_address: platform_address?,
+            peers: peers?,
+            worker_threads: worker_threads?,
+            stop_readiness_lag_ms: stop_readiness_lag_ms?,
+            stop_bound_ms: stop_bound_ms?,
+            log_level: log_level?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/thymeshift_dispatch/src/dispatcher.rs
@@ -0,0 +1,429 @@
+//! All decisions of one service at one VM.
+
+use std::time::Duration;
+
+use derive_more::Display;
+use derive_more::Error;
+use rand::Rng;
+use thymeshift_config::Configuration;
+use thymeshift_config::Ejection;
+use thymeshift_config::Service;
+use thymeshift_types::DataHallName;
+use thymeshift_types::Incarnation;
+use thymeshift_types::LeavingMark;
+use thymeshift_types::Reason;
+use thymeshift_types::ServiceName;
+use thymeshift_types::TargetName;
+use thymeshift_types::Timestamp;
+
+use crate::AnyStrategy;
+use crate::Candidates;
+use crate::Grant;
+use crate::LoadReport;
+use crate::PauseDetector;
+use crate::QueueDump;
+use crate::ReportedState;
+use crate::Request;
+use crate::RetryBudget;
+use crate::ServiceDump;
+use crate::Strategy;
+use crate::TargetDump;
+use crate::TargetIndex;
+use crate::Ticket;
+use crate::Tried;
+use crate::Usability;
+use crate::admission::Admission;
+use crate::queue::Queue;
+use crate::queue::Waiter;
+use crate::table::Surroundings;
+use crate::table::Table;
+use crate::target::Target;
+
+/// A gap in the process's own time above this is a pause. The entry process calls
+/// [`Dispatcher::tick`] ten times as often.
+const PAUSE_GAP_MAX: Duration = Duration::from_millis(500);
+/// An attempt that was given up counts as the target's failure once it took this many
+/// times as long as expected.
+const TIMEOUT_FACTOR: u32 = 3;
+/// Ranks of priority.
+const PRIORITIES: std::ops::RangeInclusive<u8> = 1..=9;
+
+/// What becomes of a request now.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// Send it.
+    Send(Grant),
+    /// Keep it until [`Dispatcher::next_wake`] names its ticket.
+    Wait(Ticket),
+    /// Answer the caller at once.
+    Refuse(Refusal),
+}
+
+/// A refusal before any target was chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+#[display("refused: {reason}, come back after {retry_after:?}")]
+pub struct Refusal {
+    /// Why.
+    pub reason: Reason,
+    /// When the caller may come back.
+    pub retry_after: Duration,
+}
+
+/// A waiting request whose time has come, or is over.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Wake {
+    /// Send it.
+    Send(Ticket, Grant),
+    /// Answer its caller at once.
+    Refuse(Ticket, Refusal),
+}
+
+/// What an attempt showed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Observation {
+    /// The target answered, and the answer is not the target's own failure.
+    Answered(Option<LoadReport>),
+    /// The target answered that it failed.
+    Failed(Option<LoadReport>),
+    /// The target shed the request.
+    Shed(Option<LoadReport>),
+    /// No connection could be opened, or it broke.
+    Broken,
+    /// No answer came in time.
+    TimedOut,
+}
+
+impl Observation {
+    /// The report that came with the answer.
+    pub fn report(&self) -> Option<LoadReport> {
+        match *self {
+            Self::Answered(report) | Self::Failed(report) | Self::Shed(report) => report,
+            Self::Broken | Self::TimedOut => None,
+        }
+    }
+}
+
+/// The dispatcher of one service.
+#[derive(Debug)]
+pub struct Dispatcher<S> {
+    service: ServiceName,
+    strategy: S,
+    table: Table,
+    queue: Queue,
+    admission: Admission,
+    retry: RetryBudget,
+    ejection: Ejection,
+    pause: PauseDetector,
+}
+
+impl Dispatcher<AnyStrategy> {
+    /// A dispatcher for a configured service, with the strategy it names.
+    pub fn configured(
+        configuration: &Configuration,
+        service: &Service,
+        own_data_hall: &DataHallName,
+        now: Timestamp,
+    ) -> Self {
+        let strategy = AnyStrategy::new(service.strategy);
+        let mut dispatcher = Self::new(service.name.clone(), strategy, now);
+        dispatcher.update(configuration, service, own_data_hall, now);
+        dispatcher
+    }
+
+    /// Takes in a new configuration of the service, the strategy included.
+    pub fn reconfigure(
+        &mut self,
+        configuration: &Configuration,
+        service: &Service,
+        own_data_hall: &DataHallName,
+        now: Timestamp,
+    ) {
+        if self.strategy.name() != service.strategy {
+            self.strategy = AnyStrategy::new(service.strategy);
+        }
+        self.update(configuration, service, own_data_hall, now);
+    }
+
+    /// What this dispatcher believes.
+    pub fn dump(&self, now: Timestamp) -> ServiceDump {
+        let queues = PRIORITIES
+            .map(|priority| QueueDump { priority, waiting: self.queue.len_of(priority) })
+            .filter(|queue| queue.waiting > 0)
+            .collect();
+        let ahead = self.queue.ahead_of(*PRIORITIES.end());
+        ServiceDump {
+            name: self.service.clone(),
+            strategy: self.strategy.name(),
+            retry_reserve: self.retry.reserve(),
+            expected_wait_us: self.admission.expected_wait(ahead).as_micros() as u64,
+            queues,
+            targets: self.table.targets().iter().map(|target| dump(target, now)).collect(),
+        }
+    }
+}
+
+impl<S: Strategy> Dispatcher<S> {
+    /// A dispatcher without targets.
+    pub fn new(service: ServiceName, strategy: S, now: Timestamp) -> Self {
+        Self {
+            service,
+            strategy,
+            table: Table::default(),
+            queue: Queue::new(),
+            admission: Admission::new(),
+            retry: RetryBudget::new(0),
+            ejection: Ejection::default(),
+            pause: PauseDetector::new(now, PAUSE_GAP_MAX),
+        }
+    }
+
+    /// Takes in a new configuration of the service.
+    pub fn update(
+        &mut self,
+        configuration: &Configuration,
+        service: &Service,
+        own_data_hall: &DataHallName,
+        now: Timestamp,
+    ) {
+        let surroundings = Surroundings {
+            own_data_hall: own_data_hall.clone(),
+            one_way: Duration::from_micros(configuration.data_hall_one_way_us),
+            entry_vms_max: configuration.entry_vms_max,
+        };
+        self.table.update(service, &surroundings, now);
+        self.ejection = service.ejection.clone();
+        self.retry.set_percent(service.retry_budget_percent);
+    }
+
+    /// Must be called every few tens of milliseconds: it notices pauses of the process.
+    /// Returns the pause, if there was one.
+    pub fn tick(&mut self, now: Timestamp) -> Option<Duration> {
+        let gap = self.pause.observe(now)?;
+        for target in self.table.iter_mut() {
+            target.distrust();
+        }
+        Some(gap)
+    }
+
+    /// Decides on a new request, or on another attempt of one.
+    pub fn request<R: Rng>(&mut self, request: Request, now: Timestamp, rng: &mut R) -> Decision {
+        self.tick(now);
+        if now >= request.deadline {
+            return Decision::Refuse(self.refusal(Reason::Deadline, &request, rng));
+        }
+        if let Some(grant) = self.choose(&request, now, rng) {
+            return Decision::Send(grant);
+        }
+        let is_served = self.table.targets().iter().any(Target::is_serving);
+        if !is_served {
+            return Decision::Refuse(self.refusal(Reason::NoTarget, &request, rng));
+        }
+        if self.queue.len_of(request.priority) >= request.queue_max as usize {
+            return Decision::Refuse(self.refusal(Reason::QueueFull, &request, rng));
+        }
+        let ahead = self.queue.ahead_of(request.priority);
+        let wait = self.admission.expected_wait(ahead);
+        if now + wait > request.wait_until {
+            return Decision::Refuse(self.refusal(Reason::DeadlineUnreachable, &request, rng));
+        }
+        Decision::Wait(self.queue.push(request, now))
+    }
+
+    /// Spends one retry of the budget.
+    pub fn try_retry(&mut self) -> bool {
+        self.retry.try_spend()
+    }
+
+    /// Whether the request may still be sent: ask immediately before the first byte. The
+    /// target may have begun to leave, or the process may have slept, since the choice.
+    pub fn may_send(&self, grant: &Grant, deadline: Timestamp, now: Timestamp) -> bool {
+        let target = self.table.get(grant.target);
+        target.is_serving() && target.incarnation == grant.incarnation && now < deadline
+    }
+
+    /// Where a granted request goes.
+    pub fn address(&self, grant: &Grant) -> std::net::SocketAddr {
+        self.table.get(grant.target).address
+    }
+
+    /// Name of a granted request's target.
+    pub fn target_name(&self, grant: &Grant) -> TargetName {
+        self.table.get(grant.target).name.clone()
+    }
+
+    /// Learns from an attempt, at most once for each grant. If the target said that it is
+    /// leaving and that is news, returns the mark to pass on to other VMs.
+    pub fn learn(
+        &mut self,
+        grant: &Grant,
+        observation: Observation,
+        now: Timestamp,
+    ) -> Option<LeavingMark> {
+        let mark = observation.report().and_then(|report| self.learn_report(grant, report, now));
+        let has_room = self.table.has_room_to_eject(self.ejection.share_max_percent, now);
+        let target = self.table.get_mut(grant.target);
+        match observation {
+            Observation::Answered(report) => {
+                target.learn_latency(grant, now);
+                target.learn_pressure(report, now);
+                target.succeeded(now);
+                self.retry.succeeded();
+            }
+            Observation::Failed(_) | Observation::Broken => {
+                target.failed(&self.ejection, has_room, now);
+            }
+            Observation::Shed(_) => target.learn_overload(now),
+            Observation::TimedOut => {
+                target.learn_latency(grant, now);
+                target.learn_overload(now);
+                // A caller with little time left does not prove that the target is slow.
+                if now.since(grant.sent_at) > grant.expected * TIMEOUT_FACTOR {
+                    target.failed(&self.ejection, has_room, now);
+                }
+            }
+        }
+        mark
+    }
+
+    fn learn_report(
+        &mut self,
+        grant: &Grant,
+        report: LoadReport,
+        now: Timestamp,
+    ) -> Option<LeavingMark> {
+        self.table.get_mut(grant.target).learn_report(report, now);
+        self.learn_state(grant.target, report)
+    }
+
+    /// Takes in a report that no request carried (a probe's). As [`Dispatcher::learn`],
+    /// returns a mark that is news.
+    pub fn learn_probe(
+        &mut self,
+        name: &TargetName,
+        report: LoadReport,
+        now: Timestamp,
+    ) -> Option<LeavingMark> {
+        let index = self.table.find(name)?;
+        self.table.get_mut(index).learn_probe(report, now);
+        self.learn_state(index, report)
+    }
+
+    fn learn_state(&mut self, index: TargetIndex, report: LoadReport) -> Option<LeavingMark> {
+        let name = self.table.get(index).name.clone();
+        let incarnation = report.incarnation.unwrap_or(self.table.get(index).incarnation);
+        match report.state {
+            ReportedState::Serving => {
+                self.table.note_incarnation(index, incarnation);
+                None
+            }
+            ReportedState::Draining => {
+                let is_news = self.table.mark_leaving(&name, incarnation);
+                let service = self.service.clone();
+                is_news.then_some(LeavingMark { service, target: name, incarnation })
+            }
+        }
+    }
+
+    /// Gives a grant back: the target is done with the request, or never saw it.
+    #[expect(clippy::needless_pass_by_value, reason = "a grant is given back once")]
+    pub fn release(&mut self, grant: Grant, now: Timestamp) {
+        self.table.get_mut(grant.target).release(&grant);
+        self.admission.released(now, !self.queue.is_empty());
+    }
+
+    /// The next waiting request that may go or whose time is over. Ask until there is
+    /// none, after each release, update and tick.
+    pub fn next_wake<R: Rng>(&mut self, now: Timestamp, rng: &mut R) -> Option<Wake> {
+        if let Some(waiter) = self.queue.pop_expired(now) {
+            let refusal = self.refusal(Reason::DeadlineUnreachable, &waiter.request, rng);
+            return Some(Wake::Refuse(waiter.ticket, refusal));
+        }
+        let waiter = self.queue.pop(now)?;
+        match self.choose(&waiter.request, now, rng) {
+            Some(grant) => Some(Wake::Send(waiter.ticket, grant)),
+            None => self.keep_or_refuse(waiter, rng),
+        }
+    }
+
+    fn keep_or_refuse<R: Rng>(&mut self, waiter: Waiter, rng: &mut R) -> Option<Wake> {
+        if self.table.targets().iter().any(Target::is_serving) {
+            self.queue.put_back(waiter);
+            return None;
+        }
+        let refusal = self.refusal(Reason::NoTarget, &waiter.request, rng);
+        Some(Wake::Refuse(waiter.ticket, refusal))
+    }
+
+    /// Takes a waiting request out because its caller went away. Returns whether it
+    /// still waited.
+    pub fn cancel(&mut self, ticket: Ticket) -> bool {
+        self.queue.remove(ticket)
+    }
+
+    /// Marks an incarnation of a target, and all earlier ones, as leaving. Returns
+    /// whether that is news.
+    pub fn mark_leaving(&mut self, name: &TargetName, incarnation: Incarnation) -> bool {
+        self.table.mark_leaving(name, incarnation)
+    }
+
+    /// Applies operators' orders: targets for which `is_stopped` holds get no new work.
+    pub fn set_stopped(&mut self, mut is_stopped: impl FnMut(&TargetName) -> bool) {
+        for target in self.table.iter_mut() {
+            target.is_stopped = is_stopped(&target.name);
+        }
+    }
+
+    fn choose<R: Rng>(&mut self, request: &Request, now: Timestamp, rng: &mut R) -> Option<Grant> {
+        let candidates = Candidates::new(self.table.targets(), now, &request.tried);
+        let chosen = match self.strategy.choose(&candidates, rng) {
+            Some(index) => index,
+            // A second attempt at the same target is better than none.
+            None if !request.tried.is_empty() => {
+                let untried = Tried::default();
+                let candidates = Candidates::new(self.table.targets(), now, &untried);
+                self.strategy.choose(&candidates, rng)?
+            }
+            None => return None,
+        };
+        Some(self.table.get_mut(chosen).grant(chosen, now))
+    }
+
+    fn refusal<R: Rng>(&self, reason: Reason, request: &Request, rng: &mut R) -> Refusal {
+        let ahead = self.queue.ahead_of(request.priority);
+        Refusal { reason, retry_after: self.admission.retry_after(ahead, rng) }
+    }
+
+    /// Names and indices of the targets that may be probed.
+    pub fn probe_targets(&self) -> impl Iterator<Item = (TargetName, std::net::SocketAddr)> + '_ {
+        let serving = self.table.targets().iter().filter(|target| target.is_serving());
+        serving.map(|target| (target.name.clone(), target.address))
+    }
+
+    /// Requests in flight to one target, for tests and dumps.
+    pub fn in_flight(&self, index: TargetIndex) -> u32 {
+        self.table.get(index).in_flight()
+    }
+}
+
+fn dump(target: &Target, now: Timestamp) -> TargetDump {
+    let report = target.others().last_report();
+    let usability = target.usability(now);
+    let ejected_for = target.ejection().until().filter(|_| usability == Usability::Ejected);
+    TargetDump {
+        name: target.name.clone(),
+        address: target.address,
+        incarnation: target.incarnation,
+        usability,
+        in_flight: target.in_flight(),
+        limit: target.limit(),
+        connection_share: target.shape.connection_share,
+        latency_us: target.latency_us() as u64,
+        expected_us: target.expected_us(now) as u64,
+        failure_rate: target.ejection().failure_rate(now),
+        reported_running: report.map(|report| report.running),
+        reported_queued: report.map(|report| report.queued),
+        reported_state: report.map(|report| report.state),
+        report_age_ms: target.others().age(now).map(|age| age.as_millis() as u64),
+        ejected_for_ms: ejected_for.map(|until| now.until(until).as_millis() as u64),
+    }
+}
--- /dev/null
+++ b/crates/thymeshift_dispatch/src/lib.rs
@@ -0,0 +1,64 @@
+//! Decisions without I/O: which target gets a request, when it waits, when it is refused.
+//!
+//! The parts are plain state machines. The moment and the random numbers are arguments,
+//! so a decision can be repeated exactly. To embed them, keep one [`Dispatcher`] a
+//! service and
+//!
+//! 1. ask it with [`Dispatcher::request`]; it answers [`Decision::Send`],
+//!    [`Decision::Wait`] or [`Decision::Refuse`];
+//! 2. before the first byte is sent, ask [`Dispatcher::may_send`] again;
+//! 3. tell it with [`Dispatcher::learn`] what was seen and with [`Dispatcher::release`]
+//!    that the target is done with the request;
+//! 4. after each release take the waiting requests that may go now from
+//!    [`Dispatcher::next_wake`].
+//!
+//! The choice of target is a [`Strategy`]; each one is a file in `strategy/`.
+
+mod admission;
+mod cold_start;
+mod connections;
+mod dispatcher;
+mod dump;
+mod ejection;
+mod latency;
+mod limit;
+mod measuring;
+mod pause;
+mod queue;
+mod report;
+mod request;
+mod retry;
+mod strategy;
+mod table;
+mod target;
+
+pub use connections::connection_share;
+pub use dispatcher::Decision;
+pub use dispatcher::Dispatcher;
+pub use dispatcher::Observation;
+pub use dispatcher::Refusal;
+pub use dispatcher::Wake;
+pub use dump::QueueDump;
+pub use dump::ServiceDump;
+pub use dump::TargetDump;
+pub use dump::Usability;
+pub use measuring::MeasuringShare;
+pub use pause::PauseDetector;
+pub use queue::Ticket;
+pub use report::LoadReport;
+pub use report::ReportedState;
+pub use request::Request;
+pub use request::Tried;
+pub use retry::RetryBudget;
+pub use strategy::AnyStrategy;
+pub use strategy::Candidate;
+pub use strategy::Candidates;
+pub use strategy::ExpectedTime;
+pub use strategy::LatencyTwoChoices;
+pub use strategy::LeastInFlight;
+pub use strategy::Random;
+pub use strategy::RoundRobin;
+pub use strategy::Strategy;
+pub use strategy::TwoChoices;
+pub use target::Grant;
+pub use target::TargetIndex;
--- /dev/null
+++ b/crates/thymeshift_dispatch/src/report.rs
@@ -0,0 +1,103 @@
+//! What a target says of itself, and how far that may be believed.
+
+use std::time::Duration;
+
+use derive_more::Display;
+use serde::Deserialize;
+use serde::Serialize;
+use thymeshift_types::Incarnation;
+use thymeshift_types::Timestamp;
+
+/// What a target says about taking new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ReportedState {
+    /// It takes new work.
+    #[display("serving")]
+    Serving,
+    /// It is leaving and takes no new work.
+    #[display("draining")]
+    Draining,
+}
+
+/// A load report, as carried on an answer or returned by a probe. Counts are requests,
+/// from all VMs together, without the one that carries the report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Requests being run.
+    pub running: u32,
+    /// Requests waiting inside the target.
+    pub queued: u32,
+    /// The target's incarnation, if it states one.
+    pub incarnation: Option<Incarnation>,
+    /// Whether it takes new work.
+    pub state: ReportedState,
+}
+
+impl LoadReport {
+    /// Requests running and waiting.
+    pub fn occupancy(&self) -> u32 {
+        self.running.saturating_add(self.queued)
+    }
+}
+
+/// Weight of a new report in the long-run mean of others' load.
+const MEAN_WEIGHT: f64 = 0.1;
+
+/// The load that other VMs put on a target, estimated from reports.
+///
+/// A report is exact only when it was made. With age the estimate moves from the report
+/// towards the long-run mean, at the pace at which a target's load changes: the time of
+/// a few requests.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct OthersLoad {
+    mean: f64,
+    last: Option<Received>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Received {
+    report: LoadReport,
+    others: f64,
+    at: Timestamp,
+}
+
+impl OthersLoad {
+    /// Takes in a report; `own` is this VM's requests in flight there, the reporting one
+    /// not counted.
+    pub(crate) fn learn(&mut self, report: LoadReport, own: u32, at: Timestamp) {
+        let others = f64::from(report.occupancy().saturating_sub(own));
+        self.mean = match self.last {
+            Some(_) => self.mean + MEAN_WEIGHT * (others - self.mean),
+            None => others,
+        };
+        self.last = Some(Received { report, others, at });
+    }
+
+    /// Expected requests of other VMs now; `memory` is the time over which the load of
+    /// the target changes.
+    pub(crate) fn expected(&self, now: Timestamp, memory: Duration) -> f64 {
+        let Some(last) = self.last else {
+            return 0.0;
+        };
+        let age = now.since(last.at).as_secs_f64();
+        let memory = memory.as_secs_f64().max(f64::EPSILON);
+        // A rational fade instead of an exponential: cheaper, and the tail matters little.
+        let faith = memory / (memory + age);
+        self.mean + (last.others - self.mean) * faith
+    }
+
+    /// Forgets reports that are older than the process's own pause.
+    pub(crate) fn distrust(&mut self) {
+        self.last = None;
+        self.mean = 0.0;
+    }
+
+    pub(crate) fn last_report(&self) -> Option<LoadReport> {
+        self.last.map(|last| last.report)
+    }
+
+    pub(crate) fn age(&self, now: Timestamp) -> Option<Duration> {
+        self.last.map(|last| now.since(last.at))
+    }
+}
--- /dev/null
+++ b/crates/thymeshift_dispatch/src/request.rs
@@ -0,0 +1,48 @@
+//! What the dispatcher needs to know of a request.
+
+use thymeshift_types::Timestamp;
+
+use crate::TargetIndex;
+
+/// Most targets remembered as tried; equal to the largest `attempts_max`.
+const TRIED_MAX: usize = 10;
+
+/// Targets that this request was already sent to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Tried {
+    targets: [Option<TargetIndex>; TRIED_MAX],
+}
+
+impl Tried {
+    /// Adds a target; beyond ten the oldest knowledge is kept.
+    pub fn add(&mut self, target: TargetIndex) {
+        if let Some(free) = self.targets.iter_mut().find(|entry| entry.is_none()) {
+            *free = Some(target);
+        }
+    }
+
+    /// Whether `target` was tried.
+    pub fn has(&self, target: TargetIndex) -> bool {
+        self.targets.contains(&Some(target))
+    }
+
+    /// Whether nothing was tried yet.
+    pub fn is_empty(&self) -> bool {
+        self.targets[0].is_none()
+    }
+}
+
+/// A request as the dispatcher sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Request {
+    /// Rank of its kind; 1 goes first.
+    pub priority: u8,
+    /// When its answer must have begun.
+    pub deadline: Timestamp,
+    /// When it stops waiting for a target; at most the deadline.
+    pub wait_until: Timestamp,
+    /// Most requests of its rank waiting at one time.
+    pub queue_max: u32,
+    /// Targets it was already sent to.
+    pub tried: Tried,
+}
--- /dev/null
+++ b/crates/thymeshift_dispatch/src/retry.rs
@@ -0,0 +1,56 @@
+//! Budget for attempts after the first.
+//!
+//! What it does: each success earns a share of a retry; each retry or hedge spends a
+//! whole one. Earned retries are kept up to a small bound.
+//!
+//! Why: when everything fails, retries would multiply the load just when it must fall.
+//!
+//! Settings: `retry_budget_percent`.
+
+/// Most retries kept.
+const RESERVE_MAX: f64 = 10.0;
+/// Retries a fresh process starts with.
+const RESERVE_START: f64 = 2.0;
+
+/// The retry budget of one service at one VM.
+#[derive(Debug, Clone)]
+pub struct RetryBudget {
+    reserve: f64,
+    share: f64,
+}
+
+impl RetryBudget {
+    /// A budget of `percent` retries for each hundred successes.
+    pub fn new(percent: u64) -> Self {
+        let share = percent as f64 / 100.0;
+        let reserve = if percent == 0 { 0.0 } else { RESERVE_START };
+        Self { reserve, share }
+    }
+
+    /// Changes the share, keeping what was earned.
+    pub fn set_percent(&mut self, percent: u64) {
+        self.share = percent as f64 / 100.0;
+        if percent == 0 {
+            self.reserve = 0.0;
+        }
+    }
+
+    /// Earns a share of a retry.
+    pub fn succeeded(&mut self) {
+        self.reserve = (self.reserve + self.share).min(RESERVE_MAX);
+    }
+
+    /// Spends one retry, if there is one.
+    pub fn try_spend(&mut self) -> bool {
+        if self.reserve < 1.0 {
+            return false;
+        }
+        self.reserve -= 1.0;
+        true
+    }
+
+    /// Retries left.
+    pub fn reserve(&self) -> f64 {
+        self.reserve
+    }
+}
--- /dev/null
+++ b/crates/thymeshift_dispatch/src/strategy/least_in_flight.rs
@@ -0,0 +1,19 @@
+//! The target with the fewest requests in flight from this VM. A baseline: exact about
+//! itself, blind to the other VMs.
+
+use rand::Rng;
+
+use crate::TargetIndex;
+use crate::strategy::Candidates;
+use crate::strategy::Strategy;
+use crate::strategy::candidates::least;
+
+/// Chooses the fewest own requests in flight.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct LeastInFlight;
+
+impl Strategy for LeastInFlight {
+    fn choose<R: Rng>(&mut self, candidates: &Candidates<'_>, rng: &mut R) -> Option<TargetIndex> {
+        least(candidates.iter(), |candidate| f64::from(candidate.in_flight()), rng)
+    }
+}
--- /dev/null
+++ b/crates/thymeshift_dispatch/src/table.rs
@@ -0,0 +1,164 @@
+//! The targets of one service, at places that stay valid while requests are in flight.
+
+use std::time::Duration;
+
+use thymeshift_config::Service;
+use thymeshift_config::Target as TargetSettings;
+use thymeshift_config::TargetState;
+use thymeshift_types::DataHallName;
+use thymeshift_types::Incarnation;
+use thymeshift_types::TargetName;
+use thymeshift_types::Timestamp;
+
+use crate::TargetIndex;
+use crate::cold_start::ColdStart;
+use crate::connections::connection_share;
+use crate::target::Presence;
+use crate::target::Shape;
+use crate::target::Target;
+
+/// What of the configuration beside the service itself the table depends on.
+#[derive(Debug, Clone)]
+pub(crate) struct Surroundings {
+    pub(crate) own_data_hall: DataHallName,
+    pub(crate) one_way: Duration,
+    pub(crate) entry_vms_max: u64,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Table {
+    targets: Vec<Target>,
+    is_filled: bool,
+}
+
+impl Table {
+    pub(crate) fn targets(&self) -> &[Target] {
+        &self.targets
+    }
+
+    pub(crate) fn get(&self, index: TargetIndex) -> &Target {
+        &self.targets[index.as_usize()]
+    }
+
+    pub(crate) fn get_mut(&mut self, index: TargetIndex) -> &mut Target {
+        &mut self.targets[index.as_usize()]
+    }
+
+    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = &mut Target> {
+        self.targets.iter_mut()
+    }
+
+    /// The current incarnation of `name`.
+    pub(crate) fn find(&self, name: &TargetName) -> Option<TargetIndex> {
+        let is_current =
+            |target: &Target| target.name == *name && target.presence != Presence::Removed;
+        self.targets.iter().position(is_current).map(TargetIndex::new)
+    }
+
+    /// Brings the table in line with the configuration.
+    pub(crate) fn update(
+        &mut self,
+        service: &Service,
+        surroundings: &Surroundings,
+        now: Timestamp,
+    ) {
+        for target in &mut self.targets {
+            let is_listed = service.targets.iter().any(|listed| listed.name == target.name);
+            if !is_listed {
+                target.presence = Presence::Removed;
+            }
+        }
+        let shape = Shape {
+            slots: u32::try_from(service.slots_per_target).unwrap_or(u32::MAX),
+            connection_share: share_for_requests(service, surroundings.entry_vms_max),
+        };
+        let ramp = Duration::from_millis(service.cold_start_ramp_ms);
+        for listed in &service.targets {
+            let index = self.place_of(listed, shape, ramp, now);
+            let target = self.get_mut(index);
+            target.set_shape(shape);
+            let is_near = listed.data_hall == surroundings.own_data_hall;
+            target.distance = if is_near { Duration::ZERO } else { surroundings.one_way };
+            let is_stale = listed.incarnation < target.incarnation;
+            if listed.state == TargetState::Leaving && !is_stale {
+                target.presence = Presence::Leaving;
+            }
+        }
+        self.is_filled = true;
+    }
+
+    /// The place of a listed target; a new incarnation or address gets a new place, so
+    /// that requests in flight to the old one keep theirs.
+    fn place_of(
+        &mut self,
+        listed: &TargetSettings,
+        shape: Shape,
+        ramp: Duration,
+        now: Timestamp,
+    ) -> TargetIndex {
+        if let Some(index) = self.find(&listed.name) {
+            let known = self.get_mut(index);
+            let is_same =
+                known.address == listed.address && known.incarnation >= listed.incarnation;
+            if is_same {
+                return index;
+            }
+            known.presence = Presence::Removed;
+        }
+        // Targets of the first configuration were there before this process.
+        let cold_start = if self.is_filled { ColdStart::new(now, ramp) } else { ColdStart::warm() };
+        let name = listed.name.clone();
+        let target = Target::new(name, listed.address, listed.incarnation, shape, cold_start);
+        self.insert(target)
+    }
+
+    fn insert(&mut self, target: Target) -> TargetIndex {
+        let is_free =
+            |target: &Target| target.presence == Presence::Removed && target.in_flight() == 0;
+        if let Some(index) = self.targets.iter().position(is_free) {
+            self.targets[index] = target;
+            return TargetIndex::new(index);
+        }
+        self.targets.push(target);
+        TargetIndex::new(self.targets.len() - 1)
+    }
+
+    /// Notes the incarnation that a target states of itself: it may have started anew on
+    /// the same address before the configuration says so.
+    pub(crate) fn note_incarnation(&mut self, index: TargetIndex, incarnation: Incarnation) {
+        let target = self.get_mut(index);
+        if target.presence == Presence::Serving && target.incarnation < incarnation {
+            target.incarnation = incarnation;
+        }
+    }
+
+    /// Marks a target as leaving if the mark is about its incarnation or a later one.
+    /// Returns whether that is news.
+    pub(crate) fn mark_leaving(&mut self, name: &TargetName, incarnation: Incarnation) -> bool {
+        let Some(index) = self.find(name) else {
+            return false;
+        };
+        let target = self.get_mut(index);
+        if target.presence != Presence::Serving || target.incarnation > incarnation {
+            return false;
+        }
+        target.presence = Presence::Leaving;
+        true
+    }
+
+    /// Whether one more target may be set aside.
+    pub(crate) fn has_room_to_eject(&self, share_max_percent: u64, now: Timestamp) -> bool {
+        let serving = self.targets.iter().filter(|target| target.is_serving());
+        let (count, ejected) = serving.fold((0_u64, 0_u64), |(count, ejected), target| {
+            (count + 1, ejected + u64::from(target.ejection().is_ejected(now)))
+        });
+        (ejected + 1) * 100 <= count * share_max_percent
+    }
+}
+
+/// Connections for requests: the VM's share, less one that probes use.
+fn share_for_requests(service: &Service, entry_vms_max: u64) -> u32 {
+    let share = connection_share(service.connections_per_target, entry_vms_max);
+    let is_probed = service.probe.is_some() && service.measuring_budget_us_per_s > 0;
+    if is_probed { (share - 1).max(1) } else { share }
+}
--- /dev/null
+++ b/crates/thymeshift_dispatch/src/target.rs
@@ -0,0 +1,302 @@
+//! One target as this VM sees it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use derive_more::Display;
+use serde::Deserialize;
+use serde::Serialize;
+use thymeshift_config::Ejection as EjectionSettings;
+use thymeshift_types::Incarnation;
+use thymeshift_types::TargetName;
+use thymeshift_types::Timestamp;
+
+use crate::LoadReport;
+use crate::Usability;
+use crate::cold_start::ColdStart;
+use crate::ejection::Ejection;
+use crate::latency::Latency;
+use crate::limit::Limit;
+use crate::limit::Pressure;
+use crate::report::OthersLoad;
+
+/// Requests over which a target's load changes: the memory of a report.
+const REPORT_MEMORY_REQUESTS: f64 = 2.0;
+/// Weight of one attempt in the ratio of time taken to time expected.
+const SURPRISE_WEIGHT: f64 = 0.1;
+/// Largest ratio counted, so that one odd answer does not decide.
+const SURPRISE_MAX: f64 = 8.0;
+/// Time in which half of a bad ratio is forgotten while the target is not tried.
+const SURPRISE_HALF_LIFE: Duration = Duration::from_secs(1);
+/// Smallest share of successes counted, which bounds the cost of a failing target.
+const SUCCESS_SHARE_MIN: f64 = 0.02;
+
+/// Place of a target in its service's table. Valid while the target or a request to it
+/// exists.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize,
+)]
+pub struct TargetIndex(u32);
+
+impl TargetIndex {
+    pub(crate) fn new(index: usize) -> Self {
+        Self(index as u32)
+    }
+
+    pub(crate) fn as_usize(self) -> usize {
+        self.0 as usize
+    }
+}
+
+/// The right to send one request to one target. It must be given back with
+/// [`crate::Dispatcher::release`].
+#[must_use = "a grant that is not released counts as a request in flight for ever"]
+#[derive(Debug, PartialEq, Eq)]
+pub struct Grant {
+    pub(crate) target: TargetIndex,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) sent_at: Timestamp,
+    pub(crate) expected: Duration,
+}
+
+impl Grant {
+    /// The target chosen.
+    pub fn target(&self) -> TargetIndex {
+        self.target
+    }
+
+    /// The incarnation that was meant.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// When the choice was made.
+    pub fn sent_at(&self) -> Timestamp {
+        self.sent_at
+    }
+}
+
+/// Figures of a target's service that its own state depends on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Shape {
+    pub(crate) slots: u32,
+    pub(crate) connection_share: u32,
+}
+
+/// Whether the target is still in the configuration and may get new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Presence {
+    Serving,
+    Leaving,
+    /// No longer configured; kept only until its last request is released.
+    Removed,
+}
+
+#[derive(Debug)]
+pub(crate) struct Target {
+    pub(crate) name: TargetName,
+    pub(crate) address: SocketAddr,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) presence: Presence,
+    /// An operator's order says that it gets no new work for now.
+    pub(crate) is_stopped: bool,
+    pub(crate) distance: Duration,
+    pub(crate) shape: Shape,
+    in_flight: u32,
+    sent_at_sum_us: u64,
+    latency: Latency,
+    others: OthersLoad,
+    limit: Limit,
+    ejection: Ejection,
+    cold_start: ColdStart,
+    surprise: f64,
+    surprise_at: Timestamp,
+}
+
+impl Target {
+    pub(crate) fn new(
+        name: TargetName,
+        address: SocketAddr,
+        incarnation: Incarnation,
+        shape: Shape,
+        cold_start: ColdStart,
+    ) -> Self {
+        Self {
+            name,
+            address,
+            incarnation,
+            presence: Presence::Serving,
+            is_stopped: false,
+            distance: Duration::ZERO,
+            shape,
+            in_flight: 0,
+            sent_at_sum_us: 0,
+            latency: Latency::default(),
+            others: OthersLoad::default(),
+            limit: Limit::new(shape.slots, shape.connection_share),
+            ejection: Ejection::default(),
+            cold_start,
+            surprise: 1.0,
+            surprise_at: Timestamp::default(),
+        }
+    }
+
+    pub(crate) fn set_shape(&mut self, shape: Shape) {
+        self.shape = shape;
+        self.limit.set_ceiling(shape.connection_share);
+    }
+
+    pub(crate) fn usability(&self, now: Timestamp) -> Usability {
+        match self.presence {
+            Presence::Removed => Usability::Removed,
+            Presence::Leaving => Usability::Leaving,
+            Presence::Serving if self.is_stopped => Usability::Stopped,
+            Presence::Serving if self.ejection.is_ejected(now) => Usability::Ejected,
+            Presence::Serving if !self.limit.has_room(self.in_flight) => Usability::AtLimit,
+            Presence::Serving => Usability::Open,
+        }
+    }
+
+    pub(crate) fn is_open(&self, now: Timestamp) -> bool {
+        self.usability(now) == Usability::Open
+    }
+
+    /// Whether it may be open again without a change of configuration.
+    pub(crate) fn is_serving(&self) -> bool {
+        self.presence == Presence::Serving && !self.is_stopped
+    }
+
+    pub(crate) fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    pub(crate) fn latency_us(&self) -> f64 {
+        self.latency.mean_us()
+    }
+
+    pub(crate) fn limit(&self) -> f64 {
+        self.limit.value()
+    }
+
+    pub(crate) fn ejection(&self) -> &Ejection {
+        &self.ejection
+    }
+
+    pub(crate) fn others(&self) -> &OthersLoad {
+        &self.others
+    }
+
+    /// Time in which an answer is expected, in microseconds.
+    ///
+    /// The work ahead (own requests and what is expected of others) fills the slots and
+    /// then queues; each request takes about the shortest latency seen. That is corrected by
+    /// how far earlier expectations were off (which finds slow targets and lying
+    /// reports), lengthened if own requests are out longer than expected (a stall that no
+    /// report tells of), and divided by the share of successes.
+    pub(crate) fn expected_us(&self, now: Timestamp) -> f64 {
+        let service_us = self.service_us();
+        let memory = Duration::from_micros((service_us * REPORT_MEMORY_REQUESTS) as u64);
+        let ahead = f64::from(self.in_flight) + self.others.expected(now, memory);
+        let slots = f64::from(self.shape.slots);
+        let queued = (ahead + 1.0 - slots).max(0.0);
+        let base_us = service_us * (1.0 + queued / slots);
+        let stalled_us = self.overdue_us(now, base_us);
+        let success_share = (1.0 - self.ejection.failure_rate(now)).max(SUCCESS_SHARE_MIN);
+        let answer_us = base_us * self.surprise(now) * self.cold_start.factor(now) + stalled_us;
+        answer_us / success_share + 2.0 * self.distance.as_micros() as f64
+    }
+
+    /// Time of one request without waiting, in microseconds.
+    fn service_us(&self) -> f64 {
+        let distance_us = 2.0 * self.distance.as_micros() as f64;
+        (self.latency.floor_us() - distance_us).max(1.0)
+    }
+
+    /// How much longer than expected own requests have been out on average.
+    fn overdue_us(&self, now: Timestamp, expected_us: f64) -> f64 {
+        if self.in_flight == 0 {
+            return 0.0;
+        }
+        let count = f64::from(self.in_flight);
+        let now_sum_us = now.as_micros() as f64 * count;
+        let age_us = (now_sum_us - self.sent_at_sum_us as f64).max(0.0) / count;
+        (age_us - expected_us).max(0.0)
+    }
+
+    fn surprise(&self, now: Timestamp) -> f64 {
+        let age = now.since(self.surprise_at).as_secs_f64();
+        let half_life = SURPRISE_HALF_LIFE.as_secs_f64();
+        1.0 + (self.surprise - 1.0) * half_life / (half_life + age)
+    }
+
+    pub(crate) fn grant(&mut self, index: TargetIndex, now: Timestamp) -> Grant {
+        // The correction is left out of the expectation it is learnt from.
+        let expected_us = self.expected_us(now) / self.surprise(now);
+        self.in_flight += 1;
+        self.sent_at_sum_us += now.as_micros();
+        Grant {
+            target: index,
+            incarnation: self.incarnation,
+            sent_at: now,
+            expected: Duration::from_micros(expected_us as u64),
+        }
+    }
+
+    pub(crate) fn release(&mut self, grant: &Grant) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.sent_at_sum_us = self.sent_at_sum_us.saturating_sub(grant.sent_at.as_micros());
+    }
+
+    pub(crate) fn learn_report(&mut self, report: LoadReport, now: Timestamp) {
+        self.others.learn(report, self.in_flight.saturating_sub(1), now);
+    }
+
+    /// A probe's report: the probe itself is not among this VM's requests in flight.
+    pub(crate) fn learn_probe(&mut self, report: LoadReport, now: Timestamp) {
+        self.others.learn(report, self.in_flight, now);
+    }
+
+    pub(crate) fn learn_latency(&mut self, grant: &Grant, now: Timestamp) {
+        let taken = now.since(grant.sent_at);
+        let has_sample = self.latency.has_sample();
+        self.latency.learn(taken);
+        if !has_sample {
+            return;
+        }
+        let expected_us = (grant.expected.as_micros() as f64).max(1.0);
+        let ratio = (taken.as_micros() as f64 / expected_us).clamp(1.0, SURPRISE_MAX);
+        let surprise = self.surprise(now);
+        self.surprise = surprise + SURPRISE_WEIGHT * (ratio - surprise);
+        self.surprise_at = now;
+    }
+
+    /// Learns whether the target keeps up, from its queue or, without one, from latency.
+    pub(crate) fn learn_pressure(&mut self, report: Option<LoadReport>, now: Timestamp) {
+        let pressure = match report {
+            Some(report) => Pressure::of_queue(report.queued, self.shape.slots),
+            None => Pressure::of_latency(self.latency.mean_us(), self.latency.floor_us()),
+        };
+        self.apply_pressure(pressure, now);
+    }
+
+    pub(crate) fn learn_overload(&mut self, now: Timestamp) {
+        self.apply_pressure(Pressure::Overloaded, now);
+    }
+
+    fn apply_pressure(&mut self, pressure: Pressure, now: Timestamp) {
+        let round_trip = Duration::from_micros(self.latency.mean_us() as u64);
+        self.limit.learn(pressure, self.in_flight, now, round_trip);
+    }
+
+    pub(crate) fn succeeded(&mut self, now: Timestamp) {
+        self.ejection.succeeded(now);
+    }
+
+    pub(crate) fn failed(&mut self, settings: &EjectionSettings, has_room: bool, now: Timestamp) {
+        self.ejection.failed(settings, has_room, now);
+    }
+
+    pub(crate) fn distrust(&mut self) {
+        self.others.distrust();
+    }
+}
--- /dev/null
+++ b/crates/thymeshift_entry/src/caller/connection.rs
@@ -0,0 +1,87 @@
+//! One connection of a caller, HTTP/1.1 or cleartext HTTP/2.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use futures::FutureExt;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use hyper_util::server::conn::auto;
+use spdlog::debug;
+use thymeshift_config::Limits;
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+
+use crate::caller::handler::handle;
+use crate::caller::write_stall::WriteStall;
+use crate::shared::Shared;
+
+/// Requests one HTTP/2 connection may have open.
+const STREAMS_MAX: u32 = 256;
+
+/// Serves a connection until it closes; `closing` begins its graceful end.
+pub(crate) async fn serve(
+    shared: Arc<Shared>,
+    stream: TcpStream,
+    caller: SocketAddr,
+    limits: Limits,
+    closing: impl Future<Output = ()>,
+) {
+    let head_limit = Duration::from_millis(limits.header_read_timeout_ms);
+    let write_limit = Duration::from_millis(limits.body_stall_timeout_ms);
+    let has_begun = Arc::new(AtomicBool::new(false));
+    let has_begun_here = has_begun.clone();
+    let service = service_fn(move |request| {
+        has_begun.store(true, Ordering::Relaxed);
+        let answer = handle(shared.clone(), caller, request);
+        answer.map(Ok::<_, Infallible>)
+    });
+    let builder = builder(&limits, head_limit);
+    let stream = TokioIo::new(WriteStall::new(stream, write_limit));
+    let mut connection = pin!(builder.serve_connection(stream, service));
+    let mut closing = pin!(closing.fuse());
+    // Before the first request hyper only looks which protocol the caller speaks, and has
+    // no time limit for that.
+    let mut first_limit = pin!(sleep(head_limit).fuse());
+    loop {
+        futures::select_biased! {
+            ended = connection.as_mut().fuse() => {
+                if let Err(error) = ended {
+                    let caller = caller.to_string();
+                    debug!("caller_connection_broken", kv: { caller, error: = error });
+                }
+                return;
+            }
+            () = closing => connection.as_mut().graceful_shutdown(),
+            () = first_limit => {
+                if !has_begun_here.load(Ordering::Relaxed) {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+fn builder(limits: &Limits, head_limit: Duration) -> auto::Builder<TokioExecutor> {
+    let head_bytes_max = limits.header_bytes_max as usize;
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(head_limit)
+        .max_buf_size(head_bytes_max)
+        .http2()
+        .timer(TokioTimer::new())
+        .max_concurrent_streams(STREAMS_MAX)
+        .max_header_list_size(head_bytes_max as u32)
+        .keep_alive_interval(head_limit)
+        .keep_alive_timeout(head_limit);
+    builder
+}
--- /dev/null
+++ b/crates/thymeshift_entry/src/caller/forward.rs
@@ -0,0 +1,229 @@
+//! One request from its kind to its answer: choosing, waiting, attempts.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::Either;
+use futures::future::select;
+use http::HeaderValue;
+use http::Response;
+use http::request::Parts;
+use rand::Rng;
+use thymeshift_config::Repeat;
+use thymeshift_dispatch::Refusal;
+use thymeshift_dispatch::Request;
+use thymeshift_dispatch::Tried;
+use thymeshift_types::BootClock;
+use thymeshift_types::Clock;
+use thymeshift_types::Failure;
+use thymeshift_types::Outcome;
+use thymeshift_types::Peer;
+use thymeshift_types::Reason;
+use thymeshift_types::Step;
+use thymeshift_types::Timestamp;
+use thymeshift_wire::CallContext;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::routing::KindRuntime;
+use crate::service::Admitted;
+use crate::service::GrantGuard;
+use crate::shared::Shared;
+use crate::target::Attempt;
+use crate::target::AttemptFailure;
+use crate::target::AttemptPlan;
+use crate::target::Freshness;
+use crate::target::RequestBody;
+use crate::target::TargetBody;
+
+/// Choices that may turn out unusable before the first byte, for one request.
+const GIVEN_UP_MAX: u32 = 8;
+
+/// A request whose kind is known.
+pub(crate) struct Forward {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) kind: Arc<KindRuntime>,
+    pub(crate) head: Parts,
+    pub(crate) deadline: Timestamp,
+    pub(crate) attempts_max: u64,
+    pub(crate) depth: u64,
+    pub(crate) body_stall: Duration,
+}
+
+type Answered = Result<Response<TargetBody>, Box<AttemptFailure>>;
+
+impl Forward {
+    /// Forwards the request until there is an answer or nothing more may be tried.
+    pub(crate) async fn run(&self, body: RequestBody) -> Result<Response<TargetBody>, Failure> {
+        let mut tried = Tried::default();
+        let mut attempts = 0;
+        let mut given_up = 0;
+        let mut body = body;
+        loop {
+            let grant = self.grant(tried).await?;
+            attempts += 1;
+            let copy = body.try_copy();
+            let failed = match self.attempt(grant, body, &mut attempts, tried).await {
+                Ok(response) => return Ok(response),
+                Err(failed) => failed,
+            };
+            let Some(target) = failed.target else {
+                // Nothing was sent: choose again without counting an attempt.
+                attempts -= 1;
+                given_up += 1;
+                match failed.body {
+                    Some(unused) if given_up < GIVEN_UP_MAX && self.has_time() => body = unused,
+                    _ => return Err(self.with_retry_after(failed.failure)),
+                }
+                continue;
+            };
+            tried.add(target);
+            let AttemptFailure { failure, body: unused, .. } = *failed;
+            let Some(again) = unused.or(copy).filter(|_| self.may_retry(&failure, attempts)) else {
+                return Err(self.with_retry_after(failure));
+            };
+            self.kind.figures.retries.add_one();
+            body = again;
+        }
+    }
+
+    /// Waits for a target.
+    async fn grant(&self, tried: Tried) -> Result<GrantGuard, Failure> {
+        let service = &self.kind.service;
+        match service.admit(self.request(tried), BootClock.now()) {
+            Admitted::Send(grant) => Ok(grant),
+            Admitted::Refused(refusal) => Err(self.refused(refusal, Step::Choose)),
+            Admitted::Wait(waiting) => {
+                self.kind.figures.waited.add_one();
+                let left = BootClock.now().until(self.deadline);
+                match timeout(left, waiting.decided()).await {
+                    Ok(Some(Ok(grant))) => Ok(grant),
+                    Ok(Some(Err(refusal))) => Err(self.refused(refusal, Step::Queue)),
+                    Ok(None) | Err(_) => Err(self.not_run(Reason::Deadline, Step::Queue)),
+                }
+            }
+        }
+    }
+
+    fn request(&self, tried: Tried) -> Request {
+        let kind = &self.kind.kind;
+        let wait_until = BootClock.now() + Duration::from_millis(kind.wait_max_ms);
+        Request {
+            priority: kind.priority as u8,
+            deadline: self.deadline,
+            wait_until: wait_until.min(self.deadline),
+            queue_max: u32::try_from(kind.queue_max).unwrap_or(u32::MAX),
+            tried,
+        }
+    }
+
+    /// One attempt, and for kinds that hedge a second one beside it if it takes long.
+    async fn attempt(
+        &self,
+        grant: GrantGuard,
+        body: RequestBody,
+        attempts: &mut u64,
+        tried: Tried,
+    ) -> Answered {
+        let hedge_after = Duration::from_millis(self.kind.kind.hedge_after_ms);
+        let copy = if hedge_after.is_zero() { None } else { body.try_copy() };
+        let first_target = grant.target();
+        let first = Box::pin(self.send(grant, body, *attempts));
+        let Some(copy) = copy else {
+            return first.await;
+        };
+        let first = match select(first, Box::pin(sleep(hedge_after))).await {
+            Either::Left((answered, _)) => return answered,
+            Either::Right(((), first)) => first,
+        };
+        let mut tried = tried;
+        if let Some(target) = first_target {
+            tried.add(target);
+        }
+        let Some(grant) = self.hedge_grant(*attempts, tried) else {
+            return first.await;
+        };
+        *attempts += 1;
+        self.kind.figures.retries.add_one();
+        let second = Box::pin(self.send(grant, copy, *attempts));
+        // The first good answer counts; dropping the other attempt cancels it.
+        match select(first, second).await {
+            Either::Left((Err(_), second)) => second.await,
+            Either::Right((Err(_), first)) => first.await,
+            Either::Left((answered, _)) | Either::Right((answered, _)) => answered,
+        }
+    }
+
+    fn hedge_grant(&self, attempts: u64, tried: Tried) -> Option<GrantGuard> {
+        let is_allowed = self.kind.kind.repeat == Repeat::Safe && attempts < self.attempts_max;
+        let service = &self.kind.service;
+        if !is_allowed || !service.try_retry() {
+            return None;
+        }
+        service.admit_hedge(self.request(tried))
+    }
+
+    async fn send(&self, grant: GrantGuard, body: RequestBody, attempt: u64) -> Answered {
+        let freshness = match self.kind.kind.repeat {
+            Repeat::Safe => Freshness::Any,
+            Repeat::Unsafe => Freshness::New,
+        };
+        let context = CallContext {
+            timeout: None,
+            attempts_left: Some(self.attempts_max.saturating_sub(attempt) + 1),
+            depth: self.depth + 1,
+        };
+        let plan = AttemptPlan {
+            head: self.head.clone(),
+            body,
+            deadline: self.deadline,
+            context,
+            id: attempt_id(),
+            freshness,
+            body_stall: self.body_stall,
+        };
+        Attempt { shared: self.shared.clone(), grant }.run(plan).await
+    }
+
+    /// Another attempt needs: proof that none ran, or a kind that may run twice; a
+    /// number and a budget that allow it; and time.
+    fn may_retry(&self, failure: &Failure, attempts: u64) -> bool {
+        let is_harmless =
+            failure.outcome == Outcome::NotRun || self.kind.kind.repeat == Repeat::Safe;
+        let is_callers_fault = failure.reason == Reason::CallerLost;
+        is_harmless
+            && !is_callers_fault
+            && attempts < self.attempts_max
+            && self.has_time()
+            && self.kind.service.try_retry()
+    }
+
+    fn has_time(&self) -> bool {
+        BootClock.now() < self.deadline
+    }
+
+    fn refused(&self, refusal: Refusal, step: Step) -> Failure {
+        self.not_run(refusal.reason, step).with_retry_after(refusal.retry_after)
+    }
+
+    fn not_run(&self, reason: Reason, step: Step) -> Failure {
+        let peer = Peer::Service(self.kind.service.name().clone());
+        let failure = Failure::new(Outcome::NotRun, reason, step, peer);
+        self.with_retry_after(failure)
+    }
+
+    /// Every refusal says when to come back.
+    fn with_retry_after(&self, failure: Failure) -> Failure {
+        if failure.retry_after.is_some() || failure.outcome != Outcome::NotRun {
+            return failure;
+        }
+        let base = Duration::from_millis(self.kind.kind.deadline_ms);
+        failure.with_retry_after(base.mul_f64(rand::rng().random_range(0.5..1.5)))
+    }
+}
+
+fn attempt_id() -> HeaderValue {
+    let id = rand::rng().random::<u64>();
+    // Hexadecimal digits always make a valid value.
+    HeaderValue::try_from(format!("{id:016x}")).unwrap_or_else(|_| HeaderValue::from_static("0"))
+}
--- /dev/null
+++ b/crates/thymeshift_entry/src/caller/handler.rs
@@ -0,0 +1,236 @@
+//! One request of a caller.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::Uri;
+use http::Version;
+use http::header;
+use http::request::Parts;
+use hyper::body::Incoming;
+use metrics::gauge;
+use rand::Rng;
+use spdlog::debug;
+use spdlog::info;
+use thymeshift_config::Limits;
+use thymeshift_telemetry::metric;
+use thymeshift_types::BootClock;
+use thymeshift_types::Clock;
+use thymeshift_types::Failure;
+use thymeshift_types::Outcome;
+use thymeshift_types::Peer;
+use thymeshift_types::Reason;
+use thymeshift_types::Step;
+use thymeshift_types::Timestamp;
+use thymeshift_wire::CallContext;
+use thymeshift_wire::headers;
+
+use crate::caller::answer::AnswerBody;
+use crate::caller::answer::failure_answer;
+use crate::caller::forward::Forward;
+use crate::caller::head::Head;
+use crate::caller::hop::remove_hop_by_hop;
+use crate::caller::read_body::read_body;
+use crate::routing::KindRuntime;
+use crate::shared::Shared;
+use crate::target::BodyLimits;
+
+/// Longest request id taken from a caller, in bytes.
+const REQUEST_ID_BYTES_MAX: usize = 64;
+/// When a caller may come back to a process that is starting or stopping.
+const ELSEWHERE_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Counts a request as in flight until it is dropped.
+struct InFlight(Arc<Shared>);
+
+impl InFlight {
+    fn new(shared: &Arc<Shared>) -> Self {
+        shared.figures.requests_in_flight.fetch_add(1, Ordering::Relaxed);
+        gauge!(metric::IN_FLIGHT).increment(1);
+        Self(shared.clone())
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.figures.requests_in_flight.fetch_sub(1, Ordering::Relaxed);
+        gauge!(metric::IN_FLIGHT).decrement(1);
+    }
+}
+
+/// A request on its way, as far as it is known.
+struct Progress {
+    shared: Arc<Shared>,
+    caller: SocketAddr,
+    accepted_at: Timestamp,
+    kind: Option<Arc<KindRuntime>>,
+}
+
+/// Answers a request.
+pub(crate) async fn handle(
+    shared: Arc<Shared>,
+    caller: SocketAddr,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let _in_flight = InFlight::new(&shared);
+    let is_stopping = shared.is_stopping();
+    let version = request.version();
+    let request_id = request_id(request.headers());
+    let mut progress = Progress { shared, caller, accepted_at: BootClock.now(), kind: None };
+    let answered = progress.answer(request, &request_id).await;
+    progress.record(&answered, &request_id);
+    let mut response = answered.unwrap_or_else(|failure| failure_answer(&failure, &request_id));
+    response.headers_mut().insert(headers::REQUEST_ID, request_id);
+    if is_stopping && version < Version::HTTP_2 {
+        // Callers keep no connection to a process that is about to stop.
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+impl Progress {
+    async fn answer(
+        &mut self,
+        request: Request<Incoming>,
+        request_id: &HeaderValue,
+    ) -> Result<Response<AnswerBody>, Failure> {
+        let Some(routing) = self.shared.routing() else {
+            let failure = self.refused(Reason::NotReady, Step::Match);
+            return Err(failure.with_retry_after(ELSEWHERE_RETRY_AFTER));
+        };
+        let limits = &routing.configuration.limits;
+        let (parts, incoming) = request.into_parts();
+        let context = CallContext::read(&parts.headers)
+            .map_err(|_| self.refused(Reason::BadHeader, Step::ReadHead))?;
+        if context.depth >= limits.depth_max {
+            return Err(self.refused(Reason::TooDeep, Step::ReadHead));
+        }
+        if parts.method == Method::CONNECT {
+            return Err(self.refused(Reason::UnknownKind, Step::Match));
+        }
+        let kind = routing.kind_of(&Head::new(&parts));
+        let kind = kind.ok_or_else(|| self.refused(Reason::UnknownKind, Step::Match))?.clone();
+        kind.figures.accepted.fetch_add(1, Ordering::Relaxed);
+        self.kind = Some(kind.clone());
+        let body = read_body(incoming, body_limits(limits), self.caller).await?;
+        let forward = self.forward(kind, parts, context, limits, request_id);
+        let response = forward.run(body).await?;
+        let (mut parts, body) = response.into_parts();
+        remove_hop_by_hop(&mut parts.headers);
+        parts.headers.remove(headers::ATTEMPT);
+        parts.headers.remove(headers::LOAD);
+        Ok(Response::from_parts(parts, AnswerBody::Target(Box::new(body))))
+    }
+
+    fn forward(
+        &self,
+        kind: Arc<KindRuntime>,
+        parts: Parts,
+        context: CallContext,
+        limits: &Limits,
+        request_id: &HeaderValue,
+    ) -> Forward {
+        let longest = Duration::from_millis(kind.kind.deadline_ms);
+        let timeout = context.timeout.map_or(longest, |asked| asked.min(longest));
+        let attempts_max = kind.kind.attempts_max;
+        let attempts_max =
+            context.attempts_left.map_or(attempts_max, |left| left.min(attempts_max));
+        Forward {
+            shared: self.shared.clone(),
+            head: onward_head(parts, self.caller, request_id),
+            deadline: self.accepted_at + timeout,
+            attempts_max: attempts_max.max(1),
+            depth: context.depth,
+            body_stall: body_limits(limits).stall,
+            kind,
+        }
+    }
+
+    /// A refusal before anything was sent.
+    fn refused(&self, reason: Reason, step: Step) -> Failure {
+        let peer = match reason {
+            Reason::NotReady | Reason::Stopping => Peer::Entry,
+            _ => Peer::Caller(self.caller),
+        };
+        Failure::new(Outcome::NotRun, reason, step, peer)
+    }
+
+    /// Counts and logs what became of the request.
+    fn record(&self, answered: &Result<Response<AnswerBody>, Failure>, request_id: &HeaderValue) {
+        let taken = BootClock.now().since(self.accepted_at);
+        let request_id = request_id.to_str().unwrap_or_default();
+        let kind = self.kind.as_ref().map_or("", |kind| kind.kind.name.as_str());
+        if let Some(kind) = &self.kind {
+            kind.figures.seconds.record(taken);
+            match answered {
+                Ok(_) => kind.figures.answered.add_one(),
+                Err(failure) => kind.figures.outcome(failure.outcome).add_one(),
+            }
+        }
+        let taken_us = taken.as_micros() as u64;
+        match answered {
+            Ok(response) => {
+                let status = response.status().as_u16();
+                debug!("request_answered", kv: { request_id, kind, status, taken_us });
+            }
+            Err(failure) => info!("request_failed", kv: {
+                request_id, kind, taken_us,
+                outcome: = failure.outcome, reason: = failure.reason,
+                step: = failure.step, peer: = failure.peer
+            }),
+        }
+    }
+}
+
+fn body_limits(limits: &Limits) -> BodyLimits {
+    BodyLimits {
+        bytes_max: limits.body_bytes_max,
+        stall: Duration::from_millis(limits.body_stall_timeout_ms),
+    }
+}
+
+/// The caller's id if it is plain text of bounded length, else a new one.
+fn request_id(map: &HeaderMap) -> HeaderValue {
+    let given = map.get(headers::REQUEST_ID);
+    let is_usable = |value: &&HeaderValue| {
+        let bytes = value.as_bytes();
+        let is_short = (1..=REQUEST_ID_BYTES_MAX).contains(&bytes.len());
+        is_short && bytes.iter().all(u8::is_ascii_graphic)
+    };
+    if let Some(value) = given.filter(is_usable) {
+        return value.clone();
+    }
+    let id = rand::rng().random::<u64>();
+    HeaderValue::try_from(format!("{id:016x}")).unwrap_or_else(|_| HeaderValue::from_static("0"))
+}
+
+/// The head as the target receives it.
+fn onward_head(mut parts: Parts, caller: SocketAddr, request_id: &HeaderValue) -> Parts {
+    remove_hop_by_hop(&mut parts.headers);
+    // The process answers it itself when it reads the body.
+    parts.headers.remove(header::EXPECT);
+    if !parts.headers.contains_key(header::HOST)
+        && let Some(authority) = parts.uri.authority()
+        && let Ok(host) = HeaderValue::from_str(authority.as_str())
+    {
+        parts.headers.insert(header::HOST, host);
+    }
+    parts.headers.insert(headers::REQUEST_ID, request_id.clone());
+    parts.headers.append(header::VIA, HeaderValue::from_static("1.1 thymeshift"));
+    if let Ok(address) = HeaderValue::try_from(caller.ip().to_string()) {
+        parts.headers.append("x-forwarded-for", address);
+    }
+    // Targets get the path alone; a caller that sent a whole URI meant a proxy.
+    if let Some(path) = parts.uri.path_and_query().cloned() {
+        parts.uri = Uri::from(path);
+    }
+    parts.version = Version::HTTP_11;
+    parts
+}
--- /dev/null
+++ b/crates/thymeshift_entry/src/caller/mod.rs
@@ -0,0 +1,13 @@
+//! From an accepted connection to the answer.
+
+mod answer;
+mod connection;
+mod forward;
+mod handler;
+mod head;
+mod hop;
+mod listener;
+mod read_body;
+mod write_stall;
+
+pub(crate) use listener::run_listener;
--- /dev/null
+++ b/crates/thymeshift_entry/src/control_plane/bootstrap.rs
@@ -0,0 +1,82 @@
+//! Start of a process that knows nothing: a configuration before anybody is served.
+//!
+//! The platform and some peers are asked at the same time, and the largest revision
+//! counts: the platform may be stale, and so may a peer. The process is ready once each
+//! side has answered or has been given its chance. If only one side can be reached, that
+//! one is believed: a stale configuration serves callers better than none, and the next
+//! exchange with anybody who knows more ends it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::join_all;
+use spdlog::info;
+use spdlog::warn;
+use thymeshift_types::BootClock;
+use thymeshift_types::Clock;
+use thymeshift_wire::Document;
+use tokio::time::sleep;
+
+use crate::control_plane::peer_link::exchange_once;
+use crate::control_plane::platform::fetch;
+use crate::control_plane::platform::offer;
+use crate::shared::Shared;
+
+/// Peers asked in one round.
+const PEERS_ASKED: usize = 3;
+/// Rounds in which a reachable peer is waited for although the platform has answered.
+const ROUNDS_FOR_PEERS: u32 = 2;
+/// Pause between two rounds.
+const ROUND_PAUSE: Duration = Duration::from_millis(200);
+
+/// Returns once a configuration is in force.
+pub(crate) async fn bootstrap(shared: &Arc<Shared>) {
+    let mut round = 0;
+    loop {
+        round += 1;
+        let (has_platform, peers) =
+            futures::future::join(ask_platform(shared), ask_peers(shared)).await;
+        let is_in_force = shared.routing().is_some();
+        let is_asked = peers.answered > 0 || peers.asked == 0 || round >= ROUNDS_FOR_PEERS;
+        if is_in_force && is_asked {
+            let answered = peers.answered;
+            info!("bootstrapped", kv: { round, has_platform, peers_answered = answered });
+            return;
+        }
+        if !is_in_force {
+            let (asked, answered) = (peers.asked, peers.answered);
+            warn!("no_configuration_yet", kv: { round, has_platform, asked, answered });
+        }
+        sleep(ROUND_PAUSE).await;
+    }
+}
+
+/// Whether the platform answered.
+async fn ask_platform(shared: &Arc<Shared>) -> bool {
+    match fetch(shared, Document::Configuration, Duration::ZERO).await {
+        Ok(published) => {
+            if let Some(published) = published {
+                offer(shared, Document::Configuration, &published, "platform");
+            }
+            true
+        }
+        Err(error) => {
+            warn!("platform_call_failed", kv: { error: = error });
+            false
+        }
+    }
+}
+
+struct Peers {
+    asked: usize,
+    answered: usize,
+}
+
+async fn ask_peers(shared: &Arc<Shared>) -> Peers {
+    let now = BootClock.now();
+    let picked = shared.fleet.lock().members.pick(PEERS_ASKED, now, &mut rand::rng());
+    let asked = picked.len();
+    let exchanges = picked.into_iter().map(|address| exchange_once(shared, address));
+    let answered = join_all(exchanges).await.into_iter().flatten().count();
+    Peers { asked, answered }
+}
--- /dev/null
+++ b/crates/thymeshift_entry/src/control_plane/dump.rs
@@ -0,0 +1,67 @@
+//! The dump of the whole state.
+
+use std::sync::atomic::Ordering;
+
+use thymeshift_types::BootClock;
+use thymeshift_types::Clock;
+use thymeshift_wire::ConfigurationDump;
+use thymeshift_wire::PlatformDump;
+use thymeshift_wire::StateDump;
+use thymeshift_wire::TaskDump;
+
+use crate::shared::Shared;
+
+/// Leaving marks listed at most.
+const MARKS_MAX: usize = 1_000;
+
+/// What this process believes now. The fleet's part is read under one lock, and so is
+/// each service.
+pub(crate) fn dump(shared: &Shared) -> StateDump {
+    let now = BootClock.now();
+    let routing = shared.routing();
+    let services = routing.as_ref().map_or_else(Vec::new, |routing| {
+        routing.services.iter().map(|service| service.dump(now)).collect()
+    });
+    let kinds = routing.as_ref().map_or_else(Vec::new, |routing| routing.dump_kinds());
+    let answered_at = *shared.platform_answered_at.lock();
+    let fleet = shared.fleet.lock();
+    let adoption = &fleet.configuration;
+    StateDump {
+        vm: shared.settings.vm.clone(),
+        boot: shared.boot,
+        data_hall: shared.settings.data_hall.clone(),
+        version: env!("CARGO_PKG_VERSION").to_owned(),
+        phase: shared.phase(),
+        uptime_ms: now.since(shared.started_at).as_millis() as u64,
+        requests_in_flight: shared.figures.requests_in_flight.load(Ordering::Relaxed),
+        caller_connections: shared.figures.caller_connections.load(Ordering::Relaxed),
+        configuration: ConfigurationDump {
+            in_force: adoption.head(),
+            in_force_for_ms: now.since(adoption.since()).as_millis() as u64,
+            conflict: adoption.conflict().cloned(),
+            rejection: adoption.rejection().cloned(),
+        },
+        platform: PlatformDump {
+            is_watching: fleet.election.is_watching(),
+            calls: shared.figures.platform_calls.load(Ordering::Relaxed),
+            last_answer_ms: answered_at.map(|at| now.since(at).as_millis() as u64),
+            watchers: fleet.election.watchers(now),
+        },
+        services,
+        kinds,
+        members: fleet.members.dump(now),
+        leaving: fleet.leaving.page(None, MARKS_MAX),
+        orders: fleet.orders.list(now),
+        tasks: tasks(shared),
+    }
+}
+
+fn tasks(shared: &Shared) -> Vec<TaskDump> {
+    let statuses = shared.statuses.list().into_iter();
+    let dump = statuses.map(|status| TaskDump {
+        name: status.path,
+        restarts: status.restarts,
+        is_running: status.is_running,
+    });
+    dump.collect()
+}
--- /dev/null
+++ b/crates/thymeshift_entry/src/control_plane/explain.rs
@@ -0,0 +1,82 @@
+//! Why a request like this one would go where it goes now.
+
+use thymeshift_config::RequestHead;
+use thymeshift_dispatch::TargetDump;
+use thymeshift_dispatch::Usability;
+use thymeshift_types::BootClock;
+use thymeshift_types::Clock;
+use thymeshift_wire::ExplainRequest;
+use thymeshift_wire::Explanation;
+
+use crate::routing::KindRuntime;
+use crate::routing::Routing;
+
+/// The request to be explained, as the rules see it.
+struct Asked<'a>(&'a ExplainRequest);
+
+impl RequestHead for Asked<'_> {
+    fn method(&self) -> &str {
+        &self.0.method
+    }
+
+    fn host(&self) -> Option<&str> {
+        self.0.host.as_deref()
+    }
+
+    fn path(&self) -> &str {
+        self.0.path.split('?').next().unwrap_or_default()
+    }
+
+    fn has_header(&self, name: &str, value: &str) -> bool {
+        let header = self.0.header.as_ref();
+        header.is_some_and(|header| header.name.eq_ignore_ascii_case(name) && header.value == value)
+    }
+}
+
+pub(crate) fn explain(routing: Option<&Routing>, request: &ExplainRequest) -> Explanation {
+    let Some(routing) = routing else {
+        return unexplained("refused: no configuration is in force yet");
+    };
+    let asked = Asked(request);
+    let kinds = &routing.configuration.kinds;
+    let index = routing.configuration.kind_of(&asked);
+    let before = &kinds[..index.unwrap_or(kinds.len())];
+    let passed_over = before.iter().map(|kind| kind.name.clone()).collect();
+    let Some(kind) = routing.kind_of(&asked) else {
+        let verdict = "refused: the rules of no kind match";
+        return Explanation { passed_over, ..unexplained(verdict) };
+    };
+    let mut targets = kind.service.dump(BootClock.now()).targets;
+    targets.sort_by_key(|target| (target.usability != Usability::Open, target.expected_us));
+    Explanation {
+        kind: Some(kind.kind.name.clone()),
+        passed_over,
+        service: Some(kind.kind.service.clone()),
+        verdict: verdict(kind, &targets),
+        targets,
+    }
+}
+
+fn unexplained(verdict: &str) -> Explanation {
+    Explanation {
+        kind: None,
+        passed_over: Vec::new(),
+        service: None,
+        targets: Vec::new(),
+        verdict: verdict.to_owned(),
+    }
+}
+
+fn verdict(kind: &KindRuntime, targets: &[TargetDump]) -> String {
+    let strategy = kind.service.settings().strategy;
+    let open = targets.iter().filter(|target| target.usability == Usability::Open).count();
+    let may_open =
+        |target: &&TargetDump| matches!(target.usability, Usability::AtLimit | Usability::Ejected);
+    if open > 0 {
+        format!("sent at once: {open} of {} targets are open, chosen by {strategy}", targets.len())
+    } else if targets.iter().any(|target| may_open(&target)) {
+        format!("waits up to {} ms: no target is open now", kind.kind.wait_max_ms)
+    } else {
+        "refused: every target is leaving or stopped".to_owned()
+    }
+}
--- /dev/null
+++ b/crates/thymeshift_entry/src/control_plane/mod.rs
@@ -0,0 +1,22 @@
+//! Platform, peers, operators, readiness and metrics.
+
+mod bootstrap;
+mod dump;
+mod explain;
+mod http_get;
+mod observe;
+mod operators;
+mod peer_link;
+mod peer_server;
+mod platform;
+mod ticker;
+
+pub(crate) use bootstrap::bootstrap;
+pub(crate) use observe::run_observe;
+pub(crate) use operators::run_operators;
+pub(crate) use peer_link::Links;
+pub(crate) use peer_link::run_peer_link;
+pub(crate) use peer_link::say_goodbye;
+pub(crate) use peer_server::run_peer_server;
+pub(crate) use platform::run_platform;
+pub(crate) use ticker::run_ticker;
--- /dev/null
+++ b/crates/thymeshift_entry/src/control_plane/observe.rs
@@ -0,0 +1,82 @@
+//! `/live`, `/ready` and `/metrics` for the platform's balancer and for collectors.
+//!
+//! Live: the process runs and answers. Ready: it has a configuration and is not stopping.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use spdlog::warn;
+use thymeshift_fleet::Phase;
+use thymeshift_supervisor::TaskError;
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+use tokio::time::sleep;
+
+use crate::shared::Shared;
+
+/// Connections served at one time.
+const CONNECTIONS_MAX: usize = 64;
+/// Longest time to send a request's head; also ends idle connections.
+const HEAD_LIMIT: Duration = Duration::from_secs(30);
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Serves for ever.
+pub(crate) async fn run_observe(
+    shared: Arc<Shared>,
+    listener: Arc<TcpListener>,
+) -> Result<(), TaskError> {
+    let places = Arc::new(Semaphore::new(CONNECTIONS_MAX));
+    loop {
+        let place = places.clone().acquire_owned().await?;
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                warn!("observe_accept_failed", kv: { error: = error });
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let shared = shared.clone();
+        tokio::spawn(async move {
+            let _place = place;
+            let service = service_fn(move |request| {
+                let answer = answer(&shared, &request);
+                async { Ok::<_, Infallible>(answer) }
+            });
+            let mut builder = http1::Builder::new();
+            let builder = builder.timer(TokioTimer::new()).header_read_timeout(HEAD_LIMIT);
+            // A broken connection of a collector is the collector's matter.
+            let _ = builder.serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
+
+fn answer(shared: &Shared, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    match request.uri().path() {
+        "/live" => text(StatusCode::OK, "live\n"),
+        "/ready" => match shared.phase() {
+            Phase::Serving => text(StatusCode::OK, "ready\n"),
+            phase => text(StatusCode::SERVICE_UNAVAILABLE, format!("{phase}\n")),
+        },
+        "/metrics" => text(StatusCode::OK, shared.metrics_text.render()),
+        _ => text(StatusCode::NOT_FOUND, "known: /live /ready /metrics\n"),
+    }
+}
+
+fn text(status: StatusCode, body: impl Into<Bytes>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body.into()));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/thymeshift_entry/src/control_plane/operators.rs
@@ -0,0 +1,143 @@
+//! Answering the operators' program, on a port of its own.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use futures::future::join_all;
+use spdlog::info;
+use spdlog::warn;
+use tarpc::context::Context;
+use tarpc::server::Channel;
+use thymeshift_fleet::Liveness;
+use thymeshift_fleet::MemberDump;
+use thymeshift_fleet::OrderDraft;
+use thymeshift_fleet::OrderSubject;
+use thymeshift_supervisor::TaskError;
+use thymeshift_types::BootClock;
+use thymeshift_types::Clock;
+use thymeshift_wire::CALLS_PER_CONNECTION_MAX;
+use thymeshift_wire::Control;
+use thymeshift_wire::ExplainRequest;
+use thymeshift_wire::Explanation;
+use thymeshift_wire::OrderAnswer;
+use thymeshift_wire::OrderRequest;
+use thymeshift_wire::StateDump;
+use thymeshift_wire::control_channel;
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+use tokio::time::sleep;
+
+use crate::control_plane::dump::dump;
+use crate::control_plane::explain::explain;
+use crate::control_plane::peer_link::exchange_once;
+use crate::shared::Shared;
+
+/// Connections of operators served at one time.
+const OPERATORS_MAX: usize = 16;
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Accepts operators for ever.
+pub(crate) async fn run_operators(
+    shared: Arc<Shared>,
+    listener: Arc<TcpListener>,
+) -> Result<(), TaskError> {
+    let places = Arc::new(Semaphore::new(OPERATORS_MAX));
+    loop {
+        let place = places.clone().acquire_owned().await?;
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                warn!("operator_accept_failed", kv: { error: = error });
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let server = ControlServer { shared: shared.clone() };
+        tokio::spawn(async move {
+            let _place = place;
+            let calls = control_channel(stream).execute(server.serve());
+            calls.for_each_concurrent(CALLS_PER_CONNECTION_MAX, |call| call).await;
+        });
+    }
+}
+
+#[derive(Clone)]
+struct ControlServer {
+    shared: Arc<Shared>,
+}
+
+impl Control for ControlServer {
+    async fn dump(self, _: Context) -> StateDump {
+        dump(&self.shared)
+    }
+
+    async fn explain(self, _: Context, request: ExplainRequest) -> Explanation {
+        explain(self.shared.routing().as_deref(), &request)
+    }
+
+    async fn order(self, _: Context, request: OrderRequest) -> OrderAnswer {
+        if let Some(unknown) = unknown_subject(&self.shared, &request.subject) {
+            return OrderAnswer::UnknownSubject(unknown);
+        }
+        let order = {
+            let now = BootClock.now();
+            let mut fleet = self.shared.fleet.lock();
+            let revision = fleet.configuration.head().map(|head| head.revision);
+            let draft = OrderDraft {
+                subject: request.subject,
+                change: request.change,
+                operator: request.operator,
+                revision,
+                expires_in: Duration::from_millis(request.expires_in_ms),
+            };
+            let order = fleet.orders.issue(self.shared.settings.vm.clone(), draft, now);
+            fleet.orders.add(&order, now);
+            order
+        };
+        info!("order_taken", kv: {
+            subject: = order.subject, change: = order.change,
+            operator = order.operator.as_str(), expires_in_ms = order.expires_in_ms,
+            counter = order.stamp.counter, revision:? = order.revision
+        });
+        self.shared.apply_orders();
+        self.tell_all(order).await
+    }
+}
+
+impl ControlServer {
+    /// Tells every VM believed to be there and says which of them confirmed.
+    async fn tell_all(&self, order: thymeshift_fleet::Order) -> OrderAnswer {
+        let members = self.shared.fleet.lock().members.dump(BootClock.now());
+        let there = |member: &MemberDump| member.liveness != Liveness::Gone;
+        let there: Vec<MemberDump> = members.into_iter().filter(there).collect();
+        let told = there.iter().map(|there| exchange_once(&self.shared, there.member.peer_address));
+        let answers = join_all(told).await;
+        let mut confirmed = vec![self.shared.settings.vm.clone()];
+        let mut unconfirmed = Vec::new();
+        for (there, answer) in there.into_iter().zip(answers) {
+            let list = if answer.is_ok() { &mut confirmed } else { &mut unconfirmed };
+            list.push(there.member.vm);
+        }
+        OrderAnswer::Taken { order, confirmed, unconfirmed }
+    }
+}
+
+/// Words for a subject that the configuration in force does not have.
+fn unknown_subject(shared: &Shared, subject: &OrderSubject) -> Option<String> {
+    let routing = shared.routing();
+    let service_name = match subject {
+        OrderSubject::Target(service, _) | OrderSubject::Probing(service) => service,
+    };
+    let service = routing.as_ref().and_then(|routing| routing.service(service_name.as_str()));
+    let Some(service) = service else {
+        return Some(format!("no service is called {service_name}"));
+    };
+    let OrderSubject::Target(_, target) = subject else {
+        return None;
+    };
+    let settings = service.settings();
+    let is_known = settings.targets.iter().any(|known| known.name == *target);
+    (!is_known).then(|| format!("service {service_name} has no target {target}"))
+}
--- /dev/null
+++ b/crates/thymeshift_entry/src/control_plane/peer_link.rs
@@ -0,0 +1,166 @@
+//! Talking to peers: regularly to one at random, at once to a few when there is news.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use derive_more::Display;
+use derive_more::Error;
+use derive_more::From;
+use futures::future::join_all;
+use metrics::counter;
+use parking_lot::Mutex;
+use rand::Rng;
+use spdlog::debug;
+use tarpc::client::RpcError;
+use tarpc::context;
+use thymeshift_supervisor::TaskError;
+use thymeshift_telemetry::metric;
+use thymeshift_types::BootClock;
+use thymeshift_types::Clock;
+use thymeshift_wire::Exchange;
+use thymeshift_wire::LinkError;
+use thymeshift_wire::PeerLinkClient;
+use thymeshift_wire::connect_peer;
+use tokio::time::timeout;
+
+use crate::control_plane::platform::offer;
+use crate::shared::Shared;
+
+/// Time between two regular exchanges, before the spread.
+const EXCHANGE_EVERY: Duration = Duration::from_secs(1);
+/// Longest time to open a connection to a peer, and for one call.
+const CALL_LIMIT: Duration = Duration::from_millis(500);
+/// Peers told at once when there is news.
+const TOLD_AT_ONCE: usize = 3;
+/// Connections to peers kept open.
+const LINKS_MAX: usize = 32;
+
+/// An exchange that brought no answer.
+#[derive(Debug, Display, Error, From)]
+pub(crate) enum ExchangeError {
+    #[display("connecting to peer: {_0}")]
+    Connect(LinkError),
+    #[display("calling peer: {_0}")]
+    Call(RpcError),
+}
+
+/// Open connections to peers.
+#[derive(Default)]
+pub(crate) struct Links(Mutex<HashMap<SocketAddr, PeerLinkClient>>);
+
+impl Links {
+    async fn get(&self, address: SocketAddr) -> Result<PeerLinkClient, LinkError> {
+        if let Some(client) = self.0.lock().get(&address) {
+            return Ok(client.clone());
+        }
+        let client = connect_peer(address, CALL_LIMIT).await?;
+        let mut links = self.0.lock();
+        if links.len() >= LINKS_MAX {
+            links.clear();
+        }
+        links.insert(address, client.clone());
+        Ok(client)
+    }
+
+    fn forget(&self, address: SocketAddr) {
+        self.0.lock().remove(&address);
+    }
+}
+
+/// Exchanges for ever.
+pub(crate) async fn run_peer_link(shared: Arc<Shared>) -> Result<(), TaskError> {
+    loop {
+        let spread = rand::rng().random_range(0.8..1.2);
+        let is_news = timeout(EXCHANGE_EVERY.mul_f64(spread), shared.news.notified()).await.is_ok();
+        let count = if is_news { TOLD_AT_ONCE } else { 1 };
+        exchange_with(&shared, count).await;
+    }
+}
+
+/// Tells a few peers that this process is stopping.
+pub(crate) async fn say_goodbye(shared: &Arc<Shared>) {
+    exchange_with(shared, TOLD_AT_ONCE).await;
+}
+
+async fn exchange_with(shared: &Arc<Shared>, count: usize) {
+    let picked = {
+        let now = BootClock.now();
+        let mut fleet = shared.fleet.lock();
+        let revision = fleet.configuration.head().map(|head| head.revision);
+        fleet.members.beat(shared.phase(), revision);
+        fleet.members.pick(count, now, &mut rand::rng())
+    };
+    let exchanges = picked.into_iter().map(|address| exchange_once(shared, address));
+    join_all(exchanges).await;
+}
+
+/// One exchange, and what it shows to be wanted.
+pub(crate) async fn exchange_once(
+    shared: &Arc<Shared>,
+    address: SocketAddr,
+) -> Result<(), ExchangeError> {
+    let answered = call(shared, address).await;
+    let result = if answered.is_ok() { "answered" } else { "failed" };
+    counter!(metric::PEER_EXCHANGES, "result" => result).increment(1);
+    if let Err(error) = &answered {
+        let peer = address.to_string();
+        debug!("peer_exchange_failed", kv: { peer, error: = error });
+        shared.links.forget(address);
+        shared.fleet.lock().members.unanswered(address);
+    }
+    answered
+}
+
+async fn call(shared: &Arc<Shared>, address: SocketAddr) -> Result<(), ExchangeError> {
+    let client = shared.links.get(address).await?;
+    let summary = shared.fleet.lock().summary(BootClock.now(), &mut rand::rng());
+    let answer = client.exchange(call_context(), summary).await?;
+    take(shared, &client, &answer, address).await
+}
+
+fn call_context() -> context::Context {
+    let mut context = context::current();
+    context.deadline = Instant::now() + CALL_LIMIT;
+    context
+}
+
+/// Takes in a peer's summary and fetches what it has newer.
+async fn take(
+    shared: &Arc<Shared>,
+    client: &PeerLinkClient,
+    exchange: &Exchange,
+    address: SocketAddr,
+) -> Result<(), ExchangeError> {
+    let wanted = take_summary(shared, exchange);
+    for document in wanted {
+        let have = shared.fleet.lock().document(document).head();
+        let transfer = client.fetch(call_context(), document, have).await?;
+        let current = shared.fleet.lock().document(document).in_force().cloned();
+        if let Some(published) = transfer.receive(current.as_ref()) {
+            offer(shared, document, &published, "peer");
+        } else {
+            let peer = address.to_string();
+            debug!("peer_transfer_unusable", kv: { peer });
+        }
+    }
+    Ok(())
+}
+
+/// Takes in a peer's summary; returns the documents that it has newer.
+pub(crate) fn take_summary(
+    shared: &Arc<Shared>,
+    exchange: &Exchange,
+) -> Vec<thymeshift_wire::Document> {
+    let taken = shared.fleet.lock().take(exchange, BootClock.now());
+    for mark in &taken.marks {
+        shared.apply_mark(mark, "peer");
+    }
+    if taken.has_new_orders {
+        shared.apply_orders();
+        shared.news.notify_one();
+    }
+    taken.wanted
+}
--- /dev/null
+++ b/crates/thymeshift_entry/src/control_plane/peer_server.rs
@@ -0,0 +1,89 @@
+//! Answering peers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use spdlog::warn;
+use tarpc::context::Context;
+use tarpc::server::Channel;
+use thymeshift_fleet::Head;
+use thymeshift_fleet::Transfer;
+use thymeshift_supervisor::TaskError;
+use thymeshift_types::BootClock;
+use thymeshift_types::Clock;
+use thymeshift_wire::CALLS_PER_CONNECTION_MAX;
+use thymeshift_wire::Document;
+use thymeshift_wire::Exchange;
+use thymeshift_wire::PeerLink;
+use thymeshift_wire::peer_channel;
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+use tokio::time::sleep;
+
+use crate::control_plane::peer_link::exchange_once;
+use crate::control_plane::peer_link::take_summary;
+use crate::shared::Shared;
+
+/// Connections from peers served at one time.
+const PEERS_MAX: usize = 1_024;
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Accepts peers for ever.
+pub(crate) async fn run_peer_server(
+    shared: Arc<Shared>,
+    listener: Arc<TcpListener>,
+) -> Result<(), TaskError> {
+    let places = Arc::new(Semaphore::new(PEERS_MAX));
+    loop {
+        let place = places.clone().acquire_owned().await?;
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                warn!("peer_accept_failed", kv: { error: = error });
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let server = PeerServer { shared: shared.clone() };
+        tokio::spawn(async move {
+            let _place = place;
+            let calls = peer_channel(stream).execute(server.serve());
+            calls.for_each_concurrent(CALLS_PER_CONNECTION_MAX, |call| call).await;
+        });
+    }
+}
+
+#[derive(Clone)]
+struct PeerServer {
+    shared: Arc<Shared>,
+}
+
+impl PeerLink for PeerServer {
+    async fn exchange(self, _: Context, summary: Exchange) -> Exchange {
+        let wanted = take_summary(&self.shared, &summary);
+        if !wanted.is_empty()
+            && let Some(sender) = summary.members.first()
+        {
+            self.fetch_from(sender.peer_address);
+        }
+        self.shared.fleet.lock().summary(BootClock.now(), &mut rand::rng())
+    }
+
+    async fn fetch(self, _: Context, document: Document, have: Option<Head>) -> Transfer {
+        self.shared.fleet.lock().document(document).transfer(have)
+    }
+}
+
+impl PeerServer {
+    /// The caller has something newer: an exchange the other way round fetches it.
+    fn fetch_from(&self, address: SocketAddr) {
+        let shared = self.shared.clone();
+        tokio::spawn(async move {
+            // A failure is counted and logged there; the next exchange tries again.
+            let _ = exchange_once(&shared, address).await;
+        });
+    }
+}
--- /dev/null
+++ b/crates/thymeshift_entry/src/routing.rs
@@ -0,0 +1,165 @@
+//! The configuration in force, joined with what runs: replaced as a whole.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use metrics::Counter;
+use metrics::Histogram;
+use metrics::counter;
+use metrics::histogram;
+use thymeshift_config::Configuration;
+use thymeshift_config::Kind;
+use thymeshift_config::RequestHead;
+use thymeshift_telemetry::metric;
+use thymeshift_types::DataHallName;
+use thymeshift_types::Outcome;
+use thymeshift_wire::KindDump;
+
+use crate::service::ServiceRuntime;
+
+/// A figure that is kept for dumps and for metrics at once.
+pub(crate) struct Tally {
+    count: AtomicU64,
+    metric: Counter,
+}
+
+impl Tally {
+    fn new(metric: Counter) -> Self {
+        Self { count: AtomicU64::new(0), metric }
+    }
+
+    pub(crate) fn add_one(&self) {
+        self.count.fetch_add(1, Ordering::Relaxed);
+        self.metric.increment(1);
+    }
+
+    pub(crate) fn get(&self) -> u64 {
+        self.count.load(Ordering::Relaxed)
+    }
+}
+
+/// Figures of one kind since the process started.
+pub(crate) struct KindFigures {
+    pub(crate) accepted: AtomicU64,
+    pub(crate) answered: Tally,
+    not_run: Tally,
+    unknown: Tally,
+    failed: Tally,
+    pub(crate) retries: Tally,
+    pub(crate) waited: Tally,
+    pub(crate) seconds: Histogram,
+}
+
+impl KindFigures {
+    fn new(kind: &Kind) -> Arc<Self> {
+        let name = kind.name.as_str().to_owned();
+        let result = |result: &'static str| {
+            Tally::new(counter!(metric::REQUESTS, "kind" => name.clone(), "result" => result))
+        };
+        Arc::new(Self {
+            accepted: AtomicU64::new(0),
+            answered: result("answered"),
+            not_run: result("not_run"),
+            unknown: result("unknown"),
+            failed: result("failed"),
+            retries: Tally::new(counter!(metric::RETRIES, "kind" => name.clone())),
+            waited: Tally::new(counter!(metric::WAITED, "kind" => name.clone())),
+            seconds: histogram!(metric::REQUEST_SECONDS, "kind" => name.clone()),
+        })
+    }
+
+    pub(crate) fn outcome(&self, outcome: Outcome) -> &Tally {
+        match outcome {
+            Outcome::NotRun => &self.not_run,
+            Outcome::Unknown => &self.unknown,
+            Outcome::Failed => &self.failed,
+        }
+    }
+}
+
+/// A kind with its service.
+pub(crate) struct KindRuntime {
+    pub(crate) kind: Kind,
+    pub(crate) service: Arc<ServiceRuntime>,
+    pub(crate) figures: Arc<KindFigures>,
+}
+
+impl KindRuntime {
+    fn dump(&self) -> KindDump {
+        let figures = &self.figures;
+        KindDump {
+            name: self.kind.name.clone(),
+            service: self.kind.service.clone(),
+            priority: self.kind.priority,
+            accepted: figures.accepted.load(Ordering::Relaxed),
+            answered: figures.answered.get(),
+            not_run: figures.not_run.get(),
+            unknown: figures.unknown.get(),
+            failed: figures.failed.get(),
+            retries: figures.retries.get(),
+            waited: figures.waited.get(),
+        }
+    }
+}
+
+/// What requests are decided by.
+pub(crate) struct Routing {
+    pub(crate) configuration: Configuration,
+    pub(crate) services: Vec<Arc<ServiceRuntime>>,
+    kinds: Vec<Arc<KindRuntime>>,
+}
+
+impl Routing {
+    /// Builds the routing of a configuration; services and figures that were there before
+    /// go on.
+    pub(crate) fn new(
+        configuration: Configuration,
+        before: Option<&Self>,
+        own_data_hall: &DataHallName,
+    ) -> Self {
+        let find = |name: &str| {
+            let mut known = before.into_iter().flat_map(|before| before.services.iter());
+            known.find(|service| service.name().as_str() == name).cloned()
+        };
+        let mut services = Vec::new();
+        for service in &configuration.services {
+            let runtime = match find(service.name.as_str()) {
+                Some(known) => {
+                    known.update(&configuration, service, own_data_hall);
+                    known
+                }
+                None => ServiceRuntime::new(&configuration, service, own_data_hall),
+            };
+            services.push(runtime);
+        }
+        let kinds = configuration.kinds.iter();
+        let kinds = kinds.filter_map(|kind| kind_runtime(kind, &services, before)).collect();
+        Self { configuration, services, kinds }
+    }
+
+    pub(crate) fn kind_of(&self, head: &impl RequestHead) -> Option<&Arc<KindRuntime>> {
+        self.configuration.kind_of(head).and_then(|index| self.kinds.get(index))
+    }
+
+    pub(crate) fn service(&self, name: &str) -> Option<&Arc<ServiceRuntime>> {
+        self.services.iter().find(|service| service.name().as_str() == name)
+    }
+
+    pub(crate) fn dump_kinds(&self) -> Vec<KindDump> {
+        self.kinds.iter().map(|kind| kind.dump()).collect()
+    }
+}
+
+/// None cannot happen: the configuration's check found the service of each kind.
+fn kind_runtime(
+    kind: &Kind,
+    services: &[Arc<ServiceRuntime>],
+    before: Option<&Routing>,
+) -> Option<Arc<KindRuntime>> {
+    let service = services.iter().find(|service| *service.name() == kind.service)?.clone();
+    let mut known = before.into_iter().flat_map(|before| before.kinds.iter());
+    let known = known.find(|known| known.kind.name == kind.name);
+    let figures = known.map_or_else(|| KindFigures::new(kind), |known| known.figures.clone());
+    Some(Arc::new(KindRuntime { kind: kind.clone(), service, figures }))
+}
--- /dev/null
+++ b/crates/thymeshift_entry/src/shared.rs
@@ -0,0 +1,211 @@
+//! What all tasks of the process share.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+
+use metrics::counter;
+use metrics::gauge;
+use parking_lot::Mutex;
+use parking_lot::RwLock;
+use spdlog::error;
+use spdlog::info;
+use thymeshift_config::Configuration;
+use thymeshift_config::Settings;
+use thymeshift_config::TargetState;
+use thymeshift_fleet::Boot;
+use thymeshift_fleet::Offer;
+use thymeshift_fleet::OrderSubject;
+use thymeshift_fleet::Phase;
+use thymeshift_fleet::Published;
+use thymeshift_supervisor::Statuses;
+use thymeshift_telemetry::MetricsText;
+use thymeshift_telemetry::metric;
+use thymeshift_types::BootClock;
+use thymeshift_types::Clock;
+use thymeshift_types::LeavingMark;
+use thymeshift_types::Timestamp;
+use tokio::sync::Notify;
+use tokio::sync::watch;
+
+use crate::control_plane::Links;
+use crate::fleet::Fleet;
+use crate::routing::Routing;
+use crate::service::ServiceRuntime;
+
+/// Figures of the process as a whole.
+#[derive(Default)]
+pub(crate) struct ProcessFigures {
+    pub(crate) requests_in_flight: AtomicU64,
+    pub(crate) caller_connections: AtomicU64,
+    pub(crate) platform_calls: AtomicU64,
+}
+
+/// Shared state of an entry process.
+pub(crate) struct Shared {
+    pub(crate) settings: Settings,
+    pub(crate) boot: Boot,
+    pub(crate) started_at: Timestamp,
+    pub(crate) figures: ProcessFigures,
+    pub(crate) fleet: Mutex<Fleet>,
+    pub(crate) phase: watch::Sender<Phase>,
+    /// Rings when peers should hear something at once.
+    pub(crate) news: Notify,
+    pub(crate) platform_answered_at: Mutex<Option<Timestamp>>,
+    pub(crate) statuses: Statuses,
+    pub(crate) links: Links,
+    pub(crate) metrics_text: MetricsText,
+    routing: RwLock<Option<Arc<Routing>>>,
+}
+
+impl Shared {
+    pub(crate) fn new(settings: Settings, boot: Boot, metrics_text: MetricsText) -> Arc<Self> {
+        Arc::new(Self {
+            fleet: Mutex::new(Fleet::new(&settings, boot)),
+            settings,
+            boot,
+            started_at: BootClock.now(),
+            figures: ProcessFigures::default(),
+            phase: watch::Sender::new(Phase::Starting),
+            news: Notify::new(),
+            platform_answered_at: Mutex::new(None),
+            statuses: Statuses::default(),
+            links: Links::default(),
+            metrics_text,
+            routing: RwLock::new(None),
+        })
+    }
+
+    /// The configuration in force, joined with what runs.
+    pub(crate) fn routing(&self) -> Option<Arc<Routing>> {
+        self.routing.read().clone()
+    }
+
+    pub(crate) fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.phase() == Phase::Stopping
+    }
+
+    /// Offers a configuration from any source.
+    pub(crate) fn offer_configuration(&self, published: &Published, source: &str) -> Offer {
+        let now = BootClock.now();
+        let mut fleet = self.fleet.lock();
+        let (offer, adopted) = fleet.configuration.offer(published, now, Configuration::parse);
+        if let Some(configuration) = adopted {
+            self.put_in_force(configuration, &mut fleet, now);
+        }
+        let rejection = fleet.configuration.rejection().map(|rejection| rejection.mistakes.clone());
+        drop(fleet);
+        log_offer(offer, published, source, rejection);
+        if offer == Offer::Adopted {
+            self.news.notify_one();
+        }
+        offer
+    }
+
+    /// Under the fleet's lock, so that routings replace each other in the order of their
+    /// revisions.
+    fn put_in_force(&self, configuration: Configuration, fleet: &mut Fleet, now: Timestamp) {
+        for service in &configuration.services {
+            for target in &service.targets {
+                if target.state == TargetState::Leaving {
+                    fleet.leaving.add(&LeavingMark {
+                        service: service.name.clone(),
+                        target: target.name.clone(),
+                        incarnation: target.incarnation,
+                    });
+                }
+            }
+        }
+        fleet.leaving.retain(|mark| is_mark_needed(&configuration, mark));
+        let before = self.routing();
+        let own_data_hall = &self.settings.data_hall;
+        let routing = Arc::new(Routing::new(configuration, before.as_deref(), own_data_hall));
+        for service in &routing.services {
+            apply_marks(service, fleet);
+            apply_orders(service, fleet, now);
+        }
+        *self.routing.write() = Some(routing);
+    }
+
+    /// A target said here that it is leaving.
+    pub(crate) fn note_leaving(&self, mark: &LeavingMark, source: &str) {
+        let is_news = self.fleet.lock().leaving.add(mark);
+        if is_news {
+            self.apply_mark(mark, source);
+        }
+    }
+
+    /// Stops new work for a target whose leaving is news, and passes that on.
+    pub(crate) fn apply_mark(&self, mark: &LeavingMark, source: &str) {
+        let routing = self.routing();
+        let service = routing.as_ref().and_then(|routing| routing.service(mark.service.as_str()));
+        if let Some(service) = service {
+            service.mark_leaving(mark);
+        }
+        info!("target_leaving", kv: {
+            service: = mark.service, target: = mark.target,
+            incarnation: = mark.incarnation, source
+        });
+        self.news.notify_one();
+    }
+
+    /// Applies the orders that hold now.
+    pub(crate) fn apply_orders(&self) {
+        let Some(routing) = self.routing() else {
+            return;
+        };
+        let now = BootClock.now();
+        let fleet = self.fleet.lock();
+        for service in &routing.services {
+            apply_orders(service, &fleet, now);
+        }
+    }
+}
+
+fn is_mark_needed(configuration: &Configuration, mark: &LeavingMark) -> bool {
+    let service = configuration.services.iter().find(|service| service.name == mark.service);
+    let targets = service.map_or(&[][..], |service| &service.targets);
+    targets
+        .iter()
+        .any(|target| target.name == mark.target && target.incarnation <= mark.incarnation)
+}
+
+fn apply_marks(service: &ServiceRuntime, fleet: &Fleet) {
+    for mark in fleet.leaving.of_service(service.name()) {
+        service.mark_leaving(&mark);
+    }
+}
+
+fn apply_orders(service: &ServiceRuntime, fleet: &Fleet, now: Timestamp) {
+    service.set_stopped(|target| {
+        let subject = OrderSubject::Target(service.name().clone(), target.clone());
+        fleet.orders.is_stopped(&subject, now)
+    });
+}
+
+fn log_offer(offer: Offer, published: &Published, source: &str, rejection: Option<String>) {
+    let head = published.head();
+    match offer {
+        Offer::Adopted => {
+            gauge!(metric::REVISION).set(head.revision.as_u64() as f64);
+            info!("configuration_in_force", kv: {
+                revision: = head.revision, digest: = head.digest, source
+            });
+        }
+        Offer::Conflicting => {
+            counter!(metric::DOCUMENTS_REFUSED, "offer" => "conflicting").increment(1);
+            error!("configuration_conflicting", kv: {
+                revision: = head.revision, digest: = head.digest, source
+            });
+        }
+        Offer::Rejected => {
+            counter!(metric::DOCUMENTS_REFUSED, "offer" => "rejected").increment(1);
+            let mistakes = rejection.unwrap_or_default();
+            error!("configuration_rejected", kv: { revision: = head.revision, source, mistakes });
+        }
+        Offer::Confirmed | Offer::Older => {}
+    }
+}
--- /dev/null
+++ b/crates/thymeshift_fleet/src/lib.rs
@@ -0,0 +1,49 @@
+//! Coordination without I/O and without shared state: how processes that cannot write
+//! anywhere agree.
+//!
+//! * [`Adoption`]: which published revision is in force; it never goes down.
+//! * [`History`] and [`Delta`]: what is sent to a process that runs an older revision.
+//! * [`WatchElection`]: who reads the platform, a few at a time, without an election.
+//! * [`LeavingRegister`]: targets that get no new work, sticky for each incarnation.
+//! * [`Members`]: who else is there, from direct evidence and passed-on heartbeats.
+//! * [`Orders`]: operators' temporary orders, the same everywhere in any order of arrival.
+//!
+//! Times are arguments; after a pause of its own a process calls `paused` on what has such
+//! a method, so that it does not blame the others for its own absence.
+//!
+//! Messages go in and come out as plain data; `thymeshift_wire` carries them.
+
+mod adoption;
+mod delta;
+mod history;
+mod leaving;
+mod members;
+mod orders;
+mod published;
+mod watch;
+
+pub use adoption::Adoption;
+pub use adoption::Conflict;
+pub use adoption::Offer;
+pub use adoption::Rejection;
+pub use delta::Delta;
+pub use delta::DeltaError;
+pub use history::History;
+pub use history::Transfer;
+pub use leaving::LeavingRegister;
+pub use members::Boot;
+pub use members::Liveness;
+pub use members::Member;
+pub use members::MemberDump;
+pub use members::Members;
+pub use members::Phase;
+pub use orders::Order;
+pub use orders::OrderChange;
+pub use orders::OrderDraft;
+pub use orders::OrderStamp;
+pub use orders::OrderSubject;
+pub use orders::Orders;
+pub use published::Head;
+pub use published::Published;
+pub use watch::WatchElection;
+pub use watch::Watcher;
--- /dev/null
+++ b/crates/thymeshift_fleet/src/members.rs
@@ -0,0 +1,271 @@
+//! Who else is there.
+//!
+//! Each process counts a heartbeat. Processes pass on the heartbeats they know of, a
+//! bounded number in each message; a member whose heartbeat goes on is alive. A call
+//! that got an answer is direct evidence and counts more than what others say.
+//!
+//! Nobody ever says that somebody else is dead. A paused, flapping or half cut-off
+//! process may hold wrong opinions, but it cannot spread them. (SWIM's suspicion messages
+//! find a failure sooner in a large fleet; here nothing waits for that: a peer that does
+//! not answer is simply not asked, and leases decide about watchers.)
+//!
+//! The platform's list is a hint: it names addresses to try, and it ends nothing.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use derive_more::Display;
+use rand::Rng;
+use rand::seq::IteratorRandom;
+use serde::Deserialize;
+use serde::Serialize;
+use thymeshift_types::DataHallName;
+use thymeshift_types::Revision;
+use thymeshift_types::Timestamp;
+use thymeshift_types::VmName;
+
+/// Members kept at most.
+const MEMBERS_MAX: usize = 4_096;
+/// Members passed on in one message.
+const PASSED_ON_MAX: usize = 24;
+/// Time without a new heartbeat after which a member is suspected.
+const SUSPECT_AFTER: Duration = Duration::from_secs(5);
+/// Time without a new heartbeat after which a member is taken as gone.
+const GONE_AFTER: Duration = Duration::from_secs(20);
+/// Time after which a member that is gone is forgotten.
+const FORGET_AFTER: Duration = Duration::from_mins(10);
+
+/// Tells two starts of a process on one VM apart. Larger is later.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize,
+)]
+pub struct Boot(u64);
+
+impl Boot {
+    /// A start with this number; processes take the wall clock in milliseconds.
+    pub const fn new(number: u64) -> Self {
+        Self(number)
+    }
+
+    /// The number.
+    pub const fn as_u64(self) -> u64 {
+        self.0
+    }
+}
+
+/// What a process says of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Phase {
+    /// It is starting and serves nobody yet.
+    #[display("starting")]
+    Starting,
+    /// It serves.
+    #[display("serving")]
+    Serving,
+    /// It is stopping.
+    #[display("stopping")]
+    Stopping,
+}
+
+/// One process as it describes itself; passed on unchanged.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Its VM.
+    pub vm: VmName,
+    /// Its start.
+    pub boot: Boot,
+    /// Counts up while it runs.
+    pub heartbeat: u64,
+    /// Where peers connect to it.
+    pub peer_address: SocketAddr,
+    /// Where the operators' program connects to it.
+    pub control_address: SocketAddr,
+    /// Its data hall.
+    pub data_hall: DataHallName,
+    /// What it says of itself.
+    pub phase: Phase,
+    /// The configuration's revision in force there.
+    pub revision: Option<Revision>,
+}
+
+impl Member {
+    fn is_newer_than(&self, other: &Self) -> bool {
+        (self.boot, self.heartbeat) > (other.boot, other.heartbeat)
+    }
+}
+
+/// What this process believes of another.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Liveness {
+    /// Its heartbeat goes on.
+    #[display("alive")]
+    Alive,
+    /// Its heartbeat stands still, or it did not answer.
+    #[display("suspect")]
+    Suspect,
+    /// It has been silent for long, or it stopped as planned.
+    #[display("gone")]
+    Gone,
+}
+
+/// A member and what is believed of it, for people and programs to read.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberDump {
+    /// What it said of itself.
+    pub member: Member,
+    /// What this process believes.
+    pub liveness: Liveness,
+    /// Time since its heartbeat was last seen to go on, in milliseconds.
+    pub silent_ms: u64,
+}
+
+#[derive(Debug, Clone)]
+struct Known {
+    member: Member,
+    heard_at: Timestamp,
+    unanswered: u32,
+}
+
+impl Known {
+    fn liveness(&self, now: Timestamp) -> Liveness {
+        let silent = now.since(self.heard_at);
+        let has_stopped = self.member.phase == Phase::Stopping && silent > SUSPECT_AFTER;
+        if silent > GONE_AFTER || has_stopped {
+            Liveness::Gone
+        } else if silent > SUSPECT_AFTER || self.unanswered > 0 {
+            Liveness::Suspect
+        } else {
+            Liveness::Alive
+        }
+    }
+}
+
+/// All processes known to this one.
+#[derive(Debug)]
+pub struct Members {
+    own: Member,
+    known: BTreeMap<VmName, Known>,
+    /// Addresses from settings and the platform's list, tried while nobody is known there.
+    hints: Vec<SocketAddr>,
+}
+
+impl Members {
+    /// Members as seen by `own`.
+    pub fn new(own: Member, hints: Vec<SocketAddr>) -> Self {
+        Self { own, known: BTreeMap::new(), hints }
+    }
+
+    /// This process's own entry.
+    pub fn own(&self) -> &Member {
+        &self.own
+    }
+
+    /// Counts a heartbeat and says what holds now.
+    pub fn beat(&mut self, phase: Phase, revision: Option<Revision>) {
+        self.own.heartbeat += 1;
+        self.own.phase = phase;
+        self.own.revision = revision;
+    }
+
+    /// Replaces the addresses to try.
+    pub fn set_hints(&mut self, hints: Vec<SocketAddr>) {
+        self.hints = hints;
+    }
+
+    /// Takes in what a peer passed on.
+    pub fn learn(&mut self, member: &Member, now: Timestamp) {
+        if member.vm == self.own.vm {
+            return;
+        }
+        let is_full = self.known.len() >= MEMBERS_MAX;
+        match self.known.get_mut(&member.vm) {
+            Some(known) if member.is_newer_than(&known.member) => {
+                known.member = member.clone();
+                known.heard_at = now;
+                known.unanswered = 0;
+            }
+            Some(_) => {}
+            None if is_full => {}
+            None => {
+                let known = Known { member: member.clone(), heard_at: now, unanswered: 0 };
+                self.known.insert(member.vm.clone(), known);
+            }
+        }
+    }
+
+    /// A peer answered: direct evidence.
+    pub fn answered(&mut self, member: &Member, now: Timestamp) {
+        self.learn(member, now);
+        if let Some(known) = self.known.get_mut(&member.vm) {
+            known.heard_at = now;
+            known.unanswered = 0;
+        }
+    }
+
+    /// A peer did not answer.
+    pub fn unanswered(&mut self, address: SocketAddr) {
+        for known in self.known.values_mut() {
+            if known.member.peer_address == address {
+                known.unanswered += 1;
+            }
+        }
+    }
+
+    /// The members to pass on: this process first, then others drawn at random.
+    pub fn passed_on(&self, now: Timestamp, rng: &mut impl Rng) -> Vec<Member> {
+        let mut passed = vec![self.own.clone()];
+        let heard = self.known.values().filter(|known| known.liveness(now) != Liveness::Gone);
+        let drawn = heard.choose_multiple(rng, PASSED_ON_MAX - 1);
+        passed.extend(drawn.into_iter().map(|known| known.member.clone()));
+        passed
+    }
+
+    /// Up to `count` addresses to talk to next. Suspects are tried now and then; an
+    /// address from settings or the platform's list that belongs to no known member is
+    /// tried like a member.
+    pub fn pick(&self, count: usize, now: Timestamp, rng: &mut impl Rng) -> Vec<SocketAddr> {
+        let members = self.known.values().filter(|known| match known.liveness(now) {
+            Liveness::Alive => true,
+            Liveness::Suspect => known.unanswered < 3 || rng.random_ratio(1, 8),
+            Liveness::Gone => false,
+        });
+        let members: Vec<SocketAddr> = members.map(|known| known.member.peer_address).collect();
+        let is_unknown = |hint: &&SocketAddr| {
+            let is_known = self.known.values().any(|known| known.member.peer_address == **hint);
+            !is_known && **hint != self.own.peer_address
+        };
+        let hints = self.hints.iter().filter(is_unknown).copied();
+        members.into_iter().chain(hints).choose_multiple(rng, count)
+    }
+
+    /// Number of processes believed to be there, this one included.
+    pub fn count_alive(&self, now: Timestamp) -> usize {
+        let alive = |known: &&Known| known.liveness(now) == Liveness::Alive;
+        1 + self.known.values().filter(alive).count()
+    }
+
+    /// Forgets members that have been silent for very long.
+    pub fn forget_old(&mut self, now: Timestamp) {
+        self.known.retain(|_, known| now.since(known.heard_at) < FORGET_AFTER);
+    }
+
+    /// This process was paused for `gap`: the silence of others was its own.
+    pub fn paused(&mut self, gap: Duration) {
+        for known in self.known.values_mut() {
+            known.heard_at = known.heard_at + gap;
+        }
+    }
+
+    /// All known members, for people and programs to read.
+    pub fn dump(&self, now: Timestamp) -> Vec<MemberDump> {
+        let dump = |known: &Known| MemberDump {
+            member: known.member.clone(),
+            liveness: known.liveness(now),
+            silent_ms: now.since(known.heard_at).as_millis() as u64,
+        };
+        self.known.values().map(dump).collect()
+    }
+}
--- /dev/null
+++ b/crates/thymeshift_lab/src/arguments.rs
@@ -0,0 +1,129 @@
+//! The command line.
+
+use std::str::FromStr;
+use std::time::Duration;
+
+use lexopt::Arg;
+use lexopt::Error;
+use lexopt::Parser;
+use lexopt::ValueExt;
+use thymeshift_lab::load::KindLoad;
+use thymeshift_lab::load::LoadPlan;
+use thymeshift_lab::standin::TargetSettings;
+
+pub(crate) const HELP: &str = "\
+Stand-ins, load and experiments for thymeshift. Not shipped.
+
+Usage:
+  thymeshift-lab platform
+  thymeshift-lab target [--slots=N] [--queue-max=N] [--service-us=N] [--fixed] [--seed=N]
+                        [--probe-us=N] [--one-way-us=N] [--incarnation=N]
+  thymeshift-lab load --entry=IP:PORT… --kind=NAME,METHOD,PATH,RATE_PER_S,ANSWER_BYTES,\
+REQUEST_BYTES,IN_TIME_MS… [--seconds=N] [--seed=N] [--one-way-us=N] [--json]
+  thymeshift-lab demo [--entries=N] [--seconds=N]
+
+Stand-ins print where they listen and run until they are killed. Their control ports:
+  platform  PUT /documents/configuration?revision=N, PUT /documents/vms?revision=N,
+            PUT /mode (\"normal\", \"silent\", {\"slow\": MS}, \"stale\", \"backwards\",
+            \"rubbish\", \"failing\"), GET /calls
+  target    PUT /behaviour (JSON, see the crate's documentation), GET /ledger
+";
+
+/// What to do.
+#[derive(Debug)]
+pub(crate) enum Command {
+    Help,
+    Platform,
+    Target(TargetSettings),
+    Load { plan: LoadPlan, json: bool },
+    Demo { entries: usize, seconds: u64 },
+}
+
+pub(crate) fn parse(mut parser: Parser) -> Result<Command, Error> {
+    match parser.next()? {
+        None => Err("a command is missing".into()),
+        Some(Arg::Short('h') | Arg::Long("help")) => Ok(Command::Help),
+        Some(Arg::Value(word)) => match word.string()?.as_str() {
+            "platform" => platform(parser),
+            "target" => target(parser),
+            "load" => load(parser),
+            "demo" => demo(parser),
+            other => Err(format!("unknown command '{other}'").into()),
+        },
+        Some(unexpected) => Err(unexpected.unexpected()),
+    }
+}
+
+fn number<T: FromStr>(parser: &mut Parser) -> Result<T, Error>
+where
+    T::Err: Into<Box<dyn std::error::Error + Send + Sync + 'static>>,
+{
+    parser.value()?.parse()
+}
+
+fn platform(mut parser: Parser) -> Result<Command, Error> {
+    match parser.next()? {
+        None => Ok(Command::Platform),
+        Some(unexpected) => Err(unexpected.unexpected()),
+    }
+}
+
+fn target(mut parser: Parser) -> Result<Command, Error> {
+    let mut settings = TargetSettings::default();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Long("slots") => settings.slots = number(&mut parser)?,
+            Arg::Long("queue-max") => settings.queue_max = number(&mut parser)?,
+            Arg::Long("service-us") => settings.service_us = number(&mut parser)?,
+            Arg::Long("fixed") => settings.is_random = false,
+            Arg::Long("seed") => settings.seed = number(&mut parser)?,
+            Arg::Long("probe-us") => settings.probe_us = number(&mut parser)?,
+            Arg::Long("one-way-us") => settings.one_way_us = number(&mut parser)?,
+            Arg::Long("incarnation") => settings.incarnation = number(&mut parser)?,
+            unexpected => return Err(unexpected.unexpected()),
+        }
+    }
+    Ok(Command::Target(settings))
+}
+
+fn load(mut parser: Parser) -> Result<Command, Error> {
+    let mut json = false;
+    let mut plan = LoadPlan {
+        entries: Vec::new(),
+        kinds: Vec::new(),
+        duration: Duration::from_secs(5),
+        seed: 1,
+        one_way_us: 0,
+    };
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Long("entry") => plan.entries.push(number(&mut parser)?),
+            Arg::Long("kind") => {
+                let text = parser.value()?.string()?;
+                let kind = KindLoad::parse(&text).map_err(|error| Error::Custom(error.into()))?;
+                plan.kinds.push(kind);
+            }
+            Arg::Long("seconds") => plan.duration = Duration::from_secs(number(&mut parser)?),
+            Arg::Long("seed") => plan.seed = number(&mut parser)?,
+            Arg::Long("one-way-us") => plan.one_way_us = number(&mut parser)?,
+            Arg::Long("json") => json = true,
+            unexpected => return Err(unexpected.unexpected()),
+        }
+    }
+    if plan.entries.is_empty() || plan.kinds.is_empty() {
+        return Err("'load' needs at least one --entry and one --kind".into());
+    }
+    Ok(Command::Load { plan, json })
+}
+
+fn demo(mut parser: Parser) -> Result<Command, Error> {
+    let (mut entries, mut seconds) = (3, 6);
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Long("entries") => entries = number(&mut parser)?,
+            Arg::Long("seconds") => seconds = number(&mut parser)?,
+            unexpected => return Err(unexpected.unexpected()),
+        }
+    }
+    Ok(Command::Demo { entries, seconds })
+}
--- /dev/null
+++ b/crates/thymeshift_lab/src/experiment/demo.rs
@@ -0,0 +1,106 @@
+//! The whole path of the tariff example: platform, targets, entry processes, load.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use http::Method;
+use thymeshift_config::Configuration;
+
+use crate::experiment::fleet::Fleet;
+use crate::experiment::fleet::FleetError;
+use crate::experiment::fleet::FleetPlan;
+use crate::experiment::judge::Judgement;
+use crate::experiment::judge::judge;
+use crate::load;
+use crate::load::KindLoad;
+use crate::load::LoadPlan;
+use crate::load::LoadResult;
+use crate::load::Series;
+
+/// Quantiles of the plot.
+const QUANTILES: [f64; 11] = [0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.8, 0.9, 0.99, 0.999];
+
+/// What the demo shows.
+pub struct Demo {
+    /// What callers saw.
+    pub result: LoadResult,
+    /// What the judge says.
+    pub judgement: Judgement,
+}
+
+/// The tariff example's configuration.
+pub fn tariff_configuration() -> Configuration {
+    let text = include_str!("../../../../examples/tariff/configuration.yaml");
+    Configuration::parse(text).expect("the example is checked by a test")
+}
+
+/// Load of the tariff example, scaled by `factor`.
+pub fn tariff_load(factor: f64) -> Vec<KindLoad> {
+    let kind =
+        |name: &str, method, path: &str, rate_per_s: f64, bytes, body, in_time_ms| KindLoad {
+            name: name.to_owned(),
+            method,
+            path: path.to_owned(),
+            rate_per_s: rate_per_s * factor,
+            answer_bytes: bytes,
+            request_bytes: body,
+            in_time_ms,
+        };
+    vec![
+        kind("tariff-lookup", Method::GET, "/tariffs/compare", 1_800.0, 600, 0, 100),
+        kind("contract-switch", Method::POST, "/switches", 300.0, 120, 400, 1_000),
+        kind("meter-history", Method::GET, "/meters/history", 500.0, 20_000, 0, 5_000),
+        kind("price-sheet", Method::GET, "/price-sheets/installer", 200.0, 60_000, 0, 5_000),
+    ]
+}
+
+/// Mean service times of the tariff example, in microseconds.
+pub fn tariff_service_us() -> BTreeMap<String, u64> {
+    let times = [("calculator", 8_000), ("switching", 20_000), ("archive", 30_000)];
+    times.into_iter().map(|(name, micros)| (name.to_owned(), micros)).collect()
+}
+
+/// Runs the demo.
+pub async fn demo(folder: &Path, entries: usize, duration: Duration) -> Result<Demo, FleetError> {
+    let plan = FleetPlan {
+        configuration: tariff_configuration(),
+        entries,
+        service_us: tariff_service_us(),
+        target_queue_max: 30,
+        one_way_us: 1_500,
+        seed: 1,
+        folder: PathBuf::from(folder),
+        worker_threads: 2,
+    };
+    let fleet = Fleet::start(plan).await?;
+    let load = LoadPlan {
+        entries: fleet.caller_addresses()?,
+        kinds: tariff_load(1.0),
+        duration,
+        seed: 1,
+        one_way_us: 3_000,
+    };
+    let result = load::run(load).await;
+    let mut ledgers = Vec::new();
+    for target in &fleet.targets {
+        ledgers.push(target.ledger().await?);
+    }
+    let judgement = judge(&result, &ledgers, &["contract-switch"]);
+    std::fs::write(folder.join("demo.json"), result.to_json().to_string())?;
+    plot(&result, &folder.join("demo.svg"));
+    Ok(Demo { result, judgement })
+}
+
+fn plot(result: &LoadResult, path: &Path) {
+    let line = |kind: &load::KindResult| {
+        let at = |quantile: f64| (quantile * 100.0, kind.latency_us(quantile) as f64 / 1_000.0);
+        Series { name: kind.name.clone(), points: QUANTILES.into_iter().map(at).collect() }
+    };
+    let lines: Vec<Series> = result.kinds.iter().map(line).collect();
+    let drawn = load::draw(path, "Latency by quantile", "percentile", "milliseconds", &lines);
+    if let Err(error) = drawn {
+        eprintln!("{error}");
+    }
+}
--- /dev/null
+++ b/crates/thymeshift_lab/src/experiment/judge.rs
@@ -0,0 +1,72 @@
+//! The judge: compares what callers were told with what targets ran.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use thymeshift_types::Outcome;
+
+use crate::load::LoadResult;
+use crate::load::Told;
+use crate::standin::LedgerEntry;
+
+/// Violations of the promises, counted. All must be 0.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Judgement {
+    /// Requests told "not run" that a target began.
+    pub ran_although_not_run: u64,
+    /// Requests of unsafe kinds that were begun more than once.
+    pub unsafe_run_twice: u64,
+    /// Answers that belong to another request.
+    pub wrong_answers: u64,
+    /// Answered requests that no target finished.
+    pub answered_without_run: u64,
+    /// Requests that nobody accounts for.
+    pub unaccounted: u64,
+}
+
+impl Judgement {
+    /// Whether every promise held.
+    pub fn is_clean(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
+impl fmt::Display for Judgement {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "promises broken: told not run but ran {}, unsafe run twice {}, wrong answers {}, \
+             answered without run {}, unaccounted {}",
+            self.ran_although_not_run,
+            self.unsafe_run_twice,
+            self.wrong_answers,
+            self.answered_without_run,
+            self.unaccounted
+        )
+    }
+}
+
+/// Judges a load by the targets' ledgers. `unsafe_kinds` must not run twice.
+pub fn judge(
+    result: &LoadResult,
+    ledgers: &[BTreeMap<String, LedgerEntry>],
+    unsafe_kinds: &[&str],
+) -> Judgement {
+    let mut judgement = Judgement::default();
+    for kind in &result.kinds {
+        let is_unsafe = unsafe_kinds.contains(&kind.name.as_str());
+        judgement.wrong_answers += kind.wrong;
+        judgement.unaccounted += u64::from(!kind.is_accounted());
+        for (nonce, told) in &kind.told {
+            let entries = ledgers.iter().filter_map(|ledger| ledger.get(nonce));
+            let (begun, finished) = entries.fold((0, 0), |(begun, finished), entry| {
+                (begun + entry.begun, finished + entry.finished)
+            });
+            let is_not_run = *told == Told::Outcome(Outcome::NotRun);
+            judgement.ran_although_not_run += u64::from(is_not_run && begun > 0);
+            judgement.unsafe_run_twice += u64::from(is_unsafe && begun > 1);
+            judgement.answered_without_run += u64::from(*told == Told::Answered && finished == 0);
+        }
+    }
+    judgement
+}
--- /dev/null
+++ b/crates/thymeshift_lab/src/experiment/mod.rs
@@ -0,0 +1,23 @@
+//! Real processes put together.
+
+mod children;
+mod demo;
+mod fleet;
+mod judge;
+
+pub use children::Child;
+pub use children::ChildError;
+pub use children::sibling_program;
+pub use demo::Demo;
+pub use demo::demo;
+pub use demo::tariff_configuration;
+pub use demo::tariff_load;
+pub use demo::tariff_service_us;
+pub use fleet::Fleet;
+pub use fleet::FleetError;
+pub use fleet::FleetPlan;
+pub use fleet::TargetChild;
+pub use fleet::dump;
+pub use fleet::wait_ready;
+pub use judge::Judgement;
+pub use judge::judge;
--- /dev/null
+++ b/crates/thymeshift_lab/src/http_client.rs
@@ -0,0 +1,68 @@
+//! Small HTTP requests to stand-ins and entry processes, each on a connection of its own.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::Display;
+use derive_more::Error;
+use derive_more::From;
+use http::Method;
+use http::Request;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Longest time for one request.
+const LIMIT: Duration = Duration::from_secs(15);
+
+/// A request that got no complete answer.
+#[derive(Debug, Display, Error, From)]
+pub enum AskError {
+    /// The connection could not be opened.
+    #[display("connecting: {_0}")]
+    Connect(std::io::Error),
+    /// The exchange broke.
+    #[display("asking: {_0}")]
+    Ask(hyper::Error),
+    /// The request could not be made.
+    #[display("the request: {_0}")]
+    Request(http::Error),
+    /// No answer in time.
+    #[display("no answer within {LIMIT:?}")]
+    TimedOut,
+}
+
+/// Sends a request and reads the whole answer.
+pub async fn send(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> Result<Response<Bytes>, AskError> {
+    let exchange = async {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let io = TokioIo::new(stream);
+        let (mut sender, driving) = hyper::client::conn::http1::handshake(io).await?;
+        let driver = tokio::spawn(driving);
+        let (parts, body) = sender.send_request(request).await?.into_parts();
+        let body = body.collect().await?.to_bytes();
+        driver.abort();
+        Ok(Response::from_parts(parts, body))
+    };
+    timeout(LIMIT, exchange).await.unwrap_or(Err(AskError::TimedOut))
+}
+
+/// Sends `method path` with `body`.
+pub async fn ask(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: impl Into<Bytes>,
+) -> Result<Response<Bytes>, AskError> {
+    let request = Request::builder().method(method).uri(path);
+    let request = request.header(http::header::HOST, address.to_string());
+    send(address, request.body(Full::new(body.into()))?).await
+}
--- /dev/null
+++ b/crates/thymeshift_lab/src/load/caller.rs
@@ -0,0 +1,110 @@
+//! One caller's request and the check of its answer.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::header::HOST;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use thymeshift_types::Outcome;
+use thymeshift_wire::headers;
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+
+use crate::load::KindLoad;
+use crate::load::Told;
+use crate::standin::expected_answer;
+
+type Sender = SendRequest<Full<Bytes>>;
+
+/// Callers with their open connections.
+#[derive(Default)]
+pub(crate) struct Callers {
+    idle: Mutex<HashMap<SocketAddr, Vec<Sender>>>,
+    one_way: Duration,
+}
+
+impl Callers {
+    pub(crate) fn new(one_way: Duration) -> Self {
+        Self { idle: Mutex::default(), one_way }
+    }
+
+    /// Sends a request and says what the caller was told.
+    pub(crate) async fn call(&self, entry: SocketAddr, kind: &KindLoad, nonce: &str) -> Told {
+        let path = format!("{}?nonce={nonce}&bytes={}", kind.path, kind.answer_bytes);
+        let body = Bytes::from(vec![b'x'; kind.request_bytes]);
+        let request = Request::builder()
+            .method(kind.method.clone())
+            .uri(&path)
+            .header(HOST, "callers.example")
+            .body(Full::new(body.clone()));
+        let Ok(request) = request else {
+            return Told::Nothing;
+        };
+        if !self.one_way.is_zero() {
+            sleep(self.one_way).await;
+        }
+        let told = self.exchange(entry, request, kind, &path, &body).await;
+        if !self.one_way.is_zero() {
+            sleep(self.one_way).await;
+        }
+        told.unwrap_or(Told::Nothing)
+    }
+
+    async fn exchange(
+        &self,
+        entry: SocketAddr,
+        request: Request<Full<Bytes>>,
+        kind: &KindLoad,
+        path: &str,
+        body: &[u8],
+    ) -> Option<Told> {
+        let mut sender = self.sender(entry).await?;
+        let response = sender.send_request(request).await.ok()?;
+        let (parts, incoming) = response.into_parts();
+        let collected = incoming.collect().await;
+        if let Some(outcome) = parts.headers.get(headers::OUTCOME) {
+            self.put_back(entry, sender);
+            return Some(match outcome.to_str().ok()? {
+                "not_run" => Told::Outcome(Outcome::NotRun),
+                "unknown" => Told::Outcome(Outcome::Unknown),
+                _ => Told::Outcome(Outcome::Failed),
+            });
+        }
+        let Ok(collected) = collected else {
+            return Some(Told::BrokenAnswer);
+        };
+        self.put_back(entry, sender);
+        if !parts.status.is_success() {
+            return Some(Told::TargetError);
+        }
+        let is_own = collected.to_bytes() == expected_answer(path, body, kind.answer_bytes);
+        Some(if is_own { Told::Answered } else { Told::WrongAnswer })
+    }
+
+    async fn sender(&self, entry: SocketAddr) -> Option<Sender> {
+        loop {
+            let idle = self.idle.lock().get_mut(&entry).and_then(Vec::pop);
+            let Some(mut sender) = idle else { break };
+            if sender.ready().await.is_ok() {
+                return Some(sender);
+            }
+        }
+        let stream = TcpStream::connect(entry).await.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+        let (sender, driving) = handshake.ok()?;
+        tokio::spawn(driving);
+        Some(sender)
+    }
+
+    fn put_back(&self, entry: SocketAddr, sender: Sender) {
+        self.idle.lock().entry(entry).or_default().push(sender);
+    }
+}
--- /dev/null
+++ b/crates/thymeshift_lab/src/load/mod.rs
@@ -0,0 +1,21 @@
+//! Open-loop load: arrivals at a set rate, whatever became of the ones before. Latency is
+//! counted from the moment at which a request was due, so that a stall of the system is
+//! not hidden by a load that waits for it (coordinated omission).
+
+mod arrivals;
+mod caller;
+mod plan;
+mod plot;
+mod result;
+mod run;
+
+pub use plan::KindLoad;
+pub use plan::LoadPlan;
+pub use plan::PlanError;
+pub use plot::PlotError;
+pub use plot::Series;
+pub use plot::draw;
+pub use result::KindResult;
+pub use result::LoadResult;
+pub use result::Told;
+pub use run::run;
--- /dev/null
+++ b/crates/thymeshift_lab/src/main.rs
@@ -0,0 +1,96 @@
+//! Runs stand-ins, load and experiments as processes. See `--help`.
+
+mod arguments;
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use thymeshift_lab::experiment;
+use thymeshift_lab::load;
+use thymeshift_lab::standin::Platform;
+use thymeshift_lab::standin::Running;
+use thymeshift_lab::standin::Target;
+
+use crate::arguments::Command;
+use crate::arguments::HELP;
+
+type Failure = Box<dyn std::error::Error>;
+
+fn main() -> ExitCode {
+    let command = match arguments::parse(lexopt::Parser::from_env()) {
+        Ok(command) => command,
+        Err(mistake) => {
+            eprintln!("thymeshift-lab: {mistake}\nTry 'thymeshift-lab --help'.");
+            return ExitCode::from(2);
+        }
+    };
+    match run(command) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("thymeshift-lab: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(command: Command) -> Result<ExitCode, Failure> {
+    match command {
+        Command::Help => {
+            print!("{HELP}");
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Platform => {
+            single_thread(async { stand(Platform::new().start(free()).await?).await })
+        }
+        Command::Target(settings) => {
+            single_thread(async { stand(Target::new(settings).start(free()).await?).await })
+        }
+        Command::Load { plan, json } => many_threads(async {
+            let result = load::run(plan).await;
+            if json {
+                println!("{}", result.to_json())
+            } else {
+                print!("{result}")
+            }
+            Ok(ExitCode::SUCCESS)
+        }),
+        Command::Demo { entries, seconds } => many_threads(demo(entries, seconds)),
+    }
+}
+
+fn free() -> SocketAddr {
+    (Ipv4Addr::LOCALHOST, 0).into()
+}
+
+/// Says where a stand-in listens and keeps it running until the process is killed.
+async fn stand(running: Running) -> Result<ExitCode, Failure> {
+    println!("listening data={} control={}", running.address, running.control);
+    std::future::pending::<()>().await;
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn demo(entries: usize, seconds: u64) -> Result<ExitCode, Failure> {
+    let folder = Path::new("out/demo");
+    std::fs::create_dir_all(folder)?;
+    println!("platform, 38 targets, {entries} entry processes, load for {seconds} s");
+    let demo = experiment::demo(folder, entries, Duration::from_secs(seconds)).await?;
+    print!("{}", demo.result);
+    println!("{}", demo.judgement);
+    println!("logs, JSON and plot: {}", folder.display());
+    Ok(if demo.judgement.is_clean() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+fn single_thread(
+    work: impl Future<Output = Result<ExitCode, Failure>>,
+) -> Result<ExitCode, Failure> {
+    tokio::runtime::Builder::new_current_thread().enable_all().build()?.block_on(work)
+}
+
+fn many_threads(
+    work: impl Future<Output = Result<ExitCode, Failure>>,
+) -> Result<ExitCode, Failure> {
+    tokio::runtime::Builder::new_multi_thread().enable_all().build()?.block_on(work)
+}
--- /dev/null
+++ b/crates/thymeshift_lab/src/standin/mod.rs
@@ -0,0 +1,22 @@
+//! Stand-ins for what the product meets: the platform and targets.
+
+mod answer;
+mod behaviour;
+mod ledger;
+mod platform;
+mod server;
+mod slots;
+mod target;
+
+pub use answer::expected_answer;
+pub use behaviour::Behaviour;
+pub use behaviour::Fault;
+pub use behaviour::Reports;
+pub use ledger::Ledger;
+pub use ledger::LedgerEntry;
+pub use platform::DocumentName;
+pub use platform::Platform;
+pub use platform::PlatformMode;
+pub use server::Running;
+pub use target::Target;
+pub use target::TargetSettings;
--- /dev/null
+++ b/crates/thymeshift_lab/src/standin/platform.rs
@@ -0,0 +1,254 @@
+//! The platform's configuration service.
+//!
+//! Data port: `GET /v1/configuration?after=R&wait_ms=W` and the same for `/v1/vms`.
+//! Control port: `PUT /documents/configuration?revision=R` (or `vms`) publishes,
+//! `PUT /mode` with a [`PlatformMode`] as JSON causes faults, `GET /calls` counts.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::FutureExt;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use parking_lot::Mutex;
+use serde::Deserialize;
+use serde::Serialize;
+use thymeshift_wire::headers;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::standin::server::Running;
+use crate::standin::server::serve;
+
+/// Which document.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum DocumentName {
+    /// The configuration.
+    Configuration,
+    /// The list of VMs.
+    Vms,
+}
+
+impl DocumentName {
+    fn of(path: &str) -> Option<Self> {
+        match path.rsplit('/').next()? {
+            "configuration" => Some(Self::Configuration),
+            "vms" => Some(Self::Vms),
+            _ => None,
+        }
+    }
+}
+
+/// What is wrong with the platform.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PlatformMode {
+    /// Nothing.
+    #[default]
+    Normal,
+    /// It accepts calls and never answers.
+    Silent,
+    /// It answers after so many milliseconds.
+    Slow(u64),
+    /// It answers every call with what it held when this mode began, whatever was asked.
+    Stale,
+    /// It answers with the first revision it ever held.
+    Backwards,
+    /// It answers with bytes that are no document.
+    Rubbish,
+    /// It answers status 500.
+    Failing,
+}
+
+#[derive(Debug, Clone)]
+struct Held {
+    revision: u64,
+    text: Bytes,
+}
+
+#[derive(Debug, Default)]
+struct History {
+    first: Option<Held>,
+    frozen: Option<Held>,
+    last: Option<Held>,
+}
+
+/// A platform.
+pub struct Platform {
+    documents: Mutex<BTreeMap<DocumentName, History>>,
+    mode: Mutex<PlatformMode>,
+    calls: AtomicU64,
+    changed: watch::Sender<u64>,
+}
+
+impl Platform {
+    /// A platform without documents.
+    pub fn new() -> Arc<Self> {
+        Arc::new(Self {
+            documents: Mutex::default(),
+            mode: Mutex::default(),
+            calls: AtomicU64::new(0),
+            changed: watch::Sender::new(0),
+        })
+    }
+
+    /// Serves on `address` (port 0 takes a free one) and on a free control port.
+    pub async fn start(self: &Arc<Self>, address: SocketAddr) -> std::io::Result<Running> {
+        let data = TcpListener::bind(address).await?;
+        let control = TcpListener::bind((address.ip(), 0)).await?;
+        let (address, control_address) = (data.local_addr()?, control.local_addr()?);
+        let mut tasks = JoinSet::new();
+        let platform = self.clone();
+        tasks.spawn(serve(data, move |request| platform.clone().answer(request).map(Some)));
+        let platform = self.clone();
+        tasks.spawn(serve(control, move |request| platform.clone().control(request).map(Some)));
+        Ok(Running { address, control: control_address, _tasks: tasks })
+    }
+
+    /// Publishes a document.
+    pub fn publish(&self, name: DocumentName, revision: u64, text: impl Into<Bytes>) {
+        let held = Held { revision, text: text.into() };
+        let mut documents = self.documents.lock();
+        let history = documents.entry(name).or_default();
+        history.first.get_or_insert_with(|| held.clone());
+        history.last = Some(held);
+        drop(documents);
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    /// Causes or ends a fault.
+    pub fn set_mode(&self, mode: PlatformMode) {
+        for history in self.documents.lock().values_mut() {
+            history.frozen.clone_from(&history.last);
+        }
+        *self.mode.lock() = mode;
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    /// Calls so far, a waiting one included.
+    pub fn calls(&self) -> u64 {
+        self.calls.load(Ordering::Relaxed)
+    }
+
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        let mode = *self.mode.lock();
+        match mode {
+            PlatformMode::Silent => std::future::pending().await,
+            PlatformMode::Slow(ms) => sleep(Duration::from_millis(ms)).await,
+            PlatformMode::Failing => return status(StatusCode::INTERNAL_SERVER_ERROR),
+            PlatformMode::Rubbish => return document(&rubbish()),
+            PlatformMode::Normal | PlatformMode::Stale | PlatformMode::Backwards => {}
+        }
+        let Some(name) = DocumentName::of(request.uri().path()) else {
+            return status(StatusCode::NOT_FOUND);
+        };
+        let query = request.uri().query().unwrap_or_default();
+        let after = number(query, "after").unwrap_or(0);
+        let wait = Duration::from_millis(number(query, "wait_ms").unwrap_or(0));
+        match timeout(wait, self.newer(name, after)).await {
+            Ok(held) => document(&held),
+            Err(_) => self
+                .held(name, after)
+                .map_or_else(|| status(StatusCode::NO_CONTENT), |held| document(&held)),
+        }
+    }
+
+    async fn newer(&self, name: DocumentName, after: u64) -> Held {
+        let mut changes = self.changed.subscribe();
+        loop {
+            if let Some(held) = self.held(name, after) {
+                return held;
+            }
+            if changes.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
+    /// What a caller that has `after` is told.
+    fn held(&self, name: DocumentName, after: u64) -> Option<Held> {
+        let documents = self.documents.lock();
+        let history = documents.get(&name)?;
+        match *self.mode.lock() {
+            PlatformMode::Stale => history.frozen.clone().filter(|held| held.revision != after),
+            PlatformMode::Backwards => history.first.clone(),
+            _ => history.last.clone().filter(|held| held.revision > after),
+        }
+    }
+
+    async fn control(self: Arc<Self>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let (parts, body) = request.into_parts();
+        let Ok(body) = body.collect().await else {
+            return status(StatusCode::BAD_REQUEST);
+        };
+        let body = body.to_bytes();
+        let query = parts.uri.query().unwrap_or_default();
+        match (&parts.method, parts.uri.path()) {
+            (&Method::GET, "/calls") => text(self.calls().to_string()),
+            (&Method::PUT, "/mode") => match serde_json::from_slice(&body) {
+                Ok(mode) => {
+                    self.set_mode(mode);
+                    status(StatusCode::OK)
+                }
+                Err(error) => mistaken(&error),
+            },
+            (&Method::PUT, path) => match (DocumentName::of(path), number(query, "revision")) {
+                (Some(name), Some(revision)) => {
+                    self.publish(name, revision, body);
+                    status(StatusCode::OK)
+                }
+                _ => status(StatusCode::NOT_FOUND),
+            },
+            _ => status(StatusCode::NOT_FOUND),
+        }
+    }
+}
+
+fn rubbish() -> Held {
+    Held { revision: u64::MAX, text: Bytes::from_static(b"\xff\xfe{{{") }
+}
+
+fn document(held: &Held) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(held.text.clone()));
+    response.headers_mut().insert(headers::REVISION, held.revision.into());
+    response
+}
+
+pub(crate) fn status(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
+
+pub(crate) fn text(text: impl Into<Bytes>) -> Response<Full<Bytes>> {
+    Response::new(Full::new(text.into()))
+}
+
+pub(crate) fn mistaken(error: &serde_json::Error) -> Response<Full<Bytes>> {
+    let mut response = text(format!("{error}\n"));
+    *response.status_mut() = StatusCode::BAD_REQUEST;
+    response
+}
+
+pub(crate) fn value<'q>(query: &'q str, name: &str) -> Option<&'q str> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+}
+
+pub(crate) fn number(query: &str, name: &str) -> Option<u64> {
+    value(query, name)?.parse().ok()
+}
--- /dev/null
+++ b/crates/thymeshift_lab/src/standin/server.rs
@@ -0,0 +1,54 @@
+//! Serving HTTP on a free or given port until dropped.
+
+use std::io;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http_body::Body;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+
+/// A stand-in that runs; dropped, it closes its ports and connections.
+pub struct Running {
+    /// Where the product connects.
+    pub address: SocketAddr,
+    /// Where tests and people connect.
+    pub control: SocketAddr,
+    pub(crate) _tasks: JoinSet<()>,
+}
+
+/// Serves `listener` with `answer`, one task a connection. No answer closes it.
+pub(crate) async fn serve<F, B>(
+    listener: TcpListener,
+    answer: impl Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+) where
+    F: Future<Output = Option<Response<B>>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let mut connections = JoinSet::new();
+    loop {
+        while connections.try_join_next().is_some() {}
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        if stream.set_nodelay(true).is_err() {
+            continue;
+        }
+        let answer = answer.clone();
+        connections.spawn(async move {
+            let service = service_fn(move |request| {
+                let answered = answer(request);
+                async { answered.await.ok_or(io::Error::from(io::ErrorKind::ConnectionAborted)) }
+            });
+            // A connection that breaks is the other side's business.
+            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
--- /dev/null
+++ b/crates/thymeshift_lab/src/standin/target.rs
@@ -0,0 +1,302 @@
+//! A target: a few slots, a queue, a service time, load reports and faults.
+//!
+//! Data port: any request runs for a service time and is answered with
+//! [`expected_answer`]; `bytes=N` in the query sets the answer's length, `nonce=X` the
+//! name in the ledger; `/probe` answers after the probe's cost.
+//! Control port: `PUT /behaviour` with a [`Behaviour`] as JSON, `GET /ledger`.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use futures::FutureExt;
+use futures::stream;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body::Frame;
+use http_body_util::BodyExt;
+use http_body_util::Either;
+use http_body_util::Full;
+use http_body_util::StreamBody;
+use hyper::body::Incoming;
+use parking_lot::Mutex;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rand_distr::Distribution;
+use rand_distr::Exp1;
+use thymeshift_dispatch::LoadReport;
+use thymeshift_dispatch::ReportedState;
+use thymeshift_types::Incarnation;
+use thymeshift_wire::headers;
+use thymeshift_wire::load_header;
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use crate::standin::Behaviour;
+use crate::standin::Fault;
+use crate::standin::Ledger;
+use crate::standin::Reports;
+use crate::standin::answer::expected_answer;
+use crate::standin::platform::mistaken;
+use crate::standin::platform::number;
+use crate::standin::platform::status;
+use crate::standin::platform::text;
+use crate::standin::platform::value;
+use crate::standin::server::Running;
+use crate::standin::server::serve;
+use crate::standin::slots::Slots;
+
+/// Length of an answer whose request does not say.
+const ANSWER_BYTES: u64 = 64;
+/// Longest answer, in bytes.
+const ANSWER_BYTES_MAX: u64 = 64 * 1_024 * 1_024;
+/// Time between two looks of a frozen target at whether it still is.
+const FROZEN_LOOK: Duration = Duration::from_millis(2);
+
+/// What a target is.
+#[derive(Debug, Clone)]
+pub struct TargetSettings {
+    /// Requests run at a time.
+    pub slots: usize,
+    /// Requests that may wait.
+    pub queue_max: u32,
+    /// Mean service time, in microseconds.
+    pub service_us: u64,
+    /// Whether service times vary (exponentially) or are all the same.
+    pub is_random: bool,
+    /// Seed of the service times.
+    pub seed: u64,
+    /// Time that a probe takes, in microseconds.
+    pub probe_us: u64,
+    /// One way from the entry VMs, in microseconds.
+    pub one_way_us: u64,
+    /// Its incarnation.
+    pub incarnation: u64,
+}
+
+impl Default for TargetSettings {
+    fn default() -> Self {
+        Self {
+            slots: 3,
+            queue_max: 100,
+            service_us: 8_000,
+            is_random: true,
+            seed: 1,
+            probe_us: 6_000,
+            one_way_us: 0,
+            incarnation: 1,
+        }
+    }
+}
+
+/// A target.
+pub struct Target {
+    settings: TargetSettings,
+    behaviour: Mutex<Behaviour>,
+    /// What it ran.
+    pub ledger: Ledger,
+    slots: Arc<Slots>,
+    rng: Mutex<SmallRng>,
+    started: Instant,
+    stall_until: Mutex<Instant>,
+}
+
+type Answer = Response<Either<Full<Bytes>, CutBody>>;
+type CutBody = StreamBody<stream::Iter<std::vec::IntoIter<Result<Frame<Bytes>, std::io::Error>>>>;
+
+impl Target {
+    /// A target that behaves well.
+    pub fn new(settings: TargetSettings) -> Arc<Self> {
+        let rng = SmallRng::seed_from_u64(settings.seed);
+        Arc::new(Self {
+            slots: Slots::new(settings.slots, settings.queue_max),
+            settings,
+            behaviour: Mutex::default(),
+            ledger: Ledger::default(),
+            rng: Mutex::new(rng),
+            started: Instant::now(),
+            stall_until: Mutex::new(Instant::now()),
+        })
+    }
+
+    /// Serves on `address` (port 0 takes a free one) and on a free control port.
+    pub async fn start(self: &Arc<Self>, address: SocketAddr) -> std::io::Result<Running> {
+        let data = TcpListener::bind(address).await?;
+        let control = TcpListener::bind((address.ip(), 0)).await?;
+        let (address, control_address) = (data.local_addr()?, control.local_addr()?);
+        let mut tasks = JoinSet::new();
+        let target = self.clone();
+        tasks.spawn(serve(data, move |request| target.clone().answer(request)));
+        let target = self.clone();
+        tasks.spawn(serve(control, move |request| target.clone().control(request).map(Some)));
+        tasks.spawn(self.clone().stall_now_and_then());
+        Ok(Running { address, control: control_address, _tasks: tasks })
+    }
+
+    /// Changes how it behaves.
+    pub fn set_behaviour(&self, behaviour: Behaviour) {
+        *self.behaviour.lock() = behaviour;
+    }
+
+    fn behaviour(&self) -> Behaviour {
+        self.behaviour.lock().clone()
+    }
+
+    async fn control(self: Arc<Self>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let (parts, body) = request.into_parts();
+        let Ok(body) = body.collect().await else {
+            return status(StatusCode::BAD_REQUEST);
+        };
+        match (&parts.method, parts.uri.path()) {
+            (&Method::PUT, "/behaviour") => match serde_json::from_slice(&body.to_bytes()) {
+                Ok(behaviour) => {
+                    self.set_behaviour(behaviour);
+                    status(StatusCode::OK)
+                }
+                Err(error) => mistaken(&error),
+            },
+            (&Method::GET, "/ledger") => {
+                text(serde_json::to_vec(&self.ledger.entries()).unwrap_or_default())
+            }
+            _ => status(StatusCode::NOT_FOUND),
+        }
+    }
+
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Option<Answer> {
+        let one_way = Duration::from_micros(self.settings.one_way_us);
+        pause(one_way).await;
+        let (parts, body) = request.into_parts();
+        let attempt = parts.headers.get(&headers::ATTEMPT).cloned();
+        let mut answer = if parts.uri.path() == "/probe" {
+            self.probe().await
+        } else {
+            let body = body.collect().await.ok()?;
+            let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
+            self.run(path, &body.to_bytes()).await?
+        };
+        self.mark(answer.headers_mut(), attempt);
+        pause(one_way).await;
+        Some(answer)
+    }
+
+    async fn probe(&self) -> Answer {
+        pause(Duration::from_micros(self.settings.probe_us)).await;
+        whole(text("probed"))
+    }
+
+    /// None closes the connection.
+    async fn run(&self, path: &str, body: &[u8]) -> Option<Answer> {
+        let behaviour = self.behaviour();
+        if behaviour.fault == Fault::Failing {
+            return Some(whole(status(StatusCode::INTERNAL_SERVER_ERROR)));
+        }
+        let slot = if behaviour.fault == Fault::Shedding { None } else { self.slots.take().await };
+        let Some(slot) = slot else {
+            return Some(whole(status(StatusCode::SERVICE_UNAVAILABLE)));
+        };
+        let query = path.split_once('?').map_or("", |(_, query)| query);
+        let nonce = value(query, "nonce").unwrap_or_default();
+        self.ledger.begin(nonce);
+        self.work().await;
+        self.ledger.finish(nonce);
+        drop(slot);
+        let behaviour = self.behaviour();
+        pause(Duration::from_millis(behaviour.late_ms)).await;
+        let length = number(query, "bytes").unwrap_or(ANSWER_BYTES).min(ANSWER_BYTES_MAX);
+        let bytes = expected_answer(path, body, usize::try_from(length).unwrap_or(0));
+        match behaviour.fault {
+            Fault::Closing => None,
+            Fault::Cutting => Some(cut(bytes)),
+            _ => Some(whole(text(bytes))),
+        }
+    }
+
+    async fn work(&self) {
+        let behaviour = self.behaviour();
+        while self.behaviour.lock().fault == Fault::Frozen
+            || Instant::now() < *self.stall_until.lock()
+        {
+            sleep(FROZEN_LOOK).await;
+        }
+        let is_cold = self.started.elapsed() < Duration::from_millis(behaviour.cold_ms);
+        let factor = if is_cold { behaviour.cold_slowness } else { 1.0 } * behaviour.slowness;
+        let variation = if self.settings.is_random { self.exponential() } else { 1.0 };
+        pause(Duration::from_micros(self.settings.service_us).mul_f64(factor * variation)).await;
+    }
+
+    fn exponential(&self) -> f64 {
+        let sample: f64 = Exp1.sample(&mut *self.rng.lock());
+        sample
+    }
+
+    /// A noisy neighbour, at random moments.
+    async fn stall_now_and_then(self: Arc<Self>) {
+        loop {
+            let behaviour = self.behaviour();
+            if behaviour.stall_every_ms == 0 {
+                sleep(Duration::from_millis(20)).await;
+                continue;
+            }
+            let gap = Duration::from_millis(behaviour.stall_every_ms);
+            let spread = self.rng.lock().random_range(0.5..1.5);
+            sleep(gap.mul_f64(spread)).await;
+            *self.stall_until.lock() = Instant::now() + Duration::from_millis(behaviour.stall_ms);
+        }
+    }
+
+    /// Puts the load report and the attempt's identity on an answer.
+    fn mark(&self, map: &mut HeaderMap, attempt: Option<HeaderValue>) {
+        let behaviour = self.behaviour();
+        if let Some(attempt) = attempt {
+            let confused = HeaderValue::from_static("0000000000000000");
+            map.insert(
+                headers::ATTEMPT,
+                if behaviour.fault == Fault::Confusing { confused } else { attempt },
+            );
+        }
+        let report = match behaviour.reports {
+            Reports::None => return,
+            Reports::True => self.slots.report(Duration::ZERO),
+            Reports::Stale => self.slots.report(Duration::from_millis(behaviour.stale_ms)),
+            Reports::Idle => LoadReport {
+                running: 0,
+                queued: 0,
+                incarnation: None,
+                state: ReportedState::Serving,
+            },
+        };
+        let state =
+            if behaviour.is_draining { ReportedState::Draining } else { ReportedState::Serving };
+        let incarnation = Some(Incarnation::new(self.settings.incarnation));
+        map.insert(headers::LOAD, load_header::write(&LoadReport { state, incarnation, ..report }));
+    }
+}
+
+async fn pause(duration: Duration) {
+    if !duration.is_zero() {
+        sleep(duration).await;
+    }
+}
+
+fn whole(response: Response<Full<Bytes>>) -> Answer {
+    response.map(Either::Left)
+}
+
+/// Half of the bytes, and then the connection breaks.
+fn cut(mut bytes: Vec<u8>) -> Answer {
+    let length = bytes.len();
+    bytes.truncate(length / 2);
+    let broken = Err(std::io::ErrorKind::ConnectionAborted.into());
+    let frames = vec![Ok(Frame::data(Bytes::from(bytes))), broken];
+    let mut response = Response::new(Either::Right(StreamBody::new(stream::iter(frames))));
+    response.headers_mut().insert(http::header::CONTENT_LENGTH, length.into());
+    response
+}
--- /dev/null
+++ b/crates/thymeshift_query/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' query language over a state dump.
--- /dev/null
+++ b/crates/thymeshift_telemetry/src/lib.rs
@@ -0,0 +1,14 @@
+//! Key=value logging and the list of metrics.
+//!
+//! * [`start_logging`] sends one line for each event to standard error.
+//! * [`metric`] names every metric, and [`start_metrics`] collects them for Prometheus.
+
+mod format;
+mod logging;
+pub mod metric;
+
+pub use format::KeyValueFormatter;
+pub use logging::StartError;
+pub use logging::start_logging;
+pub use metric::MetricsText;
+pub use metric::start_metrics;
--- /dev/null
+++ b/crates/thymeshift_telemetry/src/metric.rs
@@ -0,0 +1,66 @@
+//! Every metric, with its labels and meaning. `docs/OPERATING.md` lists the same.
+
+use metrics_exporter_prometheus::PrometheusBuilder;
+use metrics_exporter_prometheus::PrometheusHandle;
+
+/// Requests by `kind` and `result` (`answered`, `not_run`, `unknown`, `failed`).
+pub const REQUESTS: &str = "thymeshift_requests_total";
+/// Attempts after the first, by `kind`.
+pub const RETRIES: &str = "thymeshift_retries_total";
+/// Requests that waited for a target, by `kind`.
+pub const WAITED: &str = "thymeshift_waited_total";
+/// Time from reading a request's head to the head of its answer, in seconds, by `kind`.
+pub const REQUEST_SECONDS: &str = "thymeshift_request_seconds";
+/// Requests in flight.
+pub const IN_FLIGHT: &str = "thymeshift_requests_in_flight";
+/// Connections from callers.
+pub const CALLER_CONNECTIONS: &str = "thymeshift_caller_connections";
+/// Connections from callers that were closed at once because there were too many.
+pub const CALLERS_TURNED_AWAY: &str = "thymeshift_callers_turned_away_total";
+/// Connections opened to targets, by `service`.
+pub const TARGET_CONNECTIONS_OPENED: &str = "thymeshift_target_connections_opened_total";
+/// Probes sent, by `service`.
+pub const PROBES: &str = "thymeshift_probes_total";
+/// Target time spent on measuring, in microseconds, by `service`.
+pub const MEASURING_US: &str = "thymeshift_measuring_us_total";
+/// Revision of the configuration in force.
+pub const REVISION: &str = "thymeshift_configuration_revision";
+/// Documents refused, by `offer` (`conflicting`, `rejected`).
+pub const DOCUMENTS_REFUSED: &str = "thymeshift_documents_refused_total";
+/// Calls to the platform, by `result` (`changed`, `unchanged`, `failed`).
+pub const PLATFORM_CALLS: &str = "thymeshift_platform_calls_total";
+/// Exchanges with peers, by `result` (`answered`, `failed`).
+pub const PEER_EXCHANGES: &str = "thymeshift_peer_exchanges_total";
+/// Pauses of this process that were noticed.
+pub const PAUSES: &str = "thymeshift_pauses_total";
+/// Panics, each of which ended only the task it arose in.
+pub const PANICS: &str = "thymeshift_panics_total";
+/// Tasks that ended unexpectedly, by `task` and `end` (`failed`, `panicked`).
+pub const TASK_ENDS: &str = "thymeshift_task_ends_total";
+
+/// The collected metrics as Prometheus text.
+#[derive(Clone)]
+pub struct MetricsText(PrometheusHandle);
+
+impl MetricsText {
+    /// The text at this moment.
+    pub fn render(&self) -> String {
+        self.0.render()
+    }
+
+    /// Folds what was recorded into the summaries; call it every few seconds, so that
+    /// memory stays bounded when nobody reads the text.
+    pub fn run_upkeep(&self) {
+        self.0.run_upkeep();
+    }
+}
+
+/// Begins to collect metrics. In a process that collects already, the second collection
+/// stays empty.
+pub fn start_metrics() -> MetricsText {
+    let recorder = PrometheusBuilder::new().build_recorder();
+    let text = MetricsText(recorder.handle());
+    // An error means that another recorder is installed; that one goes on collecting.
+    let _ = metrics::set_global_recorder(recorder);
+    text
+}
--- /dev/null
+++ b/crates/thymeshift_types/src/lib.rs
@@ -0,0 +1,31 @@
+//! Names, times, revisions and outcomes shared by all thymeshift crates.
+//!
+//! Everything here is plain data: no I/O and no global state. Clocks are passed in as
+//! [`Clock`] so that every decision can be tested at a chosen moment.
+
+mod clock;
+mod failure;
+mod leaving;
+mod name;
+mod revision;
+
+pub use clock::BootClock;
+pub use clock::Clock;
+pub use clock::ManualClock;
+pub use clock::Timestamp;
+pub use failure::Failure;
+pub use failure::Outcome;
+pub use failure::Peer;
+pub use failure::Reason;
+pub use failure::Step;
+pub use leaving::Incarnation;
+pub use leaving::LeavingMark;
+pub use name::DataHallName;
+pub use name::KindName;
+pub use name::NameError;
+pub use name::ServiceName;
+pub use name::TargetName;
+pub use name::VmName;
+pub use revision::Digest;
+pub use revision::DigestError;
+pub use revision::Revision;
--- /dev/null
+++ b/crates/thymeshift_types/src/revision.rs
@@ -0,0 +1,87 @@
+//! Revisions of what the platform publishes, and digests of the published bytes.
+
+use std::str::FromStr;
+
+use derive_more::Display;
+use derive_more::Error;
+use serde::Deserialize;
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_128;
+
+/// The platform's revision number of a published document. Larger is newer.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Default,
+    Display,
+    Serialize,
+    Deserialize,
+)]
+pub struct Revision(u64);
+
+impl Revision {
+    /// The revision with this number.
+    pub const fn new(number: u64) -> Self {
+        Self(number)
+    }
+
+    /// The revision's number.
+    pub const fn as_u64(self) -> u64 {
+        self.0
+    }
+}
+
+/// A 128-bit digest of published bytes; the same on every VM and version.
+///
+/// It detects accidents (two contents under one revision, a damaged difference), not
+/// forgery.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize,
+)]
+#[serde(into = "String", try_from = "String")]
+#[display("{_0:032x}")]
+pub struct Digest(u128);
+
+impl Digest {
+    /// Digest of `bytes`.
+    pub fn of(bytes: &[u8]) -> Self {
+        Self(xxh3_128(bytes))
+    }
+}
+
+/// A text that is not a digest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+#[display("a digest is written as 32 hexadecimal digits")]
+pub struct DigestError;
+
+impl FromStr for Digest {
+    type Err = DigestError;
+
+    fn from_str(text: &str) -> Result<Self, DigestError> {
+        let is_hex = text.len() == 32 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        if !is_hex {
+            return Err(DigestError);
+        }
+        u128::from_str_radix(text, 16).map(Self).map_err(|_| DigestError)
+    }
+}
+
+impl TryFrom<String> for Digest {
+    type Error = DigestError;
+
+    fn try_from(text: String) -> Result<Self, DigestError> {
+        text.parse()
+    }
+}
+
+impl From<Digest> for String {
+    fn from(digest: Digest) -> Self {
+        digest.to_string()
+    }
+}
--- /dev/null
+++ b/crates/thymeshift_wire/src/dump.rs
@@ -0,0 +1,118 @@
+//! What a process says of its whole state. Its size is bounded by the configuration and
+//! by the bounds of what it lists; making it costs one pass and no I/O.
+
+use serde::Deserialize;
+use serde::Serialize;
+use thymeshift_dispatch::ServiceDump;
+use thymeshift_fleet::Boot;
+use thymeshift_fleet::Conflict;
+use thymeshift_fleet::Head;
+use thymeshift_fleet::MemberDump;
+use thymeshift_fleet::Order;
+use thymeshift_fleet::Phase;
+use thymeshift_fleet::Rejection;
+use thymeshift_fleet::Watcher;
+use thymeshift_types::DataHallName;
+use thymeshift_types::KindName;
+use thymeshift_types::LeavingMark;
+use thymeshift_types::ServiceName;
+use thymeshift_types::VmName;
+
+/// The configuration in force and what was refused.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigurationDump {
+    /// Revision and digest in force.
+    pub in_force: Option<Head>,
+    /// For how long, in milliseconds.
+    pub in_force_for_ms: u64,
+    /// Two contents under one revision, if seen.
+    pub conflict: Option<Conflict>,
+    /// The last rejected revision.
+    pub rejection: Option<Rejection>,
+}
+
+/// The link to the platform.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlatformDump {
+    /// Whether this process watches it.
+    pub is_watching: bool,
+    /// Calls made since start.
+    pub calls: u64,
+    /// Time since its last answer, in milliseconds.
+    pub last_answer_ms: Option<u64>,
+    /// Who watches, as far as known.
+    pub watchers: Vec<Watcher>,
+}
+
+/// Requests of one kind since start.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KindDump {
+    /// The kind.
+    pub name: KindName,
+    /// Its service.
+    pub service: ServiceName,
+    /// Its rank.
+    pub priority: u64,
+    /// Requests accepted.
+    pub accepted: u64,
+    /// Requests that got a target's answer.
+    pub answered: u64,
+    /// Requests refused or failed, provably not run.
+    pub not_run: u64,
+    /// Requests that may have run.
+    pub unknown: u64,
+    /// Requests that a target ran and failed.
+    pub failed: u64,
+    /// Attempts after the first.
+    pub retries: u64,
+    /// Requests that waited for a target.
+    pub waited: u64,
+}
+
+/// One task of the supervisor tree.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskDump {
+    /// Its name.
+    pub name: String,
+    /// How often it was restarted.
+    pub restarts: u64,
+    /// Whether it runs.
+    pub is_running: bool,
+}
+
+/// The whole state of an entry process.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct StateDump {
+    /// Its VM.
+    pub vm: VmName,
+    /// Its start.
+    pub boot: Boot,
+    /// Its data hall.
+    pub data_hall: DataHallName,
+    /// Its program version.
+    pub version: String,
+    /// What it says of itself.
+    pub phase: Phase,
+    /// Time since start, in milliseconds.
+    pub uptime_ms: u64,
+    /// Requests in flight.
+    pub requests_in_flight: u64,
+    /// Connections from callers.
+    pub caller_connections: u64,
+    /// The configuration.
+    pub configuration: ConfigurationDump,
+    /// The platform.
+    pub platform: PlatformDump,
+    /// The services.
+    pub services: Vec<ServiceDump>,
+    /// The kinds.
+    pub kinds: Vec<KindDump>,
+    /// Other processes.
+    pub members: Vec<MemberDump>,
+    /// Targets that are leaving.
+    pub leaving: Vec<LeavingMark>,
+    /// Orders that hold.
+    pub orders: Vec<Order>,
+    /// Tasks of this process.
+    pub tasks: Vec<TaskDump>,
+}
--- /dev/null
+++ b/crates/thymeshift_wire/src/load_header.rs
@@ -0,0 +1,61 @@
+//! Load reports as targets put them on answers, in the text form of the ORCA
+//! specification: `TEXT named_metrics.running=2, named_metrics.queued=0`.
+//!
+//! Fields: `running`, `queued`, `incarnation` and `draining` (0 or 1). A report with
+//! neither `running` nor `queued` is not a report. Unknown fields are passed over.
+
+use http::HeaderMap;
+use http::HeaderValue;
+use thymeshift_dispatch::LoadReport;
+use thymeshift_dispatch::ReportedState;
+use thymeshift_types::Incarnation;
+
+use crate::headers;
+
+const FORMAT: &str = "TEXT ";
+const NAMED: &str = "named_metrics.";
+
+/// Reads the report of an answer. A malformed one counts as none: a target that lies or
+/// errs about its load must not cost a caller its answer.
+pub fn read(map: &HeaderMap) -> Option<LoadReport> {
+    let text = map.get(&headers::LOAD)?.to_str().ok()?;
+    let fields = text.strip_prefix(FORMAT)?;
+    let mut running = None;
+    let mut queued = None;
+    let mut incarnation = None;
+    let mut state = ReportedState::Serving;
+    for field in fields.split(',') {
+        let (name, value) = field.split_once('=')?;
+        let name = name.trim();
+        let value = value.trim().parse::<f64>().ok()?;
+        if !value.is_finite() || value < 0.0 {
+            return None;
+        }
+        match name.strip_prefix(NAMED).unwrap_or(name) {
+            "running" => running = Some(value as u32),
+            "queued" => queued = Some(value as u32),
+            "incarnation" => incarnation = Some(Incarnation::new(value as u64)),
+            "draining" if value > 0.0 => state = ReportedState::Draining,
+            _ => {}
+        }
+    }
+    if running.is_none() && queued.is_none() {
+        return None;
+    }
+    let (running, queued) = (running.unwrap_or(0), queued.unwrap_or(0));
+    Some(LoadReport { running, queued, incarnation, state })
+}
+
+/// The report as a header's value.
+pub fn write(report: &LoadReport) -> HeaderValue {
+    let LoadReport { running, queued, incarnation, state } = report;
+    let draining = u8::from(*state == ReportedState::Draining);
+    let incarnation = incarnation
+        .map_or(String::new(), |incarnation| format!(", {NAMED}incarnation={incarnation}"));
+    let text = format!(
+        "{FORMAT}{NAMED}running={running}, {NAMED}queued={queued}, \
+         {NAMED}draining={draining}{incarnation}"
+    );
+    // Digits and fixed ASCII text always make a valid value.
+    HeaderValue::try_from(text).unwrap_or_else(|_| HeaderValue::from_static(""))
+}
--- /dev/null
+++ b/crates/thymeshift_wire/src/peer.rs
@@ -0,0 +1,47 @@
+//! What entry processes say to each other.
+
+use serde::Deserialize;
+use serde::Serialize;
+use thymeshift_fleet::Head;
+use thymeshift_fleet::Member;
+use thymeshift_fleet::Order;
+use thymeshift_fleet::Transfer;
+use thymeshift_fleet::Watcher;
+use thymeshift_types::LeavingMark;
+
+/// A document that the platform publishes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Document {
+    /// The configuration.
+    Configuration,
+    /// The list of live and leaving VMs.
+    VmList,
+}
+
+/// One side of an exchange: a bounded summary of what a process knows. Both sides send
+/// one, and each takes in the other's.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Exchange {
+    /// Members, the sender first.
+    pub members: Vec<Member>,
+    /// The configuration in force.
+    pub configuration: Option<Head>,
+    /// The VM list known.
+    pub vm_list: Option<Head>,
+    /// Who watches the platform.
+    pub watchers: Vec<Watcher>,
+    /// A page of the targets that are leaving.
+    pub leaving: Vec<LeavingMark>,
+    /// Operators' orders.
+    pub orders: Vec<Order>,
+}
+
+/// Calls between entry processes.
+#[tarpc::service]
+pub trait PeerLink {
+    /// Swaps summaries.
+    async fn exchange(summary: Exchange) -> Exchange;
+    /// Asks for a document that the other side has newer.
+    async fn fetch(document: Document, have: Option<Head>) -> Transfer;
+}
