--- /dev/null
+++ b/crates/thymeshift_wire/src/transport.rs
@@ -0,0 +1,118 @@
+//! Remote calls over TCP.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use derive_more::Display;
+use derive_more::Error;
+use serde::Deserialize;
+use serde::Serialize;
+use tarpc::ClientMessage;
+use tarpc::Response;
+use tarpc::client;
+use tarpc::serde_transport;
+use tarpc::serde_transport::Transport;
+use tarpc::server::BaseChannel;
+use tarpc::server::Config;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use tokio_util::codec::LengthDelimitedCodec;
+
+use crate::ControlClient;
+use crate::PeerLinkClient;
+use crate::codec::Postcard;
+use crate::control::ControlRequest;
+use crate::control::ControlResponse;
+use crate::peer::PeerLinkRequest;
+use crate::peer::PeerLinkResponse;
+
+/// Longest frame, in bytes: a whole document of a megabyte and what surrounds it. Checked
+/// before anything is allocated for it.
+const FRAME_BYTES_MAX: usize = 2 * 1_024 * 1_024;
+
+/// A connection between processes that could not be opened.
+#[derive(Debug, Display, Error)]
+pub enum LinkError {
+    /// Nobody answered in time.
+    #[display("{address} did not accept a connection within {limit:?}")]
+    TimedOut {
+        /// Where.
+        address: SocketAddr,
+        /// How long it was tried.
+        limit: Duration,
+    },
+    /// It was refused.
+    #[display("{address}: {source}")]
+    Refused {
+        /// Where.
+        address: SocketAddr,
+        /// Why.
+        source: io::Error,
+    },
+}
+
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder().max_frame_length(FRAME_BYTES_MAX).new_codec()
+}
+
+fn transport<Item, SinkItem>(stream: TcpStream) -> Transport<TcpStream, Item, SinkItem, Postcard>
+where
+    Item: for<'de> Deserialize<'de>,
+    SinkItem: Serialize,
+{
+    let framed = tokio_util::codec::Framed::new(stream, codec());
+    serde_transport::new(framed, Postcard)
+}
+
+async fn open(address: SocketAddr, limit: Duration) -> Result<TcpStream, LinkError> {
+    let Ok(opened) = timeout(limit, TcpStream::connect(address)).await else {
+        return Err(LinkError::TimedOut { address, limit });
+    };
+    let stream = opened.map_err(|source| LinkError::Refused { address, source })?;
+    stream.set_nodelay(true).map_err(|source| LinkError::Refused { address, source })?;
+    Ok(stream)
+}
+
+/// Connects to another entry process.
+pub async fn connect_peer(
+    address: SocketAddr,
+    limit: Duration,
+) -> Result<PeerLinkClient, LinkError> {
+    let stream = open(address, limit).await?;
+    Ok(PeerLinkClient::new(client::Config::default(), transport(stream)).spawn())
+}
+
+/// Connects to an entry process as an operator.
+pub async fn connect_control(
+    address: SocketAddr,
+    limit: Duration,
+) -> Result<ControlClient, LinkError> {
+    let stream = open(address, limit).await?;
+    Ok(ControlClient::new(client::Config::default(), transport(stream)).spawn())
+}
+
+/// Calls that one connection may have open at a time.
+pub const CALLS_PER_CONNECTION_MAX: usize = 32;
+
+fn server_config() -> Config {
+    Config { pending_response_buffer: CALLS_PER_CONNECTION_MAX }
+}
+
+/// The server's side of a peer's connection: execute it with a [`crate::PeerLink`].
+pub fn peer_channel(stream: TcpStream) -> PeerChannel {
+    BaseChannel::new(server_config(), transport(stream))
+}
+
+/// The server's side of an operator's connection: execute it with a [`crate::Control`].
+pub fn control_channel(stream: TcpStream) -> ControlChannel {
+    BaseChannel::new(server_config(), transport(stream))
+}
+
+/// See [`peer_channel`].
+pub type PeerChannel = ServerChannel<PeerLinkRequest, PeerLinkResponse>;
+/// See [`control_channel`].
+pub type ControlChannel = ServerChannel<ControlRequest, ControlResponse>;
+
+type ServerChannel<Req, Resp> =
+    BaseChannel<Req, Resp, Transport<TcpStream, ClientMessage<Req>, Response<Resp>, Postcard>>;
--- /dev/null
+++ b/crates/thymeshiftctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' program of thymeshift.
+
+fn main() {}
