--- a/crates/thymeshift_lab/src/experiment/demo.rs
+++ b/crates/thymeshift_lab/src/experiment/demo.rs
@@ -31,9 +31,9 @@
 }
 
 /// The tariff example's configuration.
-pub fn tariff_configuration() -> Configuration {
+pub fn tariff_configuration() -> Result<Configuration, FleetError> {
     let text = include_str!("../../../../examples/tariff/configuration.yaml");
-    Configuration::parse(text).expect("the example is checked by a test")
+    Ok(Configuration::parse(text)?)
 }
 
 /// Load of the tariff example, scaled by `factor`.
@@ -65,7 +65,7 @@
 /// Runs the demo.
 pub async fn demo(folder: &Path, entries: usize, duration: Duration) -> Result<Demo, FleetError> {
     let plan = FleetPlan {
-        configuration: tariff_configuration(),
+        configuration: tariff_configuration()?,
         entries,
         service_us: tariff_service_us(),
         target_queue_max: 30,
--- a/crates/thymeshift_lab/src/experiment/fleet.rs
+++ b/crates/thymeshift_lab/src/experiment/fleet.rs
@@ -52,6 +52,9 @@
     /// A remote call.
     #[display("{_0}")]
     Call(tarpc::client::RpcError),
+    /// A configuration.
+    #[display("{_0}")]
+    Configuration(thymeshift_config::Mistakes),
     /// An entry process that does not become ready.
     #[display("an entry process was not ready within {READY_LIMIT:?}, see its log")]
     NotReady,
--- a/crates/thymeshift_lab/src/main.rs
+++ b/crates/thymeshift_lab/src/main.rs
@@ -50,11 +50,8 @@
         }
         Command::Load { plan, json } => many_threads(async {
             let result = load::run(plan).await;
-            if json {
-                println!("{}", result.to_json())
-            } else {
-                print!("{result}")
-            }
+            let text = if json { format!("{}\n", result.to_json()) } else { result.to_string() };
+            print!("{text}");
             Ok(ExitCode::SUCCESS)
         }),
         Command::Demo { entries, seconds } => many_threads(demo(entries, seconds)),
