The operators' program and its language; tables of bad input over every surface

Found while writing the tables: a chunked body over the limit was reported as a lost caller, and a request without or with two Host headers was served. Ruled out: hyper refusing them by itself. After: 413 body_too_large with outcome unknown (a part was sent), 400 bad_header (RFC 9112, 3.2).

--- a/crates/thymeshift_entry/src/caller/forward.rs
+++ b/crates/thymeshift_entry/src/caller/forward.rs
@@ -190,7 +190,7 @@
     fn may_retry(&self, failure: &Failure, attempts: u64) -> bool {
         let is_harmless =
             failure.outcome == Outcome::NotRun || self.kind.kind.repeat == Repeat::Safe;
-        let is_callers_fault = failure.reason == Reason::CallerLost;
+        let is_callers_fault = matches!(failure.reason, Reason::CallerLost | Reason::BodyTooLarge);
         is_harmless
             && !is_callers_fault
             && attempts < self.attempts_max
--- a/crates/thymeshift_entry/src/caller/handler.rs
+++ b/crates/thymeshift_entry/src/caller/handler.rs
@@ -109,6 +109,9 @@
         let (parts, incoming) = request.into_parts();
         let context = CallContext::read(&parts.headers)
             .map_err(|_| self.refused(Reason::BadHeader, Step::ReadHead))?;
+        if !has_one_host(&parts) {
+            return Err(self.refused(Reason::BadHeader, Step::ReadHead));
+        }
         if context.depth >= limits.depth_max {
             return Err(self.refused(Reason::TooDeep, Step::ReadHead));
         }
@@ -196,6 +199,16 @@
     }
 }
 
+/// RFC 9112, 3.2: an HTTP/1.1 request has one `Host`. Two could be read differently here
+/// and at the target.
+fn has_one_host(parts: &Parts) -> bool {
+    match parts.headers.get_all(header::HOST).iter().count() {
+        0 => parts.version != Version::HTTP_11,
+        1 => true,
+        _ => false,
+    }
+}
+
 /// The caller's id if it is plain text of bounded length, else a new one.
 fn request_id(map: &HeaderMap) -> HeaderValue {
     let given = map.get(headers::REQUEST_ID);
--- a/crates/thymeshift_lab/src/experiment/children.rs
+++ b/crates/thymeshift_lab/src/experiment/children.rs
@@ -125,7 +125,13 @@
     pairs.collect()
 }
 
-/// A program beside the one that runs now.
+/// A program of this workspace, built with the one that runs now.
 pub fn sibling_program(name: &str) -> io::Result<PathBuf> {
-    Ok(std::env::current_exe()?.with_file_name(name))
+    let own = std::env::current_exe()?;
+    // Tests lie one folder below the programs.
+    let folder = own.parent().map_or(Path::new("."), |folder| match folder.file_name() {
+        Some(last) if last == "deps" => folder.parent().unwrap_or(folder),
+        _ => folder,
+    });
+    Ok(folder.join(name))
 }
--- a/crates/thymeshift_lab/src/experiment/mod.rs
+++ b/crates/thymeshift_lab/src/experiment/mod.rs
@@ -4,6 +4,7 @@
 mod demo;
 mod fleet;
 mod judge;
+mod single;
 
 pub use children::Child;
 pub use children::ChildError;
@@ -21,3 +22,5 @@
 pub use fleet::wait_ready;
 pub use judge::Judgement;
 pub use judge::judge;
+pub use single::Single;
+pub use single::TempFolder;
--- a/crates/thymeshift_lab/src/http_client.rs
+++ b/crates/thymeshift_lab/src/http_client.rs
@@ -13,6 +13,8 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper_util::rt::TokioIo;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -66,3 +68,17 @@
     let request = request.header(http::header::HOST, address.to_string());
     send(address, request.body(Full::new(body.into()))?).await
 }
+
+/// Sends bytes as they are and reads until the other side closes or `limit` passes.
+pub async fn send_raw(
+    address: SocketAddr,
+    bytes: &[u8],
+    limit: Duration,
+) -> std::io::Result<Vec<u8>> {
+    let mut stream = TcpStream::connect(address).await?;
+    // The other side may close before it has read everything.
+    let _ = stream.write_all(bytes).await;
+    let mut answer = Vec::new();
+    let _ = timeout(limit, stream.read_to_end(&mut answer)).await;
+    Ok(answer)
+}
--- /dev/null
+++ b/crates/thymeshift_lab/tests/support/mod.rs
@@ -0,0 +1,88 @@
+//! What the tests with real processes share.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::Method;
+use thymeshift_config::Configuration;
+use thymeshift_lab::http_client::ask;
+use thymeshift_lab::standin::Running;
+use thymeshift_lab::standin::Target;
+use thymeshift_lab::standin::TargetSettings;
+use thymeshift_lab::standin::expected_answer;
+
+/// Longest wait for something that must happen.
+pub(crate) const LIMIT: Duration = Duration::from_secs(10);
+
+pub(crate) fn free() -> SocketAddr {
+    (Ipv4Addr::LOCALHOST, 0).into()
+}
+
+/// A target within the test.
+pub(crate) struct Standing {
+    pub(crate) target: Arc<Target>,
+    pub(crate) ports: Running,
+}
+
+pub(crate) async fn target(settings: TargetSettings) -> Standing {
+    let target = Target::new(settings);
+    let ports = target.start(free()).await.expect("a target");
+    Standing { target, ports }
+}
+
+/// A target that needs 1 ms for each request.
+pub(crate) async fn quick_target() -> Standing {
+    let settings = TargetSettings { service_us: 1_000, is_random: false, ..Default::default() };
+    target(settings).await
+}
+
+/// A configuration with one service `s` over `targets`; `service` and `kind` are further
+/// lines of both. The kinds are `read` (`GET /r`, safe) and `write` (`POST /w`, unsafe).
+pub(crate) fn configuration(targets: &[SocketAddr], service: &str, kind: &str) -> Configuration {
+    let mut text = String::from(
+        "entry_vms_max: 4\ndata_halls: [a]\n\
+         limits: { header_read_timeout_ms: 500, body_bytes_max: 100000, \
+         body_stall_timeout_ms: 500 }\n\
+         services:\n  - name: s\n    slots_per_target: 3\n    connections_per_target: 80\n",
+    );
+    text.push_str(service);
+    text.push_str("    targets:\n");
+    for (index, address) in targets.iter().enumerate() {
+        text.push_str(&format!(
+            "      - {{ name: t{index}, address: '{address}', data_hall: a }}\n"
+        ));
+    }
+    for (name, method, path, repeat) in
+        [("read", "GET", "/r", "safe"), ("write", "POST", "/w", "unsafe")]
+    {
+        if name == "read" {
+            text.push_str("kinds:\n");
+        }
+        text.push_str(&format!(
+            "  - name: {name}\n    match: {{ methods: [{method}], path_prefix: {path} }}\n    \
+             service: s\n    priority: 1\n    repeat: {repeat}\n    deadline_ms: 2000\n{kind}"
+        ));
+    }
+    Configuration::parse(&text).unwrap_or_else(|mistakes| panic!("{mistakes}\n{text}"))
+}
+
+/// Asserts that a plain request is answered in full.
+pub(crate) async fn assert_serves(caller: SocketAddr, note: &str) {
+    let path = "/r?nonce=good&bytes=300";
+    let answer = ask(caller, Method::GET, path, "").await.unwrap_or_else(|e| panic!("{note}: {e}"));
+    assert_eq!(answer.status(), 200, "{note}");
+    assert_eq!(answer.body().as_ref(), expected_answer(path, b"", 300), "{note}");
+}
+
+/// Waits until `is_so` holds.
+pub(crate) async fn until<F: Future<Output = bool>>(note: &str, mut is_so: impl FnMut() -> F) {
+    let waiting = async {
+        while !is_so().await {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    assert!(tokio::time::timeout(LIMIT, waiting).await.is_ok(), "never: {note}");
+}
--- a/crates/thymeshift_query/src/lib.rs
+++ b/crates/thymeshift_query/src/lib.rs
@@ -1,1 +1,38 @@
 //! The operators' query language over a state dump.
+//!
+//! ```text
+//! show TABLE [COLUMN, …] [where CONDITION] [sort by COLUMN [desc]] [limit N]
+//! explain METHOD PATH [host HOST] [header NAME = VALUE]
+//! drain target SERVICE/TARGET [for DURATION]      undrain target SERVICE/TARGET
+//! pause probing SERVICE [for DURATION]            resume probing SERVICE
+//! tables
+//! ```
+//!
+//! A condition compares a column with a value (`=`, `!=`, `<`, `<=`, `>`, `>=`, `like`)
+//! and joins comparisons with `and`, `or`, `not` and brackets. [`parse`] reads a line,
+//! [`tables`] makes the tables of a dump, [`Query::run`] answers from one table.
+
+mod ast;
+mod evaluate;
+mod lexer;
+mod mistake;
+mod parser;
+mod render;
+mod table;
+mod tables;
+
+pub use ast::Command;
+pub use ast::Comparison;
+pub use ast::Condition;
+pub use ast::Direction;
+pub use ast::Query;
+pub use ast::Relation;
+pub use ast::Sort;
+pub use mistake::QueryMistake;
+pub use parser::parse;
+pub use render::to_json;
+pub use render::to_text;
+pub use table::Cell;
+pub use table::Table;
+pub use table::TableName;
+pub use tables::tables;
--- /dev/null
+++ b/crates/thymeshift_query/src/table.rs
@@ -0,0 +1,204 @@
+//! Tables of plain cells.
+
+use std::cmp::Ordering;
+use std::fmt;
+
+use derive_more::Display;
+
+/// A value in a table.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Cell {
+    /// A text.
+    Text(String),
+    /// A number.
+    Number(f64),
+    /// Yes or no.
+    Flag(bool),
+    /// Not known.
+    Missing,
+}
+
+impl Cell {
+    /// A text of anything that can be shown.
+    pub(crate) fn text(value: impl fmt::Display) -> Self {
+        Self::Text(value.to_string())
+    }
+
+    /// A number, or missing.
+    pub(crate) fn maybe(value: Option<u64>) -> Self {
+        value.map_or(Self::Missing, |value| Self::Number(value as f64))
+    }
+
+    /// Order for sorting: missing last, then by kind, then by value.
+    pub(crate) fn order(&self, other: &Self) -> Ordering {
+        match (self, other) {
+            (Self::Text(a), Self::Text(b)) => a.cmp(b),
+            (Self::Number(a), Self::Number(b)) => a.total_cmp(b),
+            (Self::Flag(a), Self::Flag(b)) => a.cmp(b),
+            _ => self.rank().cmp(&other.rank()),
+        }
+    }
+
+    fn rank(&self) -> u8 {
+        match self {
+            Self::Flag(_) => 0,
+            Self::Number(_) => 1,
+            Self::Text(_) => 2,
+            Self::Missing => 3,
+        }
+    }
+}
+
+impl fmt::Display for Cell {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Text(text) => f.pad(text),
+            Self::Number(number) if number.fract() == 0.0 => f.pad(&format!("{number:.0}")),
+            Self::Number(number) => f.pad(&format!("{number:.2}")),
+            Self::Flag(true) => f.pad("yes"),
+            Self::Flag(false) => f.pad("no"),
+            Self::Missing => f.pad("-"),
+        }
+    }
+}
+
+/// The tables of a dump.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display)]
+pub enum TableName {
+    /// The process as a whole, one row.
+    #[display("process")]
+    Process,
+    /// The configuration in force, one row.
+    #[display("configuration")]
+    Configuration,
+    /// Services.
+    #[display("services")]
+    Services,
+    /// Targets.
+    #[display("targets")]
+    Targets,
+    /// Waiting requests by service and rank.
+    #[display("queues")]
+    Queues,
+    /// Request kinds.
+    #[display("kinds")]
+    Kinds,
+    /// Other entry processes.
+    #[display("members")]
+    Members,
+    /// Who watches the platform.
+    #[display("watchers")]
+    Watchers,
+    /// Targets that are leaving.
+    #[display("leaving")]
+    Leaving,
+    /// Operators' orders.
+    #[display("orders")]
+    Orders,
+    /// Tasks of the process.
+    #[display("tasks")]
+    Tasks,
+}
+
+impl TableName {
+    /// All tables.
+    pub const ALL: [Self; 11] = [
+        Self::Process,
+        Self::Configuration,
+        Self::Services,
+        Self::Targets,
+        Self::Queues,
+        Self::Kinds,
+        Self::Members,
+        Self::Watchers,
+        Self::Leaving,
+        Self::Orders,
+        Self::Tasks,
+    ];
+
+    /// Its columns.
+    pub fn columns(self) -> &'static [&'static str] {
+        match self {
+            Self::Process => &[
+                "vm",
+                "data_hall",
+                "version",
+                "phase",
+                "uptime_ms",
+                "in_flight",
+                "callers",
+                "watching",
+                "platform_calls",
+                "platform_answer_ms",
+            ],
+            Self::Configuration => {
+                &["vm", "revision", "digest", "in_force_ms", "conflict", "rejected", "mistakes"]
+            }
+            Self::Services => {
+                &["vm", "service", "strategy", "targets", "open", "retry_reserve", "wait_us"]
+            }
+            Self::Targets => &[
+                "vm",
+                "service",
+                "target",
+                "address",
+                "incarnation",
+                "usability",
+                "in_flight",
+                "limit",
+                "load",
+                "running",
+                "queued",
+                "age",
+                "latency_us",
+                "expected_us",
+                "failure_rate",
+                "ejected_ms",
+                "connections",
+            ],
+            Self::Queues => &["vm", "service", "priority", "waiting"],
+            Self::Kinds => &[
+                "vm", "kind", "service", "priority", "accepted", "answered", "not_run", "unknown",
+                "failed", "retries", "waited",
+            ],
+            Self::Members => &[
+                "vm",
+                "member",
+                "liveness",
+                "phase",
+                "data_hall",
+                "revision",
+                "silent_ms",
+                "peer",
+                "control",
+            ],
+            Self::Watchers => &["vm", "watcher", "age_ms"],
+            Self::Leaving => &["vm", "service", "target", "incarnation"],
+            Self::Orders => &[
+                "vm",
+                "subject",
+                "change",
+                "operator",
+                "counter",
+                "taken_at",
+                "revision",
+                "expires_ms",
+            ],
+            Self::Tasks => &["vm", "task", "running", "restarts"],
+        }
+    }
+
+    /// Its column called `name`.
+    pub(crate) fn column(self, name: &str) -> Option<&'static str> {
+        self.columns().iter().find(|column| **column == name).copied()
+    }
+}
+
+/// Rows under columns.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Table {
+    /// Names of the columns.
+    pub columns: Vec<&'static str>,
+    /// Each row has one cell for each column.
+    pub rows: Vec<Vec<Cell>>,
+}
--- /dev/null
+++ b/crates/thymeshift_query/src/tables.rs
@@ -0,0 +1,192 @@
+//! The tables of a state dump.
+
+use thymeshift_dispatch::ServiceDump;
+use thymeshift_dispatch::TargetDump;
+use thymeshift_dispatch::Usability;
+use thymeshift_wire::StateDump;
+
+use crate::Cell;
+use crate::Table;
+use crate::TableName;
+
+/// One table over the dumps of one or more processes.
+pub fn tables(name: TableName, dumps: &[StateDump]) -> Table {
+    let rows = dumps.iter().flat_map(|dump| {
+        let vm = Cell::text(&dump.vm);
+        rows(name, dump).into_iter().map(move |row| [vec![vm.clone()], row].concat())
+    });
+    Table { columns: name.columns().to_vec(), rows: rows.collect() }
+}
+
+/// Rows without their first cell, the VM.
+fn rows(name: TableName, dump: &StateDump) -> Vec<Vec<Cell>> {
+    match name {
+        TableName::Process => vec![process(dump)],
+        TableName::Configuration => vec![configuration(dump)],
+        TableName::Services => dump.services.iter().map(service).collect(),
+        TableName::Targets => {
+            let each = |service: &ServiceDump| {
+                let row = |found: &TargetDump| target(service, found);
+                service.targets.iter().map(row).collect::<Vec<_>>()
+            };
+            dump.services.iter().flat_map(each).collect()
+        }
+        TableName::Queues => dump.services.iter().flat_map(queues).collect(),
+        TableName::Kinds => kinds(dump),
+        TableName::Members => members(dump),
+        TableName::Watchers => watchers(dump),
+        TableName::Leaving => leaving(dump),
+        TableName::Orders => orders(dump),
+        TableName::Tasks => tasks(dump),
+    }
+}
+
+fn number(value: u64) -> Cell {
+    Cell::Number(value as f64)
+}
+
+fn process(dump: &StateDump) -> Vec<Cell> {
+    vec![
+        Cell::text(&dump.data_hall),
+        Cell::text(&dump.version),
+        Cell::text(dump.phase),
+        number(dump.uptime_ms),
+        number(dump.requests_in_flight),
+        number(dump.caller_connections),
+        Cell::Flag(dump.platform.is_watching),
+        number(dump.platform.calls),
+        Cell::maybe(dump.platform.last_answer_ms),
+    ]
+}
+
+fn configuration(dump: &StateDump) -> Vec<Cell> {
+    let configuration = &dump.configuration;
+    let head = configuration.in_force;
+    let rejection = configuration.rejection.as_ref();
+    vec![
+        Cell::maybe(head.map(|head| head.revision.as_u64())),
+        head.map_or(Cell::Missing, |head| Cell::text(head.digest)),
+        number(configuration.in_force_for_ms),
+        Cell::Flag(configuration.conflict.is_some()),
+        Cell::maybe(rejection.map(|rejection| rejection.head.revision.as_u64())),
+        rejection.map_or(Cell::Missing, |rejection| Cell::text(&rejection.mistakes)),
+    ]
+}
+
+fn service(service: &ServiceDump) -> Vec<Cell> {
+    let is_open = |target: &&TargetDump| target.usability == Usability::Open;
+    vec![
+        Cell::text(&service.name),
+        Cell::text(service.strategy),
+        number(service.targets.len() as u64),
+        number(service.targets.iter().filter(is_open).count() as u64),
+        Cell::Number(service.retry_reserve),
+        number(service.expected_wait_us),
+    ]
+}
+
+fn target(service: &ServiceDump, target: &TargetDump) -> Vec<Cell> {
+    let running = target.reported_running.map(u64::from);
+    let queued = target.reported_queued.map(u64::from);
+    let load = running.zip(queued).map(|(running, queued)| running + queued);
+    vec![
+        Cell::text(&service.name),
+        Cell::text(&target.name),
+        Cell::text(target.address),
+        number(target.incarnation.as_u64()),
+        Cell::text(target.usability),
+        number(u64::from(target.in_flight)),
+        Cell::Number(target.limit),
+        Cell::maybe(load),
+        Cell::maybe(running),
+        Cell::maybe(queued),
+        Cell::maybe(target.report_age_ms),
+        number(target.latency_us),
+        number(target.expected_us),
+        Cell::Number(target.failure_rate),
+        Cell::maybe(target.ejected_for_ms),
+        number(u64::from(target.connection_share)),
+    ]
+}
+
+fn queues(service: &ServiceDump) -> Vec<Vec<Cell>> {
+    let queues = service.queues.iter();
+    let row = |queue: &thymeshift_dispatch::QueueDump| {
+        vec![
+            Cell::text(&service.name),
+            number(u64::from(queue.priority)),
+            number(queue.waiting as u64),
+        ]
+    };
+    queues.map(row).collect()
+}
+
+fn kinds(dump: &StateDump) -> Vec<Vec<Cell>> {
+    let row = |kind: &thymeshift_wire::KindDump| {
+        vec![
+            Cell::text(&kind.name),
+            Cell::text(&kind.service),
+            number(kind.priority),
+            number(kind.accepted),
+            number(kind.answered),
+            number(kind.not_run),
+            number(kind.unknown),
+            number(kind.failed),
+            number(kind.retries),
+            number(kind.waited),
+        ]
+    };
+    dump.kinds.iter().map(row).collect()
+}
+
+fn members(dump: &StateDump) -> Vec<Vec<Cell>> {
+    let row = |known: &thymeshift_fleet::MemberDump| {
+        let member = &known.member;
+        vec![
+            Cell::text(&member.vm),
+            Cell::text(known.liveness),
+            Cell::text(member.phase),
+            Cell::text(&member.data_hall),
+            Cell::maybe(member.revision.map(thymeshift_types::Revision::as_u64)),
+            number(known.silent_ms),
+            Cell::text(member.peer_address),
+            Cell::text(member.control_address),
+        ]
+    };
+    dump.members.iter().map(row).collect()
+}
+
+fn watchers(dump: &StateDump) -> Vec<Vec<Cell>> {
+    let row =
+        |watcher: &thymeshift_fleet::Watcher| vec![Cell::text(&watcher.vm), number(watcher.age_ms)];
+    dump.platform.watchers.iter().map(row).collect()
+}
+
+fn leaving(dump: &StateDump) -> Vec<Vec<Cell>> {
+    let row = |mark: &thymeshift_types::LeavingMark| {
+        vec![Cell::text(&mark.service), Cell::text(&mark.target), number(mark.incarnation.as_u64())]
+    };
+    dump.leaving.iter().map(row).collect()
+}
+
+fn orders(dump: &StateDump) -> Vec<Vec<Cell>> {
+    let row = |order: &thymeshift_fleet::Order| {
+        vec![
+            Cell::text(&order.subject),
+            Cell::text(order.change),
+            Cell::text(&order.operator),
+            number(order.stamp.counter),
+            Cell::text(&order.stamp.vm),
+            Cell::maybe(order.revision.map(thymeshift_types::Revision::as_u64)),
+            number(order.expires_in_ms),
+        ]
+    };
+    dump.orders.iter().map(row).collect()
+}
+
+fn tasks(dump: &StateDump) -> Vec<Vec<Cell>> {
+    let row = |task: &thymeshift_wire::TaskDump| {
+        vec![Cell::text(&task.name), Cell::Flag(task.is_running), number(task.restarts)]
+    };
+    dump.tasks.iter().map(row).collect()
+}
--- /dev/null
+++ b/crates/thymeshiftctl/src/arguments.rs
@@ -0,0 +1,97 @@
+//! The command line.
+
+use std::net::SocketAddr;
+
+use lexopt::Arg;
+use lexopt::Error;
+use lexopt::Parser;
+use lexopt::ValueExt;
+
+pub(crate) const HELP: &str = "\
+Asks entry processes of thymeshift what they believe, and gives them orders.
+
+Usage:
+  thymeshiftctl --at IP:PORT [--at IP:PORT…] [--all] [--json] [--operator NAME] [LINE]
+
+Without LINE, lines are read from standard input.
+
+Lines:
+  show TABLE [COLUMN, …] [where CONDITION] [sort by COLUMN [desc]] [limit N]
+  tables                                     list the tables and their columns
+  explain METHOD PATH [host HOST] [header NAME = VALUE]
+  drain target SERVICE/TARGET [for 10m]      no new work for a while (default 30m)
+  undrain target SERVICE/TARGET
+  pause probing SERVICE [for 10m]
+  resume probing SERVICE
+
+Example:
+  thymeshiftctl --at 10.9.1.21:8082 'show targets where service = calculator and load > 2 sort by age'
+
+Options:
+  --at IP:PORT     Control address of an entry process; several are asked together.
+  --all            Ask also every other entry process that these know of.
+  --json           Answer in JSON.
+  --operator NAME  Who gives an order (default: the user's name).
+  -h, --help       Print this text.
+  -V, --version    Print the version.
+
+Exit codes: 0 answered, 1 no row or no effect, 2 a mistake in arguments or line,
+3 a process did not answer.
+";
+
+/// How answers are written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Format {
+    Text,
+    Json,
+}
+
+/// Whom to ask.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Reach {
+    Named,
+    All,
+}
+
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) struct Arguments {
+    pub(crate) at: Vec<SocketAddr>,
+    pub(crate) reach: Reach,
+    pub(crate) format: Format,
+    pub(crate) operator: String,
+    pub(crate) line: Option<String>,
+}
+
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum Invocation {
+    Help,
+    Version,
+    Run(Arguments),
+}
+
+pub(crate) fn parse(mut parser: Parser) -> Result<Invocation, Error> {
+    let mut at = Vec::new();
+    let mut reach = Reach::Named;
+    let mut format = Format::Text;
+    let mut operator = None;
+    let mut words: Vec<String> = Vec::new();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Short('h') | Arg::Long("help") => return Ok(Invocation::Help),
+            Arg::Short('V') | Arg::Long("version") => return Ok(Invocation::Version),
+            Arg::Long("at") => at.push(parser.value()?.parse()?),
+            Arg::Long("all") => reach = Reach::All,
+            Arg::Long("json") => format = Format::Json,
+            Arg::Long("operator") => operator = Some(parser.value()?.string()?),
+            Arg::Value(word) => words.push(word.string()?),
+            unexpected => return Err(unexpected.unexpected()),
+        }
+    }
+    if at.is_empty() {
+        return Err("--at IP:PORT is missing: the control address of an entry process".into());
+    }
+    let operator = operator.or_else(|| std::env::var("USER").ok());
+    let operator = operator.unwrap_or_else(|| "unknown".to_owned());
+    let line = (!words.is_empty()).then(|| words.join(" "));
+    Ok(Invocation::Run(Arguments { at, reach, format, operator, line }))
+}
--- a/crates/thymeshiftctl/src/main.rs
+++ b/crates/thymeshiftctl/src/main.rs
@@ -1,3 +1,99 @@
-//! The operators' program of thymeshift.
+//! The operators' program of thymeshift. The language is in `thymeshift_query`.
 
-fn main() {}
+mod arguments;
+mod ask;
+mod say;
+
+use std::io::BufRead;
+use std::io::Write;
+use std::process::ExitCode;
+
+use thymeshift_query::Command;
+use thymeshift_query::parse;
+
+use crate::arguments::Arguments;
+use crate::arguments::HELP;
+use crate::arguments::Invocation;
+use crate::say::Said;
+
+/// Exit code for a mistake in the arguments or the line.
+const CODE_MISTAKE: u8 = 2;
+
+fn main() -> ExitCode {
+    let arguments = match arguments::parse(lexopt::Parser::from_env()) {
+        Ok(Invocation::Help) => return print(HELP),
+        Ok(Invocation::Version) => {
+            return print(concat!("thymeshiftctl ", env!("CARGO_PKG_VERSION"), "\n"));
+        }
+        Ok(Invocation::Run(arguments)) => arguments,
+        Err(mistake) => return mistaken(&format!("{mistake}\nTry 'thymeshiftctl --help'.")),
+    };
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => return mistaken(&format!("starting: {error}")),
+    };
+    match &arguments.line {
+        Some(line) => ExitCode::from(answer(&runtime, &arguments, line)),
+        None => read_lines(&runtime, &arguments),
+    }
+}
+
+/// Answers lines of standard input; the exit code is that of the last one.
+fn read_lines(runtime: &tokio::runtime::Runtime, arguments: &Arguments) -> ExitCode {
+    let mut code = 0;
+    for line in std::io::stdin().lock().lines() {
+        let line = match line {
+            Ok(line) => line,
+            Err(error) => return mistaken(&format!("reading standard input: {error}")),
+        };
+        if !line.trim().is_empty() {
+            code = answer(runtime, arguments, &line);
+        }
+    }
+    ExitCode::from(code)
+}
+
+fn answer(runtime: &tokio::runtime::Runtime, arguments: &Arguments, line: &str) -> u8 {
+    let command = match parse(line) {
+        Ok(command) => command,
+        Err(mistake) => {
+            let pointer = " ".repeat(mistake.column.saturating_sub(1));
+            eprintln!("thymeshiftctl: {mistake}\n  {line}\n  {pointer}^");
+            return CODE_MISTAKE;
+        }
+    };
+    let said = runtime.block_on(run(&command, arguments));
+    print(&said.text);
+    if !said.complaint.is_empty() {
+        eprint!("{}", said.complaint);
+    }
+    said.code
+}
+
+async fn run(command: &Command, arguments: &Arguments) -> Said {
+    match command {
+        Command::Tables => say::tables(),
+        Command::Show(query) => {
+            let asked = ask::dumps(arguments).await;
+            say::rows(query, &asked, arguments.format)
+        }
+        Command::Explain(request) => {
+            say::explanation(&ask::explain(arguments, request).await, arguments.format)
+        }
+        Command::Order { subject, change, expires_in } => {
+            let answer = ask::order(arguments, subject, *change, *expires_in).await;
+            say::order(&answer, arguments.format)
+        }
+    }
+}
+
+fn print(text: &str) -> ExitCode {
+    // Nobody listens any more if this fails.
+    let _ = std::io::stdout().write_all(text.as_bytes());
+    ExitCode::SUCCESS
+}
+
+fn mistaken(text: &str) -> ExitCode {
+    eprintln!("thymeshiftctl: {text}");
+    ExitCode::from(CODE_MISTAKE)
+}
--- /dev/null
+++ b/crates/thymeshiftctl/src/say.rs
@@ -0,0 +1,134 @@
+//! Writing answers.
+
+use std::fmt::Write;
+
+use serde_json::json;
+use thymeshift_query::Query;
+use thymeshift_query::TableName;
+use thymeshift_query::tables as table_of;
+use thymeshift_query::to_json;
+use thymeshift_query::to_text;
+use thymeshift_types::VmName;
+use thymeshift_wire::Explanation;
+use thymeshift_wire::OrderAnswer;
+
+use crate::arguments::Format;
+use crate::ask::Dumps;
+use crate::ask::Unanswered;
+
+/// Exit code if there is no row or no effect.
+const CODE_NOTHING: u8 = 1;
+/// Exit code if a process did not answer.
+const CODE_UNANSWERED: u8 = 3;
+
+/// An answer for the operator.
+#[derive(Debug, Default)]
+pub(crate) struct Said {
+    /// For standard output.
+    pub(crate) text: String,
+    /// For standard error.
+    pub(crate) complaint: String,
+    /// Exit code.
+    pub(crate) code: u8,
+}
+
+impl Said {
+    fn unanswered(unanswered: &[Unanswered]) -> Self {
+        let mut said = Self::default();
+        for Unanswered(reason) in unanswered {
+            let _ = writeln!(said.complaint, "thymeshiftctl: no answer: {reason}");
+            said.code = CODE_UNANSWERED;
+        }
+        said
+    }
+}
+
+pub(crate) fn tables() -> Said {
+    let mut text = String::new();
+    for table in TableName::ALL {
+        let _ = writeln!(text, "{:<14} {}", table.to_string(), table.columns().join(", "));
+    }
+    Said { text, ..Said::default() }
+}
+
+pub(crate) fn rows(query: &Query, asked: &Dumps, format: Format) -> Said {
+    let mut said = Said::unanswered(&asked.unanswered);
+    let table = query.run(&table_of(query.table, &asked.dumps));
+    if table.rows.is_empty() && said.code == 0 {
+        said.code = CODE_NOTHING;
+    }
+    said.text = match format {
+        Format::Text => to_text(&table),
+        Format::Json => format!("{}\n", to_json(&table)),
+    };
+    said
+}
+
+pub(crate) fn explanation(explained: &Result<Explanation, Unanswered>, format: Format) -> Said {
+    let explanation = match explained {
+        Ok(explanation) => explanation,
+        Err(unanswered) => return Said::unanswered(std::slice::from_ref(unanswered)),
+    };
+    let code = if explanation.kind.is_some() { 0 } else { CODE_NOTHING };
+    let text = match format {
+        Format::Json => format!("{}\n", json!(explanation)),
+        Format::Text => explanation_text(explanation),
+    };
+    Said { text, code, ..Said::default() }
+}
+
+fn explanation_text(explanation: &Explanation) -> String {
+    let mut text = String::new();
+    for kind in &explanation.passed_over {
+        let _ = writeln!(text, "kind {kind}: its rules do not match");
+    }
+    if let (Some(kind), Some(service)) = (&explanation.kind, &explanation.service) {
+        let _ = writeln!(text, "kind {kind}: its rules match; served by {service}");
+    }
+    let _ = writeln!(text, "{}", explanation.verdict);
+    for target in &explanation.targets {
+        let _ = writeln!(
+            text,
+            "  {:<20} {:<9} expected {:>7} us, {} in flight of {:.0}, failures {:.0}%",
+            target.name,
+            target.usability.to_string(),
+            target.expected_us,
+            target.in_flight,
+            target.limit.floor(),
+            target.failure_rate * 100.0
+        );
+    }
+    text
+}
+
+pub(crate) fn order(answered: &Result<OrderAnswer, Unanswered>, format: Format) -> Said {
+    let answer = match answered {
+        Ok(answer) => answer,
+        Err(unanswered) => return Said::unanswered(std::slice::from_ref(unanswered)),
+    };
+    let code = match answer {
+        OrderAnswer::UnknownSubject(_) => CODE_NOTHING,
+        OrderAnswer::Taken { unconfirmed, .. } if !unconfirmed.is_empty() => CODE_UNANSWERED,
+        OrderAnswer::Taken { .. } => 0,
+    };
+    let text = match (format, answer) {
+        (Format::Json, answer) => format!("{}\n", json!(answer)),
+        (Format::Text, OrderAnswer::UnknownSubject(reason)) => format!("refused: {reason}\n"),
+        (Format::Text, OrderAnswer::Taken { order, confirmed, unconfirmed }) => format!(
+            "{} {}: taken for {} s, lost if all VMs that hold it are replaced at once\n\
+             held by {}: {}\nnot confirmed by {}: {}\n",
+            order.subject,
+            order.change,
+            order.expires_in_ms / 1_000,
+            confirmed.len(),
+            names(confirmed),
+            unconfirmed.len(),
+            names(unconfirmed)
+        ),
+    };
+    Said { text, code, ..Said::default() }
+}
+
+fn names(vms: &[VmName]) -> String {
+    vms.iter().map(VmName::as_str).collect::<Vec<_>>().join(" ")
+}
