Path cost: an experiment for latency, capacity and memory of one entry process

Ruled out: load callers without a bound on connections and without open ones at the start; every arrival then opened one, the entry process met 5000 of them and turned callers away (546 of 88910 and 7249 of 74549 unanswered). The load now keeps at most 512 connections an entry process, as a balancer does, and counts the wait for one.

--- a/crates/thymeshift_lab/src/arguments.rs
+++ b/crates/thymeshift_lab/src/arguments.rs
@@ -21,6 +21,7 @@
   thymeshift-lab load --entry=IP:PORT… --kind=NAME,METHOD,PATH,RATE_PER_S,ANSWER_BYTES,\
 REQUEST_BYTES,IN_TIME_MS… [--seconds=N] [--seed=N] [--one-way-us=N] [--json]
   thymeshift-lab demo [--entries=N] [--seconds=N]
+  thymeshift-lab path-cost [--seconds=N]
 
 Stand-ins print where they listen and run until they are killed. Their control ports:
   platform  PUT /documents/configuration?revision=N, PUT /documents/vms?revision=N,
@@ -37,6 +38,7 @@
     Target(TargetSettings),
     Load { plan: LoadPlan, json: bool },
     Demo { entries: usize, seconds: u64 },
+    PathCost { seconds: u64 },
 }
 
 pub(crate) fn parse(mut parser: Parser) -> Result<Command, Error> {
@@ -48,6 +50,7 @@
             "target" => target(parser),
             "load" => load(parser),
             "demo" => demo(parser),
+            "path-cost" => path_cost(parser),
             other => Err(format!("unknown command '{other}'").into()),
         },
         Some(unexpected) => Err(unexpected.unexpected()),
@@ -94,6 +97,7 @@
         duration: Duration::from_secs(5),
         seed: 1,
         one_way_us: 0,
+        warm_connections: 32,
     };
     while let Some(argument) = parser.next()? {
         match argument {
@@ -127,3 +131,14 @@
     }
     Ok(Command::Demo { entries, seconds })
 }
+
+fn path_cost(mut parser: Parser) -> Result<Command, Error> {
+    let mut seconds = 4;
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Long("seconds") => seconds = number(&mut parser)?,
+            unexpected => return Err(unexpected.unexpected()),
+        }
+    }
+    Ok(Command::PathCost { seconds })
+}
--- a/crates/thymeshift_lab/src/experiment/demo.rs
+++ b/crates/thymeshift_lab/src/experiment/demo.rs
@@ -81,6 +81,7 @@
         duration,
         seed: 1,
         one_way_us: 3_000,
+        warm_connections: 32,
     };
     let result = load::run(load).await;
     let mut ledgers = Vec::new();
--- a/crates/thymeshift_lab/src/load/caller.rs
+++ b/crates/thymeshift_lab/src/load/caller.rs
@@ -15,6 +15,7 @@
 use thymeshift_types::Outcome;
 use thymeshift_wire::headers;
 use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
 use tokio::time::sleep;
 
 use crate::load::KindLoad;
@@ -23,16 +24,38 @@
 
 type Sender = SendRequest<Full<Bytes>>;
 
+/// Connections to one entry process at most, as the platform's balancer bounds them.
+/// Beyond it requests wait for one; that time counts.
+const CONNECTIONS_MAX: usize = 512;
+
+/// Connections to one entry process.
+struct Link {
+    idle: Mutex<Vec<Sender>>,
+    places: Semaphore,
+}
+
 /// Callers with their open connections.
-#[derive(Default)]
 pub(crate) struct Callers {
-    idle: Mutex<HashMap<SocketAddr, Vec<Sender>>>,
+    links: HashMap<SocketAddr, Link>,
     one_way: Duration,
 }
 
 impl Callers {
-    pub(crate) fn new(one_way: Duration) -> Self {
-        Self { idle: Mutex::default(), one_way }
+    pub(crate) fn new(entries: &[SocketAddr], one_way: Duration) -> Self {
+        let link = |_| Link { idle: Mutex::default(), places: Semaphore::new(CONNECTIONS_MAX) };
+        let links = entries.iter().map(|entry| (*entry, link(entry))).collect();
+        Self { links, one_way }
+    }
+
+    /// Opens connections before they are needed.
+    pub(crate) async fn warm(&self, count: usize) {
+        for (entry, link) in &self.links {
+            for _ in 0..count {
+                if let Some(sender) = connect(*entry).await {
+                    link.put_back(sender);
+                }
+            }
+        }
     }
 
     /// Sends a request and says what the caller was told.
@@ -65,12 +88,14 @@
         path: &str,
         body: &[u8],
     ) -> Option<Told> {
-        let mut sender = self.sender(entry).await?;
+        let link = self.links.get(&entry)?;
+        let _place = link.places.acquire().await.ok()?;
+        let mut sender = link.sender(entry).await?;
         let response = sender.send_request(request).await.ok()?;
         let (parts, incoming) = response.into_parts();
         let collected = incoming.collect().await;
         if let Some(outcome) = parts.headers.get(headers::OUTCOME) {
-            self.put_back(entry, sender);
+            link.put_back(sender);
             return Some(match outcome.to_str().ok()? {
                 "not_run" => Told::Outcome(Outcome::NotRun),
                 "unknown" => Told::Outcome(Outcome::Unknown),
@@ -80,31 +105,37 @@
         let Ok(collected) = collected else {
             return Some(Told::BrokenAnswer);
         };
-        self.put_back(entry, sender);
+        link.put_back(sender);
         if !parts.status.is_success() {
             return Some(Told::TargetError);
         }
         let is_own = collected.to_bytes() == expected_answer(path, body, kind.answer_bytes);
         Some(if is_own { Told::Answered } else { Told::WrongAnswer })
     }
+}
 
+impl Link {
     async fn sender(&self, entry: SocketAddr) -> Option<Sender> {
         loop {
-            let idle = self.idle.lock().get_mut(&entry).and_then(Vec::pop);
+            let idle = self.idle.lock().pop();
             let Some(mut sender) = idle else { break };
             if sender.ready().await.is_ok() {
                 return Some(sender);
             }
         }
-        let stream = TcpStream::connect(entry).await.ok()?;
-        stream.set_nodelay(true).ok()?;
-        let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
-        let (sender, driving) = handshake.ok()?;
-        tokio::spawn(driving);
-        Some(sender)
+        connect(entry).await
     }
 
-    fn put_back(&self, entry: SocketAddr, sender: Sender) {
-        self.idle.lock().entry(entry).or_default().push(sender);
+    fn put_back(&self, sender: Sender) {
+        self.idle.lock().push(sender);
     }
 }
+
+async fn connect(entry: SocketAddr) -> Option<Sender> {
+    let stream = TcpStream::connect(entry).await.ok()?;
+    stream.set_nodelay(true).ok()?;
+    let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+    let (sender, driving) = handshake.ok()?;
+    tokio::spawn(driving);
+    Some(sender)
+}
--- a/crates/thymeshift_lab/src/load/mod.rs
+++ b/crates/thymeshift_lab/src/load/mod.rs
@@ -4,11 +4,13 @@
 
 mod arrivals;
 mod caller;
+mod closed;
 mod plan;
 mod plot;
 mod result;
 mod run;
 
+pub use closed::run_closed;
 pub use plan::KindLoad;
 pub use plan::LoadPlan;
 pub use plan::PlanError;
--- a/crates/thymeshift_lab/src/load/plan.rs
+++ b/crates/thymeshift_lab/src/load/plan.rs
@@ -71,4 +71,7 @@
     pub seed: u64,
     /// One way between callers and entry processes, in microseconds.
     pub one_way_us: u64,
+    /// Connections to each entry process that are open before the first arrival, as the
+    /// platform's balancer keeps them.
+    pub warm_connections: usize,
 }
--- a/crates/thymeshift_lab/src/load/run.rs
+++ b/crates/thymeshift_lab/src/load/run.rs
@@ -26,7 +26,8 @@
     let arrivals = arrivals(&plan);
     let results = plan.kinds.iter().map(|kind| KindResult::new(&kind.name)).collect();
     let results: Arc<Mutex<Vec<KindResult>>> = Arc::new(Mutex::new(results));
-    let callers = Arc::new(Callers::new(Duration::from_micros(plan.one_way_us)));
+    let callers = Arc::new(Callers::new(&plan.entries, Duration::from_micros(plan.one_way_us)));
+    callers.warm(plan.warm_connections).await;
     let start = Instant::now();
     let mut due = pace(arrivals, start);
     let plan = Arc::new(plan);
--- a/crates/thymeshift_lab/src/main.rs
+++ b/crates/thymeshift_lab/src/main.rs
@@ -54,6 +54,10 @@
             print!("{text}");
             Ok(ExitCode::SUCCESS)
         }),
+        Command::PathCost { seconds } => many_threads(async {
+            print!("{}", experiment::path_cost(seconds).await?);
+            Ok(ExitCode::SUCCESS)
+        }),
         Command::Demo { entries, seconds } => many_threads(demo(entries, seconds)),
     }
 }
