Faults of targets, planned stops and pauses, through a real entry process

Cause: signals were awaited only behind the bootstrap. Now awaited beside it. - A fresh process had no retries at all: the budget was made with 0 percent and the configured share never filled its start. A shed unsafe request got 503 although another target was free. Ruled out: target choice (the free target was open), outcome (not_run, shed was told). - The stand-in's cut answer broke before its head was sent, which proved nothing; it now breaks 20 ms after its first half. After: 13 tests over closing, confusing, frozen, failing, shedding, refusing, cutting, surplus bytes, late answers, cancellation, draining, full queues, planned stop, bound, SIGSTOP.

--- a/crates/thymeshift_dispatch/src/retry.rs
+++ b/crates/thymeshift_dispatch/src/retry.rs
@@ -27,12 +27,13 @@
         Self { reserve, share }
     }
 
-    /// Changes the share, keeping what was earned.
+    /// Changes the share, keeping what was earned; a budget that was 0 starts anew.
     pub fn set_percent(&mut self, percent: u64) {
-        self.share = percent as f64 / 100.0;
-        if percent == 0 {
-            self.reserve = 0.0;
+        let share = percent as f64 / 100.0;
+        if self.share <= 0.0 || percent == 0 {
+            *self = Self::new(percent);
         }
+        self.share = share;
     }
 
     /// Earns a share of a retry.
--- a/crates/thymeshift_entry/src/process.rs
+++ b/crates/thymeshift_entry/src/process.rs
@@ -137,10 +137,12 @@
     let serving = async {
         bootstrap(&shared).await;
         set_phase(&shared, Phase::Serving);
-        stops.next().await;
+        std::future::pending::<()>().await;
     };
     tokio::select! {
         exit = escalated(&mut running) => return Ok(exit),
+        // Also while there is no configuration yet.
+        () = stops.next() => {}
         () = serving => {}
     }
     let exit = stop(&shared, &closing, &mut stops, &mut running).await;
--- a/crates/thymeshift_lab/src/standin/target.rs
+++ b/crates/thymeshift_lab/src/standin/target.rs
@@ -5,6 +5,7 @@
 //! name in the ledger; `/probe` answers after the probe's cost.
 //! Control port: `PUT /behaviour` with a [`Behaviour`] as JSON, `GET /ledger`.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,6 +13,7 @@
 
 use bytes::Bytes;
 use futures::FutureExt;
+use futures::StreamExt;
 use futures::stream;
 use http::HeaderMap;
 use http::HeaderValue;
@@ -21,9 +23,9 @@
 use http::StatusCode;
 use http_body::Frame;
 use http_body_util::BodyExt;
-use http_body_util::Either;
 use http_body_util::Full;
 use http_body_util::StreamBody;
+use http_body_util::combinators::UnsyncBoxBody;
 use hyper::body::Incoming;
 use parking_lot::Mutex;
 use rand::Rng;
@@ -58,6 +60,8 @@
 const ANSWER_BYTES: u64 = 64;
 /// Longest answer, in bytes.
 const ANSWER_BYTES_MAX: u64 = 64 * 1_024 * 1_024;
+/// Time after which an answer that is cut breaks off.
+const CUT_AFTER: Duration = Duration::from_millis(20);
 /// Time between two looks of a frozen target at whether it still is.
 const FROZEN_LOOK: Duration = Duration::from_millis(2);
 
@@ -109,8 +113,7 @@
     stall_until: Mutex<Instant>,
 }
 
-type Answer = Response<Either<Full<Bytes>, CutBody>>;
-type CutBody = StreamBody<stream::Iter<std::vec::IntoIter<Result<Frame<Bytes>, std::io::Error>>>>;
+type Answer = Response<UnsyncBoxBody<Bytes, io::Error>>;
 
 impl Target {
     /// A target that behaves well.
@@ -128,7 +131,7 @@
     }
 
     /// Serves on `address` (port 0 takes a free one) and on a free control port.
-    pub async fn start(self: &Arc<Self>, address: SocketAddr) -> std::io::Result<Running> {
+    pub async fn start(self: &Arc<Self>, address: SocketAddr) -> io::Result<Running> {
         let data = TcpListener::bind(address).await?;
         let control = TcpListener::bind((address.ip(), 0)).await?;
         let (address, control_address) = (data.local_addr()?, control.local_addr()?);
@@ -287,16 +290,20 @@
 }
 
 fn whole(response: Response<Full<Bytes>>) -> Answer {
-    response.map(Either::Left)
+    response.map(|body| body.map_err(|never| match never {}).boxed_unsync())
 }
 
-/// Half of the bytes, and then the connection breaks.
+/// Half of the bytes, and once they are on their way the connection breaks.
 fn cut(mut bytes: Vec<u8>) -> Answer {
     let length = bytes.len();
     bytes.truncate(length / 2);
-    let broken = Err(std::io::ErrorKind::ConnectionAborted.into());
-    let frames = vec![Ok(Frame::data(Bytes::from(bytes))), broken];
-    let mut response = Response::new(Either::Right(StreamBody::new(stream::iter(frames))));
+    let first = stream::iter([Ok(Frame::data(Bytes::from(bytes)))]);
+    let broken = stream::once(async {
+        sleep(CUT_AFTER).await;
+        Err(io::ErrorKind::ConnectionAborted.into())
+    });
+    let body = StreamBody::new(first.chain(broken));
+    let mut response = Response::new(body.boxed_unsync());
     response.headers_mut().insert(http::header::CONTENT_LENGTH, length.into());
     response
 }
--- /dev/null
+++ b/crates/thymeshift_lab/tests/stop_and_pause.rs
@@ -0,0 +1,137 @@
+//! Planned stops and pauses of a real entry process.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::Method;
+use http::Response;
+use rustix::process::Signal;
+use thymeshift_lab::experiment::Single;
+use thymeshift_lab::http_client::AskError;
+use thymeshift_lab::http_client::ask;
+use thymeshift_lab::standin::Behaviour;
+use thymeshift_lab::standin::Fault;
+use thymeshift_lab::standin::PlatformMode;
+use thymeshift_lab::standin::TargetSettings;
+use thymeshift_lab::standin::expected_answer;
+use tokio::task::JoinSet;
+use tokio::time::timeout;
+
+use crate::support::LIMIT;
+use crate::support::assert_serves;
+use crate::support::configuration;
+use crate::support::quick_target;
+use crate::support::target;
+use crate::support::until;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_process_told_to_stop_before_it_has_a_configuration_stops() {
+    let standing = quick_target().await;
+    let configuration = configuration(&[standing.ports.address], "", "");
+    let mut single = Single::start_unready(&configuration).await.expect("a process");
+    single.platform.set_mode(PlatformMode::Silent);
+    let mut waiting = single.start_another("").await.expect("another process");
+    until("it has begun to ask", async || single.platform.calls() > 1).await;
+    waiting.signal(Signal::TERM);
+    let ended = timeout(LIMIT, waiting.wait()).await.expect("it ends").expect("a status");
+    assert_eq!(ended.code(), Some(0));
+    single.entry.signal(Signal::KILL);
+}
+
+async fn read(caller: SocketAddr, nonce: usize) -> Result<Response<Bytes>, AskError> {
+    ask(caller, Method::GET, &path(nonce), "").await
+}
+
+fn path(nonce: usize) -> String {
+    format!("/r?nonce={nonce}&bytes=200000")
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_planned_stop_loses_no_answer() {
+    let settings = TargetSettings { service_us: 300_000, is_random: false, ..Default::default() };
+    let standing = target(settings).await;
+    let configuration = configuration(&[standing.ports.address], "", "");
+    let mut single = Single::start(&configuration).await.expect("a process");
+    let caller = single.entry.address("caller").expect("an address");
+    let observe = single.entry.address("observe").expect("an address");
+    // Three run at the target, the others wait there and in the process.
+    let mut answers = JoinSet::new();
+    for number in 0..10 {
+        answers.spawn(async move { (number, read(caller, number).await) });
+    }
+    until("all are on their way", async || standing.target.ledger.entries().len() >= 3).await;
+    single.entry.signal(Signal::TERM);
+    until("it says that it is not ready", async || {
+        ask(observe, Method::GET, "/ready", "").await.is_ok_and(|answer| answer.status() == 503)
+    })
+    .await;
+    // The balancer has not noticed yet: a new request is still served.
+    let late = read(caller, 99).await.expect("an answer");
+    assert_eq!(late.status(), 200);
+    assert_eq!(late.headers()["connection"], "close");
+    while let Some(answered) = answers.join_next().await {
+        let (number, answer) = answered.expect("no panic");
+        let answer = answer.unwrap_or_else(|error| panic!("request {number}: {error}"));
+        assert_eq!(answer.status(), 200, "request {number}");
+        let expected = expected_answer(&path(number), b"", 200_000);
+        assert_eq!(answer.body().as_ref(), expected, "request {number}");
+    }
+    let ended = timeout(LIMIT, single.entry.wait()).await.expect("it ends").expect("a status");
+    assert_eq!(ended.code(), Some(0));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stop_whose_bound_passes_says_so() {
+    let standing = quick_target().await;
+    standing.target.set_behaviour(Behaviour { fault: Fault::Frozen, ..Behaviour::default() });
+    let mut configuration = configuration(&[standing.ports.address], "", "");
+    configuration.kinds[0].deadline_ms = 60_000;
+    let mut single = Single::start(&configuration).await.expect("a process");
+    let caller = single.entry.address("caller").expect("an address");
+    let held = tokio::spawn(async move { read(caller, 1).await });
+    until("it is begun", async || standing.target.ledger.entries().contains_key("1")).await;
+    single.entry.signal(Signal::TERM);
+    let ended = timeout(Duration::from_secs(15), single.entry.wait()).await;
+    assert_eq!(ended.expect("it ends").expect("a status").code(), Some(3));
+    assert!(held.await.expect("no panic").is_err(), "its caller sees a broken connection");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_that_waited_through_a_pause_is_not_sent_after_its_deadline() {
+    let standing = quick_target().await;
+    let configuration = configuration(&[standing.ports.address], "", "");
+    let single = Single::start(&configuration).await.expect("a process");
+    let caller = single.entry.address("caller").expect("an address");
+    assert_serves(caller, "before").await;
+    standing.target.set_behaviour(Behaviour { fault: Fault::Frozen, ..Behaviour::default() });
+    let mut held = JoinSet::new();
+    for number in 0..3 {
+        held.spawn(
+            async move { ask(caller, Method::POST, &format!("/w?nonce=h{number}"), "").await },
+        );
+    }
+    until("the target is full", async || standing.target.ledger.entries().len() == 4).await;
+    let waiting =
+        tokio::spawn(async move { ask(caller, Method::POST, "/w?nonce=waits", "").await });
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    single.entry.signal(Signal::STOP);
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    standing.target.set_behaviour(Behaviour::default());
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    single.entry.signal(Signal::CONT);
+    let resumed = Instant::now();
+    let answer = waiting.await.expect("no panic").expect("an answer");
+    assert_eq!(answer.status(), 503);
+    assert_eq!(answer.headers()["thymeshift-outcome"], "not_run");
+    assert!(resumed.elapsed() < Duration::from_secs(1), "told at once");
+    assert!(!standing.target.ledger.entries().contains_key("waits"), "and it did not run");
+    until("the pause was noticed", async || {
+        single.log().is_ok_and(|log| log.contains("event=process_was_paused"))
+    })
+    .await;
+    assert_serves(caller, "after").await;
+}
--- /dev/null
+++ b/crates/thymeshift_lab/tests/target_faults.rs
@@ -0,0 +1,297 @@
+//! Faults of targets, through a real entry process: what the caller is told is true, an
+//! unsafe request is begun at most once, an answer is complete or visibly broken.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::Method;
+use http::Response;
+use thymeshift_lab::experiment::Single;
+use thymeshift_lab::http_client::ask;
+use thymeshift_lab::http_client::send_raw;
+use thymeshift_lab::standin::Behaviour;
+use thymeshift_lab::standin::Fault;
+use thymeshift_lab::standin::TargetSettings;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+use crate::support::Standing;
+use crate::support::assert_serves;
+use crate::support::configuration;
+use crate::support::quick_target;
+use crate::support::target;
+use crate::support::until;
+
+const SHEDS: &str = "    shed_means_not_run: true\n";
+
+struct Path {
+    single: Single,
+    caller: SocketAddr,
+}
+
+async fn path(targets: &[SocketAddr], service: &str, kind: &str) -> Path {
+    let single = Single::start(&configuration(targets, service, kind)).await.expect("a process");
+    let caller = single.entry.address("caller").expect("an address");
+    Path { single, caller }
+}
+
+async fn write(caller: SocketAddr, nonce: &str) -> Response<Bytes> {
+    let path = format!("/w?nonce={nonce}");
+    ask(caller, Method::POST, &path, "body").await.expect("an answer")
+}
+
+fn header<'a>(response: &'a Response<Bytes>, name: &str) -> &'a str {
+    response.headers().get(name).map_or("", |value| value.to_str().unwrap_or(""))
+}
+
+fn begun(standing: &Standing, nonce: &str) -> u64 {
+    standing.target.ledger.entries().get(nonce).map_or(0, |entry| entry.begun)
+}
+
+fn fault(fault: Fault) -> Behaviour {
+    Behaviour { fault, ..Behaviour::default() }
+}
+
+/// One fault of the only target, and what the caller of an unsafe request is told.
+struct Told {
+    name: &'static str,
+    fault: Fault,
+    status: u16,
+    outcome: &'static str,
+    reason: &'static str,
+    begun: u64,
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_unsafe_request_is_begun_once_and_its_caller_told_the_truth() {
+    let cases = [
+        Told {
+            name: "closes after reading",
+            fault: Fault::Closing,
+            status: 502,
+            outcome: "unknown",
+            reason: "connection_lost",
+            begun: 1,
+        },
+        Told {
+            name: "answers for another attempt",
+            fault: Fault::Confusing,
+            status: 502,
+            outcome: "unknown",
+            reason: "wrong_answer",
+            begun: 1,
+        },
+        Told {
+            name: "begins and does not go on",
+            fault: Fault::Frozen,
+            status: 504,
+            outcome: "unknown",
+            reason: "deadline",
+            begun: 1,
+        },
+        Told {
+            name: "fails",
+            fault: Fault::Failing,
+            status: 500,
+            outcome: "",
+            reason: "",
+            begun: 0,
+        },
+        Told {
+            name: "sheds, and that proves nothing",
+            fault: Fault::Shedding,
+            status: 503,
+            outcome: "",
+            reason: "",
+            begun: 0,
+        },
+    ];
+    let standing = quick_target().await;
+    let other = quick_target().await;
+    let path = path(&[standing.ports.address, other.ports.address], "", "").await;
+    for case in cases {
+        standing.target.set_behaviour(fault(case.fault));
+        other.target.set_behaviour(fault(case.fault));
+        let nonce = case.name.replace([' ', ','], "_");
+        let answer = write(path.caller, &nonce).await;
+        assert_eq!(answer.status(), case.status, "{}", case.name);
+        assert_eq!(header(&answer, "thymeshift-outcome"), case.outcome, "{}", case.name);
+        assert_eq!(header(&answer, "thymeshift-reason"), case.reason, "{}", case.name);
+        let runs = begun(&standing, &nonce) + begun(&other, &nonce);
+        assert_eq!(runs, case.begun, "{}", case.name);
+        standing.target.set_behaviour(Behaviour::default());
+        other.target.set_behaviour(Behaviour::default());
+        assert_serves(path.caller, case.name).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_shed_request_goes_elsewhere_if_that_proves_that_it_did_not_run() {
+    let full = quick_target().await;
+    let free = quick_target().await;
+    full.target.set_behaviour(fault(Fault::Shedding));
+    let path = path(&[full.ports.address, free.ports.address], SHEDS, "").await;
+    for number in 0..2 {
+        let answer = write(path.caller, &format!("n{number}")).await;
+        assert_eq!(answer.status(), 200);
+        assert_eq!(begun(&free, &format!("n{number}")), 1);
+    }
+    free.target.set_behaviour(fault(Fault::Shedding));
+    let started = Instant::now();
+    let answer = write(path.caller, "nowhere").await;
+    assert_eq!(answer.status(), 503);
+    assert_eq!(header(&answer, "thymeshift-outcome"), "not_run");
+    assert_eq!(header(&answer, "thymeshift-reason"), "shed");
+    assert_ne!(header(&answer, "retry-after"), "");
+    assert!(started.elapsed() < Duration::from_secs(1), "a final answer comes at once");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_target_that_refuses_connections_costs_no_request() {
+    let gone = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let gone_address = gone.local_addr().expect("an address");
+    drop(gone);
+    let there = quick_target().await;
+    let path = path(&[gone_address, there.ports.address], "", "").await;
+    for number in 0..4 {
+        let nonce = format!("n{number}");
+        assert_eq!(write(path.caller, &nonce).await.status(), 200, "{number}");
+        assert_eq!(begun(&there, &nonce), 1);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_cut_short_reaches_the_caller_as_a_broken_one() {
+    let standing = quick_target().await;
+    standing.target.set_behaviour(fault(Fault::Cutting));
+    let path = path(&[standing.ports.address], "", "").await;
+    let request = "GET /r?bytes=1000 HTTP/1.1\r\nhost: x\r\n\r\n";
+    let limit = Duration::from_secs(5);
+    let started = Instant::now();
+    let answer = send_raw(path.caller, request.as_bytes(), limit).await.expect("an answer");
+    let text = String::from_utf8_lossy(&answer);
+    let body = text.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+    assert!(text.contains("content-length: 1000"), "{text}");
+    assert_eq!(body.len(), 500, "{text}");
+    assert!(started.elapsed() < limit, "the connection is closed, not left open");
+}
+
+/// A target that answers each request and adds another answer that nobody asked for.
+async fn surplus_target() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(answer_twice(stream));
+        }
+    });
+    address
+}
+
+async fn answer_twice(mut stream: TcpStream) {
+    let mut buffer = [0; 4_096];
+    while let Ok(1..) = stream.read(&mut buffer).await {
+        let own = "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nown";
+        let surplus = "HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nanothe";
+        let both = format!("{own}{surplus}");
+        if stream.write_all(both.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bytes_beyond_an_answer_never_become_the_next_callers_answer() {
+    let address = surplus_target().await;
+    let path = path(&[address], "", "").await;
+    for number in 0..50 {
+        let answer = ask(path.caller, Method::GET, "/r", "").await.expect("an answer");
+        assert_eq!(answer.body().as_ref(), b"own", "request {number}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_late_answer_reaches_nobody_else() {
+    let settings = TargetSettings { service_us: 1_000, is_random: false, ..Default::default() };
+    let standing = target(settings).await;
+    standing.target.set_behaviour(Behaviour { late_ms: 300, ..Behaviour::default() });
+    let path = path(&[standing.ports.address], "", "").await;
+    let request = "GET /r?nonce=late HTTP/1.1\r\nhost: x\r\nthymeshift-timeout-ms: 100\r\n\r\n";
+    let limit = Duration::from_millis(250);
+    let answer = send_raw(path.caller, request.as_bytes(), limit).await.expect("an answer");
+    let text = String::from_utf8_lossy(&answer);
+    assert!(text.contains("504") && text.contains("thymeshift-outcome: unknown"), "{text}");
+    standing.target.set_behaviour(Behaviour::default());
+    for _ in 0..20 {
+        assert_serves(path.caller, "after a late answer").await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_caller_that_goes_away_cancels_its_attempt() {
+    let settings = TargetSettings { service_us: 1_500_000, is_random: false, ..Default::default() };
+    let standing = target(settings).await;
+    let path = path(&[standing.ports.address], "", "").await;
+    let mut caller = TcpStream::connect(path.caller).await.expect("a connection");
+    caller.write_all(b"GET /r?nonce=gone HTTP/1.1\r\nhost: x\r\n\r\n").await.expect("sent");
+    until("the request is begun", async || begun(&standing, "gone") == 1).await;
+    drop(caller);
+    tokio::time::sleep(Duration::from_millis(1_800)).await;
+    let entry = standing.target.ledger.entries()["gone"];
+    assert_eq!((entry.begun, entry.finished), (1, 0), "the target was told to stop");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_draining_target_gets_no_new_work_after_it_said_so() {
+    let leaving = quick_target().await;
+    let staying = quick_target().await;
+    let path = path(&[leaving.ports.address, staying.ports.address], "", "").await;
+    leaving.target.set_behaviour(Behaviour { is_draining: true, ..Behaviour::default() });
+    until("the entry process has heard of it", async || {
+        assert_serves(path.caller, "while it drains").await;
+        path.single.log().is_ok_and(|log| log.contains("event=target_leaving"))
+    })
+    .await;
+    let before = leaving.target.ledger.entries()["good"].begun;
+    for number in 0..50 {
+        assert_eq!(write(path.caller, &format!("n{number}")).await.status(), 200);
+        assert_serves(path.caller, "after it drained").await;
+    }
+    assert_eq!(leaving.target.ledger.entries()["good"].begun, before, "no new work");
+    // Sticky: the target takes its word back, its incarnation stays the same.
+    leaving.target.set_behaviour(Behaviour::default());
+    for _ in 0..20 {
+        assert_serves(path.caller, "after it changed its mind").await;
+    }
+    assert_eq!(leaving.target.ledger.entries()["good"].begun, before, "still no new work");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_full_queue_is_refused_at_once_with_a_time_to_come_back() {
+    let standing = quick_target().await;
+    standing.target.set_behaviour(fault(Fault::Frozen));
+    let path = path(&[standing.ports.address], "", "    queue_max: 1\n").await;
+    let caller = path.caller;
+    for number in 0..8 {
+        tokio::spawn(async move { write(caller, &format!("held{number}")).await });
+    }
+    until("a request is refused", async || {
+        let started = Instant::now();
+        let answer = write(caller, "extra").await;
+        let is_refused = header(&answer, "thymeshift-reason") == "queue_full";
+        if is_refused {
+            assert_eq!(answer.status(), 503);
+            assert_eq!(header(&answer, "thymeshift-outcome"), "not_run");
+            assert_ne!(header(&answer, "thymeshift-retry-after-ms"), "");
+            assert!(started.elapsed() < Duration::from_millis(500), "held back");
+        }
+        is_refused
+    })
+    .await;
+}
