Decisions: expected time from the service's mean, not from each target's shortest time

Cause, found by the first tests of choice: an idle service sent everything to one target. Each target's shortest latency was taken as its service time, so the one with the luckiest sample won every comparison, and a target without samples (assumed 5 ms) was never tried. Ruled out: sampling of four targets (evenly drawn), reports (all idle). Change: one mean service time for the service, corrected by the load expected at sending; a target counts as slower only when it answers clearly later than expected (slowness.rs), and that fades.

--- a/crates/thymeshift_dispatch/src/dispatcher.rs
+++ b/crates/thymeshift_dispatch/src/dispatcher.rs
@@ -49,7 +49,7 @@
 const PRIORITIES: std::ops::RangeInclusive<u8> = 1..=9;
 
 /// What becomes of a request now.
-#[derive(Debug, PartialEq, Eq)]
+#[derive(Debug, PartialEq)]
 pub enum Decision {
     /// Send it.
     Send(Grant),
@@ -70,7 +70,7 @@
 }
 
 /// A waiting request whose time has come, or is over.
-#[derive(Debug, PartialEq, Eq)]
+#[derive(Debug, PartialEq)]
 pub enum Wake {
     /// Send it.
     Send(Ticket, Grant),
@@ -157,7 +157,12 @@
             retry_reserve: self.retry.reserve(),
             expected_wait_us: self.admission.expected_wait(ahead).as_micros() as u64,
             queues,
-            targets: self.table.targets().iter().map(|target| dump(target, now)).collect(),
+            targets: self
+                .table
+                .targets()
+                .iter()
+                .map(|target| dump(target, now, self.table.service_us()))
+                .collect(),
         }
     }
 }
@@ -261,10 +266,12 @@
     ) -> Option<LeavingMark> {
         let mark = observation.report().and_then(|report| self.learn_report(grant, report, now));
         let has_room = self.table.has_room_to_eject(self.ejection.share_max_percent, now);
+        if let Observation::Answered(_) = observation {
+            self.table.learn_latency(grant, now);
+        }
         let target = self.table.get_mut(grant.target);
         match observation {
             Observation::Answered(report) => {
-                target.learn_latency(grant, now);
                 target.learn_pressure(report, now);
                 target.succeeded(now);
                 self.retry.succeeded();
@@ -374,18 +381,18 @@
     }
 
     fn choose<R: Rng>(&mut self, request: &Request, now: Timestamp, rng: &mut R) -> Option<Grant> {
-        let candidates = Candidates::new(self.table.targets(), now, &request.tried);
+        let candidates = Candidates::new(&self.table, now, &request.tried);
         let chosen = match self.strategy.choose(&candidates, rng) {
             Some(index) => index,
             // A second attempt at the same target is better than none.
             None if !request.tried.is_empty() => {
                 let untried = Tried::default();
-                let candidates = Candidates::new(self.table.targets(), now, &untried);
+                let candidates = Candidates::new(&self.table, now, &untried);
                 self.strategy.choose(&candidates, rng)?
             }
             None => return None,
         };
-        Some(self.table.get_mut(chosen).grant(chosen, now))
+        Some(self.table.grant(chosen, now))
     }
 
     fn refusal<R: Rng>(&self, reason: Reason, request: &Request, rng: &mut R) -> Refusal {
@@ -405,7 +412,7 @@
     }
 }
 
-fn dump(target: &Target, now: Timestamp) -> TargetDump {
+fn dump(target: &Target, now: Timestamp, service_us: f64) -> TargetDump {
     let report = target.others().last_report();
     let usability = target.usability(now);
     let ejected_for = target.ejection().until().filter(|_| usability == Usability::Ejected);
@@ -418,7 +425,7 @@
         limit: target.limit(),
         connection_share: target.shape.connection_share,
         latency_us: target.latency_us() as u64,
-        expected_us: target.expected_us(now) as u64,
+        expected_us: target.expected_us(now, service_us) as u64,
         failure_rate: target.ejection().failure_rate(now),
         reported_running: report.map(|report| report.running),
         reported_queued: report.map(|report| report.queued),
--- a/crates/thymeshift_dispatch/src/lib.rs
+++ b/crates/thymeshift_dispatch/src/lib.rs
@@ -28,6 +28,7 @@
 mod report;
 mod request;
 mod retry;
+mod slowness;
 mod strategy;
 mod table;
 mod target;
--- a/crates/thymeshift_dispatch/src/strategy/candidates.rs
+++ b/crates/thymeshift_dispatch/src/strategy/candidates.rs
@@ -5,6 +5,7 @@
 
 use crate::TargetIndex;
 use crate::Tried;
+use crate::table::Table;
 use crate::target::Target;
 
 /// One open target.
@@ -29,24 +30,25 @@
     pub fn latency_us(&self) -> f64 {
         self.target.latency_us()
     }
-
-    /// Time in which an answer is expected, in microseconds.
-    pub fn expected_us(&self, now: Timestamp) -> f64 {
-        self.target.expected_us(now)
-    }
 }
 
 /// The open targets at one moment. Nothing is copied; each pass filters anew.
 #[derive(Debug, Clone, Copy)]
 pub struct Candidates<'a> {
     targets: &'a [Target],
+    service_us: f64,
     now: Timestamp,
     tried: &'a Tried,
 }
 
 impl<'a> Candidates<'a> {
-    pub(crate) fn new(targets: &'a [Target], now: Timestamp, tried: &'a Tried) -> Self {
-        Self { targets, now, tried }
+    pub(crate) fn new(table: &'a Table, now: Timestamp, tried: &'a Tried) -> Self {
+        Self { targets: table.targets(), service_us: table.service_us(), now, tried }
+    }
+
+    /// Time in which an answer of a candidate is expected, in microseconds.
+    pub fn expected_us(&self, candidate: &Candidate<'_>) -> f64 {
+        candidate.target.expected_us(self.now, self.service_us)
     }
 
     /// The moment of the decision.
@@ -56,7 +58,7 @@
 
     /// The open targets in a fixed order.
     pub fn iter(&self) -> impl Iterator<Item = Candidate<'a>> + use<'a> {
-        let Self { targets, now, tried } = *self;
+        let Self { targets, now, tried, .. } = *self;
         targets.iter().enumerate().filter_map(move |(index, target)| {
             let index = TargetIndex::new(index);
             let is_open = target.is_open(now) && !tried.has(index);
--- a/crates/thymeshift_dispatch/src/strategy/expected_time.rs
+++ b/crates/thymeshift_dispatch/src/strategy/expected_time.rs
@@ -23,8 +23,7 @@
 
 impl Strategy for ExpectedTime {
     fn choose<R: Rng>(&mut self, candidates: &Candidates<'_>, rng: &mut R) -> Option<TargetIndex> {
-        let now = candidates.now();
         let sample = candidates.sample::<COMPARED, R>(rng);
-        sample.least(|candidate| candidate.expected_us(now), rng)
+        sample.least(|candidate| candidates.expected_us(candidate), rng)
     }
 }
--- a/crates/thymeshift_dispatch/src/table.rs
+++ b/crates/thymeshift_dispatch/src/table.rs
@@ -10,9 +10,11 @@
 use thymeshift_types::TargetName;
 use thymeshift_types::Timestamp;
 
+use crate::Grant;
 use crate::TargetIndex;
 use crate::cold_start::ColdStart;
 use crate::connections::connection_share;
+use crate::latency::ServiceTime;
 use crate::target::Presence;
 use crate::target::Shape;
 use crate::target::Target;
@@ -29,6 +31,7 @@
 pub(crate) struct Table {
     targets: Vec<Target>,
     is_filled: bool,
+    service_time: ServiceTime,
 }
 
 impl Table {
@@ -36,6 +39,23 @@
         &self.targets
     }
 
+    /// Mean time of a request at an idle target, in microseconds.
+    pub(crate) fn service_us(&self) -> f64 {
+        self.service_time.mean_us()
+    }
+
+    /// Learns from an answer's time, for its target and for the service.
+    pub(crate) fn learn_latency(&mut self, grant: &Grant, now: Timestamp) {
+        let taken_us = self.get_mut(grant.target).learn_latency(grant, now);
+        self.service_time.learn(taken_us, grant.load);
+    }
+
+    /// Gives the right to send to a target.
+    pub(crate) fn grant(&mut self, index: TargetIndex, now: Timestamp) -> Grant {
+        let service_us = self.service_us();
+        self.get_mut(index).grant(index, now, service_us)
+    }
+
     pub(crate) fn get(&self, index: TargetIndex) -> &Target {
         &self.targets[index.as_usize()]
     }
--- a/crates/thymeshift_dispatch/src/target.rs
+++ b/crates/thymeshift_dispatch/src/target.rs
@@ -19,15 +19,10 @@
 use crate::limit::Limit;
 use crate::limit::Pressure;
 use crate::report::OthersLoad;
+use crate::slowness::Slowness;
 
 /// Requests over which a target's load changes: the memory of a report.
 const REPORT_MEMORY_REQUESTS: f64 = 2.0;
-/// Weight of one attempt in the ratio of time taken to time expected.
-const SURPRISE_WEIGHT: f64 = 0.1;
-/// Largest ratio counted, so that one odd answer does not decide.
-const SURPRISE_MAX: f64 = 8.0;
-/// Time in which half of a bad ratio is forgotten while the target is not tried.
-const SURPRISE_HALF_LIFE: Duration = Duration::from_secs(1);
 /// Smallest share of successes counted, which bounds the cost of a failing target.
 const SUCCESS_SHARE_MIN: f64 = 0.02;
 
@@ -51,11 +46,14 @@
 /// The right to send one request to one target. It must be given back with
 /// [`crate::Dispatcher::release`].
 #[must_use = "a grant that is not released counts as a request in flight for ever"]
-#[derive(Debug, PartialEq, Eq)]
+#[derive(Debug, PartialEq)]
 pub struct Grant {
     pub(crate) target: TargetIndex,
     pub(crate) incarnation: Incarnation,
     pub(crate) sent_at: Timestamp,
+    /// How many times as long as at an idle target the answer was expected to take.
+    pub(crate) load: f64,
+    /// When it was expected.
     pub(crate) expected: Duration,
 }
 
@@ -109,8 +107,7 @@
     limit: Limit,
     ejection: Ejection,
     cold_start: ColdStart,
-    surprise: f64,
-    surprise_at: Timestamp,
+    slowness: Slowness,
 }
 
 impl Target {
@@ -136,8 +133,7 @@
             limit: Limit::new(shape.slots, shape.connection_share),
             ejection: Ejection::default(),
             cold_start,
-            surprise: 1.0,
-            surprise_at: Timestamp::default(),
+            slowness: Slowness::default(),
         }
     }
 
@@ -186,30 +182,33 @@
         &self.others
     }
 
-    /// Time in which an answer is expected, in microseconds.
+    /// Time in which an answer is expected, in microseconds, if an idle target of the
+    /// service needs `service_us`.
     ///
     /// The work ahead (own requests and what is expected of others) fills the slots and
-    /// then queues; each request takes about the shortest latency seen. That is corrected by
-    /// how far earlier expectations were off (which finds slow targets and lying
-    /// reports), lengthened if own requests are out longer than expected (a stall that no
-    /// report tells of), and divided by the share of successes.
-    pub(crate) fn expected_us(&self, now: Timestamp) -> f64 {
-        let service_us = self.service_us();
+    /// then queues. That is lengthened by how far earlier expectations were off, by the
+    /// cold start, and if own requests are out longer than expected (a stall that no
+    /// report tells of); divided by the share of successes; and the way is added.
+    pub(crate) fn expected_us(&self, now: Timestamp, service_us: f64) -> f64 {
+        let base_us = service_us * self.load(now, service_us);
+        let factor = self.slowness.factor(now) * self.cold_start.factor(now);
+        let stalled_us = self.overdue_us(now, base_us);
+        let success_share = (1.0 - self.ejection.failure_rate(now)).max(SUCCESS_SHARE_MIN);
+        (base_us * factor + stalled_us) / success_share + self.way_us()
+    }
+
+    /// How many times as long as at an idle target an answer takes: each request that
+    /// queues ahead waits for a slot.
+    fn load(&self, now: Timestamp, service_us: f64) -> f64 {
         let memory = Duration::from_micros((service_us * REPORT_MEMORY_REQUESTS) as u64);
         let ahead = f64::from(self.in_flight) + self.others.expected(now, memory);
         let slots = f64::from(self.shape.slots);
-        let queued = (ahead + 1.0 - slots).max(0.0);
-        let base_us = service_us * (1.0 + queued / slots);
-        let stalled_us = self.overdue_us(now, base_us);
-        let success_share = (1.0 - self.ejection.failure_rate(now)).max(SUCCESS_SHARE_MIN);
-        let answer_us = base_us * self.surprise(now) * self.cold_start.factor(now) + stalled_us;
-        answer_us / success_share + 2.0 * self.distance.as_micros() as f64
+        1.0 + (ahead + 1.0 - slots).max(0.0) / slots
     }
 
-    /// Time of one request without waiting, in microseconds.
-    fn service_us(&self) -> f64 {
-        let distance_us = 2.0 * self.distance.as_micros() as f64;
-        (self.latency.floor_us() - distance_us).max(1.0)
+    /// There and back, in microseconds.
+    fn way_us(&self) -> f64 {
+        2.0 * self.distance.as_micros() as f64
     }
 
     /// How much longer than expected own requests have been out on average.
@@ -223,22 +222,16 @@
         (age_us - expected_us).max(0.0)
     }
 
-    fn surprise(&self, now: Timestamp) -> f64 {
-        let age = now.since(self.surprise_at).as_secs_f64();
-        let half_life = SURPRISE_HALF_LIFE.as_secs_f64();
-        1.0 + (self.surprise - 1.0) * half_life / (half_life + age)
-    }
-
-    pub(crate) fn grant(&mut self, index: TargetIndex, now: Timestamp) -> Grant {
-        // The correction is left out of the expectation it is learnt from.
-        let expected_us = self.expected_us(now) / self.surprise(now);
+    pub(crate) fn grant(&mut self, index: TargetIndex, now: Timestamp, service_us: f64) -> Grant {
+        let load = self.load(now, service_us);
         self.in_flight += 1;
         self.sent_at_sum_us += now.as_micros();
         Grant {
             target: index,
             incarnation: self.incarnation,
             sent_at: now,
-            expected: Duration::from_micros(expected_us as u64),
+            load,
+            expected: Duration::from_micros((service_us * load + self.way_us()) as u64),
         }
     }
 
@@ -256,18 +249,16 @@
         self.others.learn(report, self.in_flight, now);
     }
 
-    pub(crate) fn learn_latency(&mut self, grant: &Grant, now: Timestamp) {
+    /// Learns from the time an answer took; returns that time without the way, in
+    /// microseconds.
+    pub(crate) fn learn_latency(&mut self, grant: &Grant, now: Timestamp) -> f64 {
         let taken = now.since(grant.sent_at);
-        let has_sample = self.latency.has_sample();
         self.latency.learn(taken);
-        if !has_sample {
-            return;
-        }
-        let expected_us = (grant.expected.as_micros() as f64).max(1.0);
-        let ratio = (taken.as_micros() as f64 / expected_us).clamp(1.0, SURPRISE_MAX);
-        let surprise = self.surprise(now);
-        self.surprise = surprise + SURPRISE_WEIGHT * (ratio - surprise);
-        self.surprise_at = now;
+        let way_us = self.way_us();
+        let taken_us = (taken.as_micros() as f64 - way_us).max(1.0);
+        let expected_us = grant.expected.as_micros() as f64 - way_us;
+        self.slowness.learn(taken_us, expected_us, now);
+        taken_us
     }
 
     /// Learns whether the target keeps up, from its queue or, without one, from latency.
--- /dev/null
+++ b/crates/thymeshift_dispatch/tests/support/mod.rs
@@ -0,0 +1,90 @@
+//! Configurations, requests and random numbers for the tests of decisions.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use thymeshift_config::Configuration;
+use thymeshift_dispatch::AnyStrategy;
+use thymeshift_dispatch::Decision;
+use thymeshift_dispatch::Dispatcher;
+use thymeshift_dispatch::Grant;
+use thymeshift_dispatch::LoadReport;
+use thymeshift_dispatch::ReportedState;
+use thymeshift_dispatch::Request;
+use thymeshift_dispatch::Tried;
+use thymeshift_types::DataHallName;
+use thymeshift_types::Incarnation;
+use thymeshift_types::TargetName;
+use thymeshift_types::Timestamp;
+
+/// A moment well after the start of the clock.
+pub(crate) const START: Timestamp = Timestamp::from_millis(1_000_000);
+
+pub(crate) fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+pub(crate) fn at(millis: u64) -> Timestamp {
+    START + ms(millis)
+}
+
+pub(crate) fn rng() -> SmallRng {
+    SmallRng::seed_from_u64(5)
+}
+
+/// One service with targets `t0`, `t1`, … of one slot; `service` holds further lines of
+/// it, `near` of the targets stand in this VM's data hall.
+pub(crate) fn configuration(targets: usize, near: usize, service: &str) -> Configuration {
+    let mut text = format!(
+        "entry_vms_max: 4\ndata_halls: [a, b]\ndata_hall_one_way_us: 1500\nkinds: []\nservices:\n  \
+         - name: s\n    slots_per_target: 1\n    connections_per_target: 40\n{service}    targets:\n"
+    );
+    for index in 0..targets {
+        let hall = if index < near { 'a' } else { 'b' };
+        text.push_str(&format!(
+            "      - {{ name: t{index}, address: '127.0.0.1:{}', data_hall: {hall} }}\n",
+            index + 1
+        ));
+    }
+    if targets == 0 {
+        text = text.replace("targets:\n", "targets: []\n");
+    }
+    Configuration::parse(&text).unwrap_or_else(|mistakes| panic!("{mistakes}\n{text}"))
+}
+
+pub(crate) fn hall() -> DataHallName {
+    DataHallName::new("a").expect("a name")
+}
+
+pub(crate) fn name(index: usize) -> TargetName {
+    TargetName::new(&format!("t{index}")).expect("a name")
+}
+
+pub(crate) fn dispatcher(configuration: &Configuration) -> Dispatcher<AnyStrategy> {
+    Dispatcher::configured(configuration, &configuration.services[0], &hall(), START)
+}
+
+/// A request that waits up to its deadline.
+pub(crate) fn request(priority: u8, deadline: Timestamp) -> Request {
+    Request { priority, deadline, wait_until: deadline, queue_max: 100, tried: Tried::default() }
+}
+
+pub(crate) fn report(running: u32, queued: u32) -> LoadReport {
+    let incarnation = Some(Incarnation::new(1));
+    LoadReport { running, queued, incarnation, state: ReportedState::Serving }
+}
+
+/// The grant of a request that must be sent at once.
+pub(crate) fn sent(
+    dispatcher: &mut Dispatcher<AnyStrategy>,
+    request: Request,
+    now: Timestamp,
+    rng: &mut SmallRng,
+) -> Grant {
+    match dispatcher.request(request, now, rng) {
+        Decision::Send(grant) => grant,
+        other => panic!("not sent: {other:?}"),
+    }
+}
