--- a/crates/thymeshift_dispatch/src/dispatcher.rs
+++ b/crates/thymeshift_dispatch/src/dispatcher.rs
@@ -33,6 +33,7 @@
 use crate::Tried;
 use crate::Usability;
 use crate::admission::Admission;
+use crate::model::ServiceModel;
 use crate::queue::Queue;
 use crate::queue::Waiter;
 use crate::table::Surroundings;
@@ -161,7 +162,7 @@
                 .table
                 .targets()
                 .iter()
-                .map(|target| dump(target, now, self.table.service_us()))
+                .map(|target| dump(target, now, self.table.model()))
                 .collect(),
         }
     }
@@ -298,7 +299,7 @@
         report: LoadReport,
         now: Timestamp,
     ) -> Option<LeavingMark> {
-        self.table.get_mut(grant.target).learn_report(report, now);
+        self.table.learn_report(grant.target, report, now);
         self.learn_state(grant.target, report)
     }
 
@@ -311,7 +312,7 @@
         now: Timestamp,
     ) -> Option<LeavingMark> {
         let index = self.table.find(name)?;
-        self.table.get_mut(index).learn_probe(report, now);
+        self.table.learn_probe(index, report, now);
         self.learn_state(index, report)
     }
 
@@ -412,7 +413,7 @@
     }
 }
 
-fn dump(target: &Target, now: Timestamp, service_us: f64) -> TargetDump {
+fn dump(target: &Target, now: Timestamp, model: &ServiceModel) -> TargetDump {
     let report = target.others().last_report();
     let usability = target.usability(now);
     let ejected_for = target.ejection().until().filter(|_| usability == Usability::Ejected);
@@ -425,7 +426,7 @@
         limit: target.limit(),
         connection_share: target.shape.connection_share,
         latency_us: target.latency_us() as u64,
-        expected_us: target.expected_us(now, service_us) as u64,
+        expected_us: target.expected_us(now, model) as u64,
         failure_rate: target.ejection().failure_rate(now),
         reported_running: report.map(|report| report.running),
         reported_queued: report.map(|report| report.queued),
--- a/crates/thymeshift_dispatch/src/latency.rs
+++ b/crates/thymeshift_dispatch/src/latency.rs
@@ -45,32 +45,3 @@
         self.floor_us
     }
 }
-
-/// Weight of one answer in the mean service time of a service.
-const SERVICE_WEIGHT: f64 = 0.02;
-
-/// Mean time of one request at an idle target of a service, in microseconds.
-///
-/// Kept for the service and not for each target: the shortest or mean time of a single
-/// target is a noisy figure, and the targets with lucky figures would draw all the work.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct ServiceTime {
-    mean_us: Option<f64>,
-}
-
-impl ServiceTime {
-    /// Learns from an answer that took `taken_us` without the way there and back, when it
-    /// was expected to take `load` times as long as at an idle target.
-    pub(crate) fn learn(&mut self, taken_us: f64, load: f64) {
-        let sample_us = (taken_us / load).max(1.0);
-        self.mean_us = Some(match self.mean_us {
-            None => sample_us,
-            Some(mean_us) => mean_us + SERVICE_WEIGHT * (sample_us - mean_us),
-        });
-    }
-
-    /// The mean, or an assumption before the first answer.
-    pub(crate) fn mean_us(&self) -> f64 {
-        self.mean_us.unwrap_or(INITIAL_US)
-    }
-}
--- a/crates/thymeshift_dispatch/src/lib.rs
+++ b/crates/thymeshift_dispatch/src/lib.rs
@@ -23,6 +23,7 @@
 mod latency;
 mod limit;
 mod measuring;
+mod model;
 mod pause;
 mod queue;
 mod report;
--- a/crates/thymeshift_dispatch/src/report.rs
+++ b/crates/thymeshift_dispatch/src/report.rs
@@ -64,21 +64,22 @@
 
 impl OthersLoad {
     /// Takes in a report; `own` is this VM's requests in flight there, the reporting one
-    /// not counted.
-    pub(crate) fn learn(&mut self, report: LoadReport, own: u32, at: Timestamp) {
+    /// not counted. Returns the load of the others.
+    pub(crate) fn learn(&mut self, report: LoadReport, own: u32, at: Timestamp) -> f64 {
         let others = f64::from(report.occupancy().saturating_sub(own));
         self.mean = match self.last {
             Some(_) => self.mean + MEAN_WEIGHT * (others - self.mean),
             None => others,
         };
         self.last = Some(Received { report, others, at });
+        others
     }
 
-    /// Expected requests of other VMs now; `memory` is the time over which the load of
-    /// the target changes.
-    pub(crate) fn expected(&self, now: Timestamp, memory: Duration) -> f64 {
+    /// Expected requests of other VMs now, `usual` if nothing was reported; `memory` is the
+    /// time over which the load of the target changes.
+    pub(crate) fn expected(&self, now: Timestamp, memory: Duration, usual: f64) -> f64 {
         let Some(last) = self.last else {
-            return 0.0;
+            return usual;
         };
         let age = now.since(last.at).as_secs_f64();
         let memory = memory.as_secs_f64().max(f64::EPSILON);
--- a/crates/thymeshift_dispatch/src/strategy/candidates.rs
+++ b/crates/thymeshift_dispatch/src/strategy/candidates.rs
@@ -5,6 +5,7 @@
 
 use crate::TargetIndex;
 use crate::Tried;
+use crate::model::ServiceModel;
 use crate::table::Table;
 use crate::target::Target;
 
@@ -36,19 +37,19 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Candidates<'a> {
     targets: &'a [Target],
-    service_us: f64,
+    model: &'a ServiceModel,
     now: Timestamp,
     tried: &'a Tried,
 }
 
 impl<'a> Candidates<'a> {
     pub(crate) fn new(table: &'a Table, now: Timestamp, tried: &'a Tried) -> Self {
-        Self { targets: table.targets(), service_us: table.service_us(), now, tried }
+        Self { targets: table.targets(), model: table.model(), now, tried }
     }
 
     /// Time in which an answer of a candidate is expected, in microseconds.
     pub fn expected_us(&self, candidate: &Candidate<'_>) -> f64 {
-        candidate.target.expected_us(self.now, self.service_us)
+        candidate.target.expected_us(self.now, self.model)
     }
 
     /// The moment of the decision.
--- a/crates/thymeshift_dispatch/src/table.rs
+++ b/crates/thymeshift_dispatch/src/table.rs
@@ -11,10 +11,11 @@
 use thymeshift_types::Timestamp;
 
 use crate::Grant;
+use crate::LoadReport;
 use crate::TargetIndex;
 use crate::cold_start::ColdStart;
 use crate::connections::connection_share;
-use crate::latency::ServiceTime;
+use crate::model::ServiceModel;
 use crate::target::Presence;
 use crate::target::Shape;
 use crate::target::Target;
@@ -31,7 +32,7 @@
 pub(crate) struct Table {
     targets: Vec<Target>,
     is_filled: bool,
-    service_time: ServiceTime,
+    model: ServiceModel,
 }
 
 impl Table {
@@ -39,21 +40,32 @@
         &self.targets
     }
 
-    /// Mean time of a request at an idle target, in microseconds.
-    pub(crate) fn service_us(&self) -> f64 {
-        self.service_time.mean_us()
+    /// What the targets have in common.
+    pub(crate) fn model(&self) -> &ServiceModel {
+        &self.model
     }
 
     /// Learns from an answer's time, for its target and for the service.
     pub(crate) fn learn_latency(&mut self, grant: &Grant, now: Timestamp) {
         let taken_us = self.get_mut(grant.target).learn_latency(grant, now);
-        self.service_time.learn(taken_us, grant.load);
+        self.model.learn_answer(taken_us, grant.load, grant.told);
+    }
+
+    /// Learns from a report that came with an answer.
+    pub(crate) fn learn_report(&mut self, index: TargetIndex, report: LoadReport, now: Timestamp) {
+        let others = self.get_mut(index).learn_report(report, now);
+        self.model.learn_others(others);
+    }
+
+    /// Learns from a report that came with a probe.
+    pub(crate) fn learn_probe(&mut self, index: TargetIndex, report: LoadReport, now: Timestamp) {
+        let others = self.get_mut(index).learn_probe(report, now);
+        self.model.learn_others(others);
     }
 
     /// Gives the right to send to a target.
     pub(crate) fn grant(&mut self, index: TargetIndex, now: Timestamp) -> Grant {
-        let service_us = self.service_us();
-        self.get_mut(index).grant(index, now, service_us)
+        self.targets[index.as_usize()].grant(index, now, &self.model)
     }
 
     pub(crate) fn get(&self, index: TargetIndex) -> &Target {
--- a/crates/thymeshift_dispatch/src/target.rs
+++ b/crates/thymeshift_dispatch/src/target.rs
@@ -18,6 +18,7 @@
 use crate::latency::Latency;
 use crate::limit::Limit;
 use crate::limit::Pressure;
+use crate::model::ServiceModel;
 use crate::report::OthersLoad;
 use crate::slowness::Slowness;
 
@@ -53,6 +54,8 @@
     pub(crate) sent_at: Timestamp,
     /// How many times as long as at an idle target the answer was expected to take.
     pub(crate) load: f64,
+    /// Requests beyond the usual that a report told of.
+    pub(crate) told: f64,
     /// When it was expected.
     pub(crate) expected: Duration,
 }
@@ -182,28 +185,42 @@
         &self.others
     }
 
-    /// Time in which an answer is expected, in microseconds, if an idle target of the
-    /// service needs `service_us`.
+    /// Time in which an answer is expected, in microseconds.
     ///
-    /// The work ahead (own requests and what is expected of others) fills the slots and
-    /// then queues. That is lengthened by how far earlier expectations were off, by the
-    /// cold start, and if own requests are out longer than expected (a stall that no
-    /// report tells of); divided by the share of successes; and the way is added.
-    pub(crate) fn expected_us(&self, now: Timestamp, service_us: f64) -> f64 {
-        let base_us = service_us * self.load(now, service_us);
+    /// Own requests in flight and the usual load of others fill the slots and then queue.
+    /// What the last report tells beyond the usual is added for what reports have been
+    /// worth. That is lengthened by how far earlier expectations were off, by the cold
+    /// start, and if own requests are out longer than expected (a stall that no report
+    /// tells of); divided by the share of successes; and the way is added.
+    pub(crate) fn expected_us(&self, now: Timestamp, model: &ServiceModel) -> f64 {
+        let base_us = self.base_us(now, model);
         let factor = self.slowness.factor(now) * self.cold_start.factor(now);
         let stalled_us = self.overdue_us(now, base_us);
         let success_share = (1.0 - self.ejection.failure_rate(now)).max(SUCCESS_SHARE_MIN);
         (base_us * factor + stalled_us) / success_share + self.way_us()
     }
 
-    /// How many times as long as at an idle target an answer takes: each request that
-    /// queues ahead waits for a slot.
-    fn load(&self, now: Timestamp, service_us: f64) -> f64 {
-        let memory = Duration::from_micros((service_us * REPORT_MEMORY_REQUESTS) as u64);
-        let ahead = f64::from(self.in_flight) + self.others.expected(now, memory);
-        let slots = f64::from(self.shape.slots);
-        1.0 + (ahead + 1.0 - slots).max(0.0) / slots
+    fn base_us(&self, now: Timestamp, model: &ServiceModel) -> f64 {
+        let told_us = model.report_us(self.slots()) * self.told(now, model);
+        (model.service_us() * self.load(model) + told_us).max(model.service_us())
+    }
+
+    /// How many times as long as at an idle target an answer takes by what this VM knows
+    /// itself: each request that queues ahead waits for a slot.
+    fn load(&self, model: &ServiceModel) -> f64 {
+        let ahead = f64::from(self.in_flight) + model.others();
+        1.0 + (ahead + 1.0 - self.slots()).max(0.0) / self.slots()
+    }
+
+    /// Requests beyond the usual that the last report tells of.
+    fn told(&self, now: Timestamp, model: &ServiceModel) -> f64 {
+        let memory_us = model.service_us() * REPORT_MEMORY_REQUESTS;
+        let memory = Duration::from_micros(memory_us as u64);
+        self.others.expected(now, memory, model.others()) - model.others()
+    }
+
+    fn slots(&self) -> f64 {
+        f64::from(self.shape.slots)
     }
 
     /// There and back, in microseconds.
@@ -222,17 +239,24 @@
         (age_us - expected_us).max(0.0)
     }
 
-    pub(crate) fn grant(&mut self, index: TargetIndex, now: Timestamp, service_us: f64) -> Grant {
-        let load = self.load(now, service_us);
-        self.in_flight += 1;
-        self.sent_at_sum_us += now.as_micros();
-        Grant {
+    pub(crate) fn grant(
+        &mut self,
+        index: TargetIndex,
+        now: Timestamp,
+        model: &ServiceModel,
+    ) -> Grant {
+        let expected_us = self.base_us(now, model) + self.way_us();
+        let grant = Grant {
             target: index,
             incarnation: self.incarnation,
             sent_at: now,
-            load,
-            expected: Duration::from_micros((service_us * load + self.way_us()) as u64),
-        }
+            load: self.load(model),
+            told: self.told(now, model),
+            expected: Duration::from_micros(expected_us as u64),
+        };
+        self.in_flight += 1;
+        self.sent_at_sum_us += now.as_micros();
+        grant
     }
 
     pub(crate) fn release(&mut self, grant: &Grant) {
@@ -240,13 +264,14 @@
         self.sent_at_sum_us = self.sent_at_sum_us.saturating_sub(grant.sent_at.as_micros());
     }
 
-    pub(crate) fn learn_report(&mut self, report: LoadReport, now: Timestamp) {
-        self.others.learn(report, self.in_flight.saturating_sub(1), now);
+    /// Returns the load of other VMs that the report tells of.
+    pub(crate) fn learn_report(&mut self, report: LoadReport, now: Timestamp) -> f64 {
+        self.others.learn(report, self.in_flight.saturating_sub(1), now)
     }
 
     /// A probe's report: the probe itself is not among this VM's requests in flight.
-    pub(crate) fn learn_probe(&mut self, report: LoadReport, now: Timestamp) {
-        self.others.learn(report, self.in_flight, now);
+    pub(crate) fn learn_probe(&mut self, report: LoadReport, now: Timestamp) -> f64 {
+        self.others.learn(report, self.in_flight, now)
     }
 
     /// Learns from the time an answer took; returns that time without the way, in
--- a/crates/thymeshift_lab/src/arguments.rs
+++ b/crates/thymeshift_lab/src/arguments.rs
@@ -7,6 +7,9 @@
 use lexopt::Error;
 use lexopt::Parser;
 use lexopt::ValueExt;
+use thymeshift_config::StrategyName;
+use thymeshift_lab::experiment::Scenario;
+use thymeshift_lab::experiment::ScenarioPlan;
 use thymeshift_lab::load::KindLoad;
 use thymeshift_lab::load::LoadPlan;
 use thymeshift_lab::standin::TargetSettings;
@@ -22,6 +25,8 @@
 REQUEST_BYTES,IN_TIME_MS… [--seconds=N] [--seed=N] [--one-way-us=N] [--json]
   thymeshift-lab demo [--entries=N] [--seconds=N]
   thymeshift-lab path-cost [--seconds=N]
+  thymeshift-lab scenarios [--entries=N] [--seconds=N] [--seeds=N] [--loads=70,85] [--no-probes]
+                           [--hedge-ms=N] [--scenario=NAME…] [--strategy=NAME…]
 
 Stand-ins print where they listen and run until they are killed. Their control ports:
   platform  PUT /documents/configuration?revision=N, PUT /documents/vms?revision=N,
@@ -30,6 +35,15 @@
   target    PUT /behaviour (JSON, see the crate's documentation), GET /ledger
 ";
 
+const STRATEGIES: [StrategyName; 6] = [
+    StrategyName::Random,
+    StrategyName::RoundRobin,
+    StrategyName::LeastInFlight,
+    StrategyName::TwoChoices,
+    StrategyName::LatencyTwoChoices,
+    StrategyName::ExpectedTime,
+];
+
 /// What to do.
 #[derive(Debug)]
 pub(crate) enum Command {
@@ -39,6 +53,7 @@
     Load { plan: LoadPlan, json: bool },
     Demo { entries: usize, seconds: u64 },
     PathCost { seconds: u64 },
+    Scenarios(ScenarioPlan),
 }
 
 pub(crate) fn parse(mut parser: Parser) -> Result<Command, Error> {
@@ -51,6 +66,7 @@
             "load" => load(parser),
             "demo" => demo(parser),
             "path-cost" => path_cost(parser),
+            "scenarios" => scenarios(parser),
             other => Err(format!("unknown command '{other}'").into()),
         },
         Some(unexpected) => Err(unexpected.unexpected()),
@@ -142,3 +158,49 @@
     }
     Ok(Command::PathCost { seconds })
 }
+
+fn scenarios(mut parser: Parser) -> Result<Command, Error> {
+    let mut plan = ScenarioPlan {
+        entries: 16,
+        duration: Duration::from_secs(4),
+        seeds: vec![1],
+        scenarios: Vec::new(),
+        strategies: Vec::new(),
+        loads_percent: vec![70, 85],
+        has_probes: true,
+        hedge_after_ms: 0,
+        folder: "out/scenarios".into(),
+    };
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Long("entries") => plan.entries = number(&mut parser)?,
+            Arg::Long("seconds") => plan.duration = Duration::from_secs(number(&mut parser)?),
+            Arg::Long("seeds") => plan.seeds = (1..=number(&mut parser)?).collect(),
+            Arg::Long("hedge-ms") => plan.hedge_after_ms = number(&mut parser)?,
+            Arg::Long("no-probes") => plan.has_probes = false,
+            Arg::Long("loads") => {
+                let text = parser.value()?.string()?;
+                let loads: Result<_, _> = text.split(',').map(str::parse).collect();
+                plan.loads_percent = loads.map_err(|error| Error::Custom(Box::new(error)))?;
+            }
+            Arg::Long("scenario") => {
+                let name = parser.value()?.string()?;
+                let found = Scenario::ALL.into_iter().find(|known| known.to_string() == name);
+                plan.scenarios.push(found.ok_or(format!("no scenario is called '{name}'"))?);
+            }
+            Arg::Long("strategy") => {
+                let name = parser.value()?.string()?;
+                let found = STRATEGIES.into_iter().find(|known| known.to_string() == name);
+                plan.strategies.push(found.ok_or(format!("no strategy is called '{name}'"))?);
+            }
+            unexpected => return Err(unexpected.unexpected()),
+        }
+    }
+    if plan.scenarios.is_empty() {
+        plan.scenarios = Scenario::ALL.to_vec();
+    }
+    if plan.strategies.is_empty() {
+        plan.strategies = STRATEGIES.to_vec();
+    }
+    Ok(Command::Scenarios(plan))
+}
--- /dev/null
+++ b/crates/thymeshift_lab/src/experiment/ideal.rs
@@ -0,0 +1,50 @@
+//! A bound for every strategy: the same arrivals served by one queue that knows every
+//! slot, first come first served, with no knowledge to be stale and no way to be wrong.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rand_distr::Distribution;
+use rand_distr::Exp1;
+
+use crate::load::LoadPlan;
+use crate::load::arrival_times;
+
+/// Slots and service times of a service.
+#[derive(Debug, Clone, Copy)]
+pub struct IdealQueue {
+    /// All slots of all targets.
+    pub slots: usize,
+    /// Mean service time, exponentially distributed, in microseconds.
+    pub service_us: u64,
+    /// There and back between caller and target, in microseconds.
+    pub way_us: u64,
+}
+
+impl IdealQueue {
+    /// Latency of the plan's arrivals at a quantile, in microseconds.
+    pub fn latency_us(&self, plan: &LoadPlan, quantile: f64) -> u64 {
+        let mut rng = SmallRng::seed_from_u64(plan.seed);
+        let mut free_at: BinaryHeap<Reverse<Duration>> =
+            (0..self.slots).map(|_| Reverse(Duration::ZERO)).collect();
+        let mut latencies = Histogram::<u64>::new_with_max(u64::MAX / 2, 3).ok();
+        for at in arrival_times(plan) {
+            let Some(Reverse(free)) = free_at.pop() else {
+                break;
+            };
+            let sample: f64 = Exp1.sample(&mut rng);
+            let service = Duration::from_micros(self.service_us).mul_f64(sample);
+            let done = free.max(at) + service;
+            free_at.push(Reverse(done));
+            let taken_us = done.saturating_sub(at).as_micros() as u64 + self.way_us;
+            if let Some(latencies) = &mut latencies {
+                latencies.saturating_record(taken_us);
+            }
+        }
+        latencies.map_or(0, |latencies| latencies.value_at_quantile(quantile))
+    }
+}
--- a/crates/thymeshift_lab/src/experiment/mod.rs
+++ b/crates/thymeshift_lab/src/experiment/mod.rs
@@ -3,8 +3,10 @@
 mod children;
 mod demo;
 mod fleet;
+mod ideal;
 mod judge;
 mod path_cost;
+mod scenarios;
 mod single;
 mod usage;
 
@@ -22,10 +24,15 @@
 pub use fleet::TargetChild;
 pub use fleet::dump;
 pub use fleet::wait_ready;
+pub use ideal::IdealQueue;
 pub use judge::Judgement;
 pub use judge::judge;
 pub use path_cost::PathCost;
 pub use path_cost::path_cost;
+pub use scenarios::Row;
+pub use scenarios::Scenario;
+pub use scenarios::ScenarioPlan;
+pub use scenarios::scenarios;
 pub use single::Single;
 pub use single::TempFolder;
 pub use usage::Usage;
--- /dev/null
+++ b/crates/thymeshift_lab/src/experiment/scenarios.rs
@@ -0,0 +1,422 @@
+//! Strategies under faults: the same arrivals, real processes, one row for each run.
+
+use std::fmt;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use http::Method;
+use serde_json::Value;
+use serde_json::json;
+use thymeshift_config::Configuration;
+use thymeshift_config::StrategyName;
+use thymeshift_wire::StateDump;
+
+use crate::experiment::fleet::Fleet;
+use crate::experiment::fleet::FleetError;
+use crate::experiment::fleet::FleetPlan;
+use crate::experiment::fleet::dump;
+use crate::experiment::ideal::IdealQueue;
+use crate::load;
+use crate::load::KindLoad;
+use crate::load::KindResult;
+use crate::load::LoadPlan;
+use crate::standin::Behaviour;
+use crate::standin::Fault;
+use crate::standin::Reports;
+
+/// Targets of the service under test, as the tariff calculator has.
+const TARGETS: usize = 10;
+/// Slots of each.
+const SLOTS: usize = 3;
+/// Mean service time, in microseconds.
+const SERVICE_US: u64 = 8_000;
+/// One way between callers and entry processes, in microseconds.
+const CALLER_ONE_WAY_US: u64 = 3_000;
+/// One way between entry processes and targets, in microseconds.
+const TARGET_ONE_WAY_US: u64 = 1_500;
+/// An answer later than this is late, in milliseconds.
+const IN_TIME_MS: u64 = 100;
+/// Load before each run that is not counted.
+const WARM_UP: Duration = Duration::from_millis(1_500);
+
+/// Steps in which a scenario changes.
+const CHANGES: u32 = 10;
+
+/// What is wrong during a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Scenario {
+    /// Nothing.
+    Even,
+    /// Half of the targets are half as fast.
+    TwoSpeeds,
+    /// Each target stalls for 30 ms about every 400 ms.
+    NoisyNeighbours,
+    /// Reports are so many milliseconds old.
+    Stale(u64),
+    /// Noisy neighbours, and reports 100 ms old.
+    NoisyAndStale,
+    /// One target says that it is idle and is three times slower.
+    Liar,
+    /// One target fails at once.
+    FastFailer,
+    /// One target gets slower and slower.
+    SlowDeath,
+    /// One target drains in the middle.
+    Drain,
+}
+
+impl Scenario {
+    /// All scenarios.
+    pub const ALL: [Self; 11] = [
+        Self::Even,
+        Self::TwoSpeeds,
+        Self::NoisyNeighbours,
+        Self::Stale(20),
+        Self::Stale(100),
+        Self::Stale(500),
+        Self::NoisyAndStale,
+        Self::Liar,
+        Self::FastFailer,
+        Self::SlowDeath,
+        Self::Drain,
+    ];
+
+    /// Behaviour of target number `index` at `share` of the run.
+    fn behaviour(self, index: usize, share: f64) -> Behaviour {
+        let good = Behaviour::default();
+        let noisy = Behaviour { stall_every_ms: 400, stall_ms: 30, ..good.clone() };
+        match self {
+            Self::TwoSpeeds if index.is_multiple_of(2) => Behaviour { slowness: 2.0, ..good },
+            Self::NoisyNeighbours => noisy,
+            Self::Stale(stale_ms) => Behaviour { reports: Reports::Stale, stale_ms, ..good },
+            Self::NoisyAndStale => Behaviour { reports: Reports::Stale, stale_ms: 100, ..noisy },
+            Self::Liar if index == 0 => Behaviour { reports: Reports::Idle, slowness: 3.0, ..good },
+            Self::FastFailer if index == 0 => Behaviour { fault: Fault::Failing, ..good },
+            Self::SlowDeath if index == 0 => Behaviour { slowness: 1.0 + 9.0 * share, ..good },
+            Self::Drain if index == 0 => Behaviour { is_draining: share > 0.4, ..good },
+            _ => good,
+        }
+    }
+
+    /// Share of the full capacity that is left.
+    fn capacity(self) -> f64 {
+        match self {
+            Self::TwoSpeeds => 0.75,
+            Self::NoisyNeighbours | Self::NoisyAndStale => 1.0 - 30.0 / 430.0,
+            Self::FastFailer | Self::Drain | Self::SlowDeath => 0.9,
+            Self::Liar => 0.9 + 0.1 / 3.0,
+            Self::Even | Self::Stale(_) => 1.0,
+        }
+    }
+
+    fn changes(self) -> bool {
+        matches!(self, Self::SlowDeath | Self::Drain)
+    }
+}
+
+impl fmt::Display for Scenario {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Even => f.pad("even"),
+            Self::TwoSpeeds => f.pad("two speeds"),
+            Self::NoisyNeighbours => f.pad("noisy neighbours"),
+            Self::Stale(ms) => f.pad(&format!("stale {ms} ms")),
+            Self::NoisyAndStale => f.pad("noisy and stale"),
+            Self::Liar => f.pad("liar"),
+            Self::FastFailer => f.pad("fast failer"),
+            Self::SlowDeath => f.pad("slow death"),
+            Self::Drain => f.pad("drain"),
+        }
+    }
+}
+
+/// What to run.
+#[derive(Debug, Clone)]
+pub struct ScenarioPlan {
+    /// Entry processes.
+    pub entries: usize,
+    /// Length of each run.
+    pub duration: Duration,
+    /// Seeds; each is a run.
+    pub seeds: Vec<u64>,
+    /// Scenarios.
+    pub scenarios: Vec<Scenario>,
+    /// Strategies.
+    pub strategies: Vec<StrategyName>,
+    /// Loads, in percent of the capacity that is left.
+    pub loads_percent: Vec<u64>,
+    /// Whether targets are probed.
+    pub has_probes: bool,
+    /// Time after which a second attempt is started, in milliseconds; 0 never does.
+    pub hedge_after_ms: u64,
+    /// Where logs go.
+    pub folder: PathBuf,
+}
+
+/// One run.
+pub struct Row {
+    scenario: Scenario,
+    load_percent: u64,
+    strategy: StrategyName,
+    seed: u64,
+    kind: KindResult,
+    ideal_p99_us: u64,
+    /// Share of the requests that the odd target (number 0) began or failed.
+    odd_share: f64,
+    retries: u64,
+    waited: u64,
+}
+
+impl Row {
+    /// The row for programs.
+    pub fn to_json(&self) -> Value {
+        let kind = &self.kind;
+        json!({
+            "scenario": self.scenario.to_string(), "load_percent": self.load_percent,
+            "strategy": self.strategy.to_string(), "seed": self.seed, "sent": kind.sent,
+            "answered": kind.answered, "in_time_share": kind.in_time_share(),
+            "not_run": kind.not_run, "unknown": kind.unknown, "failed": kind.failed,
+            "p50_us": kind.latency_us(0.5), "p99_us": kind.latency_us(0.99),
+            "p999_us": kind.latency_us(0.999), "ideal_p99_us": self.ideal_p99_us,
+            "odd_share": self.odd_share, "retries": self.retries, "waited": self.waited,
+            "attempts_per_request": self.attempts(),
+        })
+    }
+
+    /// Attempts for each request.
+    fn attempts(&self) -> f64 {
+        1.0 + self.retries as f64 / (self.kind.sent as f64).max(1.0)
+    }
+
+    /// Head of the table.
+    pub fn head() -> String {
+        format!(
+            "{:<17}{:>5} {:<20}{:>5}{:>8}{:>8}{:>8}{:>8}{:>7}{:>8}{:>9}{:>8}{:>8}{:>8}{:>9}",
+            "scenario",
+            "load",
+            "strategy",
+            "seed",
+            "p50 ms",
+            "p99 ms",
+            "p99.9",
+            "ideal",
+            "ratio",
+            "in time",
+            "refused",
+            "failed",
+            "waited",
+            "odd",
+            "attempts"
+        )
+    }
+}
+
+impl fmt::Display for Row {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let kind = &self.kind;
+        let ms = |us: u64| us as f64 / 1_000.0;
+        let p99 = kind.latency_us(0.99);
+        write!(
+            f,
+            "{:<17}{:>4}% {:<20}{:>5}{:>8.1}{:>8.1}{:>8.1}{:>8.1}{:>7.2}{:>7.1}%{:>9}{:>8}{:>8}{:>7.1}%{:>9.3}",
+            self.scenario.to_string(),
+            self.load_percent,
+            self.strategy.to_string(),
+            self.seed,
+            ms(kind.latency_us(0.5)),
+            ms(p99),
+            ms(kind.latency_us(0.999)),
+            ms(self.ideal_p99_us),
+            p99 as f64 / self.ideal_p99_us.max(1) as f64,
+            kind.in_time_share() * 100.0,
+            kind.not_run,
+            kind.failed + kind.unknown,
+            self.waited,
+            self.odd_share * 100.0,
+            self.attempts()
+        )
+    }
+}
+
+/// Runs the plan; `on_row` hears each row as it is measured.
+pub async fn scenarios(
+    plan: &ScenarioPlan,
+    mut on_row: impl FnMut(&Row),
+) -> Result<(), FleetError> {
+    let fleet_plan = FleetPlan {
+        configuration: configuration(plan)?,
+        entries: plan.entries,
+        service_us: [("calculator".to_owned(), SERVICE_US)].into(),
+        target_queue_max: 30,
+        one_way_us: TARGET_ONE_WAY_US,
+        seed: 1,
+        folder: plan.folder.clone(),
+        worker_threads: 1,
+    };
+    let mut lab = Lab { fleet: Fleet::start(fleet_plan).await?, revision: 1 };
+    for scenario in &plan.scenarios {
+        for load_percent in &plan.loads_percent {
+            for seed in &plan.seeds {
+                for strategy in &plan.strategies {
+                    let run = Run {
+                        scenario: *scenario,
+                        load_percent: *load_percent,
+                        seed: *seed,
+                        strategy: *strategy,
+                    };
+                    on_row(&lab.run(plan, run).await?);
+                }
+            }
+        }
+    }
+    Ok(())
+}
+
+#[derive(Clone, Copy)]
+struct Run {
+    scenario: Scenario,
+    load_percent: u64,
+    seed: u64,
+    strategy: StrategyName,
+}
+
+struct Lab {
+    fleet: Fleet,
+    revision: u64,
+}
+
+impl Lab {
+    async fn run(&mut self, plan: &ScenarioPlan, run: Run) -> Result<Row, FleetError> {
+        self.set_strategy(run.strategy).await?;
+        self.behave(run.scenario, 0.0).await?;
+        let capacity = (TARGETS * SLOTS) as f64 / (SERVICE_US as f64 / 1_000_000.0);
+        let rate = capacity * run.scenario.capacity() * run.load_percent as f64 / 100.0;
+        let load = |duration, seed| -> Result<LoadPlan, FleetError> {
+            Ok(LoadPlan {
+                entries: self.fleet.caller_addresses()?,
+                kinds: vec![lookup(rate)],
+                duration,
+                seed,
+                one_way_us: CALLER_ONE_WAY_US,
+                warm_connections: 16,
+            })
+        };
+        load::run(load(WARM_UP, run.seed + 1_000)?).await;
+        let measured = load(plan.duration, run.seed)?;
+        let before = self.totals().await?;
+        let result =
+            tokio::join!(load::run(measured.clone()), self.change(run.scenario, plan.duration));
+        result.1?;
+        let after = self.totals().await?;
+        let kind = result.0.kinds.into_iter().next().unwrap_or_else(|| KindResult::new("none"));
+        let failed = kind.failed as f64;
+        let odd = (after.odd - before.odd) as f64 + failed;
+        let ideal = IdealQueue {
+            slots: ((TARGETS * SLOTS) as f64 * run.scenario.capacity()).round() as usize,
+            service_us: SERVICE_US,
+            way_us: 2 * (CALLER_ONE_WAY_US + TARGET_ONE_WAY_US),
+        };
+        Ok(Row {
+            scenario: run.scenario,
+            load_percent: run.load_percent,
+            strategy: run.strategy,
+            seed: run.seed,
+            ideal_p99_us: ideal.latency_us(&measured, 0.99),
+            odd_share: odd / (kind.sent as f64).max(1.0),
+            retries: after.retries - before.retries,
+            waited: after.waited - before.waited,
+            kind,
+        })
+    }
+
+    /// Publishes the strategy and waits until every process runs that revision.
+    async fn set_strategy(&mut self, strategy: StrategyName) -> Result<(), FleetError> {
+        for service in &mut self.fleet.configuration.services {
+            service.strategy = strategy;
+        }
+        self.revision += 1;
+        self.fleet.publish(self.revision).await?;
+        for entry in &self.fleet.entries {
+            while revision(&dump(entry).await?) < self.revision {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+        Ok(())
+    }
+
+    async fn behave(&self, scenario: Scenario, share: f64) -> Result<(), FleetError> {
+        for (index, target) in self.fleet.targets.iter().enumerate() {
+            target.set_behaviour(&scenario.behaviour(index, share)).await?;
+        }
+        Ok(())
+    }
+
+    /// What changes while the load runs.
+    async fn change(&self, scenario: Scenario, duration: Duration) -> Result<(), FleetError> {
+        if !scenario.changes() {
+            return Ok(());
+        }
+        for step in 1..CHANGES {
+            tokio::time::sleep(duration / CHANGES).await;
+            self.behave(scenario, f64::from(step) / f64::from(CHANGES)).await?;
+        }
+        Ok(())
+    }
+
+    async fn totals(&self) -> Result<Totals, FleetError> {
+        let mut totals = Totals::default();
+        for entry in &self.fleet.entries {
+            for kind in dump(entry).await?.kinds {
+                totals.retries += kind.retries;
+                totals.waited += kind.waited;
+            }
+        }
+        let ledger = self.fleet.targets[0].ledger().await?;
+        totals.odd = ledger.values().map(|entry| entry.begun).sum();
+        Ok(totals)
+    }
+}
+
+#[derive(Default)]
+struct Totals {
+    retries: u64,
+    waited: u64,
+    odd: u64,
+}
+
+fn revision(dump: &StateDump) -> u64 {
+    dump.configuration.in_force.map_or(0, |head| head.revision.as_u64())
+}
+
+fn lookup(rate_per_s: f64) -> KindLoad {
+    KindLoad {
+        name: "tariff-lookup".to_owned(),
+        method: Method::GET,
+        path: "/tariffs/compare".to_owned(),
+        rate_per_s,
+        answer_bytes: 600,
+        request_bytes: 0,
+        in_time_ms: IN_TIME_MS,
+    }
+}
+
+/// The calculator alone, in one data hall.
+fn configuration(plan: &ScenarioPlan) -> Result<Configuration, FleetError> {
+    let mut configuration = crate::experiment::demo::tariff_configuration()?;
+    configuration.services.truncate(1);
+    configuration.kinds.truncate(1);
+    configuration.data_halls.truncate(1);
+    for kind in &mut configuration.kinds {
+        kind.hedge_after_ms = plan.hedge_after_ms;
+    }
+    for service in &mut configuration.services {
+        if !plan.has_probes {
+            service.measuring_budget_us_per_s = 0;
+            service.probe = None;
+        }
+        for target in &mut service.targets {
+            target.data_hall = configuration.data_halls[0].clone();
+        }
+    }
+    Ok(configuration)
+}
--- a/crates/thymeshift_lab/src/load/arrivals.rs
+++ b/crates/thymeshift_lab/src/load/arrivals.rs
@@ -50,3 +50,8 @@
     }
     plan.kinds.len() - 1
 }
+
+/// When the plan's requests are due, from the start.
+pub fn arrival_times(plan: &LoadPlan) -> impl Iterator<Item = Duration> {
+    arrivals(plan).into_iter().map(|arrival| arrival.at)
+}
--- a/crates/thymeshift_lab/src/load/mod.rs
+++ b/crates/thymeshift_lab/src/load/mod.rs
@@ -10,6 +10,7 @@
 mod result;
 mod run;
 
+pub use arrivals::arrival_times;
 pub use closed::run_closed;
 pub use plan::KindLoad;
 pub use plan::LoadPlan;
--- a/crates/thymeshift_lab/src/main.rs
+++ b/crates/thymeshift_lab/src/main.rs
@@ -9,6 +9,8 @@
 use std::time::Duration;
 
 use thymeshift_lab::experiment;
+use thymeshift_lab::experiment::Row;
+use thymeshift_lab::experiment::ScenarioPlan;
 use thymeshift_lab::load;
 use thymeshift_lab::standin::Platform;
 use thymeshift_lab::standin::Running;
@@ -54,6 +56,7 @@
             print!("{text}");
             Ok(ExitCode::SUCCESS)
         }),
+        Command::Scenarios(plan) => many_threads(scenarios(plan)),
         Command::PathCost { seconds } => many_threads(async {
             print!("{}", experiment::path_cost(seconds).await?);
             Ok(ExitCode::SUCCESS)
@@ -84,6 +87,20 @@
     Ok(if demo.judgement.is_clean() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
+async fn scenarios(plan: ScenarioPlan) -> Result<ExitCode, Failure> {
+    let mut rows = Vec::new();
+    println!("{}", Row::head());
+    let measured = experiment::scenarios(&plan, |row| {
+        println!("{row}");
+        rows.push(row.to_json());
+    });
+    measured.await?;
+    let path = plan.folder.join("scenarios.json");
+    std::fs::write(&path, serde_json::to_string_pretty(&rows)?)?;
+    println!("{}", path.display());
+    Ok(ExitCode::SUCCESS)
+}
+
 fn single_thread(
     work: impl Future<Output = Result<ExitCode, Failure>>,
 ) -> Result<ExitCode, Failure> {
