Fleet parts: tests over every order of events; leases of watchers grow with the fleet

Cause, found by the test of 64 processes: 8 of them watched the platform instead of 2. A lease of 3 s is shorter than the time in which the news of a watcher reaches everybody in a large fleet. Ruled out: turns (distinct), standing back (no failures). Change: lease 2 s + 0.75 s for each doubling. Also: 16 tests of differences, adoption (a search over every reachable state of three processes, a stale platform and an invalid revision), leaving marks, orders, members. Scenario stand-ins now sleep exactly (timerfd): the runtime's timer rounds up to whole milliseconds and made a capacity of 100% in truth about 90%.

--- a/crates/thymeshift_fleet/src/adoption.rs
+++ b/crates/thymeshift_fleet/src/adoption.rs
@@ -54,7 +54,7 @@
 }
 
 /// The document in force, and what was refused.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Adoption {
     in_force: Option<Published>,
     since: Timestamp,
--- a/crates/thymeshift_fleet/src/history.rs
+++ b/crates/thymeshift_fleet/src/history.rs
@@ -26,7 +26,7 @@
 }
 
 /// Differences between the revisions that were in force here.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct History {
     deltas: VecDeque<Delta>,
 }
--- a/crates/thymeshift_fleet/src/orders.rs
+++ b/crates/thymeshift_fleet/src/orders.rs
@@ -96,7 +96,7 @@
 }
 
 /// All orders known to this process.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Orders {
     held: BTreeMap<OrderSubject, Held>,
     counter: u64,
--- a/crates/thymeshift_fleet/src/watch.rs
+++ b/crates/thymeshift_fleet/src/watch.rs
@@ -27,8 +27,11 @@
 const WATCHERS: usize = 2;
 /// Watchers remembered and passed on.
 const WATCHERS_KEPT: usize = 4;
-/// Time after which a watcher that was not heard of is not counted.
-const LEASE: Duration = Duration::from_secs(3);
+/// Time after which a watcher that was not heard of is not counted, in a fleet of one.
+const LEASE_BASE: Duration = Duration::from_secs(2);
+/// What is added to it each time the fleet doubles: news needs that much longer to reach
+/// everybody. A shorter lease looks vacant to processes that the news has not reached.
+const LEASE_PER_DOUBLING: Duration = Duration::from_millis(750);
 /// Failures in a row after which a watcher stands back.
 const FAILURES_MAX: u32 = 2;
 /// How long it stands back the first time.
@@ -69,6 +72,7 @@
     failures: u32,
     doublings: u32,
     stands_back_until: Timestamp,
+    lease: Duration,
 }
 
 impl WatchElection {
@@ -85,6 +89,7 @@
             failures: 0,
             doublings: 0,
             stands_back_until: Timestamp::default(),
+            lease: LEASE_BASE,
         }
     }
 
@@ -94,8 +99,9 @@
             return;
         }
         let renewed_at = now.minus(Duration::from_millis(watcher.age_ms));
-        self.others.retain(|known| now.since(known.renewed_at) < LEASE);
-        if now.since(renewed_at) >= LEASE {
+        let lease = self.lease;
+        self.others.retain(|known| now.since(known.renewed_at) < lease);
+        if now.since(renewed_at) >= lease {
             return;
         }
         let same = |known: &&mut Lease| known.vm == watcher.vm && known.boot == watcher.boot;
@@ -113,13 +119,14 @@
     /// Whether to begin a call to the platform now, or to go on with another. `fleet` is
     /// the number of processes that this one believes in.
     pub fn should_watch(&mut self, fleet: usize, now: Timestamp) -> bool {
-        let fresh = self.others.iter().filter(|known| now.since(known.renewed_at) < LEASE);
-        let earlier = fresh.clone().filter(|known| known.turn < self.turn).count();
+        self.lease = lease(fleet);
+        let fresh = self.fresh(now).count();
+        let earlier = self.fresh(now).filter(|known| known.turn < self.turn).count();
         if self.is_watching {
             self.is_watching = earlier < WATCHERS;
             return self.is_watching;
         }
-        if fresh.count() >= WATCHERS || now < self.stands_back_until {
+        if fresh >= WATCHERS || now < self.stands_back_until {
             self.vacant_since = None;
             return false;
         }
@@ -161,8 +168,7 @@
     /// The watchers to name to a peer.
     pub fn watchers(&self, now: Timestamp) -> Vec<Watcher> {
         let own = Watcher { vm: self.vm.clone(), boot: self.boot, age_ms: 0 };
-        let fresh = self.others.iter().filter(|known| now.since(known.renewed_at) < LEASE);
-        let others = fresh.map(|known| Watcher {
+        let others = self.fresh(now).map(|known| Watcher {
             vm: known.vm.clone(),
             boot: known.boot,
             age_ms: now.since(known.renewed_at).as_millis() as u64,
@@ -176,6 +182,10 @@
         self.vacant_since = None;
     }
 
+    fn fresh(&self, now: Timestamp) -> impl Iterator<Item = &Lease> {
+        self.others.iter().filter(move |known| now.since(known.renewed_at) < self.lease)
+    }
+
     /// How long a place must have been vacant before this process takes it.
     fn delay(&self, fleet: usize) -> Duration {
         let fraction = self.turn as f64 / u64::MAX as f64;
@@ -183,6 +193,10 @@
     }
 }
 
+fn lease(fleet: usize) -> Duration {
+    LEASE_BASE + LEASE_PER_DOUBLING.mul_f64((fleet.max(1) as f64).log2())
+}
+
 fn turn_of(vm: &VmName, boot: Boot) -> u64 {
     xxh3_64_with_seed(vm.as_str().as_bytes(), boot.as_u64())
 }
--- /dev/null
+++ b/crates/thymeshift_fleet/tests/agreement.rs
@@ -0,0 +1,321 @@
+//! What processes agree on without a coordinator: leaving targets, orders, members, and who
+//! watches the platform.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use thymeshift_fleet::Boot;
+use thymeshift_fleet::LeavingRegister;
+use thymeshift_fleet::Liveness;
+use thymeshift_fleet::Member;
+use thymeshift_fleet::Members;
+use thymeshift_fleet::Order;
+use thymeshift_fleet::OrderChange;
+use thymeshift_fleet::OrderDraft;
+use thymeshift_fleet::OrderSubject;
+use thymeshift_fleet::Orders;
+use thymeshift_fleet::Phase;
+use thymeshift_fleet::WatchElection;
+use thymeshift_types::DataHallName;
+use thymeshift_types::Incarnation;
+use thymeshift_types::LeavingMark;
+use thymeshift_types::ServiceName;
+use thymeshift_types::TargetName;
+use thymeshift_types::Timestamp;
+use thymeshift_types::VmName;
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(1_000_000 + millis)
+}
+
+fn vm(number: usize) -> VmName {
+    VmName::new(&format!("vm-{number}")).expect("a name")
+}
+
+fn mark(target: u8, incarnation: u8) -> LeavingMark {
+    LeavingMark {
+        service: ServiceName::new("s").expect("a name"),
+        target: TargetName::new(&format!("t{target}")).expect("a name"),
+        incarnation: Incarnation::new(u64::from(incarnation)),
+    }
+}
+
+#[test]
+fn leaving_marks_merge_the_same_in_any_order_and_any_number() {
+    fn holds(marks: Vec<(u8, u8)>) -> bool {
+        let marks: Vec<LeavingMark> = marks.iter().map(|(t, i)| mark(t % 4, i % 4)).collect();
+        let mut once = LeavingRegister::default();
+        let mut twice = LeavingRegister::default();
+        for mark in &marks {
+            once.add(mark);
+        }
+        for mark in marks.iter().rev().chain(&marks) {
+            twice.add(mark);
+        }
+        let is_sticky = marks.iter().all(|m| once.is_leaving(&m.service, &m.target, m.incarnation));
+        once == twice && is_sticky
+    }
+    QuickCheck::new()
+        .tests(1_000)
+        .rng(Gen::from_size_and_seed(20, 5))
+        .quickcheck(holds as fn(Vec<(u8, u8)>) -> bool);
+}
+
+#[test]
+fn a_later_incarnation_is_not_leaving_and_pages_show_every_mark() {
+    let mut register = LeavingRegister::default();
+    for target in 0..100 {
+        assert!(register.add(&mark(target, 2)));
+        assert!(!register.add(&mark(target, 1)), "older news");
+    }
+    let one = mark(7, 3);
+    assert!(!register.is_leaving(&one.service, &one.target, one.incarnation));
+    let mut seen = BTreeSet::new();
+    let mut after = None;
+    loop {
+        let page = register.page(after.as_ref(), 32);
+        let Some(last) = page.last() else { break };
+        after = Some(last.clone());
+        seen.extend(page);
+    }
+    assert_eq!(seen.len(), 100);
+    register.retain(|mark| mark.target.as_str() == "t7");
+    assert_eq!(register.len(), 1);
+}
+
+fn subject() -> OrderSubject {
+    OrderSubject::Probing(ServiceName::new("s").expect("a name"))
+}
+
+fn draft(change: OrderChange, seconds: u64) -> OrderDraft {
+    OrderDraft {
+        subject: subject(),
+        change,
+        operator: "anna".to_owned(),
+        revision: None,
+        expires_in: Duration::from_secs(seconds),
+    }
+}
+
+/// An order given at one of three VMs, and messages between them.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Give { vm: usize, stop: bool },
+    Tell { from: usize, to: usize },
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let any = |g: &mut Gen| usize::from(u8::arbitrary(g) % 3);
+        if u8::arbitrary(g) % 3 == 0 {
+            Self::Give { vm: any(g), stop: bool::arbitrary(g) }
+        } else {
+            Self::Tell { from: any(g), to: any(g) }
+        }
+    }
+}
+
+#[test]
+fn racing_operators_end_with_the_same_order_everywhere() {
+    fn holds(steps: Vec<Step>) -> bool {
+        let mut fleet = vec![Orders::default(); 3];
+        let tell = |fleet: &mut Vec<Orders>, from: usize, to: usize| {
+            for order in fleet[from].list(at(0)) {
+                fleet[to].add(&order, at(0));
+            }
+        };
+        for step in steps {
+            match step {
+                Step::Give { vm: number, stop } => {
+                    let change = if stop { OrderChange::Stop } else { OrderChange::Resume };
+                    let order = fleet[number].issue(vm(number), draft(change, 60), at(0));
+                    fleet[number].add(&order, at(0));
+                }
+                Step::Tell { from, to } => tell(&mut fleet, from, to),
+            }
+        }
+        // Once everybody has heard everybody, all hold the same.
+        for from in [0, 1, 2, 0, 1, 2] {
+            (0..3).for_each(|to| tell(&mut fleet, from, to));
+        }
+        let lists: Vec<Vec<Order>> = fleet.iter().map(|orders| orders.list(at(0))).collect();
+        lists[0] == lists[1] && lists[1] == lists[2]
+    }
+    QuickCheck::new()
+        .tests(2_000)
+        .rng(Gen::from_size_and_seed(30, 6))
+        .quickcheck(holds as fn(Vec<Step>) -> bool);
+}
+
+#[test]
+fn an_ended_order_does_not_come_back_after_the_one_that_ended_it_expired() {
+    let mut here = Orders::default();
+    let stop = here.issue(vm(0), draft(OrderChange::Stop, 3_600), at(0));
+    here.add(&stop, at(0));
+    let resume = here.issue(vm(0), draft(OrderChange::Resume, 1), at(1_000));
+    here.add(&resume, at(1_000));
+    // A process that was cut off still holds the first order and tells it.
+    let mut late = stop.clone();
+    late.expires_in_ms -= 60_000;
+    here.add(&late, at(60_000));
+    assert!(!here.is_stopped(&subject(), at(60_000)));
+    // Both are over after the hour.
+    here.forget_expired(at(3_700_000));
+    assert!(here.list(at(3_700_000)).is_empty());
+}
+
+#[test]
+fn orders_expire() {
+    let mut orders = Orders::default();
+    let stop = orders.issue(vm(0), draft(OrderChange::Stop, 10), at(0));
+    assert!(orders.add(&stop, at(0)));
+    assert!(orders.is_stopped(&subject(), at(9_999)));
+    assert!(!orders.is_stopped(&subject(), at(10_000)));
+    assert!(orders.forget_expired(at(10_000)));
+}
+
+fn member(number: usize) -> Member {
+    let port = 1_000 + number as u16;
+    Member {
+        vm: vm(number),
+        boot: Boot::new(1),
+        heartbeat: 0,
+        peer_address: ([127, 0, 0, 1], port).into(),
+        control_address: ([127, 0, 0, 1], port + 1_000).into(),
+        data_hall: DataHallName::new("a").expect("a name"),
+        phase: Phase::Serving,
+        revision: None,
+    }
+}
+
+fn liveness(members: &Members, number: usize, now: Timestamp) -> Option<Liveness> {
+    let dump = members.dump(now);
+    dump.into_iter().find(|known| known.member.vm == vm(number)).map(|known| known.liveness)
+}
+
+#[test]
+fn a_member_lives_as_long_as_its_heartbeat_goes_on() {
+    let mut members = Members::new(member(0), Vec::new());
+    let beat = |members: &mut Members, heartbeat: u64, now| {
+        members.learn(&Member { heartbeat, ..member(1) }, now);
+    };
+    beat(&mut members, 5, at(0));
+    assert_eq!(liveness(&members, 1, at(4_000)), Some(Liveness::Alive));
+    // Old news passed on by others is not a sign of life.
+    beat(&mut members, 5, at(4_500));
+    assert_eq!(liveness(&members, 1, at(5_500)), Some(Liveness::Suspect));
+    beat(&mut members, 6, at(5_600));
+    assert_eq!(liveness(&members, 1, at(5_600)), Some(Liveness::Alive));
+    // A call without answer is direct evidence, and so is one with an answer.
+    members.unanswered(member(1).peer_address);
+    assert_eq!(liveness(&members, 1, at(5_700)), Some(Liveness::Suspect));
+    members.answered(&Member { heartbeat: 6, ..member(1) }, at(5_800));
+    assert_eq!(liveness(&members, 1, at(5_800)), Some(Liveness::Alive));
+    assert_eq!(liveness(&members, 1, at(30_000)), Some(Liveness::Gone));
+}
+
+#[test]
+fn a_process_that_was_paused_does_not_blame_the_others() {
+    let mut members = Members::new(member(0), Vec::new());
+    members.learn(&Member { heartbeat: 1, ..member(1) }, at(0));
+    members.paused(Duration::from_secs(60));
+    assert_eq!(liveness(&members, 1, at(61_000)), Some(Liveness::Alive));
+}
+
+#[test]
+fn hints_are_tried_only_while_nobody_is_known_there() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut members = Members::new(member(0), vec![member(0).peer_address, member(1).peer_address]);
+    assert_eq!(members.pick(5, at(0), &mut rng), [member(1).peer_address], "not itself");
+    members.learn(&member(1), at(0));
+    assert_eq!(members.pick(5, at(0), &mut rng), [member(1).peer_address], "once");
+    assert_eq!(members.pick(5, at(60_000), &mut rng), [], "gone");
+}
+
+/// Processes that tell one another at random, some of which cannot.
+struct Watching {
+    elections: Vec<WatchElection>,
+    is_running: Vec<bool>,
+    rng: SmallRng,
+    now: Timestamp,
+}
+
+impl Watching {
+    const STEP: Duration = Duration::from_millis(100);
+
+    fn new(count: usize) -> Self {
+        let elections =
+            (0..count).map(|number| WatchElection::new(vm(number), Boot::new(1))).collect();
+        let rng = SmallRng::seed_from_u64(9);
+        Self { elections, is_running: vec![true; count], rng, now: at(0) }
+    }
+
+    /// Each process takes its turn and, about once a second, tells another.
+    fn run(&mut self, seconds: u64) {
+        let count = self.elections.len();
+        for _ in 0..seconds * 10 {
+            self.now = self.now + Self::STEP;
+            for process in 0..count {
+                if !self.is_running[process] {
+                    continue;
+                }
+                self.elections[process].should_watch(count, self.now);
+                let peer = self.rng.random_range(0..count);
+                if self.rng.random_ratio(1, 10) && self.is_running[peer] {
+                    self.tell(process, peer);
+                    self.tell(peer, process);
+                }
+            }
+        }
+    }
+
+    fn tell(&mut self, from: usize, to: usize) {
+        for watcher in self.elections[from].watchers(self.now) {
+            self.elections[to].learn(&watcher, self.now);
+        }
+    }
+
+    fn watching(&self) -> Vec<usize> {
+        let is_watching =
+            |number: &usize| self.is_running[*number] && self.elections[*number].is_watching();
+        (0..self.elections.len()).filter(is_watching).collect()
+    }
+}
+
+#[test]
+fn few_processes_watch_whatever_the_size_and_a_dead_one_is_replaced_in_time() {
+    for (count, replaced_s) in [(1, 0), (4, 8), (16, 8), (64, 12), (256, 15)] {
+        let mut fleet = Watching::new(count);
+        fleet.run(60);
+        let watching = fleet.watching();
+        let wanted = count.min(2);
+        assert!((wanted..=4).contains(&watching.len()), "{count}: {watching:?}");
+        for dead in watching {
+            fleet.is_running[dead] = false;
+        }
+        // All watchers at once: the worst that can happen to them.
+        fleet.run(replaced_s);
+        let is_replaced = replaced_s == 0 || !fleet.watching().is_empty();
+        assert!(is_replaced, "{count}: nobody within {replaced_s} s");
+    }
+}
+
+#[test]
+fn a_watcher_that_fails_stands_back_longer_each_time() {
+    let mut election = WatchElection::new(vm(0), Boot::new(1));
+    let mut calls = 0;
+    for step in 0..3_000 {
+        let now = at(step * 100);
+        if election.should_watch(1, now) {
+            calls += 1;
+            election.failed(now);
+        }
+    }
+    assert!((4..=24).contains(&calls), "{calls} calls in five minutes");
+}
--- /dev/null
+++ b/crates/thymeshift_fleet/tests/documents.rs
@@ -0,0 +1,245 @@
+//! Configurations between processes: differences, adoption, and a search over every order
+//! of events in a small fleet.
+
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use thymeshift_fleet::Adoption;
+use thymeshift_fleet::Delta;
+use thymeshift_fleet::DeltaError;
+use thymeshift_fleet::History;
+use thymeshift_fleet::Offer;
+use thymeshift_fleet::Published;
+use thymeshift_fleet::Transfer;
+use thymeshift_types::Revision;
+use thymeshift_types::Timestamp;
+
+const NOW: Timestamp = Timestamp::from_millis(1);
+
+fn published(revision: u64, text: &str) -> Published {
+    Published::new(Revision::new(revision), text)
+}
+
+/// The check of these tests: a text with "bad" in it is refused.
+fn check(text: &str) -> Result<(), String> {
+    if text.contains("bad") { Err("bad".to_owned()) } else { Ok(()) }
+}
+
+fn offer(adoption: &mut Adoption, published: &Published) -> Offer {
+    adoption.offer(published, NOW, check).0
+}
+
+fn revision(adoption: &Adoption) -> u64 {
+    adoption.head().map_or(0, |head| head.revision.as_u64())
+}
+
+#[test]
+fn a_difference_makes_the_new_text_and_only_of_its_own_base() {
+    fn holds(old: String, new: String, other: String) -> bool {
+        let (from, to) = (published(1, &old), published(2, &new));
+        let delta = Delta::between(&from, &to);
+        let is_made = delta.apply(&from).as_ref() == Ok(&to);
+        let foreign = delta.apply(&published(1, &other));
+        is_made && (other == old || foreign == Err(DeltaError::OtherBase))
+    }
+    QuickCheck::new()
+        .tests(2_000)
+        .rng(Gen::from_size_and_seed(40, 3))
+        .quickcheck(holds as fn(String, String, String) -> bool);
+}
+
+#[test]
+fn a_small_change_of_a_long_text_is_a_small_difference() {
+    let lines: Vec<String> = (0..2_000).map(|line| format!("target {line}: serving")).collect();
+    let old = lines.join("\n");
+    let new = old.replace("target 1234: serving", "target 1234: leaving");
+    let delta = Delta::between(&published(1, &old), &published(2, &new));
+    assert!(delta.len_bytes() <= 7, "{}", delta.len_bytes());
+}
+
+#[test]
+fn who_is_behind_gets_differences_and_who_is_unknown_the_whole() {
+    let base = "x".repeat(1_000);
+    let texts: Vec<Published> =
+        (1..=100).map(|number| published(number, &format!("{base}{number}"))).collect();
+    let mut history = History::default();
+    for pair in texts.windows(2) {
+        history.record(&pair[0], &pair[1]);
+    }
+    let last = &texts[99];
+    let cases = [
+        ("nothing", None, "whole"),
+        ("up to date", Some(last.head()), "nothing"),
+        ("a few behind", Some(texts[90].head()), "differences"),
+        ("too far behind", Some(texts[3].head()), "whole"),
+        ("other content", Some(published(95, "other").head()), "whole"),
+    ];
+    for (name, theirs, expected) in cases {
+        let transfer = history.transfer(theirs, last);
+        let kind = match &transfer {
+            Transfer::UpToDate => "nothing",
+            Transfer::Deltas(_) => "differences",
+            Transfer::Whole(_) => "whole",
+        };
+        assert_eq!(kind, expected, "{name}");
+        let have = theirs.and_then(|head| texts.iter().find(|text| text.head() == head));
+        let received = transfer.receive(have);
+        assert_eq!(received.as_ref(), (kind != "nothing").then_some(last), "{name}");
+    }
+}
+
+struct Case {
+    name: &'static str,
+    offered: (u64, &'static str),
+    expected: Offer,
+    in_force: u64,
+}
+
+#[test]
+fn offers_in_turn() {
+    let cases = [
+        Case { name: "the first", offered: (5, "five"), expected: Offer::Adopted, in_force: 5 },
+        Case { name: "again", offered: (5, "five"), expected: Offer::Confirmed, in_force: 5 },
+        Case { name: "older", offered: (4, "four"), expected: Offer::Older, in_force: 5 },
+        Case { name: "other", offered: (5, "5"), expected: Offer::Conflicting, in_force: 5 },
+        Case { name: "invalid", offered: (6, "bad"), expected: Offer::Rejected, in_force: 5 },
+        Case { name: "still", offered: (6, "bad"), expected: Offer::Rejected, in_force: 5 },
+        Case { name: "mended", offered: (7, "seven"), expected: Offer::Adopted, in_force: 7 },
+        Case { name: "late", offered: (6, "bad"), expected: Offer::Older, in_force: 7 },
+    ];
+    let mut adoption = Adoption::default();
+    for case in cases {
+        let offered = published(case.offered.0, case.offered.1);
+        assert_eq!(offer(&mut adoption, &offered), case.expected, "{}", case.name);
+        assert_eq!(revision(&adoption), case.in_force, "{}", case.name);
+        let has_conflict = case.name == "other" || case.name == "invalid" || case.name == "still";
+        assert_eq!(adoption.conflict().is_some(), has_conflict, "{}", case.name);
+        let has_rejection = case.name == "invalid" || case.name == "still";
+        assert_eq!(adoption.rejection().is_some(), has_rejection, "{}", case.name);
+    }
+}
+
+#[test]
+fn what_is_in_force_never_goes_down_and_depends_only_on_what_was_offered() {
+    fn holds(offers: Vec<(u8, bool)>) -> bool {
+        let offers: Vec<Published> = offers
+            .iter()
+            .map(|(number, is_bad)| {
+                let text = if *is_bad { format!("bad {number}") } else { format!("{number}") };
+                published(u64::from(*number) * 2 + u64::from(*is_bad), &text)
+            })
+            .collect();
+        let mut forwards = Adoption::default();
+        let mut last = 0;
+        let mut is_monotone = true;
+        for offered in &offers {
+            offer(&mut forwards, offered);
+            is_monotone &= revision(&forwards) >= last;
+            last = revision(&forwards);
+        }
+        let mut backwards = Adoption::default();
+        for offered in offers.iter().rev().chain(&offers) {
+            offer(&mut backwards, offered);
+        }
+        is_monotone && backwards.head() == forwards.head()
+    }
+    QuickCheck::new()
+        .tests(2_000)
+        .rng(Gen::from_size_and_seed(30, 4))
+        .quickcheck(holds as fn(Vec<(u8, bool)>) -> bool);
+}
+
+/// Processes of the small fleet.
+const PROCESSES: usize = 3;
+/// What the platform publishes in turn; the second is invalid.
+const REVISIONS: [(u64, &str); 4] = [(1, "one"), (2, "bad"), (3, "three"), (4, "four")];
+
+#[derive(Clone)]
+struct Fleet {
+    /// Number of revisions published.
+    platform: usize,
+    processes: Vec<Adoption>,
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Event {
+    Publish,
+    /// The platform answers with any revision up to its last: it may be stale.
+    Read {
+        process: usize,
+        revision: usize,
+    },
+    /// One process fetches from another what that one has newer.
+    Fetch {
+        from: usize,
+        to: usize,
+    },
+}
+
+impl Fleet {
+    fn key(&self) -> (usize, Vec<u64>, Vec<bool>) {
+        let revisions = self.processes.iter().map(revision).collect();
+        let rejections = self.processes.iter().map(|p| p.rejection().is_some()).collect();
+        (self.platform, revisions, rejections)
+    }
+
+    fn events(&self) -> Vec<Event> {
+        let mut events = Vec::new();
+        if self.platform < REVISIONS.len() {
+            events.push(Event::Publish);
+        }
+        for process in 0..PROCESSES {
+            events.extend((0..self.platform).map(|revision| Event::Read { process, revision }));
+            let others = (0..PROCESSES).filter(|other| *other != process);
+            events.extend(others.map(|from| Event::Fetch { from, to: process }));
+        }
+        events
+    }
+
+    fn after(&self, event: Event) -> Self {
+        let mut fleet = self.clone();
+        match event {
+            Event::Publish => fleet.platform += 1,
+            Event::Read { process, revision } => {
+                let (number, text) = REVISIONS[revision];
+                offer(&mut fleet.processes[process], &published(number, text));
+            }
+            Event::Fetch { from, to } => {
+                let have = fleet.processes[to].head();
+                let transfer = fleet.processes[from].transfer(have);
+                let current = fleet.processes[to].in_force().cloned();
+                if let Some(received) = transfer.receive(current.as_ref()) {
+                    offer(&mut fleet.processes[to], &received);
+                }
+            }
+        }
+        fleet
+    }
+}
+
+/// Every reachable state of a small fleet, over the real code.
+#[test]
+fn no_order_of_events_brings_a_revision_down_or_an_invalid_one_into_force() {
+    let first = Fleet { platform: 0, processes: vec![Adoption::default(); PROCESSES] };
+    let mut seen = BTreeSet::from([first.key()]);
+    let mut open = VecDeque::from([first]);
+    while let Some(fleet) = open.pop_front() {
+        for event in fleet.events() {
+            let after = fleet.after(event);
+            for (before, now) in fleet.processes.iter().zip(&after.processes) {
+                assert!(revision(now) >= revision(before), "{event:?} at {:?}", fleet.key());
+                assert_ne!(revision(now), 2, "{event:?} at {:?}", fleet.key());
+            }
+            if seen.insert(after.key()) {
+                open.push_back(after);
+            }
+        }
+    }
+    let goal = (REVISIONS.len(), vec![4; PROCESSES]);
+    assert!(
+        seen.iter().any(|(platform, revisions, _)| (*platform, revisions) == (goal.0, &goal.1))
+    );
+    assert!(seen.len() > 300, "{} states", seen.len());
+}
--- a/crates/thymeshift_lab/src/experiment/scenarios.rs
+++ b/crates/thymeshift_lab/src/experiment/scenarios.rs
@@ -66,7 +66,7 @@
 }
 
 impl Scenario {
-    /// All scenarios.
+    /// All scenarios. The drain is last: leaving is sticky, so the target stays out.
     pub const ALL: [Self; 11] = [
         Self::Even,
         Self::TwoSpeeds,
--- a/crates/thymeshift_lab/src/standin/mod.rs
+++ b/crates/thymeshift_lab/src/standin/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod behaviour;
+mod exact_sleep;
 mod ledger;
 mod platform;
 mod server;
--- a/crates/thymeshift_lab/src/standin/target.rs
+++ b/crates/thymeshift_lab/src/standin/target.rs
@@ -47,6 +47,7 @@
 use crate::standin::Ledger;
 use crate::standin::Reports;
 use crate::standin::answer::expected_answer;
+use crate::standin::exact_sleep::exact_sleep;
 use crate::standin::platform::mistaken;
 use crate::standin::platform::number;
 use crate::standin::platform::status;
@@ -175,7 +176,7 @@
 
     async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Option<Answer> {
         let one_way = Duration::from_micros(self.settings.one_way_us);
-        pause(one_way).await;
+        exact_sleep(one_way).await;
         let (parts, body) = request.into_parts();
         let attempt = parts.headers.get(&headers::ATTEMPT).cloned();
         let mut answer = if parts.uri.path() == "/probe" {
@@ -186,12 +187,12 @@
             self.run(path, &body.to_bytes()).await?
         };
         self.mark(answer.headers_mut(), attempt);
-        pause(one_way).await;
+        exact_sleep(one_way).await;
         Some(answer)
     }
 
     async fn probe(&self) -> Answer {
-        pause(Duration::from_micros(self.settings.probe_us)).await;
+        exact_sleep(Duration::from_micros(self.settings.probe_us)).await;
         whole(text("probed"))
     }
 
@@ -212,7 +213,7 @@
         self.ledger.finish(nonce);
         drop(slot);
         let behaviour = self.behaviour();
-        pause(Duration::from_millis(behaviour.late_ms)).await;
+        exact_sleep(Duration::from_millis(behaviour.late_ms)).await;
         let length = number(query, "bytes").unwrap_or(ANSWER_BYTES).min(ANSWER_BYTES_MAX);
         let bytes = expected_answer(path, body, usize::try_from(length).unwrap_or(0));
         match behaviour.fault {
@@ -232,7 +233,8 @@
         let is_cold = self.started.elapsed() < Duration::from_millis(behaviour.cold_ms);
         let factor = if is_cold { behaviour.cold_slowness } else { 1.0 } * behaviour.slowness;
         let variation = if self.settings.is_random { self.exponential() } else { 1.0 };
-        pause(Duration::from_micros(self.settings.service_us).mul_f64(factor * variation)).await;
+        exact_sleep(Duration::from_micros(self.settings.service_us).mul_f64(factor * variation))
+            .await;
     }
 
     fn exponential(&self) -> f64 {
@@ -283,12 +285,6 @@
     }
 }
 
-async fn pause(duration: Duration) {
-    if !duration.is_zero() {
-        sleep(duration).await;
-    }
-}
-
 fn whole(response: Response<Full<Bytes>>) -> Answer {
     response.map(|body| body.map_err(|never| match never {}).boxed_unsync())
 }
