Control cost and recovery measured; messages between peers bounded

Each message repeated up to 24 members and 32 leaving marks, also those sent only because a revision changed. Ruled out: documents (a difference of some bytes). Change: 5 members in regular messages, none but the sender in news, 4 newest and 4 repeated marks, one exchange every 1.25 s. Bytes of peer links are counted (dump and metric).

--- a/crates/thymeshift_entry/src/control_plane/bootstrap.rs
+++ b/crates/thymeshift_entry/src/control_plane/bootstrap.rs
@@ -12,6 +12,7 @@
 use futures::future::join_all;
 use spdlog::info;
 use spdlog::warn;
+use thymeshift_fleet::Breadth;
 use thymeshift_types::BootClock;
 use thymeshift_types::Clock;
 use thymeshift_wire::Document;
@@ -76,7 +77,8 @@
     let now = BootClock.now();
     let picked = shared.fleet.lock().members.pick(PEERS_ASKED, now, &mut rand::rng());
     let asked = picked.len();
-    let exchanges = picked.into_iter().map(|address| exchange_once(shared, address));
+    let exchanges =
+        picked.into_iter().map(|address| exchange_once(shared, address, Breadth::Regular));
     let answered = join_all(exchanges).await.into_iter().flatten().count();
     Peers { asked, answered }
 }
--- a/crates/thymeshift_entry/src/control_plane/dump.rs
+++ b/crates/thymeshift_entry/src/control_plane/dump.rs
@@ -35,6 +35,8 @@
         uptime_ms: now.since(shared.started_at).as_millis() as u64,
         requests_in_flight: shared.figures.requests_in_flight.load(Ordering::Relaxed),
         caller_connections: shared.figures.caller_connections.load(Ordering::Relaxed),
+        peer_bytes_received: shared.links.bytes().received(),
+        peer_bytes_sent: shared.links.bytes().sent(),
         configuration: ConfigurationDump {
             in_force: adoption.head(),
             in_force_for_ms: now.since(adoption.since()).as_millis() as u64,
--- a/crates/thymeshift_entry/src/control_plane/operators.rs
+++ b/crates/thymeshift_entry/src/control_plane/operators.rs
@@ -9,6 +9,7 @@
 use spdlog::warn;
 use tarpc::context::Context;
 use tarpc::server::Channel;
+use thymeshift_fleet::Breadth;
 use thymeshift_fleet::Liveness;
 use thymeshift_fleet::MemberDump;
 use thymeshift_fleet::OrderDraft;
@@ -112,7 +113,8 @@
         let members = self.shared.fleet.lock().members.dump(BootClock.now());
         let there = |member: &MemberDump| member.liveness != Liveness::Gone;
         let there: Vec<MemberDump> = members.into_iter().filter(there).collect();
-        let told = there.iter().map(|there| exchange_once(&self.shared, there.member.peer_address));
+        let addresses = there.iter().map(|there| there.member.peer_address);
+        let told = addresses.map(|address| exchange_once(&self.shared, address, Breadth::News));
         let answers = join_all(told).await;
         let mut confirmed = vec![self.shared.settings.vm.clone()];
         let mut unconfirmed = Vec::new();
--- a/crates/thymeshift_entry/src/control_plane/peer_link.rs
+++ b/crates/thymeshift_entry/src/control_plane/peer_link.rs
@@ -16,11 +16,13 @@
 use spdlog::debug;
 use tarpc::client::RpcError;
 use tarpc::context;
+use thymeshift_fleet::Breadth;
 use thymeshift_supervisor::TaskError;
 use thymeshift_telemetry::metric;
 use thymeshift_types::BootClock;
 use thymeshift_types::Clock;
 use thymeshift_wire::Exchange;
+use thymeshift_wire::LinkBytes;
 use thymeshift_wire::LinkError;
 use thymeshift_wire::PeerLinkClient;
 use thymeshift_wire::connect_peer;
@@ -30,7 +32,7 @@
 use crate::shared::Shared;
 
 /// Time between two regular exchanges, before the spread.
-const EXCHANGE_EVERY: Duration = Duration::from_secs(1);
+const EXCHANGE_EVERY: Duration = Duration::from_millis(1_250);
 /// Longest time to open a connection to a peer, and for one call.
 const CALL_LIMIT: Duration = Duration::from_millis(500);
 /// Peers told at once when there is news.
@@ -49,15 +51,18 @@
 
 /// Open connections to peers.
 #[derive(Default)]
-pub(crate) struct Links(Mutex<HashMap<SocketAddr, PeerLinkClient>>);
+pub(crate) struct Links {
+    open: Mutex<HashMap<SocketAddr, PeerLinkClient>>,
+    bytes: Arc<LinkBytes>,
+}
 
 impl Links {
     async fn get(&self, address: SocketAddr) -> Result<PeerLinkClient, LinkError> {
-        if let Some(client) = self.0.lock().get(&address) {
+        if let Some(client) = self.open.lock().get(&address) {
             return Ok(client.clone());
         }
-        let client = connect_peer(address, CALL_LIMIT).await?;
-        let mut links = self.0.lock();
+        let client = connect_peer(address, CALL_LIMIT, &self.bytes).await?;
+        let mut links = self.open.lock();
         if links.len() >= LINKS_MAX {
             links.clear();
         }
@@ -66,7 +71,12 @@
     }
 
     fn forget(&self, address: SocketAddr) {
-        self.0.lock().remove(&address);
+        self.open.lock().remove(&address);
+    }
+
+    /// Bytes over links to and from peers.
+    pub(crate) fn bytes(&self) -> &Arc<LinkBytes> {
+        &self.bytes
     }
 }
 
@@ -75,17 +85,20 @@
     loop {
         let spread = rand::rng().random_range(0.8..1.2);
         let is_news = timeout(EXCHANGE_EVERY.mul_f64(spread), shared.news.notified()).await.is_ok();
-        let count = if is_news { TOLD_AT_ONCE } else { 1 };
-        exchange_with(&shared, count).await;
+        if is_news {
+            exchange_with(&shared, TOLD_AT_ONCE, Breadth::News).await;
+        } else {
+            exchange_with(&shared, 1, Breadth::Regular).await;
+        }
     }
 }
 
 /// Tells a few peers that this process is stopping.
 pub(crate) async fn say_goodbye(shared: &Arc<Shared>) {
-    exchange_with(shared, TOLD_AT_ONCE).await;
+    exchange_with(shared, TOLD_AT_ONCE, Breadth::News).await;
 }
 
-async fn exchange_with(shared: &Arc<Shared>, count: usize) {
+async fn exchange_with(shared: &Arc<Shared>, count: usize, breadth: Breadth) {
     let picked = {
         let now = BootClock.now();
         let mut fleet = shared.fleet.lock();
@@ -93,7 +106,7 @@
         fleet.members.beat(shared.phase(), revision);
         fleet.members.pick(count, now, &mut rand::rng())
     };
-    let exchanges = picked.into_iter().map(|address| exchange_once(shared, address));
+    let exchanges = picked.into_iter().map(|address| exchange_once(shared, address, breadth));
     join_all(exchanges).await;
 }
 
@@ -101,8 +114,9 @@
 pub(crate) async fn exchange_once(
     shared: &Arc<Shared>,
     address: SocketAddr,
+    breadth: Breadth,
 ) -> Result<(), ExchangeError> {
-    let answered = call(shared, address).await;
+    let answered = call(shared, address, breadth).await;
     let result = if answered.is_ok() { "answered" } else { "failed" };
     counter!(metric::PEER_EXCHANGES, "result" => result).increment(1);
     if let Err(error) = &answered {
@@ -114,9 +128,13 @@
     answered
 }
 
-async fn call(shared: &Arc<Shared>, address: SocketAddr) -> Result<(), ExchangeError> {
+async fn call(
+    shared: &Arc<Shared>,
+    address: SocketAddr,
+    breadth: Breadth,
+) -> Result<(), ExchangeError> {
     let client = shared.links.get(address).await?;
-    let summary = shared.fleet.lock().summary(BootClock.now(), &mut rand::rng());
+    let summary = shared.fleet.lock().summary(breadth, BootClock.now(), &mut rand::rng());
     let answer = client.exchange(call_context(), summary).await?;
     take(shared, &client, &answer, address).await
 }
--- a/crates/thymeshift_entry/src/control_plane/peer_server.rs
+++ b/crates/thymeshift_entry/src/control_plane/peer_server.rs
@@ -8,6 +8,7 @@
 use spdlog::warn;
 use tarpc::context::Context;
 use tarpc::server::Channel;
+use thymeshift_fleet::Breadth;
 use thymeshift_fleet::Head;
 use thymeshift_fleet::Transfer;
 use thymeshift_supervisor::TaskError;
@@ -50,7 +51,8 @@
         let server = PeerServer { shared: shared.clone() };
         tokio::spawn(async move {
             let _place = place;
-            let calls = peer_channel(stream).execute(server.serve());
+            let channel = peer_channel(stream, server.shared.links.bytes());
+            let calls = channel.execute(server.serve());
             calls.for_each_concurrent(CALLS_PER_CONNECTION_MAX, |call| call).await;
         });
     }
@@ -69,7 +71,8 @@
         {
             self.fetch_from(sender.peer_address);
         }
-        self.shared.fleet.lock().summary(BootClock.now(), &mut rand::rng())
+        let breadth = if summary.members.len() > 1 { Breadth::Regular } else { Breadth::News };
+        self.shared.fleet.lock().summary(breadth, BootClock.now(), &mut rand::rng())
     }
 
     async fn fetch(self, _: Context, document: Document, have: Option<Head>) -> Transfer {
@@ -83,7 +86,7 @@
         let shared = self.shared.clone();
         tokio::spawn(async move {
             // A failure is counted and logged there; the next exchange tries again.
-            let _ = exchange_once(&shared, address).await;
+            let _ = exchange_once(&shared, address, Breadth::News).await;
         });
     }
 }
--- a/crates/thymeshift_entry/src/control_plane/ticker.rs
+++ b/crates/thymeshift_entry/src/control_plane/ticker.rs
@@ -51,6 +51,8 @@
     gauge!(metric::TICK_LATE_SECONDS).set(late_max.as_secs_f64());
     let in_flight = figures.requests_in_flight.load(Ordering::Relaxed);
     gauge!(metric::IN_FLIGHT).set(in_flight as f64);
+    gauge!(metric::PEER_BYTES, "way" => "received").set(shared.links.bytes().received() as f64);
+    gauge!(metric::PEER_BYTES, "way" => "sent").set(shared.links.bytes().sent() as f64);
     let connections = figures.caller_connections.load(Ordering::Relaxed);
     gauge!(metric::CALLER_CONNECTIONS).set(connections as f64);
 }
--- a/crates/thymeshift_entry/src/fleet.rs
+++ b/crates/thymeshift_entry/src/fleet.rs
@@ -1,11 +1,13 @@
 //! What this process knows of the fleet, under one lock.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use rand::Rng;
 use thymeshift_config::Settings;
 use thymeshift_fleet::Adoption;
 use thymeshift_fleet::Boot;
+use thymeshift_fleet::Breadth;
 use thymeshift_fleet::Head;
 use thymeshift_fleet::LeavingRegister;
 use thymeshift_fleet::Member;
@@ -18,8 +20,10 @@
 use thymeshift_wire::Document;
 use thymeshift_wire::Exchange;
 
-/// Leaving marks in one message.
-const MARKS_IN_MESSAGE: usize = 32;
+/// Leaving marks in one message that are repeated in turn, for processes that missed them.
+const MARKS_REPEATED: usize = 4;
+/// Newest leaving marks, which every message holds.
+const MARKS_RECENT: usize = 4;
 
 /// State that is shared with other processes by messages.
 pub(crate) struct Fleet {
@@ -29,7 +33,8 @@
     pub(crate) members: Members,
     pub(crate) leaving: LeavingRegister,
     pub(crate) orders: Orders,
-    marks_sent_to: Option<LeavingMark>,
+    repeated_to: Option<LeavingMark>,
+    recent_marks: VecDeque<LeavingMark>,
 }
 
 /// What is to be done after a message was taken in.
@@ -62,27 +67,49 @@
             members: Members::new(own, settings.peers.clone()),
             leaving: LeavingRegister::default(),
             orders: Orders::default(),
-            marks_sent_to: None,
+            repeated_to: None,
+            recent_marks: VecDeque::new(),
         }
     }
 
     /// The summary to send.
-    pub(crate) fn summary(&mut self, now: Timestamp, rng: &mut impl Rng) -> Exchange {
-        let mut leaving = self.leaving.page(self.marks_sent_to.as_ref(), MARKS_IN_MESSAGE);
-        if leaving.is_empty() {
-            leaving = self.leaving.page(None, MARKS_IN_MESSAGE);
-        }
-        self.marks_sent_to = leaving.last().cloned();
+    pub(crate) fn summary(
+        &mut self,
+        breadth: Breadth,
+        now: Timestamp,
+        rng: &mut impl Rng,
+    ) -> Exchange {
         Exchange {
-            members: self.members.passed_on(now, rng),
+            members: self.members.passed_on(breadth, now, rng),
             configuration: self.configuration.head(),
             vm_list: self.vm_list.head(),
             watchers: self.election.watchers(now),
-            leaving,
+            leaving: self.marks_to_send(),
             orders: self.orders.list(now),
         }
     }
 
+    /// The newest marks, and a few of all the others in turn.
+    fn marks_to_send(&mut self) -> Vec<LeavingMark> {
+        let mut repeated = self.leaving.page(self.repeated_to.as_ref(), MARKS_REPEATED);
+        if repeated.is_empty() {
+            repeated = self.leaving.page(None, MARKS_REPEATED);
+        }
+        self.repeated_to = repeated.last().cloned();
+        let recent = self.recent_marks.iter().filter(|mark| !repeated.contains(mark));
+        recent.cloned().chain(repeated.iter().cloned()).collect()
+    }
+
+    /// Takes in a leaving mark. Returns whether it is news.
+    pub(crate) fn add_mark(&mut self, mark: &LeavingMark) -> bool {
+        let is_news = self.leaving.add(mark);
+        if is_news {
+            self.recent_marks.truncate(MARKS_RECENT - 1);
+            self.recent_marks.push_front(mark.clone());
+        }
+        is_news
+    }
+
     /// Takes in a summary.
     pub(crate) fn take(&mut self, exchange: &Exchange, now: Timestamp) -> Taken {
         if let Some((sender, others)) = exchange.members.split_first() {
@@ -94,7 +121,7 @@
         for watcher in &exchange.watchers {
             self.election.learn(watcher, now);
         }
-        let marks = exchange.leaving.iter().filter(|mark| self.leaving.add(mark));
+        let marks = exchange.leaving.iter().filter(|mark| self.add_mark(mark));
         let marks = marks.cloned().collect();
         let mut has_new_orders = false;
         for order in &exchange.orders {
--- a/crates/thymeshift_entry/src/shared.rs
+++ b/crates/thymeshift_entry/src/shared.rs
@@ -111,7 +111,7 @@
         for service in &configuration.services {
             for target in &service.targets {
                 if target.state == TargetState::Leaving {
-                    fleet.leaving.add(&LeavingMark {
+                    fleet.add_mark(&LeavingMark {
                         service: service.name.clone(),
                         target: target.name.clone(),
                         incarnation: target.incarnation,
@@ -132,7 +132,7 @@
 
     /// A target said here that it is leaving.
     pub(crate) fn note_leaving(&self, mark: &LeavingMark, source: &str) {
-        let is_news = self.fleet.lock().leaving.add(mark);
+        let is_news = self.fleet.lock().add_mark(mark);
         if is_news {
             self.apply_mark(mark, source);
         }
--- a/crates/thymeshift_fleet/src/lib.rs
+++ b/crates/thymeshift_fleet/src/lib.rs
@@ -32,6 +32,7 @@
 pub use history::Transfer;
 pub use leaving::LeavingRegister;
 pub use members::Boot;
+pub use members::Breadth;
 pub use members::Liveness;
 pub use members::Member;
 pub use members::MemberDump;
--- a/crates/thymeshift_fleet/src/members.rs
+++ b/crates/thymeshift_fleet/src/members.rs
@@ -27,8 +27,10 @@
 
 /// Members kept at most.
 const MEMBERS_MAX: usize = 4_096;
-/// Members passed on in one message.
-const PASSED_ON_MAX: usize = 24;
+/// Other members passed on in one regular message. With two exchanges a second it keeps the
+/// members of today's fleets fresh; a larger fleet is heard of more slowly, and the message
+/// stays as long as it is.
+const PASSED_ON_MAX: usize = 5;
 /// Time without a new heartbeat after which a member is suspected.
 const SUSPECT_AFTER: Duration = Duration::from_secs(5);
 /// Time without a new heartbeat after which a member is taken as gone.
@@ -96,6 +98,15 @@
     }
 }
 
+/// How much a message says of members.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Breadth {
+    /// The sender and a few others.
+    Regular,
+    /// The sender alone: the message is about something that changed.
+    News,
+}
+
 /// What this process believes of another.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -214,11 +225,15 @@
         }
     }
 
-    /// The members to pass on: this process first, then others drawn at random.
-    pub fn passed_on(&self, now: Timestamp, rng: &mut impl Rng) -> Vec<Member> {
+    /// The members to pass on: this process first, then in regular messages a few others
+    /// drawn at random.
+    pub fn passed_on(&self, breadth: Breadth, now: Timestamp, rng: &mut impl Rng) -> Vec<Member> {
         let mut passed = vec![self.own.clone()];
+        if breadth == Breadth::News {
+            return passed;
+        }
         let heard = self.known.values().filter(|known| known.liveness(now) != Liveness::Gone);
-        let drawn = heard.choose_multiple(rng, PASSED_ON_MAX - 1);
+        let drawn = heard.choose_multiple(rng, PASSED_ON_MAX);
         passed.extend(drawn.into_iter().map(|known| known.member.clone()));
         passed
     }
--- a/crates/thymeshift_fleet/src/watch.rs
+++ b/crates/thymeshift_fleet/src/watch.rs
@@ -31,7 +31,7 @@
 const LEASE_BASE: Duration = Duration::from_secs(2);
 /// What is added to it each time the fleet doubles: news needs that much longer to reach
 /// everybody. A shorter lease looks vacant to processes that the news has not reached.
-const LEASE_PER_DOUBLING: Duration = Duration::from_millis(750);
+const LEASE_PER_DOUBLING: Duration = Duration::from_millis(900);
 /// Failures in a row after which a watcher stands back.
 const FAILURES_MAX: u32 = 2;
 /// How long it stands back the first time.
--- a/crates/thymeshift_lab/src/arguments.rs
+++ b/crates/thymeshift_lab/src/arguments.rs
@@ -10,6 +10,7 @@
 use thymeshift_config::StrategyName;
 use thymeshift_lab::experiment::Scenario;
 use thymeshift_lab::experiment::ScenarioPlan;
+use thymeshift_lab::load::Entries;
 use thymeshift_lab::load::KindLoad;
 use thymeshift_lab::load::LoadPlan;
 use thymeshift_lab::standin::TargetSettings;
@@ -25,6 +26,8 @@
 REQUEST_BYTES,IN_TIME_MS… [--seconds=N] [--seed=N] [--one-way-us=N] [--json]
   thymeshift-lab demo [--entries=N] [--seconds=N]
   thymeshift-lab path-cost [--seconds=N]
+  thymeshift-lab control-cost [--entries=4,8,16]
+  thymeshift-lab recovery [--entries=N]
   thymeshift-lab scenarios [--entries=N] [--seconds=N] [--seeds=N] [--loads=70,85] [--no-probes]
                            [--hedge-ms=N] [--scenario=NAME…] [--strategy=NAME…]
 
@@ -53,6 +56,8 @@
     Load { plan: LoadPlan, json: bool },
     Demo { entries: usize, seconds: u64 },
     PathCost { seconds: u64 },
+    ControlCost { entries: Vec<usize> },
+    Recovery { entries: usize },
     Scenarios(ScenarioPlan),
 }
 
@@ -66,6 +71,8 @@
             "load" => load(parser),
             "demo" => demo(parser),
             "path-cost" => path_cost(parser),
+            "control-cost" => control_cost(parser),
+            "recovery" => recovery(parser),
             "scenarios" => scenarios(parser),
             other => Err(format!("unknown command '{other}'").into()),
         },
@@ -80,6 +87,15 @@
     parser.value()?.parse()
 }
 
+fn numbers<T: FromStr>(parser: &mut Parser) -> Result<Vec<T>, Error>
+where
+    T::Err: Into<Box<dyn std::error::Error + Send + Sync + 'static>>,
+{
+    let text = parser.value()?.string()?;
+    let numbers: Result<_, _> = text.split(',').map(str::parse).collect();
+    numbers.map_err(|error: T::Err| Error::Custom(error.into()))
+}
+
 fn platform(mut parser: Parser) -> Result<Command, Error> {
     match parser.next()? {
         None => Ok(Command::Platform),
@@ -107,8 +123,9 @@
 
 fn load(mut parser: Parser) -> Result<Command, Error> {
     let mut json = false;
+    let mut entries = Vec::new();
     let mut plan = LoadPlan {
-        entries: Vec::new(),
+        entries: Entries::default(),
         kinds: Vec::new(),
         duration: Duration::from_secs(5),
         seed: 1,
@@ -117,7 +134,7 @@
     };
     while let Some(argument) = parser.next()? {
         match argument {
-            Arg::Long("entry") => plan.entries.push(number(&mut parser)?),
+            Arg::Long("entry") => entries.push(number(&mut parser)?),
             Arg::Long("kind") => {
                 let text = parser.value()?.string()?;
                 let kind = KindLoad::parse(&text).map_err(|error| Error::Custom(error.into()))?;
@@ -130,9 +147,10 @@
             unexpected => return Err(unexpected.unexpected()),
         }
     }
-    if plan.entries.is_empty() || plan.kinds.is_empty() {
+    if entries.is_empty() || plan.kinds.is_empty() {
         return Err("'load' needs at least one --entry and one --kind".into());
     }
+    plan.entries.set(entries);
     Ok(Command::Load { plan, json })
 }
 
@@ -178,11 +196,7 @@
             Arg::Long("seeds") => plan.seeds = (1..=number(&mut parser)?).collect(),
             Arg::Long("hedge-ms") => plan.hedge_after_ms = number(&mut parser)?,
             Arg::Long("no-probes") => plan.has_probes = false,
-            Arg::Long("loads") => {
-                let text = parser.value()?.string()?;
-                let loads: Result<_, _> = text.split(',').map(str::parse).collect();
-                plan.loads_percent = loads.map_err(|error| Error::Custom(Box::new(error)))?;
-            }
+            Arg::Long("loads") => plan.loads_percent = numbers(&mut parser)?,
             Arg::Long("scenario") => {
                 let name = parser.value()?.string()?;
                 let found = Scenario::ALL.into_iter().find(|known| known.to_string() == name);
@@ -204,3 +218,25 @@
     }
     Ok(Command::Scenarios(plan))
 }
+
+fn control_cost(mut parser: Parser) -> Result<Command, Error> {
+    let mut entries = vec![4, 8, 16, 32];
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Long("entries") => entries = numbers(&mut parser)?,
+            unexpected => return Err(unexpected.unexpected()),
+        }
+    }
+    Ok(Command::ControlCost { entries })
+}
+
+fn recovery(mut parser: Parser) -> Result<Command, Error> {
+    let mut entries = 16;
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Long("entries") => entries = number(&mut parser)?,
+            unexpected => return Err(unexpected.unexpected()),
+        }
+    }
+    Ok(Command::Recovery { entries })
+}
--- a/crates/thymeshift_lab/src/experiment/mod.rs
+++ b/crates/thymeshift_lab/src/experiment/mod.rs
@@ -1,11 +1,13 @@
 //! Real processes put together.
 
 mod children;
+mod control_cost;
 mod demo;
 mod fleet;
 mod ideal;
 mod judge;
 mod path_cost;
+mod recovery;
 mod scenarios;
 mod single;
 mod usage;
@@ -13,6 +15,8 @@
 pub use children::Child;
 pub use children::ChildError;
 pub use children::sibling_program;
+pub use control_cost::ControlCost;
+pub use control_cost::control_cost;
 pub use demo::Demo;
 pub use demo::demo;
 pub use demo::tariff_configuration;
@@ -29,6 +33,8 @@
 pub use judge::judge;
 pub use path_cost::PathCost;
 pub use path_cost::path_cost;
+pub use recovery::Recovery;
+pub use recovery::recovery;
 pub use scenarios::Row;
 pub use scenarios::Scenario;
 pub use scenarios::ScenarioPlan;
--- a/crates/thymeshift_lab/src/experiment/path_cost.rs
+++ b/crates/thymeshift_lab/src/experiment/path_cost.rs
@@ -18,6 +18,7 @@
 use crate::experiment::fleet::FleetPlan;
 use crate::experiment::single::TempFolder;
 use crate::experiment::usage::usage;
+use crate::load::Entries;
 use crate::load::KindLoad;
 use crate::load::KindResult;
 use crate::load::LoadPlan;
@@ -153,7 +154,7 @@
 async fn open_loop(address: SocketAddr, rate_per_s: f64, duration: Duration) -> KindResult {
     let kinds = vec![kind(rate_per_s)];
     let plan = LoadPlan {
-        entries: vec![address],
+        entries: Entries::new(vec![address]),
         kinds,
         duration,
         seed: 7,
--- a/crates/thymeshift_lab/src/experiment/scenarios.rs
+++ b/crates/thymeshift_lab/src/experiment/scenarios.rs
@@ -17,6 +17,7 @@
 use crate::experiment::fleet::dump;
 use crate::experiment::ideal::IdealQueue;
 use crate::load;
+use crate::load::Entries;
 use crate::load::KindLoad;
 use crate::load::KindResult;
 use crate::load::LoadPlan;
@@ -293,7 +294,7 @@
         let rate = capacity * run.scenario.capacity() * run.load_percent as f64 / 100.0;
         let load = |duration, seed| -> Result<LoadPlan, FleetError> {
             Ok(LoadPlan {
-                entries: self.fleet.caller_addresses()?,
+                entries: Entries::new(self.fleet.caller_addresses()?),
                 kinds: vec![lookup(rate)],
                 duration,
                 seed,
--- a/crates/thymeshift_lab/src/load/caller.rs
+++ b/crates/thymeshift_lab/src/load/caller.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -36,20 +37,27 @@
 
 /// Callers with their open connections.
 pub(crate) struct Callers {
-    links: HashMap<SocketAddr, Link>,
+    links: Mutex<HashMap<SocketAddr, Arc<Link>>>,
     one_way: Duration,
 }
 
 impl Callers {
-    pub(crate) fn new(entries: &[SocketAddr], one_way: Duration) -> Self {
-        let link = |_| Link { idle: Mutex::default(), places: Semaphore::new(CONNECTIONS_MAX) };
-        let links = entries.iter().map(|entry| (*entry, link(entry))).collect();
-        Self { links, one_way }
+    pub(crate) fn new(one_way: Duration) -> Self {
+        Self { links: Mutex::default(), one_way }
+    }
+
+    fn link(&self, entry: SocketAddr) -> Arc<Link> {
+        let new = || {
+            let places = Semaphore::new(CONNECTIONS_MAX);
+            Arc::new(Link { idle: Mutex::default(), places })
+        };
+        self.links.lock().entry(entry).or_insert_with(new).clone()
     }
 
     /// Opens connections before they are needed.
-    pub(crate) async fn warm(&self, count: usize) {
-        for (entry, link) in &self.links {
+    pub(crate) async fn warm(&self, entries: &[SocketAddr], count: usize) {
+        for entry in entries {
+            let link = self.link(*entry);
             for _ in 0..count {
                 if let Some(sender) = connect(*entry).await {
                     link.put_back(sender);
@@ -88,7 +96,7 @@
         path: &str,
         body: &[u8],
     ) -> Option<Told> {
-        let link = self.links.get(&entry)?;
+        let link = self.link(entry);
         let _place = link.places.acquire().await.ok()?;
         let mut sender = link.sender(entry).await?;
         let response = sender.send_request(request).await.ok()?;
--- a/crates/thymeshift_lab/src/load/closed.rs
+++ b/crates/thymeshift_lab/src/load/closed.rs
@@ -22,7 +22,7 @@
     duration: Duration,
 ) -> u64 {
     let answered = Arc::new(AtomicU64::new(0));
-    let callers = Arc::new(Callers::new(&[address], Duration::ZERO));
+    let callers = Arc::new(Callers::new(Duration::ZERO));
     let end = Instant::now() + duration;
     let mut loops = JoinSet::new();
     for _ in 0..connections {
--- a/crates/thymeshift_lab/src/load/plan.rs
+++ b/crates/thymeshift_lab/src/load/plan.rs
@@ -1,11 +1,13 @@
 //! What load to make.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use derive_more::Display;
 use derive_more::Error;
 use http::Method;
+use parking_lot::RwLock;
 
 /// Requests of one kind.
 #[derive(Debug, Clone)]
@@ -58,11 +60,37 @@
     }
 }
 
+/// The entry processes that the platform's balancer knows; may change under load.
+#[derive(Debug, Clone, Default)]
+pub struct Entries(Arc<RwLock<Vec<SocketAddr>>>);
+
+impl Entries {
+    /// These entry processes.
+    pub fn new(addresses: Vec<SocketAddr>) -> Self {
+        Self(Arc::new(RwLock::new(addresses)))
+    }
+
+    /// Others from now on.
+    pub fn set(&self, addresses: Vec<SocketAddr>) {
+        *self.0.write() = addresses;
+    }
+
+    /// The one for request number `number`.
+    pub(crate) fn turn(&self, number: usize) -> Option<SocketAddr> {
+        let addresses = self.0.read();
+        addresses.get(number % addresses.len().max(1)).copied()
+    }
+
+    pub(crate) fn list(&self) -> Vec<SocketAddr> {
+        self.0.read().clone()
+    }
+}
+
 /// The whole load.
 #[derive(Debug, Clone)]
 pub struct LoadPlan {
     /// Where to send; requests go to them in turn, as from the platform's balancer.
-    pub entries: Vec<SocketAddr>,
+    pub entries: Entries,
     /// The kinds.
     pub kinds: Vec<KindLoad>,
     /// For how long.
--- a/crates/thymeshift_lab/src/load/run.rs
+++ b/crates/thymeshift_lab/src/load/run.rs
@@ -26,8 +26,8 @@
     let arrivals = arrivals(&plan);
     let results = plan.kinds.iter().map(|kind| KindResult::new(&kind.name)).collect();
     let results: Arc<Mutex<Vec<KindResult>>> = Arc::new(Mutex::new(results));
-    let callers = Arc::new(Callers::new(&plan.entries, Duration::from_micros(plan.one_way_us)));
-    callers.warm(plan.warm_connections).await;
+    let callers = Arc::new(Callers::new(Duration::from_micros(plan.one_way_us)));
+    callers.warm(&plan.entries.list(), plan.warm_connections).await;
     let start = Instant::now();
     let mut due = pace(arrivals, start);
     let plan = Arc::new(plan);
@@ -79,7 +79,9 @@
     async fn run(self) {
         let Self { plan, callers, results, arrival, number, due_at } = self;
         let kind = &plan.kinds[arrival.kind];
-        let entry = plan.entries[number % plan.entries.len()];
+        let Some(entry) = plan.entries.turn(number) else {
+            return;
+        };
         let nonce = format!("{}-{number}", plan.seed);
         let called = timeout(CALL_LIMIT, callers.call(entry, kind, &nonce)).await;
         let told = called.unwrap_or(Told::Nothing);
--- a/crates/thymeshift_lab/src/main.rs
+++ b/crates/thymeshift_lab/src/main.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use thymeshift_lab::experiment;
+use thymeshift_lab::experiment::ControlCost;
 use thymeshift_lab::experiment::Row;
 use thymeshift_lab::experiment::ScenarioPlan;
 use thymeshift_lab::load;
@@ -57,6 +58,12 @@
             Ok(ExitCode::SUCCESS)
         }),
         Command::Scenarios(plan) => many_threads(scenarios(plan)),
+        Command::ControlCost { entries } => many_threads(control_cost(entries)),
+        Command::Recovery { entries } => many_threads(async move {
+            let recovery = experiment::recovery("out/recovery".into(), entries).await?;
+            println!("{recovery}");
+            Ok(if recovery.is_clean() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+        }),
         Command::PathCost { seconds } => many_threads(async {
             print!("{}", experiment::path_cost(seconds).await?);
             Ok(ExitCode::SUCCESS)
@@ -101,6 +108,15 @@
     Ok(ExitCode::SUCCESS)
 }
 
+async fn control_cost(entries: Vec<usize>) -> Result<ExitCode, Failure> {
+    println!("{}", ControlCost::head());
+    for count in entries {
+        let folder = Path::new("out/control-cost").join(count.to_string());
+        println!("{}", experiment::control_cost(&folder, count).await?);
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
 fn single_thread(
     work: impl Future<Output = Result<ExitCode, Failure>>,
 ) -> Result<ExitCode, Failure> {
--- a/crates/thymeshift_query/src/table.rs
+++ b/crates/thymeshift_query/src/table.rs
@@ -130,6 +130,8 @@
                 "watching",
                 "platform_calls",
                 "platform_answer_ms",
+                "peer_received",
+                "peer_sent",
             ],
             Self::Configuration => {
                 &["vm", "revision", "digest", "in_force_ms", "conflict", "rejected", "mistakes"]
--- a/crates/thymeshift_query/src/tables.rs
+++ b/crates/thymeshift_query/src/tables.rs
@@ -56,6 +56,8 @@
         Cell::Flag(dump.platform.is_watching),
         number(dump.platform.calls),
         Cell::maybe(dump.platform.last_answer_ms),
+        number(dump.peer_bytes_received),
+        number(dump.peer_bytes_sent),
     ]
 }
 
--- a/crates/thymeshift_telemetry/src/metric.rs
+++ b/crates/thymeshift_telemetry/src/metric.rs
@@ -31,6 +31,8 @@
 pub const PLATFORM_CALLS: &str = "thymeshift_platform_calls_total";
 /// Exchanges with peers, by `result` (`answered`, `failed`).
 pub const PEER_EXCHANGES: &str = "thymeshift_peer_exchanges_total";
+/// Bytes over links to and from peers since start, by `way` (`received`, `sent`).
+pub const PEER_BYTES: &str = "thymeshift_peer_bytes";
 /// Longest delay of a tick within the last second, in seconds: how long the process's
 /// threads were busy or not running.
 pub const TICK_LATE_SECONDS: &str = "thymeshift_tick_late_seconds";
--- /dev/null
+++ b/crates/thymeshift_wire/src/counted.rs
@@ -0,0 +1,82 @@
+//! Counting the bytes of links between processes: their bound is part of the product.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+
+/// Bytes over all links of a process, without the headers of TCP and IP.
+#[derive(Debug, Default)]
+pub struct LinkBytes {
+    received: AtomicU64,
+    sent: AtomicU64,
+}
+
+impl LinkBytes {
+    /// Bytes received.
+    pub fn received(&self) -> u64 {
+        self.received.load(Ordering::Relaxed)
+    }
+
+    /// Bytes sent.
+    pub fn sent(&self) -> u64 {
+        self.sent.load(Ordering::Relaxed)
+    }
+}
+
+/// A stream that counts.
+#[derive(Debug)]
+pub struct CountedStream {
+    stream: TcpStream,
+    bytes: Arc<LinkBytes>,
+}
+
+impl CountedStream {
+    pub(crate) fn new(stream: TcpStream, bytes: Arc<LinkBytes>) -> Self {
+        Self { stream, bytes }
+    }
+}
+
+impl AsyncRead for CountedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let count = (buffer.filled().len() - before) as u64;
+        self.bytes.received.fetch_add(count, Ordering::Relaxed);
+        read
+    }
+}
+
+impl AsyncWrite for CountedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        if let Poll::Ready(Ok(count)) = written {
+            self.bytes.sent.fetch_add(count as u64, Ordering::Relaxed);
+        }
+        written
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/crates/thymeshift_wire/src/dump.rs
+++ b/crates/thymeshift_wire/src/dump.rs
@@ -99,6 +99,10 @@
     pub requests_in_flight: u64,
     /// Connections from callers.
     pub caller_connections: u64,
+    /// Bytes received from peers since start.
+    pub peer_bytes_received: u64,
+    /// Bytes sent to peers since start.
+    pub peer_bytes_sent: u64,
     /// The configuration.
     pub configuration: ConfigurationDump,
     /// The platform.
--- a/crates/thymeshift_wire/src/lib.rs
+++ b/crates/thymeshift_wire/src/lib.rs
@@ -11,6 +11,7 @@
 mod call_context;
 mod codec;
 mod control;
+mod counted;
 mod dump;
 pub mod headers;
 pub mod load_header;
@@ -28,6 +29,8 @@
 pub use control::Explanation;
 pub use control::OrderAnswer;
 pub use control::OrderRequest;
+pub use counted::CountedStream;
+pub use counted::LinkBytes;
 pub use dump::ConfigurationDump;
 pub use dump::KindDump;
 pub use dump::PlatformDump;
--- a/crates/thymeshift_wire/src/transport.rs
+++ b/crates/thymeshift_wire/src/transport.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use derive_more::Display;
@@ -15,11 +16,15 @@
 use tarpc::serde_transport::Transport;
 use tarpc::server::BaseChannel;
 use tarpc::server::Config;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use tokio_util::codec::LengthDelimitedCodec;
 
 use crate::ControlClient;
+use crate::CountedStream;
+use crate::LinkBytes;
 use crate::PeerLinkClient;
 use crate::codec::Postcard;
 use crate::control::ControlRequest;
@@ -56,10 +61,11 @@
     LengthDelimitedCodec::builder().max_frame_length(FRAME_BYTES_MAX).new_codec()
 }
 
-fn transport<Item, SinkItem>(stream: TcpStream) -> Transport<TcpStream, Item, SinkItem, Postcard>
+fn transport<Item, SinkItem, S>(stream: S) -> Transport<S, Item, SinkItem, Postcard>
 where
     Item: for<'de> Deserialize<'de>,
     SinkItem: Serialize,
+    S: AsyncRead + AsyncWrite,
 {
     let framed = tokio_util::codec::Framed::new(stream, codec());
     serde_transport::new(framed, Postcard)
@@ -74,12 +80,13 @@
     Ok(stream)
 }
 
-/// Connects to another entry process.
+/// Connects to another entry process; the bytes of the link are added to `bytes`.
 pub async fn connect_peer(
     address: SocketAddr,
     limit: Duration,
+    bytes: &Arc<LinkBytes>,
 ) -> Result<PeerLinkClient, LinkError> {
-    let stream = open(address, limit).await?;
+    let stream = CountedStream::new(open(address, limit).await?, bytes.clone());
     Ok(PeerLinkClient::new(client::Config::default(), transport(stream)).spawn())
 }
 
@@ -100,7 +107,9 @@
 }
 
 /// The server's side of a peer's connection: execute it with a [`crate::PeerLink`].
-pub fn peer_channel(stream: TcpStream) -> PeerChannel {
+/// The bytes of the link are added to `bytes`.
+pub fn peer_channel(stream: TcpStream, bytes: &Arc<LinkBytes>) -> PeerChannel {
+    let stream = CountedStream::new(stream, bytes.clone());
     BaseChannel::new(server_config(), transport(stream))
 }
 
@@ -110,9 +119,9 @@
 }
 
 /// See [`peer_channel`].
-pub type PeerChannel = ServerChannel<PeerLinkRequest, PeerLinkResponse>;
+pub type PeerChannel = ServerChannel<PeerLinkRequest, PeerLinkResponse, CountedStream>;
 /// See [`control_channel`].
-pub type ControlChannel = ServerChannel<ControlRequest, ControlResponse>;
+pub type ControlChannel = ServerChannel<ControlRequest, ControlResponse, TcpStream>;
 
-type ServerChannel<Req, Resp> =
-    BaseChannel<Req, Resp, Transport<TcpStream, ClientMessage<Req>, Response<Resp>, Postcard>>;
+type ServerChannel<Req, Resp, S> =
+    BaseChannel<Req, Resp, Transport<S, ClientMessage<Req>, Response<Resp>, Postcard>>;
