--- a/crates/thymeshift_entry/src/control_plane/peer_link.rs
+++ b/crates/thymeshift_entry/src/control_plane/peer_link.rs
@@ -14,6 +14,7 @@
 use parking_lot::Mutex;
 use rand::Rng;
 use spdlog::debug;
+use spdlog::error;
 use tarpc::client::RpcError;
 use tarpc::context;
 use thymeshift_fleet::Breadth;
@@ -176,6 +177,12 @@
     for mark in &taken.marks {
         shared.apply_mark(mark, "peer");
     }
+    if let Some(head) = taken.conflicting {
+        counter!(metric::DOCUMENTS_REFUSED, "offer" => "conflicting").increment(1);
+        error!("configuration_conflicting", kv: {
+            revision: = head.revision, digest: = head.digest, source = "peer"
+        });
+    }
     if taken.has_new_orders {
         shared.apply_orders();
         shared.news.notify_one();
--- a/crates/thymeshift_entry/src/fleet.rs
+++ b/crates/thymeshift_entry/src/fleet.rs
@@ -46,6 +46,8 @@
     pub(crate) marks: Vec<LeavingMark>,
     /// Whether an order changed.
     pub(crate) has_new_orders: bool,
+    /// Other content that the sender runs under the revision in force here.
+    pub(crate) conflicting: Option<Head>,
 }
 
 impl Fleet {
@@ -127,7 +129,8 @@
         for order in &exchange.orders {
             has_new_orders |= self.orders.add(order, now);
         }
-        Taken { wanted: self.wanted(exchange), marks, has_new_orders }
+        let seen = exchange.configuration.filter(|head| self.configuration.see(*head));
+        Taken { wanted: self.wanted(exchange), marks, has_new_orders, conflicting: seen }
     }
 
     fn wanted(&self, exchange: &Exchange) -> Vec<Document> {
--- a/crates/thymeshift_fleet/src/adoption.rs
+++ b/crates/thymeshift_fleet/src/adoption.rs
@@ -101,6 +101,21 @@
         }
     }
 
+    /// Takes in what another process runs. Returns whether it runs other content under the
+    /// revision in force here, and that is news.
+    pub fn see(&mut self, theirs: Head) -> bool {
+        let Some(ours) = self.head() else {
+            return false;
+        };
+        if theirs.revision != ours.revision || theirs.digest == ours.digest {
+            return false;
+        }
+        let conflict = Conflict { in_force: ours, offered: theirs };
+        let is_news = self.conflict.as_ref() != Some(&conflict);
+        self.conflict = Some(conflict);
+        is_news
+    }
+
     fn adopt(&mut self, offered: &Published, now: Timestamp) {
         if let Some(old) = self.in_force.replace(offered.clone()) {
             self.history.record(&old, offered);
--- a/crates/thymeshift_fleet/tests/documents.rs
+++ b/crates/thymeshift_fleet/tests/documents.rs
@@ -121,6 +121,21 @@
     }
 }
 
+#[test]
+fn other_content_under_the_same_revision_at_a_peer_is_noticed_once() {
+    let mut adoption = Adoption::default();
+    let (one, other) = (published(5, "five"), published(5, "5"));
+    assert!(!adoption.see(other.head()), "nothing is in force");
+    offer(&mut adoption, &one);
+    assert!(!adoption.see(one.head()));
+    assert!(!adoption.see(published(4, "four").head()));
+    assert!(adoption.see(other.head()));
+    assert!(!adoption.see(other.head()), "no news");
+    assert_eq!(adoption.conflict().map(|conflict| conflict.offered), Some(other.head()));
+    offer(&mut adoption, &published(6, "six"));
+    assert_eq!(adoption.conflict(), None, "ended by a larger revision");
+}
+
 #[test]
 fn what_is_in_force_never_goes_down_and_depends_only_on_what_was_offered() {
     fn holds(offers: Vec<(u8, bool)>) -> bool {
