The folder src/target of the entry crate was ignored by git

Cause: .gitignore said 'target/', which also names that folder; every commit so far lacks it and does not build from a clone.

--- /dev/null
+++ b/crates/thymeshift_entry/src/target/attempt.rs
@@ -0,0 +1,261 @@
+//! One attempt of a request at one target.
+
+use std::error::Error;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use hyper::body::Incoming;
+use spdlog::debug;
+use thymeshift_dispatch::Observation;
+use thymeshift_dispatch::TargetIndex;
+use thymeshift_types::BootClock;
+use thymeshift_types::Clock;
+use thymeshift_types::Failure;
+use thymeshift_types::Outcome;
+use thymeshift_types::Peer;
+use thymeshift_types::Reason;
+use thymeshift_types::Step;
+use thymeshift_types::Timestamp;
+use thymeshift_wire::CallContext;
+use thymeshift_wire::headers;
+use thymeshift_wire::load_header;
+use tokio::time::timeout;
+
+use crate::service::Destination;
+use crate::service::GrantGuard;
+use crate::shared::Shared;
+use crate::target::BodyError;
+use crate::target::Lease;
+use crate::target::RequestBody;
+use crate::target::TargetBody;
+use crate::target::pool::ConnectError;
+use crate::target::pool::Connection;
+
+/// Whether a connection that served before may be used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Freshness {
+    /// It may.
+    Any,
+    /// It may not. The target may be closing an idle connection in the very moment in
+    /// which the request is sent, and then nobody knows whether it ran.
+    New,
+}
+
+/// What an attempt is to do.
+pub(crate) struct AttemptPlan {
+    pub(crate) head: http::request::Parts,
+    pub(crate) body: RequestBody,
+    pub(crate) deadline: Timestamp,
+    /// What the target is told, but for the time left.
+    pub(crate) context: CallContext,
+    /// Identity of this attempt.
+    pub(crate) id: HeaderValue,
+    pub(crate) freshness: Freshness,
+    pub(crate) body_stall: Duration,
+}
+
+/// An attempt that brought no answer.
+pub(crate) struct AttemptFailure {
+    pub(crate) failure: Failure,
+    /// The target that was tried; none if nothing was sent because it may not be used
+    /// any more.
+    pub(crate) target: Option<TargetIndex>,
+    /// The body, if it was not used.
+    pub(crate) body: Option<RequestBody>,
+}
+
+/// An attempt at the granted target.
+pub(crate) struct Attempt {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) grant: GrantGuard,
+}
+
+impl Attempt {
+    /// Runs the attempt. Dropping the future cancels it at the target: its connection is
+    /// closed.
+    pub(crate) async fn run(
+        self,
+        plan: AttemptPlan,
+    ) -> Result<Response<TargetBody>, Box<AttemptFailure>> {
+        let Some(destination) = self.grant.destination() else {
+            return Err(self.given_up(plan.body).into());
+        };
+        let Some(connection) = self.connection(&plan, &destination).await else {
+            return Err(self.unreachable(plan.body, &destination).into());
+        };
+        // The last look before the first byte: the target may have begun to leave, the
+        // process may have slept.
+        if !self.grant.may_send(plan.deadline) {
+            connection.put_back();
+            return Err(self.given_up(plan.body).into());
+        }
+        self.send(plan, connection, destination).await
+    }
+
+    async fn connection(
+        &self,
+        plan: &AttemptPlan,
+        destination: &Destination,
+    ) -> Option<Connection> {
+        let service = self.grant.service();
+        if plan.freshness == Freshness::Any
+            && let Some(connection) = service.pool().idle(destination.address).await
+        {
+            return Some(connection);
+        }
+        let left = BootClock.now().until(plan.deadline);
+        let limit = Duration::from_millis(service.settings().connect_timeout_ms).min(left);
+        let connected = service.pool().connect(destination.address, limit).await;
+        let log = |error: &ConnectError| {
+            debug!("connect_failed", kv: {
+                service: = service.name(), target: = destination.name, error: = error
+            });
+        };
+        connected.inspect_err(log).ok()
+    }
+
+    async fn send(
+        self,
+        plan: AttemptPlan,
+        mut connection: Connection,
+        destination: Destination,
+    ) -> Result<Response<TargetBody>, Box<AttemptFailure>> {
+        let AttemptPlan { head, body, deadline, context, id, body_stall, .. } = plan;
+        let left = BootClock.now().until(deadline);
+        let mut request = Request::from_parts(head, body);
+        let context = CallContext { timeout: Some(left), ..context };
+        context.write(request.headers_mut());
+        request.headers_mut().insert(headers::ATTEMPT, id.clone());
+        let Some(sender) = connection.sender() else {
+            return Err(self.given_up(request.into_body()).into());
+        };
+        let sent = timeout(left, sender.try_send_request(request)).await;
+        let response = match sent {
+            Err(_) => return Err(self.timed_out(&destination).into()),
+            Ok(Err(mut error)) => {
+                let unsent = error.take_message().map(Request::into_body);
+                return Err(self.broken(&destination, unsent, error.error()).into());
+            }
+            Ok(Ok(response)) => response,
+        };
+        if response.headers().get(&headers::ATTEMPT).is_some_and(|echo| *echo != id) {
+            return Err(self.wrong_answer(&destination).into());
+        }
+        self.answered(response, connection, &destination, body_stall)
+    }
+
+    fn answered(
+        self,
+        response: Response<Incoming>,
+        connection: Connection,
+        destination: &Destination,
+        body_stall: Duration,
+    ) -> Result<Response<TargetBody>, Box<AttemptFailure>> {
+        let report = load_header::read(response.headers());
+        let is_shed = is_shed(&response);
+        let has_failed = response.status().is_server_error();
+        let observation = if is_shed {
+            Observation::Shed(report)
+        } else if has_failed {
+            Observation::Failed(report)
+        } else {
+            Observation::Answered(report)
+        };
+        self.learn(observation);
+        if is_shed && self.grant.service().settings().shed_means_not_run {
+            return Err(self.shed(destination).into());
+        }
+        let (parts, incoming) = response.into_parts();
+        let lease = Lease::new(connection, self.grant);
+        Ok(Response::from_parts(parts, TargetBody::new(incoming, lease, body_stall)))
+    }
+
+    fn learn(&self, observation: Observation) {
+        if let Some(mark) = self.grant.learn(observation) {
+            self.shared.note_leaving(&mark, "answer");
+        }
+    }
+
+    fn peer(&self, destination: &Destination) -> Peer {
+        Peer::Target(self.grant.service().name().clone(), destination.name.clone())
+    }
+
+    fn failure(&self, failure: Failure, body: Option<RequestBody>) -> AttemptFailure {
+        AttemptFailure { failure, target: self.grant.target(), body }
+    }
+
+    /// Nothing was sent because the target may not be used any more.
+    fn given_up(self, body: RequestBody) -> AttemptFailure {
+        let peer = Peer::Service(self.grant.service().name().clone());
+        let failure = Failure::new(Outcome::NotRun, Reason::Deadline, Step::Send, peer);
+        AttemptFailure { failure, target: None, body: Some(body) }
+    }
+
+    fn unreachable(self, body: RequestBody, destination: &Destination) -> AttemptFailure {
+        self.learn(Observation::Broken);
+        let peer = self.peer(destination);
+        let failure = Failure::new(Outcome::NotRun, Reason::ConnectFailed, Step::Connect, peer);
+        self.failure(failure, Some(body))
+    }
+
+    fn timed_out(self, destination: &Destination) -> AttemptFailure {
+        self.learn(Observation::TimedOut);
+        let peer = self.peer(destination);
+        self.failure(Failure::new(Outcome::Unknown, Reason::Deadline, Step::Wait, peer), None)
+    }
+
+    /// If hyper hands the request back, no byte of it was written: proof that it did not
+    /// run. Any other error proves nothing.
+    fn broken(
+        self,
+        destination: &Destination,
+        unsent: Option<RequestBody>,
+        error: &hyper::Error,
+    ) -> AttemptFailure {
+        let peer = self.peer(destination);
+        if unsent.is_some() {
+            let failure = Failure::new(Outcome::NotRun, Reason::ConnectionLost, Step::Send, peer);
+            return self.failure(failure, unsent);
+        }
+        let failure = if error.is_user() {
+            let reason = reason_of_body(error);
+            Failure::new(Outcome::Unknown, reason, Step::ReadBody, peer)
+        } else {
+            self.learn(Observation::Broken);
+            Failure::new(Outcome::Unknown, Reason::ConnectionLost, Step::Wait, peer)
+        };
+        self.failure(failure, None)
+    }
+
+    fn wrong_answer(self, destination: &Destination) -> AttemptFailure {
+        self.learn(Observation::Broken);
+        let peer = self.peer(destination);
+        self.failure(Failure::new(Outcome::Unknown, Reason::WrongAnswer, Step::Wait, peer), None)
+    }
+
+    fn shed(self, destination: &Destination) -> AttemptFailure {
+        let peer = self.peer(destination);
+        let failure = Failure::new(Outcome::NotRun, Reason::Shed, Step::Wait, peer);
+        self.failure(failure, None)
+    }
+}
+
+/// Whether a target says that it had no room for the request.
+fn is_shed<B>(response: &Response<B>) -> bool {
+    matches!(
+        response.status(),
+        http::StatusCode::SERVICE_UNAVAILABLE | http::StatusCode::TOO_MANY_REQUESTS
+    )
+}
+
+/// Why a caller's body could not be passed on to its end.
+fn reason_of_body(error: &hyper::Error) -> Reason {
+    let body_error = error.source().and_then(|source| source.downcast_ref::<BodyError>());
+    match body_error {
+        Some(BodyError::TooLong { .. }) => Reason::BodyTooLarge,
+        Some(BodyError::Stalled { .. } | BodyError::Broken { .. }) | None => Reason::CallerLost,
+    }
+}
--- /dev/null
+++ b/crates/thymeshift_entry/src/target/mod.rs
@@ -0,0 +1,20 @@
+//! Towards targets: connections, one attempt of a request, probes.
+
+mod attempt;
+mod body;
+mod pool;
+mod probe;
+mod stall;
+
+pub(crate) use attempt::Attempt;
+pub(crate) use attempt::AttemptFailure;
+pub(crate) use attempt::AttemptPlan;
+pub(crate) use attempt::Freshness;
+pub(crate) use body::BodyError;
+pub(crate) use body::BodyLimits;
+pub(crate) use body::Lease;
+pub(crate) use body::RequestBody;
+pub(crate) use body::TargetBody;
+pub(crate) use pool::Pool;
+pub(crate) use probe::run_probes;
+pub(crate) use stall::Stall;
--- /dev/null
+++ b/crates/thymeshift_entry/src/target/stall.rs
@@ -0,0 +1,34 @@
+//! Noticing that a body has stopped moving.
+
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use tokio::time::Instant;
+use tokio::time::Sleep;
+use tokio::time::sleep_until;
+
+/// A timer that runs only while nothing arrives.
+pub(crate) struct Stall {
+    limit: Duration,
+    timer: Option<Pin<Box<Sleep>>>,
+}
+
+impl Stall {
+    pub(crate) fn new(limit: Duration) -> Self {
+        Self { limit, timer: None }
+    }
+
+    /// Something arrived.
+    pub(crate) fn moved(&mut self) {
+        self.timer = None;
+    }
+
+    /// Nothing arrived: ready once that has lasted for the limit.
+    pub(crate) fn poll_stalled(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        let limit = self.limit;
+        let timer = self.timer.get_or_insert_with(|| Box::pin(sleep_until(Instant::now() + limit)));
+        timer.as_mut().poll(context)
+    }
+}
--- a/crates/thymeshift_lab/tests/target_faults.rs
+++ b/crates/thymeshift_lab/tests/target_faults.rs
@@ -182,33 +182,52 @@
     assert!(started.elapsed() < limit, "the connection is closed, not left open");
 }
 
-/// A target that answers each request and adds another answer that nobody asked for.
-async fn surplus_target() -> SocketAddr {
+/// Whether a raw target goes on after an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Then {
+    ReadOn,
+    Close,
+}
+
+/// A target that answers each request with these bytes, whatever was asked.
+async fn raw_target(bytes: &'static str, then: Then) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
-            tokio::spawn(answer_twice(stream));
+            tokio::spawn(answer_raw(stream, bytes, then));
         }
     });
     address
 }
 
-async fn answer_twice(mut stream: TcpStream) {
+async fn answer_raw(mut stream: TcpStream, bytes: &'static str, then: Then) {
     let mut buffer = [0; 4_096];
     while let Ok(1..) = stream.read(&mut buffer).await {
-        let own = "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nown";
-        let surplus = "HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nanothe";
-        let both = format!("{own}{surplus}");
-        if stream.write_all(both.as_bytes()).await.is_err() {
+        if stream.write_all(bytes.as_bytes()).await.is_err() || then == Then::Close {
             return;
         }
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn chunks_that_break_off_are_not_ended_for_the_target() {
+    let half = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n";
+    let address = raw_target(half, Then::Close).await;
+    let path = path(&[address], "", "").await;
+    let request = "GET /r HTTP/1.1\r\nhost: x\r\n\r\n";
+    let limit = Duration::from_secs(5);
+    let answer = send_raw(path.caller, request.as_bytes(), limit).await.expect("an answer");
+    let text = String::from_utf8_lossy(&answer);
+    assert!(text.contains("hello"), "{text}");
+    assert!(!text.ends_with("0\r\n\r\n"), "the last chunk says that all is there: {text}");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn bytes_beyond_an_answer_never_become_the_next_callers_answer() {
-    let address = surplus_target().await;
+    let twice = "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nown\
+                 HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nanothe";
+    let address = raw_target(twice, Then::ReadOn).await;
     let path = path(&[address], "", "").await;
     for number in 0..50 {
         let answer = ask(path.caller, Method::GET, "/r", "").await.expect("an answer");
