Docs; one accept loop; decisions, scenario and row in files of their own; decision cost

Ruled out: changes of behaviour (tests as before). Also: the test of a full queue raced (it failed once in five runs: 'extra' requests could arrive before the held ones); it now waits until slots and queue are seen full.

--- a/crates/thymeshift_dispatch/src/dispatcher.rs
+++ b/crates/thymeshift_dispatch/src/dispatcher.rs
@@ -2,8 +2,6 @@
 
 use std::time::Duration;
 
-use derive_more::Display;
-use derive_more::Error;
 use rand::Rng;
 use thymeshift_config::Configuration;
 use thymeshift_config::Ejection;
@@ -18,22 +16,23 @@
 
 use crate::AnyStrategy;
 use crate::Candidates;
+use crate::Decision;
 use crate::Grant;
 use crate::LoadReport;
+use crate::Observation;
 use crate::PauseDetector;
 use crate::QueueDump;
+use crate::Refusal;
 use crate::ReportedState;
 use crate::Request;
 use crate::RetryBudget;
 use crate::ServiceDump;
 use crate::Strategy;
-use crate::TargetDump;
 use crate::TargetIndex;
 use crate::Ticket;
 use crate::Tried;
-use crate::Usability;
+use crate::Wake;
 use crate::admission::Admission;
-use crate::model::ServiceModel;
 use crate::queue::Queue;
 use crate::queue::Waiter;
 use crate::table::Surroundings;
@@ -49,61 +48,6 @@
 /// Ranks of priority.
 const PRIORITIES: std::ops::RangeInclusive<u8> = 1..=9;
 
-/// What becomes of a request now.
-#[derive(Debug, PartialEq)]
-pub enum Decision {
-    /// Send it.
-    Send(Grant),
-    /// Keep it until [`Dispatcher::next_wake`] names its ticket.
-    Wait(Ticket),
-    /// Answer the caller at once.
-    Refuse(Refusal),
-}
-
-/// A refusal before any target was chosen.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
-#[display("refused: {reason}, come back after {retry_after:?}")]
-pub struct Refusal {
-    /// Why.
-    pub reason: Reason,
-    /// When the caller may come back.
-    pub retry_after: Duration,
-}
-
-/// A waiting request whose time has come, or is over.
-#[derive(Debug, PartialEq)]
-pub enum Wake {
-    /// Send it.
-    Send(Ticket, Grant),
-    /// Answer its caller at once.
-    Refuse(Ticket, Refusal),
-}
-
-/// What an attempt showed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Observation {
-    /// The target answered, and the answer is not the target's own failure.
-    Answered(Option<LoadReport>),
-    /// The target answered that it failed.
-    Failed(Option<LoadReport>),
-    /// The target shed the request.
-    Shed(Option<LoadReport>),
-    /// No connection could be opened, or it broke.
-    Broken,
-    /// No answer came in time.
-    TimedOut,
-}
-
-impl Observation {
-    /// The report that came with the answer.
-    pub fn report(&self) -> Option<LoadReport> {
-        match *self {
-            Self::Answered(report) | Self::Failed(report) | Self::Shed(report) => report,
-            Self::Broken | Self::TimedOut => None,
-        }
-    }
-}
-
 /// The dispatcher of one service.
 #[derive(Debug)]
 pub struct Dispatcher<S> {
@@ -158,12 +102,7 @@
             retry_reserve: self.retry.reserve(),
             expected_wait_us: self.admission.expected_wait(ahead).as_micros() as u64,
             queues,
-            targets: self
-                .table
-                .targets()
-                .iter()
-                .map(|target| dump(target, now, self.table.model()))
-                .collect(),
+            targets: self.table.dump(now),
         }
     }
 }
@@ -412,26 +351,3 @@
         self.table.get(index).in_flight()
     }
 }
-
-fn dump(target: &Target, now: Timestamp, model: &ServiceModel) -> TargetDump {
-    let report = target.others().last_report();
-    let usability = target.usability(now);
-    let ejected_for = target.ejection().until().filter(|_| usability == Usability::Ejected);
-    TargetDump {
-        name: target.name.clone(),
-        address: target.address,
-        incarnation: target.incarnation,
-        usability,
-        in_flight: target.in_flight(),
-        limit: target.limit(),
-        connection_share: target.shape.connection_share,
-        latency_us: target.latency_us() as u64,
-        expected_us: target.expected_us(now, model) as u64,
-        failure_rate: target.ejection().failure_rate(now),
-        reported_running: report.map(|report| report.running),
-        reported_queued: report.map(|report| report.queued),
-        reported_state: report.map(|report| report.state),
-        report_age_ms: target.others().age(now).map(|age| age.as_millis() as u64),
-        ejected_for_ms: ejected_for.map(|until| now.until(until).as_millis() as u64),
-    }
-}
--- a/crates/thymeshift_dispatch/src/lib.rs
+++ b/crates/thymeshift_dispatch/src/lib.rs
@@ -17,6 +17,7 @@
 mod admission;
 mod cold_start;
 mod connections;
+mod decision;
 mod dispatcher;
 mod dump;
 mod ejection;
@@ -35,11 +36,11 @@
 mod target;
 
 pub use connections::connection_share;
-pub use dispatcher::Decision;
+pub use decision::Decision;
+pub use decision::Observation;
+pub use decision::Refusal;
+pub use decision::Wake;
 pub use dispatcher::Dispatcher;
-pub use dispatcher::Observation;
-pub use dispatcher::Refusal;
-pub use dispatcher::Wake;
 pub use dump::QueueDump;
 pub use dump::ServiceDump;
 pub use dump::TargetDump;
--- a/crates/thymeshift_dispatch/src/table.rs
+++ b/crates/thymeshift_dispatch/src/table.rs
@@ -12,6 +12,7 @@
 
 use crate::Grant;
 use crate::LoadReport;
+use crate::TargetDump;
 use crate::TargetIndex;
 use crate::cold_start::ColdStart;
 use crate::connections::connection_share;
@@ -45,6 +46,11 @@
         &self.model
     }
 
+    /// What is believed of each target.
+    pub(crate) fn dump(&self, now: Timestamp) -> Vec<TargetDump> {
+        self.targets.iter().map(|target| target.dump(now, &self.model)).collect()
+    }
+
     /// Learns from an answer's time, for its target and for the service.
     pub(crate) fn learn_latency(&mut self, grant: &Grant, now: Timestamp) {
         let taken_us = self.get_mut(grant.target).learn_latency(grant, now);
--- a/crates/thymeshift_dispatch/src/target.rs
+++ b/crates/thymeshift_dispatch/src/target.rs
@@ -12,6 +12,7 @@
 use thymeshift_types::Timestamp;
 
 use crate::LoadReport;
+use crate::TargetDump;
 use crate::Usability;
 use crate::cold_start::ColdStart;
 use crate::ejection::Ejection;
@@ -173,18 +174,10 @@
         self.latency.mean_us()
     }
 
-    pub(crate) fn limit(&self) -> f64 {
-        self.limit.value()
-    }
-
     pub(crate) fn ejection(&self) -> &Ejection {
         &self.ejection
     }
 
-    pub(crate) fn others(&self) -> &OthersLoad {
-        &self.others
-    }
-
     /// Time in which an answer is expected, in microseconds.
     ///
     /// Own requests in flight and the usual load of others fill the slots and then queue.
@@ -315,4 +308,28 @@
     pub(crate) fn distrust(&mut self) {
         self.others.distrust();
     }
+
+    /// What is believed of this target.
+    pub(crate) fn dump(&self, now: Timestamp, model: &ServiceModel) -> TargetDump {
+        let report = self.others.last_report();
+        let usability = self.usability(now);
+        let ejected_for = self.ejection.until().filter(|_| usability == Usability::Ejected);
+        TargetDump {
+            name: self.name.clone(),
+            address: self.address,
+            incarnation: self.incarnation,
+            usability,
+            in_flight: self.in_flight,
+            limit: self.limit.value(),
+            connection_share: self.shape.connection_share,
+            latency_us: self.latency.mean_us() as u64,
+            expected_us: self.expected_us(now, model) as u64,
+            failure_rate: self.ejection.failure_rate(now),
+            reported_running: report.map(|report| report.running),
+            reported_queued: report.map(|report| report.queued),
+            reported_state: report.map(|report| report.state),
+            report_age_ms: self.others.age(now).map(|age| age.as_millis() as u64),
+            ejected_for_ms: ejected_for.map(|until| now.until(until).as_millis() as u64),
+        }
+    }
 }
--- a/crates/thymeshift_dispatch/tests/budgets.rs
+++ b/crates/thymeshift_dispatch/tests/budgets.rs
@@ -1,4 +1,5 @@
 //! Budgets that must hold whatever the VMs believe: measuring, connections, retries.
+#![allow(clippy::needless_pass_by_value, reason = "quickcheck passes values")]
 
 mod support;
 
--- a/crates/thymeshift_dispatch/tests/support/mod.rs
+++ b/crates/thymeshift_dispatch/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! Configurations, requests and random numbers for the tests of decisions.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+use std::fmt::Write;
 use std::time::Duration;
 
 use rand::SeedableRng;
@@ -43,10 +44,12 @@
     );
     for index in 0..targets {
         let hall = if index < near { 'a' } else { 'b' };
-        text.push_str(&format!(
-            "      - {{ name: t{index}, address: '127.0.0.1:{}', data_hall: {hall} }}\n",
-            index + 1
-        ));
+        let port = index + 1;
+        writeln!(
+            text,
+            "      - {{ name: t{index}, address: '127.0.0.1:{port}', data_hall: {hall} }}"
+        )
+        .expect("a string takes it");
     }
     if targets == 0 {
         text = text.replace("targets:\n", "targets: []\n");
--- a/crates/thymeshift_dispatch/tests/waiting.rs
+++ b/crates/thymeshift_dispatch/tests/waiting.rs
@@ -146,7 +146,7 @@
         }
         waits.dedup();
         assert!(waits.len() > 1, "{}: callers would come back together", case.name);
-        drop(held);
+        assert!(matches!(held, Decision::Send(_)) || case.targets == 0, "{}", case.name);
     }
 }
 
--- a/crates/thymeshift_entry/src/control_plane/mod.rs
+++ b/crates/thymeshift_entry/src/control_plane/mod.rs
@@ -1,5 +1,6 @@
 //! Platform, peers, operators, readiness and metrics.
 
+mod accept;
 mod bootstrap;
 mod dump;
 mod explain;
--- a/crates/thymeshift_entry/src/control_plane/observe.rs
+++ b/crates/thymeshift_entry/src/control_plane/observe.rs
@@ -16,41 +16,26 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
-use spdlog::warn;
 use thymeshift_fleet::Phase;
 use thymeshift_supervisor::TaskError;
 use tokio::net::TcpListener;
-use tokio::sync::Semaphore;
-use tokio::time::sleep;
 
+use crate::control_plane::accept::accept;
 use crate::shared::Shared;
 
 /// Connections served at one time.
 const CONNECTIONS_MAX: usize = 64;
 /// Longest time to send a request's head; also ends idle connections.
 const HEAD_LIMIT: Duration = Duration::from_secs(30);
-/// Pause after a failed accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Serves for ever.
 pub(crate) async fn run_observe(
     shared: Arc<Shared>,
     listener: Arc<TcpListener>,
 ) -> Result<(), TaskError> {
-    let places = Arc::new(Semaphore::new(CONNECTIONS_MAX));
-    loop {
-        let place = places.clone().acquire_owned().await?;
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                warn!("observe_accept_failed", kv: { error: = error });
-                sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
+    accept(&listener, CONNECTIONS_MAX, "observe_accept_failed", |stream| {
         let shared = shared.clone();
-        tokio::spawn(async move {
-            let _place = place;
+        async move {
             let service = service_fn(move |request| {
                 let answer = answer(&shared, &request);
                 async { Ok::<_, Infallible>(answer) }
@@ -59,8 +44,9 @@
             let builder = builder.timer(TokioTimer::new()).header_read_timeout(HEAD_LIMIT);
             // A broken connection of a collector is the collector's matter.
             let _ = builder.serve_connection(TokioIo::new(stream), service).await;
-        });
-    }
+        }
+    })
+    .await
 }
 
 fn answer(shared: &Shared, request: &Request<Incoming>) -> Response<Full<Bytes>> {
--- a/crates/thymeshift_entry/src/control_plane/operators.rs
+++ b/crates/thymeshift_entry/src/control_plane/operators.rs
@@ -6,7 +6,6 @@
 use futures::StreamExt;
 use futures::future::join_all;
 use spdlog::info;
-use spdlog::warn;
 use tarpc::context::Context;
 use tarpc::server::Channel;
 use thymeshift_fleet::Breadth;
@@ -26,9 +25,8 @@
 use thymeshift_wire::StateDump;
 use thymeshift_wire::control_channel;
 use tokio::net::TcpListener;
-use tokio::sync::Semaphore;
-use tokio::time::sleep;
 
+use crate::control_plane::accept::accept;
 use crate::control_plane::dump::dump;
 use crate::control_plane::explain::explain;
 use crate::control_plane::peer_link::exchange_once;
@@ -36,32 +34,18 @@
 
 /// Connections of operators served at one time.
 const OPERATORS_MAX: usize = 16;
-/// Pause after a failed accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Accepts operators for ever.
 pub(crate) async fn run_operators(
     shared: Arc<Shared>,
     listener: Arc<TcpListener>,
 ) -> Result<(), TaskError> {
-    let places = Arc::new(Semaphore::new(OPERATORS_MAX));
-    loop {
-        let place = places.clone().acquire_owned().await?;
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                warn!("operator_accept_failed", kv: { error: = error });
-                sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
+    accept(&listener, OPERATORS_MAX, "operator_accept_failed", |stream| {
         let server = ControlServer { shared: shared.clone() };
-        tokio::spawn(async move {
-            let _place = place;
-            let calls = control_channel(stream).execute(server.serve());
-            calls.for_each_concurrent(CALLS_PER_CONNECTION_MAX, |call| call).await;
-        });
-    }
+        let calls = control_channel(stream).execute(server.serve());
+        calls.for_each_concurrent(CALLS_PER_CONNECTION_MAX, |call| call)
+    })
+    .await
 }
 
 #[derive(Clone)]
--- a/crates/thymeshift_entry/src/control_plane/peer_server.rs
+++ b/crates/thymeshift_entry/src/control_plane/peer_server.rs
@@ -2,10 +2,8 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use futures::StreamExt;
-use spdlog::warn;
 use tarpc::context::Context;
 use tarpc::server::Channel;
 use thymeshift_fleet::Breadth;
@@ -20,42 +18,27 @@
 use thymeshift_wire::PeerLink;
 use thymeshift_wire::peer_channel;
 use tokio::net::TcpListener;
-use tokio::sync::Semaphore;
-use tokio::time::sleep;
 
+use crate::control_plane::accept::accept;
 use crate::control_plane::peer_link::exchange_once;
 use crate::control_plane::peer_link::take_summary;
 use crate::shared::Shared;
 
 /// Connections from peers served at one time.
 const PEERS_MAX: usize = 1_024;
-/// Pause after a failed accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Accepts peers for ever.
 pub(crate) async fn run_peer_server(
     shared: Arc<Shared>,
     listener: Arc<TcpListener>,
 ) -> Result<(), TaskError> {
-    let places = Arc::new(Semaphore::new(PEERS_MAX));
-    loop {
-        let place = places.clone().acquire_owned().await?;
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                warn!("peer_accept_failed", kv: { error: = error });
-                sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
+    accept(&listener, PEERS_MAX, "peer_accept_failed", |stream| {
         let server = PeerServer { shared: shared.clone() };
-        tokio::spawn(async move {
-            let _place = place;
-            let channel = peer_channel(stream, server.shared.links.bytes());
-            let calls = channel.execute(server.serve());
-            calls.for_each_concurrent(CALLS_PER_CONNECTION_MAX, |call| call).await;
-        });
-    }
+        let channel = peer_channel(stream, server.shared.links.bytes());
+        let calls = channel.execute(server.serve());
+        calls.for_each_concurrent(CALLS_PER_CONNECTION_MAX, |call| call)
+    })
+    .await
 }
 
 #[derive(Clone)]
--- a/crates/thymeshift_fleet/tests/agreement.rs
+++ b/crates/thymeshift_fleet/tests/agreement.rs
@@ -1,5 +1,6 @@
 //! What processes agree on without a coordinator: leaving targets, orders, members, and who
 //! watches the platform.
+#![allow(clippy::needless_pass_by_value, reason = "quickcheck passes values")]
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -224,7 +225,7 @@
 fn a_process_that_was_paused_does_not_blame_the_others() {
     let mut members = Members::new(member(0), Vec::new());
     members.learn(&Member { heartbeat: 1, ..member(1) }, at(0));
-    members.paused(Duration::from_secs(60));
+    members.paused(Duration::from_mins(1));
     assert_eq!(liveness(&members, 1, at(61_000)), Some(Liveness::Alive));
 }
 
--- a/crates/thymeshift_fleet/tests/documents.rs
+++ b/crates/thymeshift_fleet/tests/documents.rs
@@ -1,5 +1,6 @@
 //! Configurations between processes: differences, adoption, and a search over every order
 //! of events in a small fleet.
+#![allow(clippy::needless_pass_by_value, reason = "quickcheck passes values")]
 
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
--- a/crates/thymeshift_lab/src/arguments.rs
+++ b/crates/thymeshift_lab/src/arguments.rs
@@ -8,6 +8,7 @@
 use lexopt::Parser;
 use lexopt::ValueExt;
 use thymeshift_config::StrategyName;
+use thymeshift_lab::experiment::ConfigurationSize;
 use thymeshift_lab::experiment::Scenario;
 use thymeshift_lab::experiment::ScenarioPlan;
 use thymeshift_lab::load::Entries;
@@ -26,8 +27,9 @@
 REQUEST_BYTES,IN_TIME_MS… [--seconds=N] [--seed=N] [--one-way-us=N] [--json]
   thymeshift-lab demo [--entries=N] [--seconds=N]
   thymeshift-lab path-cost [--seconds=N]
-  thymeshift-lab control-cost [--entries=4,8,16]
+  thymeshift-lab control-cost [--entries=4,8,16] [--target-size]
   thymeshift-lab recovery [--entries=N]
+  thymeshift-lab decision-cost
   thymeshift-lab scenarios [--entries=N] [--seconds=N] [--seeds=N] [--loads=70,85] [--no-probes]
                            [--hedge-ms=N] [--scenario=NAME…] [--strategy=NAME…]
 
@@ -56,8 +58,9 @@
     Load { plan: LoadPlan, json: bool },
     Demo { entries: usize, seconds: u64 },
     PathCost { seconds: u64 },
-    ControlCost { entries: Vec<usize> },
+    ControlCost { entries: Vec<usize>, size: ConfigurationSize },
     Recovery { entries: usize },
+    DecisionCost,
     Scenarios(ScenarioPlan),
 }
 
@@ -66,7 +69,8 @@
         None => Err("a command is missing".into()),
         Some(Arg::Short('h') | Arg::Long("help")) => Ok(Command::Help),
         Some(Arg::Value(word)) => match word.string()?.as_str() {
-            "platform" => platform(parser),
+            "platform" => alone(parser, Command::Platform),
+            "decision-cost" => alone(parser, Command::DecisionCost),
             "target" => target(parser),
             "load" => load(parser),
             "demo" => demo(parser),
@@ -96,9 +100,10 @@
     numbers.map_err(|error: T::Err| Error::Custom(error.into()))
 }
 
-fn platform(mut parser: Parser) -> Result<Command, Error> {
+/// A command without options.
+fn alone(mut parser: Parser, command: Command) -> Result<Command, Error> {
     match parser.next()? {
-        None => Ok(Command::Platform),
+        None => Ok(command),
         Some(unexpected) => Err(unexpected.unexpected()),
     }
 }
@@ -221,13 +226,15 @@
 
 fn control_cost(mut parser: Parser) -> Result<Command, Error> {
     let mut entries = vec![4, 8, 16, 32];
+    let mut size = ConfigurationSize::Today;
     while let Some(argument) = parser.next()? {
         match argument {
+            Arg::Long("target-size") => size = ConfigurationSize::Target,
             Arg::Long("entries") => entries = numbers(&mut parser)?,
             unexpected => return Err(unexpected.unexpected()),
         }
     }
-    Ok(Command::ControlCost { entries })
+    Ok(Command::ControlCost { entries, size })
 }
 
 fn recovery(mut parser: Parser) -> Result<Command, Error> {
--- a/crates/thymeshift_lab/src/experiment/control_cost.rs
+++ b/crates/thymeshift_lab/src/experiment/control_cost.rs
@@ -2,6 +2,7 @@
 //! force everywhere. The slopes are what `docs/CAPACITY.md` is worked out from.
 
 use std::fmt;
+use std::fmt::Write;
 use std::path::Path;
 use std::time::Duration;
 use std::time::Instant;
@@ -86,10 +87,27 @@
     watchers: usize,
 }
 
+/// How large the configuration is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConfigurationSize {
+    /// The tariff example's services, without targets.
+    Today,
+    /// 100 services of 23 targets each.
+    Target,
+}
+
 /// Measures one size. Targets are listed and not run: nothing calls them.
-pub async fn control_cost(folder: &Path, entries: usize) -> Result<ControlCost, FleetError> {
+pub async fn control_cost(
+    folder: &Path,
+    entries: usize,
+    size: ConfigurationSize,
+) -> Result<ControlCost, FleetError> {
+    let configuration = match size {
+        ConfigurationSize::Today => without_targets(tariff_configuration()?),
+        ConfigurationSize::Target => target_size()?,
+    };
     let plan = FleetPlan {
-        configuration: without_targets(tariff_configuration()?),
+        configuration: without_targets(configuration.clone()),
         entries,
         service_us: std::collections::BTreeMap::new(),
         target_queue_max: 1,
@@ -99,12 +117,14 @@
         worker_threads: 1,
     };
     let mut fleet = Fleet::start(plan).await?;
+    fleet.configuration = configuration;
+    publish(&mut fleet, 2).await?;
     sleep(SETTLE).await;
     let before = sample(&fleet).await?;
     sleep(IDLE).await;
     let after = sample(&fleet).await?;
     let mut in_force = Vec::new();
-    for revision in 2..2 + REVISIONS {
+    for revision in 3..3 + REVISIONS {
         in_force.push(publish(&mut fleet, revision).await?);
         sleep(Duration::from_millis(500)).await;
     }
@@ -140,6 +160,40 @@
     configuration
 }
 
+/// Services of the target size.
+const SERVICES: usize = 100;
+/// Targets of each.
+const TARGETS: usize = 23;
+
+/// The configuration of the target size; its targets are listed and not run.
+fn target_size() -> Result<Configuration, FleetError> {
+    let mut text = String::from("entry_vms_max: 2400\ndata_halls: [a]\nservices:\n");
+    let mut kinds = String::from("kinds:\n");
+    // Writing to a string cannot fail.
+    for service in 0..SERVICES {
+        let _ = write!(
+            text,
+            "  - name: service-{service}\n    slots_per_target: 3\n    \
+             connections_per_target: 2400\n    targets:\n"
+        );
+        for target in 0..TARGETS {
+            let _ = writeln!(
+                text,
+                "      - {{ name: target-{target}, address: '10.{service}.0.{target}:80', \
+                 data_hall: a }}"
+            );
+        }
+        let _ = write!(
+            kinds,
+            "  - name: kind-{service}\n    match: {{ path_prefix: /{service} }}\n    \
+             service: service-{service}\n    priority: 1\n    deadline_ms: 1000\n    \
+             repeat: safe\n"
+        );
+    }
+    text.push_str(&kinds);
+    Ok(Configuration::parse(&text)?)
+}
+
 async fn dumps(fleet: &Fleet) -> Result<Vec<StateDump>, FleetError> {
     join_all(fleet.entries.iter().map(dump)).await.into_iter().collect()
 }
--- a/crates/thymeshift_lab/src/experiment/scenarios.rs
+++ b/crates/thymeshift_lab/src/experiment/scenarios.rs
@@ -1,12 +1,9 @@
 //! Strategies under faults: the same arrivals, real processes, one row for each run.
 
-use std::fmt;
 use std::path::PathBuf;
 use std::time::Duration;
 
 use http::Method;
-use serde_json::Value;
-use serde_json::json;
 use thymeshift_config::Configuration;
 use thymeshift_config::StrategyName;
 use thymeshift_wire::StateDump;
@@ -16,14 +13,13 @@
 use crate::experiment::fleet::FleetPlan;
 use crate::experiment::fleet::dump;
 use crate::experiment::ideal::IdealQueue;
+use crate::experiment::scenario::Scenario;
+use crate::experiment::scenario_row::Row;
 use crate::load;
 use crate::load::Entries;
 use crate::load::KindLoad;
 use crate::load::KindResult;
 use crate::load::LoadPlan;
-use crate::standin::Behaviour;
-use crate::standin::Fault;
-use crate::standin::Reports;
 
 /// Targets of the service under test, as the tariff calculator has.
 const TARGETS: usize = 10;
@@ -43,94 +39,6 @@
 /// Steps in which a scenario changes.
 const CHANGES: u32 = 10;
 
-/// What is wrong during a run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Scenario {
-    /// Nothing.
-    Even,
-    /// Half of the targets are half as fast.
-    TwoSpeeds,
-    /// Each target stalls for 30 ms about every 400 ms.
-    NoisyNeighbours,
-    /// Reports are so many milliseconds old.
-    Stale(u64),
-    /// Noisy neighbours, and reports 100 ms old.
-    NoisyAndStale,
-    /// One target says that it is idle and is three times slower.
-    Liar,
-    /// One target fails at once.
-    FastFailer,
-    /// One target gets slower and slower.
-    SlowDeath,
-    /// One target drains in the middle.
-    Drain,
-}
-
-impl Scenario {
-    /// All scenarios. The drain is last: leaving is sticky, so the target stays out.
-    pub const ALL: [Self; 11] = [
-        Self::Even,
-        Self::TwoSpeeds,
-        Self::NoisyNeighbours,
-        Self::Stale(20),
-        Self::Stale(100),
-        Self::Stale(500),
-        Self::NoisyAndStale,
-        Self::Liar,
-        Self::FastFailer,
-        Self::SlowDeath,
-        Self::Drain,
-    ];
-
-    /// Behaviour of target number `index` at `share` of the run.
-    fn behaviour(self, index: usize, share: f64) -> Behaviour {
-        let good = Behaviour::default();
-        let noisy = Behaviour { stall_every_ms: 400, stall_ms: 30, ..good.clone() };
-        match self {
-            Self::TwoSpeeds if index.is_multiple_of(2) => Behaviour { slowness: 2.0, ..good },
-            Self::NoisyNeighbours => noisy,
-            Self::Stale(stale_ms) => Behaviour { reports: Reports::Stale, stale_ms, ..good },
-            Self::NoisyAndStale => Behaviour { reports: Reports::Stale, stale_ms: 100, ..noisy },
-            Self::Liar if index == 0 => Behaviour { reports: Reports::Idle, slowness: 3.0, ..good },
-            Self::FastFailer if index == 0 => Behaviour { fault: Fault::Failing, ..good },
-            Self::SlowDeath if index == 0 => Behaviour { slowness: 1.0 + 9.0 * share, ..good },
-            Self::Drain if index == 0 => Behaviour { is_draining: share > 0.4, ..good },
-            _ => good,
-        }
-    }
-
-    /// Share of the full capacity that is left.
-    fn capacity(self) -> f64 {
-        match self {
-            Self::TwoSpeeds => 0.75,
-            Self::NoisyNeighbours | Self::NoisyAndStale => 1.0 - 30.0 / 430.0,
-            Self::FastFailer | Self::Drain | Self::SlowDeath => 0.9,
-            Self::Liar => 0.9 + 0.1 / 3.0,
-            Self::Even | Self::Stale(_) => 1.0,
-        }
-    }
-
-    fn changes(self) -> bool {
-        matches!(self, Self::SlowDeath | Self::Drain)
-    }
-}
-
-impl fmt::Display for Scenario {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Even => f.pad("even"),
-            Self::TwoSpeeds => f.pad("two speeds"),
-            Self::NoisyNeighbours => f.pad("noisy neighbours"),
-            Self::Stale(ms) => f.pad(&format!("stale {ms} ms")),
-            Self::NoisyAndStale => f.pad("noisy and stale"),
-            Self::Liar => f.pad("liar"),
-            Self::FastFailer => f.pad("fast failer"),
-            Self::SlowDeath => f.pad("slow death"),
-            Self::Drain => f.pad("drain"),
-        }
-    }
-}
-
 /// What to run.
 #[derive(Debug, Clone)]
 pub struct ScenarioPlan {
@@ -154,91 +62,6 @@
     pub folder: PathBuf,
 }
 
-/// One run.
-pub struct Row {
-    scenario: Scenario,
-    load_percent: u64,
-    strategy: StrategyName,
-    seed: u64,
-    kind: KindResult,
-    ideal_p99_us: u64,
-    /// Share of the requests that the odd target (number 0) began or failed.
-    odd_share: f64,
-    retries: u64,
-    waited: u64,
-}
-
-impl Row {
-    /// The row for programs.
-    pub fn to_json(&self) -> Value {
-        let kind = &self.kind;
-        json!({
-            "scenario": self.scenario.to_string(), "load_percent": self.load_percent,
-            "strategy": self.strategy.to_string(), "seed": self.seed, "sent": kind.sent,
-            "answered": kind.answered, "in_time_share": kind.in_time_share(),
-            "not_run": kind.not_run, "unknown": kind.unknown, "failed": kind.failed,
-            "p50_us": kind.latency_us(0.5), "p99_us": kind.latency_us(0.99),
-            "p999_us": kind.latency_us(0.999), "ideal_p99_us": self.ideal_p99_us,
-            "odd_share": self.odd_share, "retries": self.retries, "waited": self.waited,
-            "attempts_per_request": self.attempts(),
-        })
-    }
-
-    /// Attempts for each request.
-    fn attempts(&self) -> f64 {
-        1.0 + self.retries as f64 / (self.kind.sent as f64).max(1.0)
-    }
-
-    /// Head of the table.
-    pub fn head() -> String {
-        format!(
-            "{:<17}{:>5} {:<20}{:>5}{:>8}{:>8}{:>8}{:>8}{:>7}{:>8}{:>9}{:>8}{:>8}{:>8}{:>9}",
-            "scenario",
-            "load",
-            "strategy",
-            "seed",
-            "p50 ms",
-            "p99 ms",
-            "p99.9",
-            "ideal",
-            "ratio",
-            "in time",
-            "refused",
-            "failed",
-            "waited",
-            "odd",
-            "attempts"
-        )
-    }
-}
-
-impl fmt::Display for Row {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let kind = &self.kind;
-        let ms = |us: u64| us as f64 / 1_000.0;
-        let p99 = kind.latency_us(0.99);
-        write!(
-            f,
-            "{:<17}{:>4}% {:<20}{:>5}{:>8.1}{:>8.1}{:>8.1}{:>8.1}{:>7.2}{:>7.1}%{:>9}{:>8}{:>8}{:>7.1}%{:>9.3}",
-            self.scenario.to_string(),
-            self.load_percent,
-            self.strategy.to_string(),
-            self.seed,
-            ms(kind.latency_us(0.5)),
-            ms(p99),
-            ms(kind.latency_us(0.999)),
-            ms(self.ideal_p99_us),
-            p99 as f64 / self.ideal_p99_us.max(1) as f64,
-            kind.in_time_share() * 100.0,
-            kind.not_run,
-            kind.failed + kind.unknown,
-            self.waited,
-            self.odd_share * 100.0,
-            self.attempts()
-        )
-    }
-}
-
 /// Runs the plan; `on_row` hears each row as it is measured.
 pub async fn scenarios(
     plan: &ScenarioPlan,
--- a/crates/thymeshift_lab/src/main.rs
+++ b/crates/thymeshift_lab/src/main.rs
@@ -8,7 +8,9 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+use thymeshift_config::StrategyName;
 use thymeshift_lab::experiment;
+use thymeshift_lab::experiment::ConfigurationSize;
 use thymeshift_lab::experiment::ControlCost;
 use thymeshift_lab::experiment::Row;
 use thymeshift_lab::experiment::ScenarioPlan;
@@ -58,7 +60,15 @@
             Ok(ExitCode::SUCCESS)
         }),
         Command::Scenarios(plan) => many_threads(scenarios(plan)),
-        Command::ControlCost { entries } => many_threads(control_cost(entries)),
+        Command::ControlCost { entries, size } => many_threads(control_cost(entries, size)),
+        Command::DecisionCost => {
+            for strategy in [StrategyName::TwoChoices, StrategyName::ExpectedTime] {
+                for (services, targets) in [(1, 10), (1, 23), (100, 23), (1, 200)] {
+                    println!("{}", experiment::decision_cost(strategy, services, targets)?);
+                }
+            }
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Recovery { entries } => many_threads(async move {
             let recovery = experiment::recovery("out/recovery".into(), entries).await?;
             println!("{recovery}");
@@ -108,11 +118,11 @@
     Ok(ExitCode::SUCCESS)
 }
 
-async fn control_cost(entries: Vec<usize>) -> Result<ExitCode, Failure> {
+async fn control_cost(entries: Vec<usize>, size: ConfigurationSize) -> Result<ExitCode, Failure> {
     println!("{}", ControlCost::head());
     for count in entries {
         let folder = Path::new("out/control-cost").join(count.to_string());
-        println!("{}", experiment::control_cost(&folder, count).await?);
+        println!("{}", experiment::control_cost(&folder, count, size).await?);
     }
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/thymeshift_lab/tests/support/mod.rs
+++ b/crates/thymeshift_lab/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! What the tests with real processes share.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+use std::fmt::Write;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -51,9 +52,8 @@
     text.push_str(service);
     text.push_str("    targets:\n");
     for (index, address) in targets.iter().enumerate() {
-        text.push_str(&format!(
-            "      - {{ name: t{index}, address: '{address}', data_hall: a }}\n"
-        ));
+        writeln!(text, "      - {{ name: t{index}, address: '{address}', data_hall: a }}")
+            .expect("a string takes it");
     }
     for (name, method, path, repeat) in
         [("read", "GET", "/r", "safe"), ("write", "POST", "/w", "unsafe")]
@@ -61,10 +61,12 @@
         if name == "read" {
             text.push_str("kinds:\n");
         }
-        text.push_str(&format!(
+        write!(
+            text,
             "  - name: {name}\n    match: {{ methods: [{method}], path_prefix: {path} }}\n    \
              service: s\n    priority: 1\n    repeat: {repeat}\n    deadline_ms: 2000\n{kind}"
-        ));
+        )
+        .expect("a string takes it");
     }
     Configuration::parse(&text).unwrap_or_else(|mistakes| panic!("{mistakes}\n{text}"))
 }
--- a/crates/thymeshift_lab/tests/target_faults.rs
+++ b/crates/thymeshift_lab/tests/target_faults.rs
@@ -11,6 +11,7 @@
 use http::Method;
 use http::Response;
 use thymeshift_lab::experiment::Single;
+use thymeshift_lab::experiment::dump;
 use thymeshift_lab::http_client::ask;
 use thymeshift_lab::http_client::send_raw;
 use thymeshift_lab::standin::Behaviour;
@@ -297,20 +298,22 @@
     standing.target.set_behaviour(fault(Fault::Frozen));
     let path = path(&[standing.ports.address], "", "    queue_max: 1\n").await;
     let caller = path.caller;
-    for number in 0..8 {
+    // The slots of the target are taken, and so is the only place in the queue.
+    for number in 0..3 {
         tokio::spawn(async move { write(caller, &format!("held{number}")).await });
     }
-    until("a request is refused", async || {
-        let started = Instant::now();
-        let answer = write(caller, "extra").await;
-        let is_refused = header(&answer, "thymeshift-reason") == "queue_full";
-        if is_refused {
-            assert_eq!(answer.status(), 503);
-            assert_eq!(header(&answer, "thymeshift-outcome"), "not_run");
-            assert_ne!(header(&answer, "thymeshift-retry-after-ms"), "");
-            assert!(started.elapsed() < Duration::from_millis(500), "held back");
-        }
-        is_refused
+    until("the target is full", async || standing.target.ledger.entries().len() == 3).await;
+    tokio::spawn(async move { write(caller, "waits").await });
+    until("the queue is full", async || {
+        let dump = dump(&path.single.entry).await.expect("a dump");
+        dump.services[0].queues.first().is_some_and(|queue| queue.waiting == 1)
     })
     .await;
+    let started = Instant::now();
+    let answer = write(caller, "extra").await;
+    assert!(started.elapsed() < Duration::from_millis(500), "held back");
+    assert_eq!(answer.status(), 503);
+    assert_eq!(header(&answer, "thymeshift-outcome"), "not_run");
+    assert_eq!(header(&answer, "thymeshift-reason"), "queue_full");
+    assert_ne!(header(&answer, "thymeshift-retry-after-ms"), "");
 }
--- a/crates/thymeshift_query/tests/mistakes.rs
+++ b/crates/thymeshift_query/tests/mistakes.rs
@@ -1,4 +1,5 @@
 //! Lines with a mistake: each is refused with its column and a way out.
+#![allow(clippy::needless_pass_by_value, reason = "quickcheck passes values")]
 
 use thymeshift_query::parse;
 
--- a/crates/thymeshift_supervisor/tests/tree.rs
+++ b/crates/thymeshift_supervisor/tests/tree.rs
@@ -64,7 +64,7 @@
 #[tokio::test]
 async fn too_many_ends_escalate_with_their_path_and_reason() {
     let starts = Arc::new(AtomicUsize::new(0));
-    let restart = QUICK.with_limit(2, Duration::from_secs(60));
+    let restart = QUICK.with_limit(2, Duration::from_mins(1));
     let branch = Supervisor::new("branch", Statuses::default()).with_task(task(
         restart,
         Behaviour::Fails,
--- a/crates/thymeshift_wire/tests/headers.rs
+++ b/crates/thymeshift_wire/tests/headers.rs
@@ -1,4 +1,5 @@
 //! Headers of the product: what is read back, what is refused, what is ignored.
+#![allow(clippy::needless_pass_by_value, reason = "quickcheck passes values")]
 
 use std::time::Duration;
 
