Tests of cleartext HTTP/2 and of a killed entry process

Ruled out by them: answers mixed up between streams (40 at once over one connection), a second run of unsafe requests when their entry process is killed.

--- /dev/null
+++ b/crates/thymeshift_lab/tests/http2.rs
@@ -0,0 +1,43 @@
+//! Callers that speak cleartext HTTP/2.
+
+mod support;
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioIo;
+use thymeshift_lab::experiment::Single;
+use thymeshift_lab::standin::expected_answer;
+use tokio::net::TcpStream;
+
+use crate::support::configuration;
+use crate::support::quick_target;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn many_requests_over_one_connection_each_get_their_own_answer() {
+    let targets = [quick_target().await, quick_target().await];
+    let addresses: Vec<_> = targets.iter().map(|target| target.ports.address).collect();
+    let single = Single::start(&configuration(&addresses, "", "")).await.expect("a process");
+    let caller = single.entry.address("caller").expect("an address");
+    let stream = TcpStream::connect(caller).await.expect("a connection");
+    let handshake =
+        hyper::client::conn::http2::handshake(TokioExecutor::new(), TokioIo::new(stream));
+    let (sender, driving) = handshake.await.expect("HTTP/2");
+    tokio::spawn(driving);
+    let calls = (0..40).map(|number| {
+        let mut sender = sender.clone();
+        async move {
+            let path = format!("/r?nonce={number}&bytes=3000");
+            let uri = format!("http://{caller}{path}");
+            let request = Request::get(uri).body(Full::new(Bytes::new())).expect("a request");
+            let response = sender.send_request(request).await.expect("an answer");
+            assert_eq!(response.status(), 200, "{number}");
+            assert!(!response.headers().contains_key("endpoint-load-metrics"), "kept inside");
+            let body = response.into_body().collect().await.expect("a body").to_bytes();
+            assert_eq!(body.as_ref(), expected_answer(&path, b"", 3_000), "{number}");
+        }
+    });
+    futures::future::join_all(calls).await;
+}
--- a/crates/thymeshift_lab/tests/stop_and_pause.rs
+++ b/crates/thymeshift_lab/tests/stop_and_pause.rs
@@ -135,3 +135,36 @@
     .await;
     assert_serves(caller, "after").await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_killed_process_loses_its_own_requests_and_nothing_runs_twice() {
+    let settings = TargetSettings { service_us: 200_000, is_random: false, ..Default::default() };
+    let standing = target(settings).await;
+    let good = configuration(&[standing.ports.address], "", "");
+    let mut single = Single::start(&good).await.expect("a process");
+    let other = single.start_another("").await.expect("another process");
+    let (caller, other_caller) = (
+        single.entry.address("caller").expect("an address"),
+        other.address("caller").expect("an address"),
+    );
+    let mut held = JoinSet::new();
+    for number in 0..6 {
+        held.spawn(
+            async move { ask(caller, Method::POST, &format!("/w?nonce=k{number}"), "").await },
+        );
+    }
+    until("some are begun", async || standing.target.ledger.entries().len() >= 3).await;
+    single.entry.signal(Signal::KILL);
+    while let Some(answered) = held.join_next().await {
+        let answered = answered.expect("no panic");
+        assert!(answered.is_err(), "nobody is left who could answer");
+    }
+    until("the other process serves", async || {
+        ask(other_caller, Method::GET, "/r", "").await.is_ok_and(|answer| answer.status() == 200)
+    })
+    .await;
+    let entries = standing.target.ledger.entries();
+    let unsafe_runs = entries.iter().filter(|(nonce, _)| nonce.starts_with('k'));
+    assert!(unsafe_runs.clone().all(|(_, entry)| entry.begun == 1), "{entries:?}");
+    assert!(unsafe_runs.count() >= 3);
+}
