--- a/crates/thymeshift_lab/src/experiment/demo.rs
+++ b/crates/thymeshift_lab/src/experiment/demo.rs
@@ -37,6 +37,20 @@
     Ok(Configuration::parse(text)?)
 }
 
+/// The tariff example as a fleet, with one worker thread in each entry process.
+pub fn tariff_plan(folder: PathBuf, entries: usize) -> Result<FleetPlan, FleetError> {
+    Ok(FleetPlan {
+        configuration: tariff_configuration()?,
+        entries,
+        service_us: tariff_service_us(),
+        target_queue_max: 30,
+        one_way_us: 1_500,
+        seed: 1,
+        folder,
+        worker_threads: 1,
+    })
+}
+
 /// Load of the tariff example, scaled by `factor`.
 pub fn tariff_load(factor: f64) -> Vec<KindLoad> {
     let kind =
@@ -58,23 +72,14 @@
 }
 
 /// Mean service times of the tariff example, in microseconds.
-pub fn tariff_service_us() -> BTreeMap<String, u64> {
+fn tariff_service_us() -> BTreeMap<String, u64> {
     let times = [("calculator", 8_000), ("switching", 20_000), ("archive", 30_000)];
     times.into_iter().map(|(name, micros)| (name.to_owned(), micros)).collect()
 }
 
 /// Runs the demo.
 pub async fn demo(folder: &Path, entries: usize, duration: Duration) -> Result<Demo, FleetError> {
-    let plan = FleetPlan {
-        configuration: tariff_configuration()?,
-        entries,
-        service_us: tariff_service_us(),
-        target_queue_max: 30,
-        one_way_us: 1_500,
-        seed: 1,
-        folder: PathBuf::from(folder),
-        worker_threads: 2,
-    };
+    let plan = FleetPlan { worker_threads: 2, ..tariff_plan(PathBuf::from(folder), entries)? };
     let fleet = Fleet::start(plan).await?;
     let load = LoadPlan {
         entries: Entries::new(fleet.caller_addresses()?),
--- a/crates/thymeshift_lab/src/experiment/mod.rs
+++ b/crates/thymeshift_lab/src/experiment/mod.rs
@@ -27,7 +27,7 @@
 pub use demo::demo;
 pub use demo::tariff_configuration;
 pub use demo::tariff_load;
-pub use demo::tariff_service_us;
+pub use demo::tariff_plan;
 pub use fleet::Fleet;
 pub use fleet::FleetError;
 pub use fleet::FleetPlan;
--- a/crates/thymeshift_lab/src/experiment/recovery.rs
+++ b/crates/thymeshift_lab/src/experiment/recovery.rs
@@ -11,12 +11,10 @@
 use tokio::time::timeout;
 
 use crate::experiment::children::Child;
-use crate::experiment::demo::tariff_configuration;
 use crate::experiment::demo::tariff_load;
-use crate::experiment::demo::tariff_service_us;
+use crate::experiment::demo::tariff_plan;
 use crate::experiment::fleet::Fleet;
 use crate::experiment::fleet::FleetError;
-use crate::experiment::fleet::FleetPlan;
 use crate::experiment::fleet::dump;
 use crate::experiment::judge::Judgement;
 use crate::experiment::judge::judge;
@@ -82,16 +80,7 @@
 
 /// Runs it with `entries` processes.
 pub async fn recovery(folder: PathBuf, entries: usize) -> Result<Recovery, FleetError> {
-    let plan = FleetPlan {
-        configuration: tariff_configuration()?,
-        entries,
-        service_us: tariff_service_us(),
-        target_queue_max: 30,
-        one_way_us: 1_500,
-        seed: 1,
-        folder,
-        worker_threads: 1,
-    };
+    let plan = tariff_plan(folder, entries)?;
     let mut fleet = Fleet::start(plan).await?;
     let before_silence = publish(&mut fleet, 2).await?;
     fleet.set_platform(PlatformMode::Silent).await?;
