A call to the platform after a failed one does not wait

Ruled out: spreading between peers (25 ms before the silence), standing back (two watchers called). Change: the first call after a failure asks without waiting, so that it ends within 2 s.

--- a/crates/thymeshift_entry/src/control_plane/platform.rs
+++ b/crates/thymeshift_entry/src/control_plane/platform.rs
@@ -63,6 +63,9 @@
 /// Watches for ever, whenever it is this process's turn.
 pub(crate) async fn run_platform(shared: Arc<Shared>) -> Result<(), TaskError> {
     let mut listed_at: Option<Timestamp> = None;
+    // After a failure the next call does not wait: a platform that accepts calls and says
+    // nothing is noticed, and so is its return, within the answer's limit.
+    let mut wait = WAIT;
     loop {
         let is_turn = {
             let now = BootClock.now();
@@ -75,7 +78,9 @@
             continue;
         }
         shared.news.notify_one();
-        if let Err(error) = watch_once(&shared, &mut listed_at).await {
+        let watched = watch_once(&shared, &mut listed_at, wait).await;
+        wait = if watched.is_ok() { WAIT } else { Duration::ZERO };
+        if let Err(error) = watched {
             warn!("platform_call_failed", kv: { error: = error });
             shared.fleet.lock().election.failed(BootClock.now());
             sleep(FAILED_PAUSE).await;
@@ -86,6 +91,7 @@
 async fn watch_once(
     shared: &Arc<Shared>,
     listed_at: &mut Option<Timestamp>,
+    wait: Duration,
 ) -> Result<(), PlatformError> {
     let now = BootClock.now();
     if listed_at.is_none_or(|at| now.since(at) >= VM_LIST_EVERY) {
@@ -94,7 +100,7 @@
             offer(shared, Document::VmList, &published, "platform");
         }
     }
-    if let Some(published) = fetch(shared, Document::Configuration, WAIT).await? {
+    if let Some(published) = fetch(shared, Document::Configuration, wait).await? {
         let offered = offer(shared, Document::Configuration, &published, "platform");
         if offered != Offer::Adopted {
             // The platform answers older or refused content at once: do not ask in a loop.
