--- a/crates/thymeshift_entry/src/target/attempt.rs
+++ b/crates/thymeshift_entry/src/target/attempt.rs
@@ -165,7 +165,10 @@
             Observation::Answered(report)
         };
         self.learn(observation);
-        if is_shed && self.grant.service().settings().shed_means_not_run {
+        // A deeper layer that refuses has used its own attempts: its answer is passed on.
+        let is_deeper_layers = response.headers().contains_key(&headers::OUTCOME);
+        let is_proof = self.grant.service().settings().shed_means_not_run;
+        if is_shed && is_proof && !is_deeper_layers {
             return Err(self.shed(destination).into());
         }
         let (parts, incoming) = response.into_parts();
--- a/crates/thymeshift_lab/tests/target_faults.rs
+++ b/crates/thymeshift_lab/tests/target_faults.rs
@@ -317,3 +317,17 @@
     assert_eq!(header(&answer, "thymeshift-reason"), "queue_full");
     assert_ne!(header(&answer, "thymeshift-retry-after-ms"), "");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_refusal_of_a_deeper_layer_is_passed_on_and_not_retried() {
+    let refusal = "HTTP/1.1 503 Service Unavailable\r\nthymeshift-outcome: not_run\r\n\
+                   thymeshift-reason: queue_full\r\ncontent-length: 0\r\n\r\n";
+    let targets =
+        [raw_target(refusal, Then::ReadOn).await, raw_target(refusal, Then::ReadOn).await];
+    let path = path(&targets, SHEDS, "").await;
+    let answer = ask(path.caller, Method::GET, "/r", "").await.expect("an answer");
+    assert_eq!(answer.status(), 503);
+    assert_eq!(header(&answer, "thymeshift-reason"), "queue_full", "the deeper layer's own");
+    let dump = dump(&path.single.entry).await.expect("a dump");
+    assert_eq!(dump.kinds[0].retries, 0, "the layer nearest the failure has retried");
+}
--- a/crates/thymeshift_query/src/parser.rs
+++ b/crates/thymeshift_query/src/parser.rs
@@ -82,7 +82,7 @@
             query.condition = Some(self.any_of(table)?);
         }
         if self.take_if("sort") {
-            self.expect("by")?;
+            self.keyword("by")?;
             let column = self.column(table)?;
             let direction =
                 if self.take_if("desc") { Direction::Descending } else { Direction::Ascending };
@@ -145,7 +145,7 @@
             Condition::Not(Box::new(self.single(table)?))
         } else if self.take_if("(") {
             let inner = self.any_of(table)?;
-            self.expect(")")?;
+            self.keyword(")")?;
             inner
         } else {
             Condition::Compare(self.comparison(table)?)
@@ -186,7 +186,7 @@
         }
         if self.take_if("header") {
             let name = self.word("a header's name")?.text;
-            self.expect("=")?;
+            self.keyword("=")?;
             let value = self.word("a header's value")?.text;
             request.header = Some(ExplainHeader { name, value });
         }
@@ -194,7 +194,7 @@
     }
 
     fn target_order(&mut self, change: OrderChange) -> Parsed<Command> {
-        self.expect("target")?;
+        self.keyword("target")?;
         let word = self.word("SERVICE/TARGET")?;
         let subject = || {
             let (service, target) = word.text.split_once('/')?;
@@ -206,7 +206,7 @@
     }
 
     fn probing_order(&mut self, change: OrderChange) -> Parsed<Command> {
-        self.expect("probing")?;
+        self.keyword("probing")?;
         let word = self.word("a service")?;
         let mistake = |_| QueryMistake::new(word.column, &word.text, "a service's name");
         let service = ServiceName::new(&word.text).map_err(mistake)?;
@@ -259,7 +259,7 @@
         is_next
     }
 
-    fn expect(&mut self, keyword: &str) -> Parsed<()> {
+    fn keyword(&mut self, keyword: &str) -> Parsed<()> {
         let column = self.column_here();
         if self.take_if(keyword) {
             return Ok(());
