--- a/crates/thymeshift_config/src/check.rs
+++ b/crates/thymeshift_config/src/check.rs
@@ -86,6 +86,15 @@
     if configuration.service_index(kind.service.as_str()).is_none() {
         checker.refuse(&format!("{path}.service"), format!("'{}'", kind.service), "a service");
     }
+    for (index, part) in kind.split.iter().enumerate() {
+        if configuration.service_index(part.service.as_str()).is_none() {
+            let path = format!("{path}.split[{index}].service");
+            checker.refuse(&path, format!("'{}'", part.service), "a service");
+        }
+    }
+    if !kind.split.is_empty() && kind.split.iter().all(|part| part.weight == 0) {
+        checker.refuse(&format!("{path}.split"), "weights of 0 only", "a weight above 0");
+    }
     if kind.wait_max_ms > kind.deadline_ms {
         let found = format!("'{}'", kind.wait_max_ms);
         let expected = format!("at most deadline_ms ({})", kind.deadline_ms);
--- a/crates/thymeshift_config/src/configuration.rs
+++ b/crates/thymeshift_config/src/configuration.rs
@@ -3,6 +3,8 @@
 use serde::Serialize;
 use thymeshift_types::DataHallName;
 
+use crate::Discovered;
+use crate::Discovery;
 use crate::Kind;
 use crate::Limits;
 use crate::Mistakes;
@@ -60,6 +62,22 @@
         }
     }
 
+    /// The configuration with targets that were discovered apart from it. Discovered targets
+    /// of services that it does not name are left out.
+    #[must_use]
+    pub fn with_discovered(&self, discovery: &Discovery) -> Self {
+        let mut joined = self.clone();
+        for service in &mut joined.services {
+            let found = discovery.targets.iter().filter(|found| found.service == service.name);
+            let found: Vec<&Discovered> = found.collect();
+            if let Some(slots) = found.iter().map(|found| found.slots).max() {
+                service.slots_per_target = slots;
+            }
+            service.targets.extend(found.into_iter().map(|found| found.target.clone()));
+        }
+        joined
+    }
+
     /// Index in `kinds` of the kind of a request.
     pub fn kind_of(&self, head: &impl RequestHead) -> Option<usize> {
         self.kinds.iter().position(|kind| kind.rules.is_match(head))
@@ -75,7 +93,7 @@
     fn decode(node: &Node, path: &str, mistakes: &mut Mistakes) -> Option<Self> {
         let mut map = MapReader::new(node, path, mistakes)?;
         let entry_vms_max = map.number("entry_vms_max", 1..=100_000);
-        let data_halls = map.required("data_halls");
+        let data_halls = map.or("data_halls", Vec::new());
         let data_hall_one_way_us = map.number_or("data_hall_one_way_us", 0..=1_000_000, 1_500);
         let limits = map.or("limits", Limits::default());
         let services = map.required("services");
--- a/crates/thymeshift_config/src/kind.rs
+++ b/crates/thymeshift_config/src/kind.rs
@@ -11,6 +11,12 @@
 use crate::decode::decode_word;
 use crate::tree::Node;
 
+/// Largest weight of one part of a split.
+const WEIGHT_MAX: u64 = 1_000_000;
+/// A request that waited longer than this part of its objective is refused: the caller's
+/// next try then still has a chance to meet it.
+const WAIT_SHARE_OF_OBJECTIVE: u64 = 4;
+
 /// Whether a request may be sent to a target more than once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -81,6 +87,15 @@
     rest.is_empty() || rest.starts_with('/') || prefix.ends_with('/')
 }
 
+/// One part of a kind's requests, by weight.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct SplitPart {
+    /// Service that does the work of this part.
+    pub service: ServiceName,
+    /// Share of the requests, relative to the sum of all parts' weights.
+    pub weight: u64,
+}
+
 /// A kind of request: how it is found, where it goes, and how it may wait and be retried.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Kind {
@@ -89,14 +104,20 @@
     /// Rules that find it.
     #[serde(rename = "match")]
     pub rules: KindMatch,
-    /// Service that does its work.
+    /// Service that does its work; with a split, that of the first part.
     pub service: ServiceName,
+    /// Services that share its work by weight; empty if `service` does all of it.
+    pub split: Vec<SplitPart>,
     /// Rank among the kinds of a service; 1 goes first.
     pub priority: u64,
     /// Longest time from accepting the request to the head of its answer, in
     /// milliseconds. A caller may ask for less.
     pub deadline_ms: u64,
-    /// Longest time in the queue, in milliseconds.
+    /// Time within which an answer is worth most to the caller, in milliseconds; 0 if none
+    /// is given.
+    pub objective_ms: u64,
+    /// Longest time in the queue, in milliseconds. Without it, a quarter of the objective if
+    /// there is one, else the deadline.
     pub wait_max_ms: u64,
     /// Most requests of this kind waiting at one VM.
     pub queue_max: u64,
@@ -109,6 +130,34 @@
     pub repeat: Repeat,
 }
 
+impl Kind {
+    /// The service for a request that drew `draw`, a number spread evenly over all `u64`.
+    pub fn service_for(&self, draw: u64) -> &ServiceName {
+        let total: u64 = self.split.iter().map(|part| part.weight).sum();
+        if total == 0 {
+            return &self.service;
+        }
+        let mut left = draw % total;
+        for part in &self.split {
+            if left < part.weight {
+                return &part.service;
+            }
+            left -= part.weight;
+        }
+        &self.service
+    }
+}
+
+impl Decode for SplitPart {
+    fn decode(node: &Node, path: &str, mistakes: &mut Mistakes) -> Option<Self> {
+        let mut map = MapReader::new(node, path, mistakes)?;
+        let service = map.required("service");
+        let weight = map.number("weight", 0..=WEIGHT_MAX);
+        map.finish();
+        Some(Self { service: service?, weight: weight? })
+    }
+}
+
 impl Decode for HeaderRule {
     fn decode(node: &Node, path: &str, mistakes: &mut Mistakes) -> Option<Self> {
         let mut map = MapReader::new(node, path, mistakes)?;
@@ -141,10 +190,22 @@
         let mut map = MapReader::new(node, path, mistakes)?;
         let name = map.required("name");
         let rules = map.or("match", KindMatch::default());
-        let service = map.required("service");
+        let split: Option<Vec<SplitPart>> = map.or("split", Vec::new());
+        let service = match split.as_ref().and_then(|parts| parts.first()) {
+            // The first part stands for the whole where one service is wanted.
+            Some(first) => map.or("service", first.service.clone()),
+            None => map.required("service"),
+        };
         let priority = map.number("priority", 1..=9);
         let deadline_ms = map.number("deadline_ms", 1..=600_000);
-        let wait_max_ms = map.number_or("wait_max_ms", 0..=600_000, deadline_ms.unwrap_or(0));
+        let objective_ms = map.number_or("objective_ms", 0..=600_000, 0);
+        let wait_max_ms = match (objective_ms, deadline_ms) {
+            (Some(objective), Some(deadline)) if objective > 0 => {
+                (objective / WAIT_SHARE_OF_OBJECTIVE).min(deadline)
+            }
+            (_, deadline) => deadline.unwrap_or(0),
+        };
+        let wait_max_ms = map.number_or("wait_max_ms", 0..=600_000, wait_max_ms);
         let queue_max = map.number_or("queue_max", 0..=1_000_000, 128);
         let attempts_max = map.number_or("attempts_max", 1..=10, 2);
         let hedge_after_ms = map.number_or("hedge_after_ms", 0..=600_000, 0);
@@ -154,8 +215,10 @@
             name: name?,
             rules: rules?,
             service: service?,
+            split: split?,
             priority: priority?,
             deadline_ms: deadline_ms?,
+            objective_ms: objective_ms?,
             wait_max_ms: wait_max_ms?,
             queue_max: queue_max?,
             attempts_max: attempts_max?,
--- a/crates/thymeshift_config/src/lib.rs
+++ b/crates/thymeshift_config/src/lib.rs
@@ -11,6 +11,7 @@
 mod check;
 mod configuration;
 mod decode;
+mod discovery;
 mod kind;
 mod limits;
 mod mistake;
@@ -19,11 +20,14 @@
 mod tree;
 
 pub use configuration::Configuration;
+pub use discovery::Discovered;
+pub use discovery::Discovery;
 pub use kind::HeaderRule;
 pub use kind::Kind;
 pub use kind::KindMatch;
 pub use kind::Repeat;
 pub use kind::RequestHead;
+pub use kind::SplitPart;
 pub use limits::Limits;
 pub use mistake::Mistake;
 pub use mistake::Mistakes;
--- a/crates/thymeshift_config/src/limits.rs
+++ b/crates/thymeshift_config/src/limits.rs
@@ -21,6 +21,10 @@
     pub body_bytes_max: u64,
     /// Longest time a caller may go without sending or taking body bytes, in milliseconds.
     pub body_stall_timeout_ms: u64,
+    /// Answers up to this length are held until they are complete before any of it goes to
+    /// the caller, in bytes; then a broken one can be tried again. 0 passes all answers on
+    /// as they arrive.
+    pub answer_buffer_bytes: u64,
     /// Most connections from callers at one time, each VM.
     pub caller_connections_max: u64,
     /// How often one call may be passed on before it is refused.
@@ -34,6 +38,7 @@
             header_read_timeout_ms: 5_000,
             body_bytes_max: 4 * MIB,
             body_stall_timeout_ms: 10_000,
+            answer_buffer_bytes: 0,
             caller_connections_max: 4_096,
             depth_max: 9,
         }
@@ -51,6 +56,8 @@
         let body_bytes_max = map.number_or("body_bytes_max", 0..=1_024 * MIB, base.body_bytes_max);
         let body_stall_timeout_ms =
             map.number_or("body_stall_timeout_ms", 1..=600_000, base.body_stall_timeout_ms);
+        let answer_buffer_bytes =
+            map.number_or("answer_buffer_bytes", 0..=MIB, base.answer_buffer_bytes);
         let caller_connections_max =
             map.number_or("caller_connections_max", 1..=1_000_000, base.caller_connections_max);
         let depth_max = map.number_or("depth_max", 1..=64, base.depth_max);
@@ -60,6 +67,7 @@
             header_read_timeout_ms: header_read_timeout_ms?,
             body_bytes_max: body_bytes_max?,
             body_stall_timeout_ms: body_stall_timeout_ms?,
+            answer_buffer_bytes: answer_buffer_bytes?,
             caller_connections_max: caller_connections_max?,
             depth_max: depth_max?,
         })
--- a/crates/thymeshift_config/src/service.rs
+++ b/crates/thymeshift_config/src/service.rs
@@ -137,19 +137,20 @@
     pub cold_start_ramp_ms: u64,
     /// Retries and hedges allowed, in percent of successes.
     pub retry_budget_percent: u64,
+    /// Most retries that one VM may save up.
+    pub retry_reserve: u64,
     /// The targets.
     pub targets: Vec<Target>,
 }
 
-impl Decode for Target {
-    fn decode(node: &Node, path: &str, mistakes: &mut Mistakes) -> Option<Self> {
-        let mut map = MapReader::new(node, path, mistakes)?;
+impl Target {
+    /// Reads a target's fields, which may stand beside others.
+    pub(crate) fn read(map: &mut MapReader<'_, '_>) -> Option<Self> {
         let name = map.required("name");
         let address = map.required("address");
         let data_hall = map.required("data_hall");
         let incarnation = map.or("incarnation", Incarnation::new(1));
         let state = map.or("state", TargetState::Serving);
-        map.finish();
         Some(Self {
             name: name?,
             address: address?,
@@ -160,6 +161,15 @@
     }
 }
 
+impl Decode for Target {
+    fn decode(node: &Node, path: &str, mistakes: &mut Mistakes) -> Option<Self> {
+        let mut map = MapReader::new(node, path, mistakes)?;
+        let target = Self::read(&mut map);
+        map.finish();
+        target
+    }
+}
+
 impl Decode for Probe {
     fn decode(node: &Node, path: &str, mistakes: &mut Mistakes) -> Option<Self> {
         let mut map = MapReader::new(node, path, mistakes)?;
@@ -188,7 +198,7 @@
         let mut map = MapReader::new(node, path, mistakes)?;
         let name = map.required("name");
         let strategy = map.or("strategy", StrategyName::ExpectedTime);
-        let slots_per_target = map.number("slots_per_target", 1..=100_000);
+        let slots_per_target = map.number_or("slots_per_target", 1..=100_000, 1);
         let connections_per_target = map.number("connections_per_target", 1..=1_000_000);
         let connect_timeout_ms = map.number_or("connect_timeout_ms", 1..=60_000, 50);
         let idle_connection_ms = map.number_or("idle_connection_ms", 1..=3_600_000, 30_000);
@@ -199,7 +209,8 @@
         let ejection = map.or("ejection", Ejection::default());
         let cold_start_ramp_ms = map.number_or("cold_start_ramp_ms", 0..=600_000, 2_000);
         let retry_budget_percent = map.number_or("retry_budget_percent", 0..=100, 10);
-        let targets = map.required("targets");
+        let retry_reserve = map.number_or("retry_reserve", 1..=1_000, 10);
+        let targets = map.or("targets", Vec::new());
         map.finish();
         Some(Self {
             name: name?,
@@ -214,6 +225,7 @@
             ejection: ejection?,
             cold_start_ramp_ms: cold_start_ramp_ms?,
             retry_budget_percent: retry_budget_percent?,
+            retry_reserve: retry_reserve?,
             targets: targets?,
         })
     }
--- a/crates/thymeshift_config/src/settings.rs
+++ b/crates/thymeshift_config/src/settings.rs
@@ -55,6 +55,9 @@
     pub platform_address: SocketAddr,
     /// Peer addresses of other entry processes; the platform's list adds to them.
     pub peers: Vec<SocketAddr>,
+    /// Where datagrams of other entry processes arrive; without it none are sent, and every
+    /// process decides alone.
+    pub datagram_address: Option<SocketAddr>,
     /// Worker threads; 0 takes one for each processor.
     pub worker_threads: u64,
     /// How long a stopping process goes on accepting after `/ready` has begun to fail,
@@ -95,6 +98,7 @@
         let observe_address = map.required("observe_address");
         let platform_address = map.required("platform_address");
         let peers = map.or("peers", Vec::new());
+        let datagram_address = map.optional("datagram_address");
         let worker_threads = map.number_or("worker_threads", 0..=1_024, 0);
         let stop_readiness_lag_ms = map.number_or("stop_readiness_lag_ms", 0..=STOP_MS_MAX, 3_000);
         let stop_bound_ms = map.number_or("stop_bound_ms", 0..=STOP_MS_MAX, 60_000);
@@ -109,6 +113,7 @@
             observe_address: observe_address?,
             platform_address: platform_address?,
             peers: peers?,
+            datagram_address: datagram_address?,
             worker_threads: worker_threads?,
             stop_readiness_lag_ms: stop_readiness_lag_ms?,
             stop_bound_ms: stop_bound_ms?,
--- a/crates/thymeshift_dispatch/src/decision.rs
+++ b/crates/thymeshift_dispatch/src/decision.rs
@@ -4,6 +4,8 @@
 
 use derive_more::Display;
 use derive_more::Error;
+use serde::Deserialize;
+use serde::Serialize;
 use thymeshift_types::Reason;
 
 use crate::Grant;
@@ -41,7 +43,7 @@
 }
 
 /// What an attempt showed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Observation {
     /// The target answered, and the answer is not the target's own failure.
     Answered(Option<LoadReport>),
--- a/crates/thymeshift_dispatch/src/dispatcher.rs
+++ b/crates/thymeshift_dispatch/src/dispatcher.rs
@@ -31,6 +31,7 @@
 use crate::TargetIndex;
 use crate::Ticket;
 use crate::Tried;
+use crate::View;
 use crate::Wake;
 use crate::admission::Admission;
 use crate::queue::Queue;
@@ -59,6 +60,7 @@
     retry: RetryBudget,
     ejection: Ejection,
     pause: PauseDetector,
+    view: View,
 }
 
 impl Dispatcher<AnyStrategy> {
@@ -102,7 +104,8 @@
             retry_reserve: self.retry.reserve(),
             expected_wait_us: self.admission.expected_wait(ahead).as_micros() as u64,
             queues,
-            targets: self.table.dump(now),
+            view: self.view,
+            targets: self.table.dump(self.view, now),
         }
     }
 }
@@ -119,9 +122,37 @@
             retry: RetryBudget::new(0),
             ejection: Ejection::default(),
             pause: PauseDetector::new(now, PAUSE_GAP_MAX),
+            view: View::Own,
         }
     }
 
+    /// Says whose requests the counts hold from now on.
+    pub fn set_view(&mut self, view: View) {
+        self.view = view;
+    }
+
+    /// Whose requests the counts hold.
+    pub fn view(&self) -> View {
+        self.view
+    }
+
+    /// The right to send to the target called `name`, which another process chose. None if
+    /// it is not known here, or may not receive new work.
+    pub fn grant_at(&mut self, name: &TargetName, now: Timestamp) -> Option<Grant> {
+        let index = self.table.find(name)?;
+        self.table.get(index).is_serving().then(|| self.table.grant(index, now))
+    }
+
+    /// The place of the target called `name`.
+    pub fn index_of(&self, name: &TargetName) -> Option<TargetIndex> {
+        self.table.find(name)
+    }
+
+    /// The name of the target at `index`.
+    pub fn name_at(&self, index: TargetIndex) -> TargetName {
+        self.table.get(index).name.clone()
+    }
+
     /// Takes in a new configuration of the service.
     pub fn update(
         &mut self,
@@ -138,6 +169,7 @@
         self.table.update(service, &surroundings, now);
         self.ejection = service.ejection.clone();
         self.retry.set_percent(service.retry_budget_percent);
+        self.retry.set_reserve_max(service.retry_reserve);
     }
 
     /// Must be called every few tens of milliseconds: it notices pauses of the process.
@@ -321,13 +353,13 @@
     }
 
     fn choose<R: Rng>(&mut self, request: &Request, now: Timestamp, rng: &mut R) -> Option<Grant> {
-        let candidates = Candidates::new(&self.table, now, &request.tried);
+        let candidates = Candidates::new(&self.table, self.view, now, &request.tried);
         let chosen = match self.strategy.choose(&candidates, rng) {
             Some(index) => index,
             // A second attempt at the same target is better than none.
             None if !request.tried.is_empty() => {
                 let untried = Tried::default();
-                let candidates = Candidates::new(&self.table, now, &untried);
+                let candidates = Candidates::new(&self.table, self.view, now, &untried);
                 self.strategy.choose(&candidates, rng)?
             }
             None => return None,
--- a/crates/thymeshift_dispatch/src/dump.rs
+++ b/crates/thymeshift_dispatch/src/dump.rs
@@ -11,6 +11,7 @@
 use thymeshift_types::TargetName;
 
 use crate::ReportedState;
+use crate::View;
 
 /// Whether a target may get the next request, and why not.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
@@ -87,6 +88,8 @@
     pub name: ServiceName,
     /// How a target is chosen.
     pub strategy: StrategyName,
+    /// Whose requests the counts hold.
+    pub view: View,
     /// Retries that the budget allows now.
     pub retry_reserve: f64,
     /// Expected wait of a new request of the lowest rank, in microseconds.
--- a/crates/thymeshift_dispatch/src/report.rs
+++ b/crates/thymeshift_dispatch/src/report.rs
@@ -32,8 +32,13 @@
     pub incarnation: Option<Incarnation>,
     /// Whether it takes new work.
     pub state: ReportedState,
+    /// How long work takes there now, in percent of the usual.
+    pub pace_percent: u32,
 }
 
+/// The pace of a target that says nothing about it.
+pub const USUAL_PACE_PERCENT: u32 = 100;
+
 impl LoadReport {
     /// Requests running and waiting.
     pub fn occupancy(&self) -> u32 {
@@ -41,6 +46,11 @@
     }
 }
 
+/// Time in which a reported pace loses half of its worth: neighbours on the same machine
+/// come and go many times a second.
+const PACE_MEMORY: Duration = Duration::from_millis(100);
+/// Smallest pace counted.
+const PACE_MIN: f64 = 0.25;
 /// Weight of a new report in the long-run mean of others' load.
 const MEAN_WEIGHT: f64 = 0.1;
 
@@ -94,6 +104,17 @@
         self.mean = 0.0;
     }
 
+    /// How many times as long as usual work takes there now, as the last report told.
+    pub(crate) fn pace(&self, now: Timestamp) -> f64 {
+        let Some(last) = self.last else {
+            return 1.0;
+        };
+        let told = f64::from(last.report.pace_percent) / f64::from(USUAL_PACE_PERCENT);
+        let memory = PACE_MEMORY.as_secs_f64();
+        let faith = memory / (memory + now.since(last.at).as_secs_f64());
+        (1.0 + (told - 1.0) * faith).max(PACE_MIN)
+    }
+
     pub(crate) fn last_report(&self) -> Option<LoadReport> {
         self.last.map(|last| last.report)
     }
--- a/crates/thymeshift_dispatch/src/request.rs
+++ b/crates/thymeshift_dispatch/src/request.rs
@@ -26,6 +26,11 @@
         self.targets.contains(&Some(target))
     }
 
+    /// The targets tried.
+    pub fn iter(&self) -> impl Iterator<Item = TargetIndex> + '_ {
+        self.targets.iter().flatten().copied()
+    }
+
     /// Whether nothing was tried yet.
     pub fn is_empty(&self) -> bool {
         self.targets[0].is_none()
--- a/crates/thymeshift_dispatch/src/retry.rs
+++ b/crates/thymeshift_dispatch/src/retry.rs
@@ -5,9 +5,9 @@
 //!
 //! Why: when everything fails, retries would multiply the load just when it must fall.
 //!
-//! Settings: `retry_budget_percent`.
+//! Settings: `retry_budget_percent`, `retry_reserve`.
 
-/// Most retries kept.
+/// Most retries kept, unless set.
 const RESERVE_MAX: f64 = 10.0;
 /// Retries a fresh process starts with.
 const RESERVE_START: f64 = 2.0;
@@ -16,6 +16,7 @@
 #[derive(Debug, Clone)]
 pub struct RetryBudget {
     reserve: f64,
+    reserve_max: f64,
     share: f64,
 }
 
@@ -24,21 +25,27 @@
     pub fn new(percent: u64) -> Self {
         let share = percent as f64 / 100.0;
         let reserve = if percent == 0 { 0.0 } else { RESERVE_START };
-        Self { reserve, share }
+        Self { reserve, reserve_max: RESERVE_MAX, share }
     }
 
     /// Changes the share, keeping what was earned; a budget that was 0 starts anew.
     pub fn set_percent(&mut self, percent: u64) {
         let share = percent as f64 / 100.0;
         if self.share <= 0.0 || percent == 0 {
-            *self = Self::new(percent);
+            self.reserve = Self::new(percent).reserve;
         }
         self.share = share;
     }
 
+    /// Changes how many retries are kept at most.
+    pub fn set_reserve_max(&mut self, most: u64) {
+        self.reserve_max = most as f64;
+        self.reserve = self.reserve.min(self.reserve_max);
+    }
+
     /// Earns a share of a retry.
     pub fn succeeded(&mut self) {
-        self.reserve = (self.reserve + self.share).min(RESERVE_MAX);
+        self.reserve = (self.reserve + self.share).min(self.reserve_max);
     }
 
     /// Spends one retry, if there is one.
--- a/crates/thymeshift_dispatch/src/strategy/candidates.rs
+++ b/crates/thymeshift_dispatch/src/strategy/candidates.rs
@@ -5,8 +5,10 @@
 
 use crate::TargetIndex;
 use crate::Tried;
+use crate::View;
 use crate::model::ServiceModel;
 use crate::table::Table;
+use crate::target::Bound;
 use crate::target::Target;
 
 /// One open target.
@@ -40,11 +42,26 @@
     model: &'a ServiceModel,
     now: Timestamp,
     tried: &'a Tried,
+    bound: Bound,
+    is_exact: bool,
 }
 
 impl<'a> Candidates<'a> {
-    pub(crate) fn new(table: &'a Table, now: Timestamp, tried: &'a Tried) -> Self {
-        Self { targets: table.targets(), model: table.model(), now, tried }
+    pub(crate) fn new(table: &'a Table, view: View, now: Timestamp, tried: &'a Tried) -> Self {
+        Self {
+            targets: table.targets(),
+            model: table.model(),
+            now,
+            tried,
+            bound: table.bound(view),
+            is_exact: view == View::Fleet,
+        }
+    }
+
+    /// Whether the counts hold the requests of all processes, so that the best target may
+    /// be taken without all others taking it too.
+    pub fn is_exact(&self) -> bool {
+        self.is_exact
     }
 
     /// Time in which an answer of a candidate is expected, in microseconds.
@@ -59,10 +76,10 @@
 
     /// The open targets in a fixed order.
     pub fn iter(&self) -> impl Iterator<Item = Candidate<'a>> + use<'a> {
-        let Self { targets, now, tried, .. } = *self;
+        let Self { targets, now, tried, bound, .. } = *self;
         targets.iter().enumerate().filter_map(move |(index, target)| {
             let index = TargetIndex::new(index);
-            let is_open = target.is_open(now) && !tried.has(index);
+            let is_open = target.is_open(now, bound) && !tried.has(index);
             is_open.then_some(Candidate { index, target })
         })
     }
--- a/crates/thymeshift_dispatch/src/strategy/expected_time.rs
+++ b/crates/thymeshift_dispatch/src/strategy/expected_time.rs
@@ -11,8 +11,10 @@
 use rand::Rng;
 
 use crate::TargetIndex;
+use crate::strategy::Candidate;
 use crate::strategy::Candidates;
 use crate::strategy::Strategy;
+use crate::strategy::candidates::least;
 
 /// Targets compared for one request. `docs/DESIGN.md` gives the figures behind it.
 const COMPARED: usize = 4;
@@ -23,7 +25,11 @@
 
 impl Strategy for ExpectedTime {
     fn choose<R: Rng>(&mut self, candidates: &Candidates<'_>, rng: &mut R) -> Option<TargetIndex> {
+        let cost = |candidate: &Candidate<'_>| candidates.expected_us(candidate);
+        if candidates.is_exact() {
+            return least(candidates.iter(), cost, rng);
+        }
         let sample = candidates.sample::<COMPARED, R>(rng);
-        sample.least(|candidate| candidates.expected_us(candidate), rng)
+        sample.least(cost, rng)
     }
 }
--- a/crates/thymeshift_dispatch/src/table.rs
+++ b/crates/thymeshift_dispatch/src/table.rs
@@ -14,9 +14,12 @@
 use crate::LoadReport;
 use crate::TargetDump;
 use crate::TargetIndex;
+use crate::View;
 use crate::cold_start::ColdStart;
 use crate::connections::connection_share;
+use crate::knee::Knee;
 use crate::model::ServiceModel;
+use crate::target::Bound;
 use crate::target::Presence;
 use crate::target::Shape;
 use crate::target::Target;
@@ -29,11 +32,17 @@
     pub(crate) entry_vms_max: u64,
 }
 
+/// Requests in flight from this process at one target while it decides alone for lack of
+/// an answer: every other process may be doing the same.
+const FALLBACK_IN_FLIGHT_MAX: u32 = 1;
+
 #[derive(Debug, Default)]
 pub(crate) struct Table {
     targets: Vec<Target>,
     is_filled: bool,
     model: ServiceModel,
+    knee: Knee,
+    slots: u32,
 }
 
 impl Table {
@@ -46,15 +55,26 @@
         &self.model
     }
 
+    /// What bounds the requests in flight at each target.
+    pub(crate) fn bound(&self, view: View) -> Bound {
+        match view {
+            View::Own => Bound::Learnt,
+            View::Fleet => Bound::Fixed(self.knee.best(self.slots)),
+            View::Fallback => Bound::Fixed(FALLBACK_IN_FLIGHT_MAX),
+        }
+    }
+
     /// What is believed of each target.
-    pub(crate) fn dump(&self, now: Timestamp) -> Vec<TargetDump> {
-        self.targets.iter().map(|target| target.dump(now, &self.model)).collect()
+    pub(crate) fn dump(&self, view: View, now: Timestamp) -> Vec<TargetDump> {
+        let bound = self.bound(view);
+        self.targets.iter().map(|target| target.dump(now, bound, &self.model)).collect()
     }
 
     /// Learns from an answer's time, for its target and for the service.
     pub(crate) fn learn_latency(&mut self, grant: &Grant, now: Timestamp) {
         let taken_us = self.get_mut(grant.target).learn_latency(grant, now);
         self.model.learn_answer(taken_us, grant.load, grant.told);
+        self.knee.learn(grant.in_flight, taken_us);
     }
 
     /// Learns from a report that came with an answer.
@@ -106,6 +126,7 @@
                 target.presence = Presence::Removed;
             }
         }
+        self.slots = u32::try_from(service.slots_per_target).unwrap_or(u32::MAX);
         let shape = Shape {
             slots: u32::try_from(service.slots_per_target).unwrap_or(u32::MAX),
             connection_share: share_for_requests(service, surroundings.entry_vms_max),
--- a/crates/thymeshift_dispatch/src/target.rs
+++ b/crates/thymeshift_dispatch/src/target.rs
@@ -59,6 +59,8 @@
     pub(crate) told: f64,
     /// When it was expected.
     pub(crate) expected: Duration,
+    /// Requests in flight there, this one included.
+    pub(crate) in_flight: u32,
 }
 
 impl Grant {
@@ -85,6 +87,15 @@
     pub(crate) connection_share: u32,
 }
 
+/// What bounds the requests in flight at one target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Bound {
+    /// The limit that this process has learnt for the target.
+    Learnt,
+    /// A number.
+    Fixed(u32),
+}
+
 /// Whether the target is still in the configuration and may get new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Presence {
@@ -146,19 +157,26 @@
         self.limit.set_ceiling(shape.connection_share);
     }
 
-    pub(crate) fn usability(&self, now: Timestamp) -> Usability {
+    pub(crate) fn usability(&self, now: Timestamp, bound: Bound) -> Usability {
         match self.presence {
             Presence::Removed => Usability::Removed,
             Presence::Leaving => Usability::Leaving,
             Presence::Serving if self.is_stopped => Usability::Stopped,
             Presence::Serving if self.ejection.is_ejected(now) => Usability::Ejected,
-            Presence::Serving if !self.limit.has_room(self.in_flight) => Usability::AtLimit,
+            Presence::Serving if !self.has_room(bound) => Usability::AtLimit,
             Presence::Serving => Usability::Open,
         }
     }
 
-    pub(crate) fn is_open(&self, now: Timestamp) -> bool {
-        self.usability(now) == Usability::Open
+    pub(crate) fn is_open(&self, now: Timestamp, bound: Bound) -> bool {
+        self.usability(now, bound) == Usability::Open
+    }
+
+    fn has_room(&self, bound: Bound) -> bool {
+        match bound {
+            Bound::Learnt => self.limit.has_room(self.in_flight),
+            Bound::Fixed(most) => self.in_flight < most.min(self.shape.connection_share),
+        }
     }
 
     /// Whether it may be open again without a change of configuration.
@@ -188,6 +206,7 @@
     pub(crate) fn expected_us(&self, now: Timestamp, model: &ServiceModel) -> f64 {
         let base_us = self.base_us(now, model);
         let factor = self.slowness.factor(now) * self.cold_start.factor(now);
+        let factor = factor * self.others.pace(now);
         let stalled_us = self.overdue_us(now, base_us);
         let success_share = (1.0 - self.ejection.failure_rate(now)).max(SUCCESS_SHARE_MIN);
         (base_us * factor + stalled_us) / success_share + self.way_us()
@@ -246,6 +265,7 @@
             load: self.load(model),
             told: self.told(now, model),
             expected: Duration::from_micros(expected_us as u64),
+            in_flight: self.in_flight + 1,
         };
         self.in_flight += 1;
         self.sent_at_sum_us += now.as_micros();
@@ -310,9 +330,9 @@
     }
 
     /// What is believed of this target.
-    pub(crate) fn dump(&self, now: Timestamp, model: &ServiceModel) -> TargetDump {
+    pub(crate) fn dump(&self, now: Timestamp, bound: Bound, model: &ServiceModel) -> TargetDump {
         let report = self.others.last_report();
-        let usability = self.usability(now);
+        let usability = self.usability(now, bound);
         let ejected_for = self.ejection.until().filter(|_| usability == Usability::Ejected);
         TargetDump {
             name: self.name.clone(),
--- a/crates/thymeshift_dispatch/tests/support/mod.rs
+++ b/crates/thymeshift_dispatch/tests/support/mod.rs
@@ -15,6 +15,7 @@
 use thymeshift_dispatch::ReportedState;
 use thymeshift_dispatch::Request;
 use thymeshift_dispatch::Tried;
+use thymeshift_dispatch::USUAL_PACE_PERCENT;
 use thymeshift_types::DataHallName;
 use thymeshift_types::Incarnation;
 use thymeshift_types::TargetName;
@@ -76,7 +77,13 @@
 
 pub(crate) fn report(running: u32, queued: u32) -> LoadReport {
     let incarnation = Some(Incarnation::new(1));
-    LoadReport { running, queued, incarnation, state: ReportedState::Serving }
+    LoadReport {
+        running,
+        queued,
+        incarnation,
+        state: ReportedState::Serving,
+        pace_percent: USUAL_PACE_PERCENT,
+    }
 }
 
 /// The grant of a request that must be sent at once.
--- a/crates/thymeshift_entry/src/caller/connection.rs
+++ b/crates/thymeshift_entry/src/caller/connection.rs
@@ -16,6 +16,7 @@
 use hyper_util::server::conn::auto;
 use spdlog::debug;
 use thymeshift_config::Limits;
+use thymeshift_wire::Dialect;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
@@ -27,7 +28,7 @@
 const STREAMS_MAX: u32 = 256;
 
 /// Serves a connection until it closes; `closing` begins its graceful end.
-pub(crate) async fn serve(
+pub(crate) async fn serve<D: Dialect>(
     shared: Arc<Shared>,
     stream: TcpStream,
     caller: SocketAddr,
@@ -40,7 +41,7 @@
     let has_begun_here = has_begun.clone();
     let service = service_fn(move |request| {
         has_begun.store(true, Ordering::Relaxed);
-        let answer = handle(shared.clone(), caller, request);
+        let answer = handle::<D>(shared.clone(), caller, request);
         answer.map(Ok::<_, Infallible>)
     });
     let builder = builder(&limits, head_limit);
--- a/crates/thymeshift_entry/src/caller/forward.rs
+++ b/crates/thymeshift_entry/src/caller/forward.rs
@@ -1,5 +1,6 @@
 //! One request from its kind to its answer: choosing, waiting, attempts.
 
+use std::marker::PhantomData;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -22,12 +23,12 @@
 use thymeshift_types::Step;
 use thymeshift_types::Timestamp;
 use thymeshift_wire::CallContext;
+use thymeshift_wire::Dialect;
 use tokio::time::sleep;
-use tokio::time::timeout;
 
 use crate::routing::KindRuntime;
-use crate::service::Admitted;
 use crate::service::GrantGuard;
+use crate::service::ServiceRuntime;
 use crate::shared::Shared;
 use crate::target::Attempt;
 use crate::target::AttemptFailure;
@@ -39,10 +40,18 @@
 /// Choices that may turn out unusable before the first byte, for one request.
 const GIVEN_UP_MAX: u32 = 8;
 
+/// Time to obtain a target above which a request counts as having waited.
+const WAITED_MIN: Duration = Duration::from_millis(5);
+
 /// A request whose kind is known.
-pub(crate) struct Forward {
+pub(crate) struct Forward<D> {
+    pub(crate) dialect: PhantomData<D>,
     pub(crate) shared: Arc<Shared>,
     pub(crate) kind: Arc<KindRuntime>,
+    pub(crate) service: Arc<ServiceRuntime>,
+    pub(crate) request_id: HeaderValue,
+    /// Answers up to this length are complete before any of it goes to the caller.
+    pub(crate) answer_buffer_bytes: u64,
     pub(crate) head: Parts,
     pub(crate) deadline: Timestamp,
     pub(crate) attempts_max: u64,
@@ -52,7 +61,7 @@
 
 type Answered = Result<Response<TargetBody>, Box<AttemptFailure>>;
 
-impl Forward {
+impl<D: Dialect> Forward<D> {
     /// Forwards the request until there is an answer or nothing more may be tried.
     pub(crate) async fn run(&self, body: RequestBody) -> Result<Response<TargetBody>, Failure> {
         let mut tried = Tried::default();
@@ -78,9 +87,10 @@
                 continue;
             };
             tried.add(target);
-            let AttemptFailure { failure, body: unused, .. } = *failed;
+            let AttemptFailure { failure, body: unused, answer, .. } = *failed;
             let Some(again) = unused.or(copy).filter(|_| self.may_retry(&failure, attempts)) else {
-                return Err(self.with_retry_after(failure));
+                // The target's own words say more than ours.
+                return answer.ok_or_else(|| self.with_retry_after(failure));
             };
             self.kind.figures.retries.add_one();
             body = again;
@@ -89,20 +99,15 @@
 
     /// Waits for a target.
     async fn grant(&self, tried: Tried) -> Result<GrantGuard, Failure> {
-        let service = &self.kind.service;
-        match service.admit(self.request(tried), BootClock.now()) {
-            Admitted::Send(grant) => Ok(grant),
-            Admitted::Refused(refusal) => Err(self.refused(refusal, Step::Choose)),
-            Admitted::Wait(waiting) => {
-                self.kind.figures.waited.add_one();
-                let left = BootClock.now().until(self.deadline);
-                match timeout(left, waiting.decided()).await {
-                    Ok(Some(Ok(grant))) => Ok(grant),
-                    Ok(Some(Err(refusal))) => Err(self.refused(refusal, Step::Queue)),
-                    Ok(None) | Err(_) => Err(self.not_run(Reason::Deadline, Step::Queue)),
-                }
-            }
+        let begun = BootClock.now();
+        let obtained = self.service.obtain(&self.shared, self.request(tried)).await;
+        if BootClock.now().since(begun) > WAITED_MIN {
+            self.kind.figures.waited.add_one();
         }
+        obtained.map_err(|refusal| match refusal {
+            Some(refusal) => self.refused(refusal, Step::Choose),
+            None => self.not_run(Reason::Deadline, Step::Queue),
+        })
     }
 
     fn request(&self, tried: Tried) -> Request {
@@ -140,7 +145,7 @@
         if let Some(target) = first_target {
             tried.add(target);
         }
-        let Some(grant) = self.hedge_grant(*attempts, tried) else {
+        let Some(grant) = self.hedge_grant(*attempts, tried).await else {
             return first.await;
         };
         *attempts += 1;
@@ -154,13 +159,14 @@
         }
     }
 
-    fn hedge_grant(&self, attempts: u64, tried: Tried) -> Option<GrantGuard> {
+    /// A target for a second attempt beside the first: at once or not at all.
+    async fn hedge_grant(&self, attempts: u64, tried: Tried) -> Option<GrantGuard> {
         let is_allowed = self.kind.kind.repeat == Repeat::Safe && attempts < self.attempts_max;
-        let service = &self.kind.service;
-        if !is_allowed || !service.try_retry() {
+        if !is_allowed || !self.service.try_retry() {
             return None;
         }
-        service.admit_hedge(self.request(tried))
+        let at_once = Request { queue_max: 0, ..self.request(tried) };
+        self.service.obtain(&self.shared, at_once).await.ok()
     }
 
     async fn send(&self, grant: GrantGuard, body: RequestBody, attempt: u64) -> Answered {
@@ -181,8 +187,10 @@
             id: attempt_id(),
             freshness,
             body_stall: self.body_stall,
+            request_id: self.request_id.clone(),
+            answer_buffer_bytes: self.answer_buffer_bytes,
         };
-        Attempt { shared: self.shared.clone(), grant }.run(plan).await
+        Attempt::<D>::new(self.shared.clone(), grant).run(plan).await
     }
 
     /// Another attempt needs: proof that none ran, or a kind that may run twice; a
@@ -195,7 +203,7 @@
             && !is_callers_fault
             && attempts < self.attempts_max
             && self.has_time()
-            && self.kind.service.try_retry()
+            && self.service.try_retry()
     }
 
     fn has_time(&self) -> bool {
@@ -207,7 +215,7 @@
     }
 
     fn not_run(&self, reason: Reason, step: Step) -> Failure {
-        let peer = Peer::Service(self.kind.service.name().clone());
+        let peer = Peer::Service(self.service.name().clone());
         let failure = Failure::new(Outcome::NotRun, reason, step, peer);
         self.with_retry_after(failure)
     }
--- a/crates/thymeshift_entry/src/caller/handler.rs
+++ b/crates/thymeshift_entry/src/caller/handler.rs
@@ -1,5 +1,6 @@
 //! One request of a caller.
 
+use std::marker::PhantomData;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -28,6 +29,7 @@
 use thymeshift_types::Step;
 use thymeshift_types::Timestamp;
 use thymeshift_wire::CallContext;
+use thymeshift_wire::Dialect;
 use thymeshift_wire::headers;
 
 use crate::caller::answer::AnswerBody;
@@ -70,7 +72,7 @@
 }
 
 /// Answers a request.
-pub(crate) async fn handle(
+pub(crate) async fn handle<D: Dialect>(
     shared: Arc<Shared>,
     caller: SocketAddr,
     request: Request<Incoming>,
@@ -80,9 +82,10 @@
     let version = request.version();
     let request_id = request_id(request.headers());
     let mut progress = Progress { shared, caller, accepted_at: BootClock.now(), kind: None };
-    let answered = progress.answer(request, &request_id).await;
+    let answered = progress.answer::<D>(request, &request_id).await;
     progress.record(&answered, &request_id);
-    let mut response = answered.unwrap_or_else(|failure| failure_answer(&failure, &request_id));
+    let mut response =
+        answered.unwrap_or_else(|failure| failure_answer::<D>(&failure, &request_id));
     response.headers_mut().insert(headers::REQUEST_ID, request_id);
     if is_stopping && version < Version::HTTP_2 {
         // Callers keep no connection to a process that is about to stop.
@@ -92,7 +95,7 @@
 }
 
 impl Progress {
-    async fn answer(
+    async fn answer<D: Dialect>(
         &mut self,
         request: Request<Incoming>,
         request_id: &HeaderValue,
@@ -103,7 +106,7 @@
         };
         let limits = &routing.configuration.limits;
         let (parts, incoming) = request.into_parts();
-        let context = CallContext::read(&parts.headers)
+        let context = D::read_call(&parts.headers)
             .map_err(|_| self.refused(Reason::BadHeader, Step::ReadHead))?;
         if !has_one_host(&parts) {
             return Err(self.refused(Reason::BadHeader, Step::ReadHead));
@@ -119,29 +122,32 @@
         kind.figures.accepted.fetch_add(1, Ordering::Relaxed);
         self.kind = Some(kind.clone());
         let body = read_body(incoming, body_limits(limits), self.caller).await?;
-        let forward = self.forward(kind, parts, context, limits, request_id);
+        let forward: Forward<D> = self.forward(kind, parts, context, limits, request_id);
         let response = forward.run(body).await?;
         let (mut parts, body) = response.into_parts();
         remove_hop_by_hop(&mut parts.headers);
-        parts.headers.remove(headers::ATTEMPT);
-        parts.headers.remove(headers::LOAD);
+        D::clean_answer(&mut parts.headers);
         Ok(Response::from_parts(parts, AnswerBody::Target(Box::new(body))))
     }
 
-    fn forward(
+    fn forward<D: Dialect>(
         &self,
         kind: Arc<KindRuntime>,
         parts: Parts,
         context: CallContext,
         limits: &Limits,
         request_id: &HeaderValue,
-    ) -> Forward {
+    ) -> Forward<D> {
         let longest = Duration::from_millis(kind.kind.deadline_ms);
         let timeout = context.timeout.map_or(longest, |asked| asked.min(longest));
         let attempts_max = kind.kind.attempts_max;
         let attempts_max =
             context.attempts_left.map_or(attempts_max, |left| left.min(attempts_max));
         Forward {
+            dialect: PhantomData,
+            service: kind.service_for(rand::rng().random()).clone(),
+            request_id: request_id.clone(),
+            answer_buffer_bytes: limits.answer_buffer_bytes,
             shared: self.shared.clone(),
             head: onward_head(parts, self.caller, request_id),
             deadline: self.accepted_at + timeout,
--- a/crates/thymeshift_entry/src/caller/listener.rs
+++ b/crates/thymeshift_entry/src/caller/listener.rs
@@ -9,6 +9,7 @@
 use thymeshift_config::Limits;
 use thymeshift_supervisor::TaskError;
 use thymeshift_telemetry::metric;
+use thymeshift_wire::Dialect;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -21,7 +22,7 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Accepts until `closing` turns true.
-pub(crate) async fn run_listener(
+pub(crate) async fn run_listener<D: Dialect>(
     shared: Arc<Shared>,
     listener: Arc<TcpListener>,
     closing: watch::Receiver<bool>,
@@ -58,7 +59,7 @@
                 // An error means that the process is gone, which is closing too.
                 let _ = closing.wait_for(|is_closing| *is_closing).await;
             };
-            serve(shared, stream, caller, limits, closing).await;
+            serve::<D>(shared, stream, caller, limits, closing).await;
         });
     }
 }
--- a/crates/thymeshift_entry/src/control_plane/bootstrap.rs
+++ b/crates/thymeshift_entry/src/control_plane/bootstrap.rs
@@ -21,6 +21,10 @@
 use crate::control_plane::peer_link::exchange_once;
 use crate::control_plane::platform::fetch;
 use crate::control_plane::platform::offer;
+use crate::control_plane::source::read_once;
+use crate::environment::Environment;
+use crate::environment::Source;
+use crate::environment::SourceError;
 use crate::shared::Shared;
 
 /// Peers asked in one round.
@@ -29,14 +33,18 @@
 const ROUNDS_FOR_PEERS: u32 = 2;
 /// Pause between two rounds.
 const ROUND_PAUSE: Duration = Duration::from_millis(200);
+/// Longest pause between two rounds.
+const ROUND_PAUSE_MAX: Duration = Duration::from_millis(1_600);
 
 /// Returns once a configuration is in force.
-pub(crate) async fn bootstrap(shared: &Arc<Shared>) {
+pub(crate) async fn bootstrap<E: Environment>(shared: &Arc<Shared>) {
     let mut round = 0;
+    let mut pause = ROUND_PAUSE;
+    let mut source = E::Source::new(shared.settings().platform_address);
     loop {
         round += 1;
         let (has_platform, peers) =
-            futures::future::join(ask_platform(shared), ask_peers(shared)).await;
+            futures::future::join(ask_source::<E>(shared, &mut source), ask_peers(shared)).await;
         let is_in_force = shared.routing().is_some();
         let is_asked = peers.answered > 0 || peers.asked == 0 || round >= ROUNDS_FOR_PEERS;
         if is_in_force && is_asked {
@@ -48,10 +56,21 @@
             let (asked, answered) = (peers.asked, peers.answered);
             warn!("no_configuration_yet", kv: { round, has_platform, asked, answered });
         }
-        sleep(ROUND_PAUSE).await;
+        sleep(pause).await;
+        // Everybody who starts asks: a source that is down must not be asked ever more.
+        pause = (pause * 2).min(ROUND_PAUSE_MAX);
     }
 }
 
+/// Whether the source answered.
+async fn ask_source<E: Environment>(shared: &Arc<Shared>, source: &mut E::Source) -> bool {
+    if shared.post.socket().is_none() {
+        return ask_platform(shared).await;
+    }
+    let is_lost = |error: &SourceError| warn!("source_call_failed", kv: { error: = error });
+    read_once(shared, source, Duration::ZERO).await.inspect_err(is_lost).is_ok()
+}
+
 /// Whether the platform answered.
 async fn ask_platform(shared: &Arc<Shared>) -> bool {
     match fetch(shared, Document::Configuration, Duration::ZERO).await {
--- a/crates/thymeshift_entry/src/control_plane/dump.rs
+++ b/crates/thymeshift_entry/src/control_plane/dump.rs
@@ -27,9 +27,9 @@
     let fleet = shared.fleet.lock();
     let adoption = &fleet.configuration;
     StateDump {
-        vm: shared.settings.vm.clone(),
+        vm: shared.settings().vm.clone(),
         boot: shared.boot,
-        data_hall: shared.settings.data_hall.clone(),
+        data_hall: shared.settings().data_hall.clone(),
         version: env!("CARGO_PKG_VERSION").to_owned(),
         phase: shared.phase(),
         uptime_ms: now.since(shared.started_at).as_millis() as u64,
--- a/crates/thymeshift_entry/src/control_plane/http_get.rs
+++ b/crates/thymeshift_entry/src/control_plane/http_get.rs
@@ -25,25 +25,37 @@
 
 /// A GET that brought no answer.
 #[derive(Debug, Display, Error, From)]
-pub(crate) enum GetError {
+pub enum GetError {
+    /// The connection could not be opened.
     #[display("connecting: {_0}")]
     Connect(io::Error),
+    /// The connection was not open in time.
     #[display("no connection within {CONNECT_LIMIT:?}")]
     ConnectTimedOut,
+    /// The connection broke, or what came is not HTTP.
     #[display("asking: {_0}")]
     Ask(hyper::Error),
+    /// The path cannot be asked for.
     #[display("the request: {_0}")]
     Request(http::Error),
     #[display("no answer within {limit:?}")]
     #[from(ignore)]
-    TimedOut { limit: Duration },
+    /// No answer came in time.
+    TimedOut {
+        /// The time given.
+        limit: Duration,
+    },
     #[display("the answer breaks off or is longer than {bytes_max} bytes")]
     #[from(ignore)]
-    Body { bytes_max: usize },
+    /// The body is incomplete or too long.
+    Body {
+        /// Most bytes taken.
+        bytes_max: usize,
+    },
 }
 
 /// Asks `address` for `path`.
-pub(crate) async fn http_get(
+pub async fn http_get(
     address: SocketAddr,
     path: &str,
     limit: Duration,
--- a/crates/thymeshift_entry/src/control_plane/mod.rs
+++ b/crates/thymeshift_entry/src/control_plane/mod.rs
@@ -2,6 +2,7 @@
 
 mod accept;
 mod bootstrap;
+mod datagrams;
 mod dump;
 mod explain;
 mod http_get;
@@ -10,9 +11,13 @@
 mod peer_link;
 mod peer_server;
 mod platform;
+mod source;
 mod ticker;
 
 pub(crate) use bootstrap::bootstrap;
+pub(crate) use datagrams::run_datagrams;
+pub use http_get::GetError;
+pub use http_get::http_get;
 pub(crate) use observe::run_observe;
 pub(crate) use operators::run_operators;
 pub(crate) use peer_link::Links;
@@ -20,4 +25,5 @@
 pub(crate) use peer_link::say_goodbye;
 pub(crate) use peer_server::run_peer_server;
 pub(crate) use platform::run_platform;
+pub(crate) use source::run_source;
 pub(crate) use ticker::run_ticker;
--- a/crates/thymeshift_entry/src/control_plane/operators.rs
+++ b/crates/thymeshift_entry/src/control_plane/operators.rs
@@ -77,7 +77,7 @@
                 revision,
                 expires_in: Duration::from_millis(request.expires_in_ms),
             };
-            let order = fleet.orders.issue(self.shared.settings.vm.clone(), draft, now);
+            let order = fleet.orders.issue(self.shared.settings().vm.clone(), draft, now);
             fleet.orders.add(&order, now);
             order
         };
@@ -100,7 +100,7 @@
         let addresses = there.iter().map(|there| there.member.peer_address);
         let told = addresses.map(|address| exchange_once(&self.shared, address, Breadth::News));
         let answers = join_all(told).await;
-        let mut confirmed = vec![self.shared.settings.vm.clone()];
+        let mut confirmed = vec![self.shared.settings().vm.clone()];
         let mut unconfirmed = Vec::new();
         for (there, answer) in there.into_iter().zip(answers) {
             let list = if answer.is_ok() { &mut confirmed } else { &mut unconfirmed };
--- a/crates/thymeshift_entry/src/control_plane/peer_link.rs
+++ b/crates/thymeshift_entry/src/control_plane/peer_link.rs
@@ -179,7 +179,8 @@
     }
     if let Some(head) = taken.conflicting {
         counter!(metric::DOCUMENTS_REFUSED, "offer" => "conflicting").increment(1);
-        error!("configuration_conflicting", kv: {
+        error!("document_conflicting", kv: {
+            document = "configuration",
             revision: = head.revision, digest: = head.digest, source = "peer"
         });
     }
--- a/crates/thymeshift_entry/src/control_plane/platform.rs
+++ b/crates/thymeshift_entry/src/control_plane/platform.rs
@@ -9,10 +9,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use derive_more::Display;
-use derive_more::Error;
-use derive_more::From;
-use http::StatusCode;
 use metrics::counter;
 use spdlog::warn;
 use thymeshift_fleet::Offer;
@@ -21,45 +17,23 @@
 use thymeshift_telemetry::metric;
 use thymeshift_types::BootClock;
 use thymeshift_types::Clock;
-use thymeshift_types::Revision;
 use thymeshift_types::Timestamp;
 use thymeshift_wire::Document;
-use thymeshift_wire::headers;
 use tokio::time::sleep;
 
-use crate::control_plane::http_get::GetError;
-use crate::control_plane::http_get::http_get;
+use crate::environment::SourceError;
+use crate::native::ask;
 use crate::shared::Shared;
 
 /// How long the platform may hold a call open.
 const WAIT: Duration = Duration::from_secs(5);
-/// How long beyond that an answer may take.
-const ANSWER_LIMIT: Duration = Duration::from_secs(2);
 /// Time between two looks at whose turn it is.
 const LOOK: Duration = Duration::from_millis(100);
 /// Time between two calls for the VM list. The list lags anyway.
 const VM_LIST_EVERY: Duration = Duration::from_secs(10);
-/// Largest document, and a little for what surrounds it.
-const DOCUMENT_BYTES_MAX: usize = 1_024 * 1_024 + 1_024;
 /// Pause after a call that failed; the next process tries meanwhile.
 const FAILED_PAUSE: Duration = Duration::from_secs(1);
 
-/// A call to the platform that brought nothing.
-#[derive(Debug, Display, Error, From)]
-pub(crate) enum PlatformError {
-    #[display("platform: {_0}")]
-    Get(GetError),
-    #[display("platform: status {status}")]
-    #[from(ignore)]
-    Status { status: StatusCode },
-    #[display("platform: the answer has no readable revision")]
-    #[from(ignore)]
-    NoRevision,
-    #[display("platform: the document is not text")]
-    #[from(ignore)]
-    NotText,
-}
-
 /// Watches for ever, whenever it is this process's turn.
 pub(crate) async fn run_platform(shared: Arc<Shared>) -> Result<(), TaskError> {
     let mut listed_at: Option<Timestamp> = None;
@@ -92,7 +66,7 @@
     shared: &Arc<Shared>,
     listed_at: &mut Option<Timestamp>,
     wait: Duration,
-) -> Result<(), PlatformError> {
+) -> Result<(), SourceError> {
     let now = BootClock.now();
     if listed_at.is_none_or(|at| now.since(at) >= VM_LIST_EVERY) {
         *listed_at = Some(now);
@@ -116,17 +90,16 @@
     shared: &Arc<Shared>,
     document: Document,
     wait: Duration,
-) -> Result<Option<Published>, PlatformError> {
+) -> Result<Option<Published>, SourceError> {
     let known = shared.fleet.lock().document(document).head();
     let after = known.map_or(0, |head| head.revision.as_u64());
     let place = match document {
         Document::Configuration => "configuration",
         Document::VmList => "vms",
+        Document::Targets => "targets",
     };
-    let path = format!("/v1/{place}?after={after}&wait_ms={}", wait.as_millis());
     shared.figures.platform_calls.fetch_add(1, Ordering::Relaxed);
-    let address = shared.settings.platform_address;
-    let answered = ask(address, &path, wait + ANSWER_LIMIT).await;
+    let answered = ask(shared.settings().platform_address, place, after, wait).await;
     let result = match &answered {
         Ok(Some(_)) => "changed",
         Ok(None) => "unchanged",
@@ -139,24 +112,6 @@
     answered
 }
 
-async fn ask(
-    address: SocketAddr,
-    path: &str,
-    limit: Duration,
-) -> Result<Option<Published>, PlatformError> {
-    let response = http_get(address, path, limit, DOCUMENT_BYTES_MAX).await?;
-    match response.status() {
-        StatusCode::NO_CONTENT => return Ok(None),
-        StatusCode::OK => {}
-        status => return Err(PlatformError::Status { status }),
-    }
-    let revision = response.headers().get(headers::REVISION);
-    let revision = revision.and_then(|value| value.to_str().ok()?.parse().ok());
-    let revision = Revision::new(revision.ok_or(PlatformError::NoRevision)?);
-    let text = str::from_utf8(response.body()).map_err(|_| PlatformError::NotText)?;
-    Ok(Some(Published::new(revision, text)))
-}
-
 /// Offers a document from any source.
 pub(crate) fn offer(
     shared: &Arc<Shared>,
@@ -167,6 +122,7 @@
     match document {
         Document::Configuration => shared.offer_configuration(published, source),
         Document::VmList => offer_vm_list(shared, published),
+        Document::Targets => shared.offer_targets(published, source),
     }
 }
 
@@ -181,7 +137,7 @@
     };
     let (offered, adopted) = fleet.vm_list.offer(published, BootClock.now(), parse);
     if let Some(listed) = adopted {
-        let mut hints = shared.settings.peers.clone();
+        let mut hints = shared.settings().peers.clone();
         hints.extend(listed);
         fleet.members.set_hints(hints);
     }
--- /dev/null
+++ b/crates/thymeshift_entry/src/control_plane/source.rs
@@ -0,0 +1,129 @@
+//! Reading the source of configuration and targets, while it is this process's turn.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use metrics::counter;
+use rand::Rng;
+use spdlog::info;
+use spdlog::warn;
+use thymeshift_fleet::Turn;
+use thymeshift_supervisor::TaskError;
+use thymeshift_telemetry::metric;
+use thymeshift_types::BootClock;
+use thymeshift_types::Clock;
+use thymeshift_types::VmName;
+use thymeshift_wire::Message;
+use thymeshift_wire::Pulse;
+use tokio::time::sleep;
+
+use crate::control_plane::platform::offer;
+use crate::environment::Environment;
+use crate::environment::Source;
+use crate::environment::SourceError;
+use crate::shared::Shared;
+
+/// How long the source may hold a call. Short, so that a source that falls silent is noticed
+/// in time by somebody.
+const WATCH_WAIT: Duration = Duration::from_millis(700);
+/// Pause after an answer that brought changes: those that follow at once come together.
+const GATHER: Duration = Duration::from_millis(150);
+/// Longest rest between two looks at whose turn it is.
+const REST_MAX: Duration = Duration::from_millis(250);
+
+/// Reads for ever, whenever it is this process's turn.
+pub(crate) async fn run_source<E: Environment>(shared: Arc<Shared>) -> Result<(), TaskError> {
+    let mut source = E::Source::new(shared.settings().platform_address);
+    let mut was_answered = true;
+    loop {
+        let turn = {
+            let now = BootClock.now();
+            let fleet = shared.fleet.lock();
+            let alive: Vec<VmName> =
+                fleet.members.serving(now).map(|member| member.vm.clone()).collect();
+            fleet.readers.turn(&alive, now)
+        };
+        let wait = match turn {
+            Turn::Watch => WATCH_WAIT,
+            Turn::Read => Duration::ZERO,
+            Turn::Rest(rest) => {
+                sleep(rest.min(REST_MAX)).await;
+                continue;
+            }
+        };
+        let read = read_once(&shared, &mut source, wait).await;
+        log_dependency(&read, &mut was_answered);
+        tell_members(&shared, read.is_ok());
+        if let Ok(1..) = read {
+            sleep(GATHER).await;
+        }
+    }
+}
+
+/// Makes one call and puts in force what it brought. Returns how many documents changed.
+pub(crate) async fn read_once<S: Source>(
+    shared: &Arc<Shared>,
+    source: &mut S,
+    wait: Duration,
+) -> Result<usize, SourceError> {
+    shared.figures.platform_calls.fetch_add(1, Ordering::Relaxed);
+    let answered = source.changes(wait).await;
+    let now = BootClock.now();
+    let result = match &answered {
+        Ok(changed) if changed.is_empty() => "unchanged",
+        Ok(_) => "changed",
+        Err(_) => "failed",
+    };
+    counter!(metric::PLATFORM_CALLS, "result" => result).increment(1);
+    let mut fleet = shared.fleet.lock();
+    match answered {
+        Ok(changed) => {
+            fleet.readers.succeeded(now);
+            drop(fleet);
+            *shared.platform_answered_at.lock() = Some(now);
+            for (document, published) in &changed {
+                offer(shared, *document, published, "source");
+            }
+            Ok(changed.len())
+        }
+        Err(SourceError::Forgotten) => {
+            // The source answered; the next call reads everything at once.
+            fleet.readers.succeeded(now);
+            Err(SourceError::Forgotten)
+        }
+        Err(error) => {
+            let members = fleet.members.count_alive(now);
+            fleet.readers.failed(members, rand::rng().random(), now);
+            Err(error)
+        }
+    }
+}
+
+fn log_dependency(read: &Result<usize, SourceError>, was_answered: &mut bool) {
+    match read {
+        Ok(_) if !*was_answered => info!("source_regained"),
+        Err(error) if *was_answered => warn!("source_lost", kv: { error: = error }),
+        Ok(_) | Err(_) => {}
+    }
+    *was_answered = read.is_ok();
+}
+
+/// Tells all members how the call ended.
+fn tell_members(shared: &Shared, is_answered: bool) {
+    let (pulse, addresses) = {
+        let fleet = shared.fleet.lock();
+        let pulse = Pulse {
+            is_answered,
+            configuration: fleet.configuration.head(),
+            targets: fleet.targets.head(),
+        };
+        let members = fleet.members.serving(BootClock.now());
+        let addresses = members.filter_map(|member| member.datagram_address);
+        (pulse, addresses.collect::<Vec<SocketAddr>>())
+    };
+    for address in addresses {
+        shared.post.send(address, Message::Pulse(pulse.clone()));
+    }
+}
--- a/crates/thymeshift_entry/src/fleet.rs
+++ b/crates/thymeshift_entry/src/fleet.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use rand::Rng;
+use thymeshift_config::Configuration;
+use thymeshift_config::Discovery;
 use thymeshift_config::Settings;
 use thymeshift_fleet::Adoption;
 use thymeshift_fleet::Boot;
@@ -14,6 +16,7 @@
 use thymeshift_fleet::Members;
 use thymeshift_fleet::Orders;
 use thymeshift_fleet::Phase;
+use thymeshift_fleet::Readers;
 use thymeshift_fleet::WatchElection;
 use thymeshift_types::LeavingMark;
 use thymeshift_types::Timestamp;
@@ -29,6 +32,13 @@
 pub(crate) struct Fleet {
     pub(crate) configuration: Adoption,
     pub(crate) vm_list: Adoption,
+    /// Targets that are discovered apart from the configuration.
+    pub(crate) targets: Adoption,
+    pub(crate) readers: Readers,
+    /// The configuration in force, without discovered targets.
+    pub(crate) base: Option<Configuration>,
+    /// The discovered targets in force.
+    pub(crate) discovery: Option<Discovery>,
     pub(crate) election: WatchElection,
     pub(crate) members: Members,
     pub(crate) leaving: LeavingRegister,
@@ -58,6 +68,7 @@
             heartbeat: 0,
             peer_address: settings.peer_address,
             control_address: settings.control_address,
+            datagram_address: settings.datagram_address,
             data_hall: settings.data_hall.clone(),
             phase: Phase::Starting,
             revision: None,
@@ -65,6 +76,10 @@
         Self {
             configuration: Adoption::default(),
             vm_list: Adoption::default(),
+            targets: Adoption::default(),
+            readers: Readers::new(settings.vm.clone()),
+            base: None,
+            discovery: None,
             election: WatchElection::new(settings.vm.clone(), boot),
             members: Members::new(own, settings.peers.clone()),
             leaving: LeavingRegister::default(),
@@ -85,6 +100,7 @@
             members: self.members.passed_on(breadth, now, rng),
             configuration: self.configuration.head(),
             vm_list: self.vm_list.head(),
+            targets: self.targets.head(),
             watchers: self.election.watchers(now),
             leaving: self.marks_to_send(),
             orders: self.orders.list(now),
@@ -138,6 +154,9 @@
         if is_newer(exchange.configuration, self.configuration.head()) {
             wanted.push(Document::Configuration);
         }
+        if is_newer(exchange.targets, self.targets.head()) {
+            wanted.push(Document::Targets);
+        }
         if is_newer(exchange.vm_list, self.vm_list.head()) {
             wanted.push(Document::VmList);
         }
@@ -148,6 +167,7 @@
         match document {
             Document::Configuration => &self.configuration,
             Document::VmList => &self.vm_list,
+            Document::Targets => &self.targets,
         }
     }
 
--- a/crates/thymeshift_entry/src/lib.rs
+++ b/crates/thymeshift_entry/src/lib.rs
@@ -6,17 +6,30 @@
 //! * [`caller`]: from an accepted connection to the answer.
 //! * [`target`]: connections to targets, one attempt of a request, probes.
 //! * [`control_plane`]: platform, peers, operators, readiness and metrics.
+//! * [`environment`]: what may be put in place of the product's own dialect and source.
+//! * [`post`]: datagrams between entry processes.
 //! * [`process`]: the supervisor tree, start and planned stop.
 
 mod caller;
 mod control_plane;
+mod environment;
 mod fleet;
+mod native;
+mod post;
 mod process;
+mod reload;
 mod routing;
 mod service;
 mod shared;
 mod target;
 
+pub use control_plane::GetError;
+pub use control_plane::http_get;
+pub use environment::Environment;
+pub use environment::Source;
+pub use environment::SourceError;
+pub use native::NativeEnvironment;
+pub use native::NativeSource;
 pub use process::Bound;
 pub use process::Exit;
 pub use process::StartError;
--- a/crates/thymeshift_entry/src/process.rs
+++ b/crates/thymeshift_entry/src/process.rs
@@ -24,6 +24,7 @@
 use thymeshift_telemetry::start_metrics;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
+use tokio::net::UdpSocket;
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -33,13 +34,17 @@
 
 use crate::caller::run_listener;
 use crate::control_plane::bootstrap;
+use crate::control_plane::run_datagrams;
 use crate::control_plane::run_observe;
 use crate::control_plane::run_operators;
 use crate::control_plane::run_peer_link;
 use crate::control_plane::run_peer_server;
 use crate::control_plane::run_platform;
+use crate::control_plane::run_source;
 use crate::control_plane::run_ticker;
 use crate::control_plane::say_goodbye;
+use crate::environment::Environment;
+use crate::reload::run_reload;
 use crate::shared::Shared;
 use crate::target::run_probes;
 
@@ -110,9 +115,12 @@
     observe: Arc<TcpListener>,
 }
 
-/// Runs an entry process until it is told to stop. `on_bound` hears the addresses.
-pub async fn run(
+/// Runs an entry process until it is told to stop. `on_bound` hears the addresses;
+/// `settings_path` is the file that the settings came from, which is read again when it
+/// changes.
+pub async fn run<E: Environment>(
     mut settings: Settings,
+    settings_path: Option<String>,
     on_bound: impl FnOnce(&Bound),
 ) -> Result<Exit, StartError> {
     let mut stops = Stops::new()?;
@@ -124,18 +132,20 @@
         observe: settings.observe_address,
     };
     count_panics();
-    let shared = Shared::new(settings, boot_now(), start_metrics());
+    let socket = bind_datagrams(&mut settings)?;
+    let boot = boot_now();
+    let shared = Shared::new(settings, settings_path, boot, socket, E::DISCOVERS, start_metrics());
     info!("started", kv: {
-        vm: = shared.settings.vm, boot: = shared.boot, caller: = bound.caller,
+        vm: = shared.settings().vm, boot: = shared.boot, caller: = bound.caller,
         peer: = bound.peer, control: = bound.control, observe: = bound.observe
     });
     on_bound(&bound);
     let (closing, is_closing) = watch::channel(false);
-    let tree = tree(&shared, &listeners, &is_closing);
+    let tree = tree::<E>(&shared, &listeners, &is_closing);
     drop(listeners);
     let mut running = tokio::spawn(tree.run());
     let serving = async {
-        bootstrap(&shared).await;
+        bootstrap::<E>(&shared).await;
         set_phase(&shared, Phase::Serving);
         std::future::pending::<()>().await;
     };
@@ -174,8 +184,8 @@
     running: &mut tokio::task::JoinHandle<Result<(), Escalation>>,
 ) -> Exit {
     set_phase(shared, Phase::Stopping);
-    let lag = Duration::from_millis(shared.settings.stop_readiness_lag_ms);
-    let bound = Duration::from_millis(shared.settings.stop_bound_ms);
+    let lag = Duration::from_millis(shared.settings().stop_readiness_lag_ms);
+    let bound = Duration::from_millis(shared.settings().stop_bound_ms);
     tokio::select! {
         () = sleep(lag) => {}
         () = stops.next() => warn!("stop_lag_skipped"),
@@ -207,7 +217,7 @@
     shared.news.notify_one();
 }
 
-fn tree(
+fn tree<E: Environment>(
     shared: &Arc<Shared>,
     listeners: &Listeners,
     is_closing: &watch::Receiver<bool>,
@@ -217,14 +227,22 @@
     let listener = listeners.caller.clone();
     let callers_shared = shared.clone();
     let callers = Task::new("listener", Restart::on_failure(), move || {
-        run_listener(callers_shared.clone(), listener.clone(), is_closing.clone())
+        run_listener::<E::Dialect>(callers_shared.clone(), listener.clone(), is_closing.clone())
     });
     let data = Supervisor::new("data", statuses.clone())
         .with_task(callers)
         .with_task(with_shared("ticker", shared, run_ticker))
         .with_task(with_shared("probes", shared, run_probes));
+    // Turns are taken by pulses where there are datagrams, else by leases.
+    let reader = if shared.post.socket().is_some() {
+        with_shared("source", shared, run_source::<E>)
+    } else {
+        with_shared("platform", shared, run_platform)
+    };
     let control = Supervisor::new("control", statuses.clone())
-        .with_task(with_shared("platform", shared, run_platform))
+        .with_task(reader)
+        .with_task(with_shared("datagrams", shared, run_datagrams))
+        .with_task(with_shared("reload", shared, run_reload))
         .with_task(with_shared("peer_link", shared, run_peer_link))
         .with_task(with_listener("peer_server", shared, &listeners.peer, run_peer_server))
         .with_task(with_listener("operators", shared, &listeners.control, run_operators))
@@ -272,6 +290,18 @@
     socket.listen(ACCEPT_QUEUE)
 }
 
+fn bind_datagrams(settings: &mut Settings) -> Result<Option<Arc<UdpSocket>>, StartError> {
+    let Some(address) = settings.datagram_address else {
+        return Ok(None);
+    };
+    let refuse = |source| StartError::Listen { purpose: "datagrams", address, source };
+    let socket = std::net::UdpSocket::bind(address).map_err(refuse)?;
+    socket.set_nonblocking(true).map_err(refuse)?;
+    let socket = UdpSocket::from_std(socket).map_err(refuse)?;
+    settings.datagram_address = Some(socket.local_addr().map_err(refuse)?);
+    Ok(Some(Arc::new(socket)))
+}
+
 fn bind(purpose: &'static str, address: &mut SocketAddr) -> Result<Arc<TcpListener>, StartError> {
     let wanted = *address;
     let refuse = |source| StartError::Listen { purpose, address: wanted, source };
--- a/crates/thymeshift_entry/src/routing.rs
+++ b/crates/thymeshift_entry/src/routing.rs
@@ -14,8 +14,10 @@
 use thymeshift_telemetry::metric;
 use thymeshift_types::DataHallName;
 use thymeshift_types::Outcome;
+use thymeshift_types::ServiceName;
 use thymeshift_wire::KindDump;
 
+use crate::post::Post;
 use crate::service::ServiceRuntime;
 
 /// A figure that is kept for dumps and for metrics at once.
@@ -78,14 +80,22 @@
     }
 }
 
-/// A kind with its service.
+/// A kind with its services.
 pub(crate) struct KindRuntime {
     pub(crate) kind: Kind,
     pub(crate) service: Arc<ServiceRuntime>,
+    /// Services of a split.
+    parts: Vec<Arc<ServiceRuntime>>,
     pub(crate) figures: Arc<KindFigures>,
 }
 
 impl KindRuntime {
+    /// The service for a request that drew `draw`.
+    pub(crate) fn service_for(&self, draw: u64) -> &Arc<ServiceRuntime> {
+        let name = self.kind.service_for(draw);
+        self.parts.iter().find(|part| part.name() == name).unwrap_or(&self.service)
+    }
+
     fn dump(&self) -> KindDump {
         let figures = &self.figures;
         KindDump {
@@ -117,6 +127,7 @@
         configuration: Configuration,
         before: Option<&Self>,
         own_data_hall: &DataHallName,
+        post: &Arc<Post>,
     ) -> Self {
         let find = |name: &str| {
             let mut known = before.into_iter().flat_map(|before| before.services.iter());
@@ -129,7 +140,7 @@
                     known.update(&configuration, service, own_data_hall);
                     known
                 }
-                None => ServiceRuntime::new(&configuration, service, own_data_hall),
+                None => ServiceRuntime::new(&configuration, service, own_data_hall, post),
             };
             services.push(runtime);
         }
@@ -157,9 +168,11 @@
     services: &[Arc<ServiceRuntime>],
     before: Option<&Routing>,
 ) -> Option<Arc<KindRuntime>> {
-    let service = services.iter().find(|service| *service.name() == kind.service)?.clone();
+    let find = |name: &ServiceName| services.iter().find(|service| service.name() == name).cloned();
+    let service = find(&kind.service)?;
+    let parts = kind.split.iter().filter_map(|part| find(&part.service)).collect();
     let mut known = before.into_iter().flat_map(|before| before.kinds.iter());
     let known = known.find(|known| known.kind.name == kind.name);
     let figures = known.map_or_else(|| KindFigures::new(kind), |known| known.figures.clone());
-    Some(Arc::new(KindRuntime { kind: kind.clone(), service, figures }))
+    Some(Arc::new(KindRuntime { kind: kind.clone(), service, parts, figures }))
 }
--- /dev/null
+++ b/crates/thymeshift_entry/src/service/guards.rs
@@ -0,0 +1,111 @@
+//! What a request holds while it has, or waits for, a target.
+
+use std::sync::Arc;
+
+use thymeshift_dispatch::Grant;
+use thymeshift_dispatch::Observation;
+use thymeshift_dispatch::Refusal;
+use thymeshift_dispatch::Ticket;
+use thymeshift_types::BootClock;
+use thymeshift_types::Clock;
+use thymeshift_types::LeavingMark;
+use thymeshift_types::Timestamp;
+use tokio::sync::oneshot;
+
+use crate::post::Loan;
+use crate::service::Destination;
+use crate::service::ServiceRuntime;
+use crate::service::Woken;
+
+/// A grant that is given back when it is dropped.
+pub(crate) struct GrantGuard {
+    service: Arc<ServiceRuntime>,
+    grant: Option<Grant>,
+    /// The lender's count of the same request, if another process chose the target.
+    loan: Option<Loan>,
+}
+
+impl GrantGuard {
+    pub(super) fn new(service: &Arc<ServiceRuntime>, grant: Grant) -> Self {
+        Self { service: service.clone(), grant: Some(grant), loan: None }
+    }
+
+    pub(super) fn with_loan(mut self, loan: Loan) -> Self {
+        self.loan = Some(loan);
+        self
+    }
+
+    pub(crate) fn service(&self) -> &Arc<ServiceRuntime> {
+        &self.service
+    }
+
+    pub(crate) fn destination(&self) -> Option<Destination> {
+        let grant = self.grant.as_ref()?;
+        let desk = self.service.desk.lock();
+        let name = desk.dispatcher.target_name(grant);
+        Some(Destination {
+            service: self.service.name().clone(),
+            index: Some(grant.target()),
+            name,
+            address: desk.dispatcher.address(grant),
+        })
+    }
+
+    pub(crate) fn target(&self) -> Option<thymeshift_dispatch::TargetIndex> {
+        self.grant.as_ref().map(Grant::target)
+    }
+
+    /// To be asked immediately before the first byte.
+    pub(crate) fn may_send(&self, deadline: Timestamp) -> bool {
+        let Some(grant) = &self.grant else {
+            return false;
+        };
+        self.service.desk.lock().dispatcher.may_send(grant, deadline, BootClock.now())
+    }
+
+    pub(crate) fn learn(&mut self, observation: Observation) -> Option<LeavingMark> {
+        if let Some(loan) = &mut self.loan {
+            loan.observe(observation);
+        }
+        let grant = self.grant.as_ref()?;
+        let now = BootClock.now();
+        self.service.desk.lock().dispatcher.learn(grant, observation, now)
+    }
+}
+
+impl Drop for GrantGuard {
+    fn drop(&mut self) {
+        if let Some(grant) = self.grant.take() {
+            self.service.release(grant);
+        }
+    }
+}
+
+/// A place in the queue that is given up when it is dropped.
+pub(crate) struct WaitGuard {
+    pub(super) service: Arc<ServiceRuntime>,
+    pub(super) ticket: Ticket,
+    pub(super) receiver: oneshot::Receiver<Woken>,
+}
+
+impl WaitGuard {
+    /// Waits for the decision. None if the service was removed meanwhile.
+    pub(crate) async fn decided(mut self) -> Option<Result<GrantGuard, Refusal>> {
+        let woken = (&mut self.receiver).await.ok()?;
+        Some(woken.map(|grant| GrantGuard::new(&self.service, grant)))
+    }
+}
+
+impl Drop for WaitGuard {
+    fn drop(&mut self) {
+        let granted = {
+            let mut desk = self.service.desk.lock();
+            desk.waiting.remove(&self.ticket);
+            desk.dispatcher.cancel(self.ticket);
+            self.receiver.try_recv()
+        };
+        if let Ok(Ok(grant)) = granted {
+            self.service.release(grant);
+        }
+    }
+}
--- a/crates/thymeshift_entry/src/service.rs
+++ b/crates/thymeshift_entry/src/service/mod.rs
@@ -1,4 +1,12 @@
 //! One service while the process runs: its dispatcher, who waits, and its connections.
+//!
+//! * [`guards`]: what a request holds while it has, or waits for, a target.
+//! * [`lend`]: lending targets to other processes.
+//! * [`obtain`]: obtaining a target, from a lender or from the own dispatcher.
+
+mod guards;
+mod lend;
+mod obtain;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -12,13 +20,16 @@
 use thymeshift_dispatch::Decision;
 use thymeshift_dispatch::Dispatcher;
 use thymeshift_dispatch::Grant;
-use thymeshift_dispatch::Observation;
 use thymeshift_dispatch::Refusal;
 use thymeshift_dispatch::Request;
 use thymeshift_dispatch::ServiceDump;
+use thymeshift_dispatch::TargetIndex;
 use thymeshift_dispatch::Ticket;
+use thymeshift_dispatch::View;
 use thymeshift_dispatch::Wake;
 use thymeshift_dispatch::connection_share;
+use thymeshift_fleet::Boot;
+use thymeshift_lending::Lender;
 use thymeshift_types::BootClock;
 use thymeshift_types::Clock;
 use thymeshift_types::DataHallName;
@@ -26,18 +37,34 @@
 use thymeshift_types::ServiceName;
 use thymeshift_types::TargetName;
 use thymeshift_types::Timestamp;
+use thymeshift_types::VmName;
 use tokio::sync::oneshot;
 
+use crate::post::Post;
+use crate::service::obtain::Lenders;
 use crate::target::Pool;
 
+pub(crate) use guards::GrantGuard;
+pub(crate) use guards::WaitGuard;
+
 /// What a waiting request hears.
-type Woken = Result<Grant, Refusal>;
+pub(super) type Woken = Result<Grant, Refusal>;
 
 /// The dispatcher with those who wait for its decisions; under one lock, so that a
 /// decision cannot come before its request waits for it.
 struct Desk {
     dispatcher: Dispatcher<AnyStrategy>,
     waiting: HashMap<Ticket, oneshot::Sender<Woken>>,
+    /// What other processes were lent here.
+    lender: Lender<Borrower>,
+}
+
+/// A process that borrows here. A new start of it is another borrower.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Borrower {
+    pub(crate) vm: VmName,
+    pub(crate) boot: Boot,
+    pub(crate) address: SocketAddr,
 }
 
 /// A configured service.
@@ -46,10 +73,14 @@
     desk: Mutex<Desk>,
     settings: RwLock<Arc<Service>>,
     pool: Arc<Pool>,
+    post: Arc<Post>,
+    lenders: Mutex<Lenders>,
 }
 
 /// Where a granted request goes.
 pub(crate) struct Destination {
+    pub(crate) service: ServiceName,
+    pub(crate) index: Option<TargetIndex>,
     pub(crate) name: TargetName,
     pub(crate) address: SocketAddr,
 }
@@ -66,15 +97,22 @@
         configuration: &Configuration,
         service: &Service,
         own_data_hall: &DataHallName,
+        post: &Arc<Post>,
     ) -> Arc<Self> {
         let now = BootClock.now();
         let dispatcher = Dispatcher::configured(configuration, service, own_data_hall, now);
         let share = connection_share(service.connections_per_target, configuration.entry_vms_max);
         Arc::new(Self {
             name: service.name.clone(),
-            desk: Mutex::new(Desk { dispatcher, waiting: HashMap::new() }),
+            desk: Mutex::new(Desk {
+                dispatcher,
+                waiting: HashMap::new(),
+                lender: Lender::default(),
+            }),
             settings: RwLock::new(Arc::new(service.clone())),
             pool: Pool::new(&service.name, share),
+            post: post.clone(),
+            lenders: Mutex::default(),
         })
     }
 
@@ -105,9 +143,15 @@
         &self.pool
     }
 
-    /// Asks for a target.
-    pub(crate) fn admit(self: &Arc<Self>, request: Request, now: Timestamp) -> Admitted {
+    /// Asks this process's own dispatcher for a target.
+    pub(crate) fn admit(
+        self: &Arc<Self>,
+        request: Request,
+        view: View,
+        now: Timestamp,
+    ) -> Admitted {
         let mut desk = self.desk.lock();
+        desk.dispatcher.set_view(view);
         match desk.dispatcher.request(request, now, &mut rand::rng()) {
             Decision::Send(grant) => Admitted::Send(GrantGuard::new(self, grant)),
             Decision::Refuse(refusal) => Admitted::Refused(refusal),
@@ -119,22 +163,17 @@
         }
     }
 
-    /// Asks for a target for a second attempt beside the first: sent at once or not at all.
-    pub(crate) fn admit_hedge(self: &Arc<Self>, request: Request) -> Option<GrantGuard> {
-        let at_once = Request { queue_max: 0, ..request };
-        match self.admit(at_once, BootClock.now()) {
-            Admitted::Send(grant) => Some(grant),
-            Admitted::Wait(_) | Admitted::Refused(_) => None,
-        }
-    }
-
     pub(crate) fn try_retry(&self) -> bool {
         self.desk.lock().dispatcher.try_retry()
     }
 
     /// Must run every few tens of milliseconds. Returns a pause of this process.
     pub(crate) fn tick(&self, now: Timestamp) -> Option<std::time::Duration> {
-        let gap = self.desk.lock().dispatcher.tick(now);
+        let gap = {
+            let Desk { dispatcher, lender, .. } = &mut *self.desk.lock();
+            lender.expire(dispatcher, now);
+            dispatcher.tick(now)
+        };
         self.wake_waiting(now);
         gap
     }
@@ -163,7 +202,10 @@
     pub(crate) fn probe_targets(&self) -> Vec<Destination> {
         let desk = self.desk.lock();
         let targets = desk.dispatcher.probe_targets();
-        targets.map(|(name, address)| Destination { name, address }).collect()
+        let service = self.name.clone();
+        let destination =
+            |(name, address)| Destination { service: service.clone(), index: None, name, address };
+        targets.map(destination).collect()
     }
 
     pub(crate) fn dump(&self, now: Timestamp) -> ServiceDump {
@@ -173,12 +215,20 @@
     /// Tells waiting requests what became of them.
     fn wake_waiting(&self, now: Timestamp) {
         let mut desk = self.desk.lock();
+        let desk = &mut *desk;
         let rng = &mut rand::rng();
         while let Some(wake) = desk.dispatcher.next_wake(now, rng) {
             let (ticket, woken) = match wake {
                 Wake::Send(ticket, grant) => (ticket, Ok(grant)),
                 Wake::Refuse(ticket, refusal) => (ticket, Err(refusal)),
             };
+            let woken = match desk.lender.woken(ticket, woken, &desk.dispatcher, now) {
+                Ok((key, lending)) => {
+                    self.tell(&key, lending);
+                    continue;
+                }
+                Err(woken) => woken,
+            };
             let unheard = match desk.waiting.remove(&ticket) {
                 Some(sender) => sender.send(woken).err(),
                 None => Some(woken),
@@ -190,87 +240,9 @@
         }
     }
 
-    fn release(&self, grant: Grant) {
+    pub(super) fn release(&self, grant: Grant) {
         let now = BootClock.now();
         self.desk.lock().dispatcher.release(grant, now);
         self.wake_waiting(now);
     }
 }
-
-/// A grant that is given back when it is dropped.
-pub(crate) struct GrantGuard {
-    service: Arc<ServiceRuntime>,
-    grant: Option<Grant>,
-}
-
-impl GrantGuard {
-    fn new(service: &Arc<ServiceRuntime>, grant: Grant) -> Self {
-        Self { service: service.clone(), grant: Some(grant) }
-    }
-
-    pub(crate) fn service(&self) -> &Arc<ServiceRuntime> {
-        &self.service
-    }
-
-    pub(crate) fn destination(&self) -> Option<Destination> {
-        let grant = self.grant.as_ref()?;
-        let desk = self.service.desk.lock();
-        let name = desk.dispatcher.target_name(grant);
-        Some(Destination { name, address: desk.dispatcher.address(grant) })
-    }
-
-    pub(crate) fn target(&self) -> Option<thymeshift_dispatch::TargetIndex> {
-        self.grant.as_ref().map(Grant::target)
-    }
-
-    /// To be asked immediately before the first byte.
-    pub(crate) fn may_send(&self, deadline: Timestamp) -> bool {
-        let Some(grant) = &self.grant else {
-            return false;
-        };
-        self.service.desk.lock().dispatcher.may_send(grant, deadline, BootClock.now())
-    }
-
-    pub(crate) fn learn(&self, observation: Observation) -> Option<LeavingMark> {
-        let grant = self.grant.as_ref()?;
-        let now = BootClock.now();
-        self.service.desk.lock().dispatcher.learn(grant, observation, now)
-    }
-}
-
-impl Drop for GrantGuard {
-    fn drop(&mut self) {
-        if let Some(grant) = self.grant.take() {
-            self.service.release(grant);
-        }
-    }
-}
-
-/// A place in the queue that is given up when it is dropped.
-pub(crate) struct WaitGuard {
-    service: Arc<ServiceRuntime>,
-    ticket: Ticket,
-    receiver: oneshot::Receiver<Woken>,
-}
-
-impl WaitGuard {
-    /// Waits for the decision. None if the service was removed meanwhile.
-    pub(crate) async fn decided(mut self) -> Option<Result<GrantGuard, Refusal>> {
-        let woken = (&mut self.receiver).await.ok()?;
-        Some(woken.map(|grant| GrantGuard::new(&self.service, grant)))
-    }
-}
-
-impl Drop for WaitGuard {
-    fn drop(&mut self) {
-        let granted = {
-            let mut desk = self.service.desk.lock();
-            desk.waiting.remove(&self.ticket);
-            desk.dispatcher.cancel(self.ticket);
-            self.receiver.try_recv()
-        };
-        if let Ok(Ok(grant)) = granted {
-            self.service.release(grant);
-        }
-    }
-}
--- a/crates/thymeshift_entry/src/shared.rs
+++ b/crates/thymeshift_entry/src/shared.rs
@@ -10,6 +10,7 @@
 use spdlog::error;
 use spdlog::info;
 use thymeshift_config::Configuration;
+use thymeshift_config::Discovery;
 use thymeshift_config::Settings;
 use thymeshift_config::TargetState;
 use thymeshift_fleet::Boot;
@@ -17,18 +18,24 @@
 use thymeshift_fleet::OrderSubject;
 use thymeshift_fleet::Phase;
 use thymeshift_fleet::Published;
+use thymeshift_fleet::ranked;
 use thymeshift_supervisor::Statuses;
 use thymeshift_telemetry::MetricsText;
 use thymeshift_telemetry::metric;
 use thymeshift_types::BootClock;
 use thymeshift_types::Clock;
 use thymeshift_types::LeavingMark;
+use thymeshift_types::ServiceName;
 use thymeshift_types::Timestamp;
+use thymeshift_types::VmName;
+use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
 use crate::control_plane::Links;
 use crate::fleet::Fleet;
+use crate::post::LenderPlace;
+use crate::post::Post;
 use crate::routing::Routing;
 use crate::service::ServiceRuntime;
 
@@ -42,7 +49,9 @@
 
 /// Shared state of an entry process.
 pub(crate) struct Shared {
-    pub(crate) settings: Settings,
+    settings: RwLock<Arc<Settings>>,
+    /// The file that the settings came from.
+    pub(crate) settings_path: Option<String>,
     pub(crate) boot: Boot,
     pub(crate) started_at: Timestamp,
     pub(crate) figures: ProcessFigures,
@@ -53,15 +62,28 @@
     pub(crate) platform_answered_at: Mutex<Option<Timestamp>>,
     pub(crate) statuses: Statuses,
     pub(crate) links: Links,
+    pub(crate) post: Arc<Post>,
+    /// Whether targets are discovered apart from the configuration.
+    discovers: bool,
     pub(crate) metrics_text: MetricsText,
     routing: RwLock<Option<Arc<Routing>>>,
 }
 
 impl Shared {
-    pub(crate) fn new(settings: Settings, boot: Boot, metrics_text: MetricsText) -> Arc<Self> {
+    pub(crate) fn new(
+        settings: Settings,
+        settings_path: Option<String>,
+        boot: Boot,
+        socket: Option<Arc<UdpSocket>>,
+        discovers: bool,
+        metrics_text: MetricsText,
+    ) -> Arc<Self> {
         Arc::new(Self {
             fleet: Mutex::new(Fleet::new(&settings, boot)),
-            settings,
+            post: Post::new(socket, settings.vm.clone(), boot),
+            discovers,
+            settings_path,
+            settings: RwLock::new(Arc::new(settings)),
             boot,
             started_at: BootClock.now(),
             figures: ProcessFigures::default(),
@@ -75,6 +97,38 @@
         })
     }
 
+    /// The settings in force.
+    pub(crate) fn settings(&self) -> Arc<Settings> {
+        self.settings.read().clone()
+    }
+
+    /// Takes in settings that were read again. Addresses listened on stay as they are.
+    pub(crate) fn set_settings(&self, settings: Settings) {
+        self.fleet.lock().members.set_hints(settings.peers.clone());
+        *self.settings.write() = Arc::new(settings);
+    }
+
+    /// The processes in the order in which they lend the targets of `service`; None is this
+    /// process.
+    pub(crate) fn lender_order(
+        &self,
+        service: &ServiceName,
+        now: Timestamp,
+    ) -> Vec<Option<LenderPlace>> {
+        let fleet = self.fleet.lock();
+        let own = &fleet.members.own().vm;
+        let others = fleet.members.serving(now).map(|member| &member.vm);
+        let order = ranked(service.as_str(), others.chain([own]));
+        let place = |vm: &VmName| {
+            let address = fleet.members.find(vm)?.datagram_address?;
+            Some(LenderPlace { vm: vm.clone(), address })
+        };
+        order
+            .into_iter()
+            .filter_map(|vm| if vm == own { Some(None) } else { place(vm).map(Some) })
+            .collect()
+    }
+
     /// The configuration in force, joined with what runs.
     pub(crate) fn routing(&self) -> Option<Arc<Routing>> {
         self.routing.read().clone()
@@ -84,6 +138,10 @@
         *self.phase.borrow()
     }
 
+    pub(crate) fn is_serving(&self) -> bool {
+        self.phase() == Phase::Serving
+    }
+
     pub(crate) fn is_stopping(&self) -> bool {
         self.phase() == Phase::Stopping
     }
@@ -94,11 +152,31 @@
         let mut fleet = self.fleet.lock();
         let (offer, adopted) = fleet.configuration.offer(published, now, Configuration::parse);
         if let Some(configuration) = adopted {
-            self.put_in_force(configuration, &mut fleet, now);
+            fleet.base = Some(configuration);
+            self.put_in_force(&mut fleet, now);
         }
         let rejection = fleet.configuration.rejection().map(|rejection| rejection.mistakes.clone());
         drop(fleet);
-        log_offer(offer, published, source, rejection);
+        log_offer("configuration", offer, published, source, rejection);
+        if offer == Offer::Adopted {
+            gauge!(metric::REVISION).set(published.head().revision.as_u64() as f64);
+            self.news.notify_one();
+        }
+        offer
+    }
+
+    /// Offers discovered targets from any source.
+    pub(crate) fn offer_targets(&self, published: &Published, source: &str) -> Offer {
+        let now = BootClock.now();
+        let mut fleet = self.fleet.lock();
+        let (offer, adopted) = fleet.targets.offer(published, now, Discovery::parse);
+        if let Some(discovery) = adopted {
+            fleet.discovery = Some(discovery);
+            self.put_in_force(&mut fleet, now);
+        }
+        let rejection = fleet.targets.rejection().map(|rejection| rejection.mistakes.clone());
+        drop(fleet);
+        log_offer("targets", offer, published, source, rejection);
         if offer == Offer::Adopted {
             self.news.notify_one();
         }
@@ -107,7 +185,13 @@
 
     /// Under the fleet's lock, so that routings replace each other in the order of their
     /// revisions.
-    fn put_in_force(&self, configuration: Configuration, fleet: &mut Fleet, now: Timestamp) {
+    fn put_in_force(&self, fleet: &mut Fleet, now: Timestamp) {
+        let configuration = match (&fleet.base, &fleet.discovery) {
+            (None, _) => return,
+            (Some(_), None) if self.discovers => return,
+            (Some(base), None) => base.clone(),
+            (Some(base), Some(discovery)) => base.with_discovered(discovery),
+        };
         for service in &configuration.services {
             for target in &service.targets {
                 if target.state == TargetState::Leaving {
@@ -121,8 +205,9 @@
         }
         fleet.leaving.retain(|mark| is_mark_needed(&configuration, mark));
         let before = self.routing();
-        let own_data_hall = &self.settings.data_hall;
-        let routing = Arc::new(Routing::new(configuration, before.as_deref(), own_data_hall));
+        let own_data_hall = &self.settings().data_hall;
+        let routing = Routing::new(configuration, before.as_deref(), own_data_hall, &self.post);
+        let routing = Arc::new(routing);
         for service in &routing.services {
             apply_marks(service, fleet);
             apply_orders(service, fleet, now);
@@ -186,25 +271,32 @@
     });
 }
 
-fn log_offer(offer: Offer, published: &Published, source: &str, rejection: Option<String>) {
+fn log_offer(
+    document: &str,
+    offer: Offer,
+    published: &Published,
+    source: &str,
+    rejection: Option<String>,
+) {
     let head = published.head();
     match offer {
         Offer::Adopted => {
-            gauge!(metric::REVISION).set(head.revision.as_u64() as f64);
-            info!("configuration_in_force", kv: {
-                revision: = head.revision, digest: = head.digest, source
+            info!("document_in_force", kv: {
+                document, revision: = head.revision, digest: = head.digest, source
             });
         }
         Offer::Conflicting => {
             counter!(metric::DOCUMENTS_REFUSED, "offer" => "conflicting").increment(1);
-            error!("configuration_conflicting", kv: {
-                revision: = head.revision, digest: = head.digest, source
+            error!("document_conflicting", kv: {
+                document, revision: = head.revision, digest: = head.digest, source
             });
         }
         Offer::Rejected => {
             counter!(metric::DOCUMENTS_REFUSED, "offer" => "rejected").increment(1);
             let mistakes = rejection.unwrap_or_default();
-            error!("configuration_rejected", kv: { revision: = head.revision, source, mistakes });
+            error!("document_rejected", kv: {
+                document, revision: = head.revision, source, mistakes
+            });
         }
         Offer::Confirmed | Offer::Older => {}
     }
--- a/crates/thymeshift_entry/src/target/attempt.rs
+++ b/crates/thymeshift_entry/src/target/attempt.rs
@@ -1,14 +1,15 @@
 //! One attempt of a request at one target.
 
 use std::error::Error;
+use std::marker::PhantomData;
 use std::sync::Arc;
 use std::time::Duration;
 
 use http::HeaderValue;
 use http::Request;
 use http::Response;
-use hyper::body::Incoming;
 use spdlog::debug;
+use thymeshift_dispatch::LoadReport;
 use thymeshift_dispatch::Observation;
 use thymeshift_dispatch::TargetIndex;
 use thymeshift_types::BootClock;
@@ -19,14 +20,16 @@
 use thymeshift_types::Reason;
 use thymeshift_types::Step;
 use thymeshift_types::Timestamp;
+use thymeshift_wire::AttemptHead;
 use thymeshift_wire::CallContext;
-use thymeshift_wire::headers;
-use thymeshift_wire::load_header;
+use thymeshift_wire::Dialect;
+use thymeshift_wire::Meaning;
 use tokio::time::timeout;
 
 use crate::service::Destination;
 use crate::service::GrantGuard;
 use crate::shared::Shared;
+use crate::target::Answer;
 use crate::target::BodyError;
 use crate::target::Lease;
 use crate::target::RequestBody;
@@ -55,6 +58,10 @@
     pub(crate) id: HeaderValue,
     pub(crate) freshness: Freshness,
     pub(crate) body_stall: Duration,
+    /// Identity of the caller's request.
+    pub(crate) request_id: HeaderValue,
+    /// Answers up to this length are taken in whole before they count as answers.
+    pub(crate) answer_buffer_bytes: u64,
 }
 
 /// An attempt that brought no answer.
@@ -65,15 +72,22 @@
     pub(crate) target: Option<TargetIndex>,
     /// The body, if it was not used.
     pub(crate) body: Option<RequestBody>,
+    /// The target's own failure, to be passed on if nothing more is tried.
+    pub(crate) answer: Option<Response<TargetBody>>,
 }
 
 /// An attempt at the granted target.
-pub(crate) struct Attempt {
-    pub(crate) shared: Arc<Shared>,
-    pub(crate) grant: GrantGuard,
+pub(crate) struct Attempt<D> {
+    dialect: PhantomData<D>,
+    shared: Arc<Shared>,
+    grant: GrantGuard,
 }
 
-impl Attempt {
+impl<D: Dialect> Attempt<D> {
+    pub(crate) fn new(shared: Arc<Shared>, grant: GrantGuard) -> Self {
+        Self { dialect: PhantomData, shared, grant }
+    }
+
     /// Runs the attempt. Dropping the future cancels it at the target: its connection is
     /// closed.
     pub(crate) async fn run(
@@ -118,7 +132,7 @@
     }
 
     async fn send(
-        self,
+        mut self,
         plan: AttemptPlan,
         mut connection: Connection,
         destination: Destination,
@@ -126,9 +140,13 @@
         let AttemptPlan { head, body, deadline, context, id, body_stall, .. } = plan;
         let left = BootClock.now().until(deadline);
         let mut request = Request::from_parts(head, body);
-        let context = CallContext { timeout: Some(left), ..context };
-        context.write(request.headers_mut());
-        request.headers_mut().insert(headers::ATTEMPT, id.clone());
+        let attempt = AttemptHead {
+            request_id: &plan.request_id,
+            attempt_id: &id,
+            target: &destination.name,
+            context: CallContext { timeout: Some(left), ..context },
+        };
+        D::write_attempt(request.headers_mut(), &attempt);
         let Some(sender) = connection.sender() else {
             return Err(self.given_up(request.into_body()).into());
         };
@@ -141,42 +159,58 @@
             }
             Ok(Ok(response)) => response,
         };
-        if response.headers().get(&headers::ATTEMPT).is_some_and(|echo| *echo != id) {
-            return Err(self.wrong_answer(&destination).into());
+        let meaning = D::meaning(response.status(), response.headers(), &attempt);
+        self.learn(observation(meaning, D::report(response.headers())));
+        if let Some(failed) = self.failed_by(meaning, &destination) {
+            // Whatever else comes on this connection belongs to nobody.
+            return Err(failed.into());
         }
-        self.answered(response, connection, &destination, body_stall)
+        connection.limit_idle(response.headers());
+        let (parts, incoming) = response.into_parts();
+        let lease = Lease::new(connection, self.grant);
+        let answer = Answer { parts, incoming, lease, body_stall };
+        if plan.answer_buffer_bytes == 0 {
+            return Ok(answer.streamed());
+        }
+        let left = BootClock.now().until(deadline);
+        let taken = timeout(left, answer.taken_in(plan.answer_buffer_bytes)).await;
+        let peer = Peer::Target(destination.service.clone(), destination.name.clone());
+        let failure = match taken {
+            Ok(Ok(response)) if meaning == Meaning::Failed => {
+                let failure = Failure::new(Outcome::Failed, Reason::TargetFailed, Step::Wait, peer);
+                return Err(Box::new(AttemptFailure {
+                    failure,
+                    target: destination.index,
+                    body: None,
+                    answer: Some(response),
+                }));
+            }
+            Ok(Ok(response)) => return Ok(response),
+            Ok(Err(_)) => {
+                Failure::new(Outcome::Unknown, Reason::ConnectionLost, Step::AnswerBody, peer)
+            }
+            Err(_) => Failure::new(Outcome::Unknown, Reason::Deadline, Step::AnswerBody, peer),
+        };
+        let target = destination.index;
+        Err(Box::new(AttemptFailure { failure, target, body: None, answer: None }))
     }
 
-    fn answered(
-        self,
-        response: Response<Incoming>,
-        connection: Connection,
-        destination: &Destination,
-        body_stall: Duration,
-    ) -> Result<Response<TargetBody>, Box<AttemptFailure>> {
-        let report = load_header::read(response.headers());
-        let is_shed = is_shed(&response);
-        let has_failed = response.status().is_server_error();
-        let observation = if is_shed {
-            Observation::Shed(report)
-        } else if has_failed {
-            Observation::Failed(report)
-        } else {
-            Observation::Answered(report)
-        };
-        self.learn(observation);
-        // A deeper layer that refuses has used its own attempts: its answer is passed on.
-        let is_deeper_layers = response.headers().contains_key(&headers::OUTCOME);
+    /// The failure that an answer's meaning amounts to, if it is not to be passed on.
+    fn failed_by(&self, meaning: Meaning, destination: &Destination) -> Option<AttemptFailure> {
         let is_proof = self.grant.service().settings().shed_means_not_run;
-        if is_shed && is_proof && !is_deeper_layers {
-            return Err(self.shed(destination).into());
-        }
-        let (parts, incoming) = response.into_parts();
-        let lease = Lease::new(connection, self.grant);
-        Ok(Response::from_parts(parts, TargetBody::new(incoming, lease, body_stall)))
+        let (outcome, reason) = match meaning {
+            Meaning::Answered | Meaning::Failed | Meaning::ShedByDeeperLayer => return None,
+            Meaning::Shed if !is_proof => return None,
+            Meaning::Shed | Meaning::NotRun | Meaning::OtherTarget => {
+                (Outcome::NotRun, Reason::Shed)
+            }
+            Meaning::Foreign | Meaning::Spoiled => (Outcome::Unknown, Reason::WrongAnswer),
+        };
+        let failure = Failure::new(outcome, reason, Step::Wait, self.peer(destination));
+        Some(self.failure(failure, None))
     }
 
-    fn learn(&self, observation: Observation) {
+    fn learn(&mut self, observation: Observation) {
         if let Some(mark) = self.grant.learn(observation) {
             self.shared.note_leaving(&mark, "answer");
         }
@@ -187,24 +221,24 @@
     }
 
     fn failure(&self, failure: Failure, body: Option<RequestBody>) -> AttemptFailure {
-        AttemptFailure { failure, target: self.grant.target(), body }
+        AttemptFailure { failure, target: self.grant.target(), body, answer: None }
     }
 
     /// Nothing was sent because the target may not be used any more.
     fn given_up(self, body: RequestBody) -> AttemptFailure {
         let peer = Peer::Service(self.grant.service().name().clone());
         let failure = Failure::new(Outcome::NotRun, Reason::Deadline, Step::Send, peer);
-        AttemptFailure { failure, target: None, body: Some(body) }
+        AttemptFailure { failure, target: None, body: Some(body), answer: None }
     }
 
-    fn unreachable(self, body: RequestBody, destination: &Destination) -> AttemptFailure {
+    fn unreachable(mut self, body: RequestBody, destination: &Destination) -> AttemptFailure {
         self.learn(Observation::Broken);
         let peer = self.peer(destination);
         let failure = Failure::new(Outcome::NotRun, Reason::ConnectFailed, Step::Connect, peer);
         self.failure(failure, Some(body))
     }
 
-    fn timed_out(self, destination: &Destination) -> AttemptFailure {
+    fn timed_out(mut self, destination: &Destination) -> AttemptFailure {
         self.learn(Observation::TimedOut);
         let peer = self.peer(destination);
         self.failure(Failure::new(Outcome::Unknown, Reason::Deadline, Step::Wait, peer), None)
@@ -213,7 +247,7 @@
     /// If hyper hands the request back, no byte of it was written: proof that it did not
     /// run. Any other error proves nothing.
     fn broken(
-        self,
+        mut self,
         destination: &Destination,
         unsent: Option<RequestBody>,
         error: &hyper::Error,
@@ -232,26 +266,15 @@
         };
         self.failure(failure, None)
     }
-
-    fn wrong_answer(self, destination: &Destination) -> AttemptFailure {
-        self.learn(Observation::Broken);
-        let peer = self.peer(destination);
-        self.failure(Failure::new(Outcome::Unknown, Reason::WrongAnswer, Step::Wait, peer), None)
-    }
-
-    fn shed(self, destination: &Destination) -> AttemptFailure {
-        let peer = self.peer(destination);
-        let failure = Failure::new(Outcome::NotRun, Reason::Shed, Step::Wait, peer);
-        self.failure(failure, None)
-    }
 }
 
-/// Whether a target says that it had no room for the request.
-fn is_shed<B>(response: &Response<B>) -> bool {
-    matches!(
-        response.status(),
-        http::StatusCode::SERVICE_UNAVAILABLE | http::StatusCode::TOO_MANY_REQUESTS
-    )
+fn observation(meaning: Meaning, report: Option<LoadReport>) -> Observation {
+    match meaning {
+        Meaning::Answered => Observation::Answered(report),
+        Meaning::Failed => Observation::Failed(report),
+        Meaning::Shed | Meaning::ShedByDeeperLayer | Meaning::NotRun => Observation::Shed(report),
+        Meaning::OtherTarget | Meaning::Foreign | Meaning::Spoiled => Observation::Broken,
+    }
 }
 
 /// Why a caller's body could not be passed on to its end.
--- a/crates/thymeshift_entry/src/target/body.rs
+++ b/crates/thymeshift_entry/src/target/body.rs
@@ -149,7 +149,10 @@
 /// A target's body on its way to the caller. Dropped before its end, it takes the
 /// connection to the target with it; an error in it breaks the answer to the caller off.
 pub(crate) struct TargetBody {
-    incoming: Incoming,
+    /// What was taken in before; it comes first.
+    taken: Option<Bytes>,
+    /// None if all of it was taken in.
+    incoming: Option<Incoming>,
     lease: Option<Lease>,
     stall: Stall,
     stall_limit: Duration,
@@ -158,13 +161,28 @@
 impl TargetBody {
     pub(crate) fn new(incoming: Incoming, lease: Lease, stall_limit: Duration) -> Self {
         let stall = Stall::new(stall_limit);
-        let mut body = Self { incoming, lease: Some(lease), stall, stall_limit };
-        if body.incoming.is_end_stream() {
+        let is_over = incoming.is_end_stream();
+        let (incoming, lease) = (Some(incoming), Some(lease));
+        let mut body = Self { taken: None, incoming, lease, stall, stall_limit };
+        if is_over {
             body.finish();
         }
         body
     }
 
+    /// A body that is complete; its connection and grant are given back already.
+    pub(crate) fn whole(bytes: Bytes) -> Self {
+        let stall_limit = Duration::ZERO;
+        let stall = Stall::new(stall_limit);
+        Self { taken: Some(bytes), incoming: None, lease: None, stall, stall_limit }
+    }
+
+    /// The same body with what was already taken of it put back in front.
+    pub(crate) fn after(mut self, taken: Bytes) -> Self {
+        self.taken = Some(taken);
+        self
+    }
+
     fn finish(&mut self) {
         if let Some(lease) = self.lease.take() {
             lease.finish();
@@ -181,7 +199,13 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let body = self.get_mut();
-        let frame = match Pin::new(&mut body.incoming).poll_frame(context) {
+        if let Some(taken) = body.taken.take().filter(|taken| !taken.is_empty()) {
+            return Poll::Ready(Some(Ok(Frame::data(taken))));
+        }
+        let Some(incoming) = &mut body.incoming else {
+            return Poll::Ready(None);
+        };
+        let frame = match Pin::new(&mut *incoming).poll_frame(context) {
             Poll::Ready(frame) => frame,
             Poll::Pending => {
                 ready!(body.stall.poll_stalled(context));
@@ -196,7 +220,7 @@
                 Poll::Ready(None)
             }
             Some(Ok(frame)) => {
-                if body.incoming.is_end_stream() {
+                if incoming.is_end_stream() {
                     body.finish();
                 }
                 Poll::Ready(Some(Ok(frame)))
@@ -209,10 +233,18 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.incoming.is_end_stream()
+        let is_taken_over = self.taken.as_ref().is_none_or(Bytes::is_empty);
+        is_taken_over && self.incoming.as_ref().is_none_or(Body::is_end_stream)
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.incoming.size_hint()
+        let taken = self.taken.as_ref().map_or(0, |taken| taken.len() as u64);
+        let rest = self.incoming.as_ref().map_or_else(|| SizeHint::with_exact(0), Body::size_hint);
+        let mut hint = SizeHint::new();
+        hint.set_lower(rest.lower() + taken);
+        if let Some(upper) = rest.upper() {
+            hint.set_upper(upper + taken);
+        }
+        hint
     }
 }
--- a/crates/thymeshift_entry/src/target/mod.rs
+++ b/crates/thymeshift_entry/src/target/mod.rs
@@ -1,11 +1,13 @@
 //! Towards targets: connections, one attempt of a request, probes.
 
+mod answer;
 mod attempt;
 mod body;
 mod pool;
 mod probe;
 mod stall;
 
+pub(crate) use answer::Answer;
 pub(crate) use attempt::Attempt;
 pub(crate) use attempt::AttemptFailure;
 pub(crate) use attempt::AttemptPlan;
--- a/crates/thymeshift_entry/src/target/pool.rs
+++ b/crates/thymeshift_entry/src/target/pool.rs
@@ -12,6 +12,8 @@
 
 use derive_more::Display;
 use derive_more::Error;
+use http::HeaderMap;
+use http::HeaderName;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
@@ -45,6 +47,18 @@
     ShareInUse { share: u32 },
 }
 
+/// The header in which a target tells how long it keeps an idle connection.
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+/// Part of that time for which a connection is used: the target may close it at the very
+/// moment in which the next request is sent.
+const IDLE_SHARE: f64 = 0.8;
+
+/// The seconds in `timeout=5, max=100`.
+fn keep_alive_seconds(text: &str) -> Option<u64> {
+    let mut fields = text.split(',');
+    fields.find_map(|field| field.trim().strip_prefix("timeout=")?.parse().ok())
+}
+
 #[derive(Default)]
 struct PerTarget {
     idle: Vec<Idle>,
@@ -54,6 +68,8 @@
 struct Idle {
     connection: RawConnection,
     since: Timestamp,
+    /// When the target may close it, as far as it told.
+    until: Option<Timestamp>,
 }
 
 struct RawConnection {
@@ -73,6 +89,8 @@
     pool: Arc<Pool>,
     address: SocketAddr,
     raw: Option<RawConnection>,
+    /// How long the target says that it keeps the connection while it is idle.
+    idle_max: Option<Duration>,
     /// Whether the drop of this value ends the connection.
     is_in_use: bool,
 }
@@ -93,8 +111,9 @@
     pub(crate) async fn idle(self: &Arc<Self>, address: SocketAddr) -> Option<Connection> {
         loop {
             let idle = self.targets.lock().get_mut(&address)?.idle.pop()?;
+            let is_old = idle.until.is_some_and(|until| BootClock.now() >= until);
             let mut connection = self.in_use(address, idle.connection);
-            if connection.is_usable().await {
+            if !is_old && connection.is_usable().await {
                 return Some(connection);
             }
         }
@@ -141,11 +160,11 @@
             target.open -= 1;
         }
         target.open += 1;
-        Ok(Connection { pool: self.clone(), address, raw: None, is_in_use: true })
+        Ok(Connection { pool: self.clone(), address, raw: None, idle_max: None, is_in_use: true })
     }
 
     fn in_use(self: &Arc<Self>, address: SocketAddr, raw: RawConnection) -> Connection {
-        Connection { pool: self.clone(), address, raw: Some(raw), is_in_use: true }
+        Connection { pool: self.clone(), address, raw: Some(raw), idle_max: None, is_in_use: true }
     }
 
     /// Closes connections that were idle for longer than `idle_max`, or that are broken.
@@ -179,6 +198,13 @@
         self.raw.as_mut().map(|raw| &mut raw.sender)
     }
 
+    /// Notes how long the target says that it keeps the connection while it is idle.
+    pub(crate) fn limit_idle(&mut self, map: &HeaderMap) {
+        let told = map.get(KEEP_ALIVE).and_then(|value| value.to_str().ok());
+        let seconds = told.and_then(keep_alive_seconds);
+        self.idle_max = seconds.map(|seconds| Duration::from_secs(seconds).mul_f64(IDLE_SHARE));
+    }
+
     async fn is_usable(&mut self) -> bool {
         let Some(sender) = self.sender() else {
             return false;
@@ -202,7 +228,9 @@
         }
         let mut targets = self.pool.targets.lock();
         let target = targets.entry(self.address).or_default();
-        target.idle.push(Idle { connection: raw, since: BootClock.now() });
+        let since = BootClock.now();
+        let until = self.idle_max.map(|idle_max| since + idle_max);
+        target.idle.push(Idle { connection: raw, since, until });
         drop(targets);
         self.is_in_use = false;
     }
--- a/crates/thymeshift_fleet/src/lib.rs
+++ b/crates/thymeshift_fleet/src/lib.rs
@@ -20,6 +20,8 @@
 mod members;
 mod orders;
 mod published;
+mod rank;
+mod readers;
 mod watch;
 
 pub use adoption::Adoption;
@@ -46,5 +48,8 @@
 pub use orders::Orders;
 pub use published::Head;
 pub use published::Published;
+pub use rank::ranked;
+pub use readers::Readers;
+pub use readers::Turn;
 pub use watch::WatchElection;
 pub use watch::Watcher;
--- a/crates/thymeshift_fleet/src/members.rs
+++ b/crates/thymeshift_fleet/src/members.rs
@@ -84,6 +84,8 @@
     pub peer_address: SocketAddr,
     /// Where the operators' program connects to it.
     pub control_address: SocketAddr,
+    /// Where its datagrams arrive, if it takes any.
+    pub datagram_address: Option<SocketAddr>,
     /// Its data hall.
     pub data_hall: DataHallName,
     /// What it says of itself.
@@ -256,6 +258,19 @@
         members.into_iter().chain(hints).choose_multiple(rng, count)
     }
 
+    /// The other processes that are believed to be there and serve.
+    pub fn serving(&self, now: Timestamp) -> impl Iterator<Item = &Member> {
+        let is_serving = move |known: &&Known| {
+            known.liveness(now) == Liveness::Alive && known.member.phase == Phase::Serving
+        };
+        self.known.values().filter(is_serving).map(|known| &known.member)
+    }
+
+    /// The member on `vm`.
+    pub fn find(&self, vm: &VmName) -> Option<&Member> {
+        self.known.get(vm).map(|known| &known.member)
+    }
+
     /// Number of processes believed to be there, this one included.
     pub fn count_alive(&self, now: Timestamp) -> usize {
         let alive = |known: &&Known| known.liveness(now) == Liveness::Alive;
--- /dev/null
+++ b/crates/thymeshift_fleet/src/readers.rs
@@ -0,0 +1,128 @@
+//! Who reads the source of configuration and targets: a few processes at a time, without an
+//! election.
+//!
+//! The members are ranked by a hash; the first [`READERS`] of them read all the time. After
+//! each call a reader tells all others whether the source answered. A process that has not
+//! heard of an answer for [`SILENCE_MAX`] reads itself, the lower ranks a little later. A
+//! reader whose calls fail is passed over for a while, so that the next rank takes its place.
+//!
+//! Nothing has to be agreed on: if two processes rank differently, a few more calls are
+//! made. Failed calls are repeated after a pause that grows with failures and with the
+//! fleet, so that an outage of the source costs the whole fleet a few calls a second.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use thymeshift_types::Timestamp;
+use thymeshift_types::VmName;
+
+use crate::ranked;
+
+/// Processes that read all the time: one may be cut off without anybody noticing at once.
+const READERS: usize = 2;
+/// Time without news of an answer after which anybody reads.
+const SILENCE_MAX: Duration = Duration::from_millis(1_200);
+/// Added to that for each rank, up to [`RANK_DELAY_MAX`], so that not all read at once.
+const RANK_DELAY: Duration = Duration::from_millis(40);
+const RANK_DELAY_MAX: Duration = Duration::from_millis(400);
+/// How long a reader whose call failed is passed over by others.
+const PASSED_OVER: Duration = Duration::from_secs(3);
+/// Pause after the first failed call; it doubles with each further one.
+const PAUSE_MIN: Duration = Duration::from_millis(150);
+/// Longest pause, for each member: the fleet's failed calls a second stay the same.
+const PAUSE_MAX_PER_MEMBER: Duration = Duration::from_millis(120);
+/// Bounds of the longest pause.
+const PAUSE_MAX_LEAST: Duration = Duration::from_millis(600);
+const PAUSE_MAX_MOST: Duration = Duration::from_millis(2_500);
+/// Doublings of the pause at most.
+const DOUBLINGS_MAX: u32 = 6;
+/// Name of the task in the ranking.
+const TASK: &str = "read the source";
+
+/// What a process should do about the source now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Turn {
+    /// Read, and let the source hold the call until something changes.
+    Watch,
+    /// Read at once, without waiting for a change.
+    Read,
+    /// Look again after this time.
+    Rest(Duration),
+}
+
+/// What one process knows of the readers.
+#[derive(Debug, Clone)]
+pub struct Readers {
+    own: VmName,
+    confirmed_at: Option<Timestamp>,
+    passed_over: BTreeMap<VmName, Timestamp>,
+    failures: u32,
+    not_before: Timestamp,
+}
+
+impl Readers {
+    /// The knowledge of a process that has just started.
+    pub fn new(own: VmName) -> Self {
+        Self {
+            own,
+            confirmed_at: None,
+            passed_over: BTreeMap::new(),
+            failures: 0,
+            not_before: Timestamp::default(),
+        }
+    }
+
+    /// What to do now; `alive` are the other processes.
+    pub fn turn(&self, alive: &[VmName], now: Timestamp) -> Turn {
+        if now < self.not_before {
+            return Turn::Rest(now.until(self.not_before));
+        }
+        let rank = self.rank(alive, now);
+        if rank < READERS && self.failures == 0 {
+            return Turn::Watch;
+        }
+        let delay = (RANK_DELAY * rank as u32).min(RANK_DELAY_MAX);
+        let due = self.confirmed_at.map_or(now, |at| at + SILENCE_MAX + delay);
+        if now >= due { Turn::Read } else { Turn::Rest(now.until(due)) }
+    }
+
+    fn rank(&self, alive: &[VmName], now: Timestamp) -> usize {
+        let is_eligible =
+            |vm: &&VmName| self.passed_over.get(*vm).is_none_or(|until| *until <= now);
+        let others = alive.iter().filter(is_eligible);
+        let order = ranked(TASK, others.chain([&self.own]));
+        order.iter().position(|vm| **vm == self.own).unwrap_or(0)
+    }
+
+    /// An own call was answered.
+    pub fn succeeded(&mut self, now: Timestamp) {
+        self.failures = 0;
+        self.confirmed_at = Some(now);
+    }
+
+    /// An own call failed. `spread`, from 0 to 1, keeps processes apart.
+    pub fn failed(&mut self, member_count: usize, spread: f64, now: Timestamp) {
+        let doublings = self.failures.min(DOUBLINGS_MAX);
+        let most = PAUSE_MAX_PER_MEMBER * u32::try_from(member_count).unwrap_or(u32::MAX);
+        let most = most.clamp(PAUSE_MAX_LEAST, PAUSE_MAX_MOST);
+        let pause = (PAUSE_MIN * 2_u32.pow(doublings)).min(most);
+        self.failures += 1;
+        self.not_before = now + pause.mul_f64(0.5 + spread);
+    }
+
+    /// Another process told that its call was answered, or failed.
+    pub fn heard(&mut self, vm: &VmName, is_answered: bool, now: Timestamp) {
+        if is_answered {
+            self.confirmed_at = Some(now);
+            self.passed_over.remove(vm);
+        } else {
+            self.passed_over.retain(|_, until| *until > now);
+            self.passed_over.insert(vm.clone(), now + PASSED_OVER);
+        }
+    }
+
+    /// When the source was last known to answer anybody.
+    pub fn confirmed_at(&self) -> Option<Timestamp> {
+        self.confirmed_at
+    }
+}
--- a/crates/thymeshift_fleet/tests/agreement.rs
+++ b/crates/thymeshift_fleet/tests/agreement.rs
@@ -189,6 +189,7 @@
         heartbeat: 0,
         peer_address: ([127, 0, 0, 1], port).into(),
         control_address: ([127, 0, 0, 1], port + 1_000).into(),
+        datagram_address: None,
         data_hall: DataHallName::new("a").expect("a name"),
         phase: Phase::Serving,
         revision: None,
--- a/crates/thymeshift_lab/src/experiment/decision_cost.rs
+++ b/crates/thymeshift_lab/src/experiment/decision_cost.rs
@@ -19,6 +19,7 @@
 use thymeshift_dispatch::ReportedState;
 use thymeshift_dispatch::Request;
 use thymeshift_dispatch::Tried;
+use thymeshift_dispatch::USUAL_PACE_PERCENT;
 use thymeshift_types::DataHallName;
 use thymeshift_types::Timestamp;
 
@@ -100,7 +101,13 @@
 
 fn report(step: u32) -> LoadReport {
     let state = ReportedState::Serving;
-    LoadReport { running: step % 4, queued: step % 3, incarnation: None, state }
+    LoadReport {
+        running: step % 4,
+        queued: step % 3,
+        incarnation: None,
+        state,
+        pace_percent: USUAL_PACE_PERCENT,
+    }
 }
 
 fn configuration(strategy: StrategyName, targets: usize) -> Result<Configuration, FleetError> {
--- a/crates/thymeshift_lab/src/standin/slots.rs
+++ b/crates/thymeshift_lab/src/standin/slots.rs
@@ -10,6 +10,7 @@
 use parking_lot::Mutex;
 use thymeshift_dispatch::LoadReport;
 use thymeshift_dispatch::ReportedState;
+use thymeshift_dispatch::USUAL_PACE_PERCENT;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
 
@@ -75,6 +76,7 @@
             queued: load.queued,
             incarnation: None,
             state: ReportedState::Serving,
+            pace_percent: USUAL_PACE_PERCENT,
         }
     }
 
--- a/crates/thymeshift_lab/src/standin/target.rs
+++ b/crates/thymeshift_lab/src/standin/target.rs
@@ -35,6 +35,7 @@
 use rand_distr::Exp1;
 use thymeshift_dispatch::LoadReport;
 use thymeshift_dispatch::ReportedState;
+use thymeshift_dispatch::USUAL_PACE_PERCENT;
 use thymeshift_types::Incarnation;
 use thymeshift_wire::headers;
 use thymeshift_wire::load_header;
@@ -276,6 +277,7 @@
                 queued: 0,
                 incarnation: None,
                 state: ReportedState::Serving,
+                pace_percent: USUAL_PACE_PERCENT,
             },
         };
         let state =
--- a/crates/thymeshift_types/src/failure.rs
+++ b/crates/thymeshift_types/src/failure.rs
@@ -126,6 +126,9 @@
     /// The target's answer belongs to another attempt.
     #[display("wrong_answer")]
     WrongAnswer,
+    /// The target ran the request and says that it failed.
+    #[display("target_failed")]
+    TargetFailed,
     /// The caller's body broke off.
     #[display("caller_lost")]
     CallerLost,
--- /dev/null
+++ b/crates/thymeshift_wire/src/datagram.rs
@@ -0,0 +1,120 @@
+//! Datagrams between entry processes: pulses of readers, and the loan of targets.
+//!
+//! A datagram may be lost, late or doubled. Each message stands for itself, and nothing that
+//! must hold depends on its arrival.
+
+use std::time::Duration;
+
+use derive_more::Display;
+use derive_more::Error;
+use derive_more::From;
+use serde::Deserialize;
+use serde::Serialize;
+use thymeshift_dispatch::Observation;
+use thymeshift_fleet::Boot;
+use thymeshift_fleet::Head;
+use thymeshift_types::Reason;
+use thymeshift_types::ServiceName;
+use thymeshift_types::TargetName;
+use thymeshift_types::VmName;
+
+/// Largest datagram, in bytes: it fits one packet of the usual links.
+pub const DATAGRAM_BYTES_MAX: usize = 1_400;
+
+/// A datagram that is no message.
+#[derive(Debug, Display, Error, From)]
+#[display("datagram: {_0}")]
+pub struct DatagramError(postcard::Error);
+
+/// Number of a loan, counted by the borrowing process from its start.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize,
+)]
+pub struct LoanNumber(pub u64);
+
+/// A message with its sender.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Datagram {
+    /// The sending process.
+    pub sender: VmName,
+    /// Its start.
+    pub boot: Boot,
+    /// What it says.
+    pub message: Message,
+}
+
+/// What one process says to another.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// A call to the source ended.
+    Pulse(Pulse),
+    /// Asks for a target.
+    Borrow(Borrow),
+    /// The request waits; another answer follows.
+    Waiting(LoanNumber),
+    /// A target to send to.
+    Lent(LoanNumber, TargetName),
+    /// No target.
+    Refused(LoanNumber, Reason, Duration),
+    /// The receiver does not lend: it is stopping, or does not know the service.
+    Declined(LoanNumber),
+    /// A target is given back.
+    GiveBack(GiveBack),
+}
+
+/// News of a reader.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pulse {
+    /// Whether the source answered.
+    pub is_answered: bool,
+    /// The configuration in force at the reader.
+    pub configuration: Option<Head>,
+    /// The discovered targets known to the reader.
+    pub targets: Option<Head>,
+}
+
+/// A request that wants a target.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Borrow {
+    /// The loan asked for.
+    pub number: LoanNumber,
+    /// The service.
+    pub service: ServiceName,
+    /// Rank of the request's kind; 1 goes first.
+    pub priority: u8,
+    /// Time left until the answer must have begun.
+    pub deadline: Duration,
+    /// Longest time to wait for a target.
+    pub wait: Duration,
+    /// Most requests of its rank waiting at one time.
+    pub queue_max: u32,
+    /// Targets that the request was already sent to.
+    pub tried: Vec<TargetName>,
+    /// All loans of this service that the sender holds or asks for.
+    pub held: Vec<LoanNumber>,
+}
+
+/// The end of a loan, or of the wish for one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GiveBack {
+    /// The loan.
+    pub number: LoanNumber,
+    /// The service.
+    pub service: ServiceName,
+    /// What the attempt showed, if there was one.
+    pub observation: Option<Observation>,
+    /// All loans of this service that the sender holds or asks for.
+    pub held: Vec<LoanNumber>,
+}
+
+impl Datagram {
+    /// The bytes to send.
+    pub fn encode(&self) -> Result<Vec<u8>, DatagramError> {
+        Ok(postcard::to_stdvec(self)?)
+    }
+
+    /// Reads what arrived.
+    pub fn decode(bytes: &[u8]) -> Result<Self, DatagramError> {
+        Ok(postcard::from_bytes(bytes)?)
+    }
+}
--- /dev/null
+++ b/crates/thymeshift_wire/src/dialect.rs
@@ -0,0 +1,73 @@
+//! How calls, attempts, answers and failures look on the wire.
+//!
+//! The product speaks its own headers ([`Native`]). Where clients and targets speak others,
+//! another implementation of [`Dialect`] translates. An implementation holds names and
+//! formats only: what is done about a call is decided elsewhere.
+
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use thymeshift_dispatch::LoadReport;
+use thymeshift_types::Failure;
+use thymeshift_types::TargetName;
+
+use crate::CallContext;
+use crate::HeaderMistake;
+
+/// One attempt as the target hears of it.
+#[derive(Debug, Clone, Copy)]
+pub struct AttemptHead<'a> {
+    /// Identity of the client's request.
+    pub request_id: &'a HeaderValue,
+    /// Identity of this attempt.
+    pub attempt_id: &'a HeaderValue,
+    /// The target that is meant.
+    pub target: &'a TargetName,
+    /// Deadline, attempts and depth.
+    pub context: CallContext,
+}
+
+/// What an answer's head says about the attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Meaning {
+    /// The target's answer, to be passed on.
+    Answered,
+    /// The target ran the request and says that it failed; may be passed on.
+    Failed,
+    /// The target had no room. Whether that proves that the request did not run is a
+    /// matter of the service's contract.
+    Shed,
+    /// A deeper layer refused and used attempts of its own; to be passed on.
+    ShedByDeeperLayer,
+    /// The target states that it did not run the request.
+    NotRun,
+    /// Another target has the address; the one that was meant did not run the request.
+    OtherTarget,
+    /// It belongs to another request or attempt.
+    Foreign,
+    /// It cannot be passed on as it is: a part that makes it valid is missing, or its status
+    /// promises what the target did not state.
+    Spoiled,
+}
+
+/// The headers and statuses of one environment.
+pub trait Dialect: Send + Sync + 'static {
+    /// Reads what a client says of its call.
+    fn read_call(map: &HeaderMap) -> Result<CallContext, HeaderMistake>;
+
+    /// Writes what a target is told, replacing what the client said.
+    fn write_attempt(map: &mut HeaderMap, attempt: &AttemptHead<'_>);
+
+    /// Reads what an answer's head means.
+    fn meaning(status: StatusCode, map: &HeaderMap, attempt: &AttemptHead<'_>) -> Meaning;
+
+    /// Reads the load report of an answer, if it carries a readable one.
+    fn report(map: &HeaderMap) -> Option<LoadReport>;
+
+    /// Removes from an answer what is not meant for clients.
+    fn clean_answer(map: &mut HeaderMap);
+
+    /// The answer that tells a client of a failure.
+    fn failure(failure: &Failure, request_id: &HeaderValue) -> Response<Vec<u8>>;
+}
--- a/crates/thymeshift_wire/src/lib.rs
+++ b/crates/thymeshift_wire/src/lib.rs
@@ -3,6 +3,8 @@
 //! * [`headers`]: the names of the product's own HTTP headers.
 //! * [`CallContext`]: deadline, attempts and depth that travel with a call.
 //! * [`load_header`]: load reports on answers.
+//! * [`Dialect`]: how calls, attempts and answers look on the wire; [`Native`] is the
+//!   product's own.
 //! * [`PeerLink`] and [`Control`]: `tarpc` services; [`connect_peer`],
 //!   [`connect_control`], [`peer_channel`] and [`control_channel`] carry them over TCP with
 //!   the `postcard` codec and a bound on every frame.
@@ -12,9 +14,12 @@
 mod codec;
 mod control;
 mod counted;
+mod datagram;
+mod dialect;
 mod dump;
 pub mod headers;
 pub mod load_header;
+mod native;
 mod peer;
 mod transport;
 
@@ -31,11 +36,24 @@
 pub use control::OrderRequest;
 pub use counted::CountedStream;
 pub use counted::LinkBytes;
+pub use datagram::Borrow;
+pub use datagram::DATAGRAM_BYTES_MAX;
+pub use datagram::Datagram;
+pub use datagram::DatagramError;
+pub use datagram::GiveBack;
+pub use datagram::LoanNumber;
+pub use datagram::Message;
+pub use datagram::Pulse;
+pub use dialect::AttemptHead;
+pub use dialect::Dialect;
+pub use dialect::Meaning;
 pub use dump::ConfigurationDump;
 pub use dump::KindDump;
 pub use dump::PlatformDump;
 pub use dump::StateDump;
 pub use dump::TaskDump;
+pub use native::Native;
+pub use native::failure_status;
 pub use peer::Document;
 pub use peer::Exchange;
 pub use peer::PeerLink;
--- a/crates/thymeshift_wire/src/load_header.rs
+++ b/crates/thymeshift_wire/src/load_header.rs
@@ -1,13 +1,15 @@
 //! Load reports as targets put them on answers, in the text form of the ORCA
 //! specification: `TEXT named_metrics.running=2, named_metrics.queued=0`.
 //!
-//! Fields: `running`, `queued`, `incarnation` and `draining` (0 or 1). A report with
+//! Fields: `running`, `queued`, `incarnation`, `draining` (0 or 1) and `pace_percent` (how
+//! long work takes now, in percent of the usual). A report with
 //! neither `running` nor `queued` is not a report. Unknown fields are passed over.
 
 use http::HeaderMap;
 use http::HeaderValue;
 use thymeshift_dispatch::LoadReport;
 use thymeshift_dispatch::ReportedState;
+use thymeshift_dispatch::USUAL_PACE_PERCENT;
 use thymeshift_types::Incarnation;
 
 use crate::headers;
@@ -24,6 +26,7 @@
     let mut queued = None;
     let mut incarnation = None;
     let mut state = ReportedState::Serving;
+    let mut pace_percent = None;
     for field in fields.split(',') {
         let (name, value) = field.split_once('=')?;
         let name = name.trim();
@@ -35,6 +38,7 @@
             "running" => running = Some(value as u32),
             "queued" => queued = Some(value as u32),
             "incarnation" => incarnation = Some(Incarnation::new(value as u64)),
+            "pace_percent" => pace_percent = Some(value as u32),
             "draining" if value > 0.0 => state = ReportedState::Draining,
             _ => {}
         }
@@ -43,18 +47,19 @@
         return None;
     }
     let (running, queued) = (running.unwrap_or(0), queued.unwrap_or(0));
-    Some(LoadReport { running, queued, incarnation, state })
+    let pace_percent = pace_percent.unwrap_or(USUAL_PACE_PERCENT);
+    Some(LoadReport { running, queued, incarnation, state, pace_percent })
 }
 
 /// The report as a header's value.
 pub fn write(report: &LoadReport) -> HeaderValue {
-    let LoadReport { running, queued, incarnation, state } = report;
+    let LoadReport { running, queued, incarnation, state, pace_percent } = report;
     let draining = u8::from(*state == ReportedState::Draining);
     let incarnation = incarnation
         .map_or(String::new(), |incarnation| format!(", {NAMED}incarnation={incarnation}"));
     let text = format!(
         "{FORMAT}{NAMED}running={running}, {NAMED}queued={queued}, \
-         {NAMED}draining={draining}{incarnation}"
+         {NAMED}draining={draining}, {NAMED}pace_percent={pace_percent}{incarnation}"
     );
     // Digits and fixed ASCII text always make a valid value.
     HeaderValue::try_from(text).unwrap_or_else(|_| HeaderValue::from_static(""))
--- /dev/null
+++ b/crates/thymeshift_wire/src/native.rs
@@ -0,0 +1,134 @@
+//! The product's own dialect.
+
+use std::time::Duration;
+
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use http::header::RETRY_AFTER;
+use serde::Serialize;
+use thymeshift_dispatch::LoadReport;
+use thymeshift_types::Failure;
+use thymeshift_types::Outcome;
+use thymeshift_types::Reason;
+
+use crate::AttemptHead;
+use crate::CallContext;
+use crate::Dialect;
+use crate::HeaderMistake;
+use crate::Meaning;
+use crate::headers;
+use crate::load_header;
+
+/// The product's own dialect.
+#[derive(Debug, Clone, Copy)]
+pub struct Native;
+
+/// The failure as the caller reads it in the body.
+#[derive(Serialize)]
+struct FailureText<'a> {
+    request_id: &'a str,
+    outcome: Outcome,
+    reason: Reason,
+    step: String,
+    peer: String,
+    retry_after_ms: Option<u64>,
+}
+
+impl Dialect for Native {
+    fn read_call(map: &HeaderMap) -> Result<CallContext, HeaderMistake> {
+        CallContext::read(map)
+    }
+
+    fn write_attempt(map: &mut HeaderMap, attempt: &AttemptHead<'_>) {
+        attempt.context.write(map);
+        map.insert(headers::ATTEMPT, attempt.attempt_id.clone());
+    }
+
+    fn meaning(status: StatusCode, map: &HeaderMap, attempt: &AttemptHead<'_>) -> Meaning {
+        let is_foreign = map.get(&headers::ATTEMPT).is_some_and(|echo| echo != attempt.attempt_id);
+        if is_foreign {
+            return Meaning::Foreign;
+        }
+        match status {
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
+                let is_deeper_layers = map.contains_key(&headers::OUTCOME);
+                if is_deeper_layers { Meaning::ShedByDeeperLayer } else { Meaning::Shed }
+            }
+            status if status.is_server_error() => Meaning::Failed,
+            _ => Meaning::Answered,
+        }
+    }
+
+    fn report(map: &HeaderMap) -> Option<LoadReport> {
+        load_header::read(map)
+    }
+
+    fn clean_answer(map: &mut HeaderMap) {
+        map.remove(headers::ATTEMPT);
+        map.remove(headers::LOAD);
+    }
+
+    fn failure(failure: &Failure, request_id: &HeaderValue) -> Response<Vec<u8>> {
+        let retry_after_ms = failure.retry_after.map(|after| after.as_millis() as u64);
+        let text = FailureText {
+            request_id: request_id.to_str().unwrap_or_default(),
+            outcome: failure.outcome,
+            reason: failure.reason,
+            step: failure.step.to_string(),
+            peer: failure.peer.to_string(),
+            retry_after_ms,
+        };
+        let mut response = Response::new(serde_json::to_vec(&text).unwrap_or_default());
+        *response.status_mut() = failure_status(failure);
+        let map = response.headers_mut();
+        map.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        map.insert(headers::OUTCOME, text_value(&failure.outcome.to_string()));
+        map.insert(headers::REASON, text_value(&failure.reason.to_string()));
+        map.insert(headers::STEP, text_value(&failure.step.to_string()));
+        map.insert(headers::PEER, text_value(&failure.peer.to_string()));
+        if let Some(after) = failure.retry_after {
+            map.insert(RETRY_AFTER, HeaderValue::from(whole_seconds(after)));
+            map.insert(headers::RETRY_AFTER_MS, HeaderValue::from(after.as_millis() as u64));
+        }
+        response
+    }
+}
+
+/// Names and addresses are plain text; anything else would be a mistake of ours and is
+/// left out rather than sent.
+fn text_value(text: &str) -> HeaderValue {
+    HeaderValue::from_str(text).unwrap_or_else(|_| HeaderValue::from_static(""))
+}
+
+/// `Retry-After` has whole seconds; rounded up, so that nobody comes back too early.
+fn whole_seconds(after: Duration) -> u64 {
+    after.as_secs() + u64::from(after.subsec_nanos() > 0)
+}
+
+/// The status that tells a client of a failure. 503 only where the request did not run.
+pub fn failure_status(failure: &Failure) -> StatusCode {
+    match failure.reason {
+        Reason::UnknownKind => StatusCode::NOT_FOUND,
+        Reason::BadHeader | Reason::CallerLost => StatusCode::BAD_REQUEST,
+        Reason::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        Reason::TooDeep => StatusCode::LOOP_DETECTED,
+        Reason::Deadline if failure.outcome == Outcome::Unknown => StatusCode::GATEWAY_TIMEOUT,
+        Reason::NotReady
+        | Reason::Stopping
+        | Reason::QueueFull
+        | Reason::DeadlineUnreachable
+        | Reason::Deadline
+        | Reason::NoTarget
+        | Reason::Shed => StatusCode::SERVICE_UNAVAILABLE,
+        Reason::ConnectFailed | Reason::ConnectionLost if failure.outcome == Outcome::NotRun => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
+        Reason::ConnectFailed
+        | Reason::ConnectionLost
+        | Reason::WrongAnswer
+        | Reason::TargetFailed => StatusCode::BAD_GATEWAY,
+    }
+}
--- a/crates/thymeshift_wire/src/peer.rs
+++ b/crates/thymeshift_wire/src/peer.rs
@@ -17,6 +17,8 @@
     Configuration,
     /// The list of live and leaving VMs.
     VmList,
+    /// The targets that are discovered apart from the configuration.
+    Targets,
 }
 
 /// One side of an exchange: a bounded summary of what a process knows. Both sides send
@@ -29,6 +31,8 @@
     pub configuration: Option<Head>,
     /// The VM list known.
     pub vm_list: Option<Head>,
+    /// The discovered targets known.
+    pub targets: Option<Head>,
     /// Who watches the platform.
     pub watchers: Vec<Watcher>,
     /// A page of the targets that are leaving.
--- a/crates/thymeshiftd/src/main.rs
+++ b/crates/thymeshiftd/src/main.rs
@@ -9,10 +9,15 @@
 use thymeshift_config::Configuration;
 use thymeshift_config::Settings;
 use thymeshift_entry::Bound;
+use thymeshift_entry::Environment;
 use thymeshift_entry::Exit;
+use thymeshift_entry::NativeEnvironment;
+use thymeshift_platform::PlatformEnvironment;
 use thymeshift_telemetry::start_logging;
+use tokio::runtime::Builder;
 
 use crate::arguments::Command;
+use crate::arguments::EnvironmentName;
 use crate::arguments::HELP;
 
 /// Exit code for a mistake in arguments, settings or configuration.
@@ -31,8 +36,11 @@
         Command::Help => say(HELP),
         Command::Version => say(concat!("thymeshiftd ", env!("CARGO_PKG_VERSION"), "\n")),
         Command::Check { settings, configuration } => check(settings, configuration),
-        Command::Run { settings } => match read(&settings, Settings::parse) {
-            Ok(settings) => run(settings),
+        Command::Run { settings: path, environment } => match read(&path, Settings::parse) {
+            Ok(settings) => match environment {
+                EnvironmentName::Native => run::<NativeEnvironment>(settings, path),
+                EnvironmentName::Platform => run::<PlatformEnvironment>(settings, path),
+            },
             Err(text) => mistaken(&text),
         },
     }
@@ -75,19 +83,15 @@
     code
 }
 
-fn run(settings: Settings) -> ExitCode {
+fn run<E: Environment>(settings: Settings, path: String) -> ExitCode {
     if let Err(error) = start_logging(settings.log_level) {
         return mistaken(&error.to_string());
     }
-    let mut builder = tokio::runtime::Builder::new_multi_thread();
-    if settings.worker_threads > 0 {
-        builder.worker_threads(usize::try_from(settings.worker_threads).unwrap_or(usize::MAX));
-    }
-    let runtime = match builder.enable_all().build() {
+    let runtime = match runtime_builder(settings.worker_threads).enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => return failed(&format!("starting threads: {error}")),
     };
-    let exit = runtime.block_on(thymeshift_entry::run(settings, announce));
+    let exit = runtime.block_on(thymeshift_entry::run::<E>(settings, Some(path), announce));
     runtime.shutdown_background();
     match exit {
         Ok(Exit::Stopped) => ExitCode::SUCCESS,
@@ -97,6 +101,18 @@
     }
 }
 
+/// One thread needs no scheduler that shares work among several.
+fn runtime_builder(worker_threads: u64) -> Builder {
+    if worker_threads == 1 {
+        return Builder::new_current_thread();
+    }
+    let mut builder = Builder::new_multi_thread();
+    if worker_threads > 0 {
+        builder.worker_threads(usize::try_from(worker_threads).unwrap_or(usize::MAX));
+    }
+    builder
+}
+
 fn failed(text: &str) -> ExitCode {
     eprintln!("thymeshiftd: {text}");
     ExitCode::from(CODE_FAILED)
