Safe requests are sent a second time after half of their objective

Ruled out: queues (0.02 refused, nothing waited). The budget stays a share of successes; with no free target no second attempt is sent.

--- a/crates/thymeshift_config/src/kind.rs
+++ b/crates/thymeshift_config/src/kind.rs
@@ -17,6 +17,10 @@
 /// next try then still has a chance to meet it.
 const WAIT_SHARE_OF_OBJECTIVE: u64 = 4;
 
+/// A safe request without an answer after this part of its objective is sent a second time:
+/// the second attempt then still has a chance to meet it.
+const HEDGE_SHARE_OF_OBJECTIVE: u64 = 2;
+
 /// Whether a request may be sent to a target more than once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -124,7 +128,7 @@
     /// Most attempts, the first included.
     pub attempts_max: u64,
     /// Time after which a second attempt is started beside the first, in milliseconds;
-    /// 0 never does.
+    /// 0 never does. Without it, half of the objective for a safe kind that has one.
     pub hedge_after_ms: u64,
     /// Whether it may run twice.
     pub repeat: Repeat,
@@ -208,8 +212,12 @@
         let wait_max_ms = map.number_or("wait_max_ms", 0..=600_000, wait_max_ms);
         let queue_max = map.number_or("queue_max", 0..=1_000_000, 128);
         let attempts_max = map.number_or("attempts_max", 1..=10, 2);
-        let hedge_after_ms = map.number_or("hedge_after_ms", 0..=600_000, 0);
         let repeat = map.required("repeat");
+        let hedge_after_ms = match (repeat, objective_ms) {
+            (Some(Repeat::Safe), Some(objective)) => objective / HEDGE_SHARE_OF_OBJECTIVE,
+            _ => 0,
+        };
+        let hedge_after_ms = map.number_or("hedge_after_ms", 0..=600_000, hedge_after_ms);
         map.finish();
         Some(Self {
             name: name?,
