--- a/crates/thymeshift_dispatch/src/dispatcher.rs
+++ b/crates/thymeshift_dispatch/src/dispatcher.rs
@@ -185,6 +185,7 @@
     /// Decides on a new request, or on another attempt of one.
     pub fn request<R: Rng>(&mut self, request: Request, now: Timestamp, rng: &mut R) -> Decision {
         self.tick(now);
+        self.table.observe_waiting(!self.queue.is_empty(), false, now);
         if now >= request.deadline {
             return Decision::Refuse(self.refusal(Reason::Deadline, &request, rng));
         }
@@ -241,9 +242,11 @@
         if let Observation::Answered(_) = observation {
             self.table.learn_latency(grant, now);
         }
+        let mut is_answer = false;
         let target = self.table.get_mut(grant.target);
         match observation {
             Observation::Answered(report) => {
+                is_answer = true;
                 target.learn_pressure(report, now);
                 target.succeeded(now);
                 self.retry.succeeded();
@@ -261,6 +264,7 @@
                 }
             }
         }
+        self.table.observe_waiting(!self.queue.is_empty(), is_answer, now);
         mark
     }
 
--- a/crates/thymeshift_dispatch/src/lib.rs
+++ b/crates/thymeshift_dispatch/src/lib.rs
@@ -16,12 +16,12 @@
 
 mod admission;
 mod cold_start;
+mod concurrency;
 mod connections;
 mod decision;
 mod dispatcher;
 mod dump;
 mod ejection;
-mod knee;
 mod latency;
 mod limit;
 mod measuring;
--- a/crates/thymeshift_dispatch/src/model.rs
+++ b/crates/thymeshift_dispatch/src/model.rs
@@ -4,6 +4,7 @@
 //!   target: the time of a single target is a noisy figure, and the targets with lucky
 //!   figures would draw all the work.
 //! * The mean load that other VMs put on a target.
+//! * The mean pace that reports tell of.
 //! * How much a report is worth: the slope of the time an answer took, beyond what was
 //!   expected without the report, over the load that the report told of. Fresh and honest
 //!   reports have a slope near the time of one request in the queue; late, lying or
@@ -14,6 +15,8 @@
 const SERVICE_WEIGHT: f64 = 0.02;
 /// Weight of one report in the mean load of others.
 const OTHERS_WEIGHT: f64 = 0.02;
+/// Weight of one report in the mean pace.
+const PACE_WEIGHT: f64 = 0.02;
 /// Weight of one answer in the slope.
 const SLOPE_WEIGHT: f64 = 0.01;
 /// Assumed time before the first answer, in microseconds.
@@ -28,6 +31,7 @@
 pub(crate) struct ServiceModel {
     mean_us: Option<f64>,
     others: Option<f64>,
+    pace: Option<f64>,
     load_variance: f64,
     covariance_us: f64,
 }
@@ -43,6 +47,16 @@
         self.others.unwrap_or(0.0)
     }
 
+    /// Mean pace that targets report.
+    pub(crate) fn pace(&self) -> f64 {
+        self.pace.unwrap_or(1.0)
+    }
+
+    pub(crate) fn learn_pace(&mut self, pace: f64) {
+        let mean = self.pace.get_or_insert(pace);
+        *mean += PACE_WEIGHT * (pace - *mean);
+    }
+
     /// Time that one request told of by a report adds, in microseconds.
     pub(crate) fn report_us(&self, slots: f64) -> f64 {
         let queued_us = self.service_us() / slots;
--- a/crates/thymeshift_dispatch/src/report.rs
+++ b/crates/thymeshift_dispatch/src/report.rs
@@ -40,15 +40,20 @@
 pub const USUAL_PACE_PERCENT: u32 = 100;
 
 impl LoadReport {
+    /// How many times as long as usual work takes.
+    pub fn pace(&self) -> f64 {
+        f64::from(self.pace_percent) / f64::from(USUAL_PACE_PERCENT)
+    }
+
     /// Requests running and waiting.
     pub fn occupancy(&self) -> u32 {
         self.running.saturating_add(self.queued)
     }
 }
 
-/// Time in which a reported pace loses half of its worth: neighbours on the same machine
+/// Time after which a reported pace says nothing any more: neighbours on the same machine
 /// come and go many times a second.
-const PACE_MEMORY: Duration = Duration::from_millis(100);
+const PACE_MEMORY: Duration = Duration::from_millis(150);
 /// Smallest pace counted.
 const PACE_MIN: f64 = 0.25;
 /// Weight of a new report in the long-run mean of others' load.
@@ -104,15 +109,15 @@
         self.mean = 0.0;
     }
 
-    /// How many times as long as usual work takes there now, as the last report told.
-    pub(crate) fn pace(&self, now: Timestamp) -> f64 {
+    /// How many times as long as usual work takes there now, as the last report told; with
+    /// the report's age this moves to `mean`, the pace of all targets.
+    pub(crate) fn pace(&self, now: Timestamp, mean: f64) -> f64 {
         let Some(last) = self.last else {
-            return 1.0;
+            return mean;
         };
-        let told = f64::from(last.report.pace_percent) / f64::from(USUAL_PACE_PERCENT);
-        let memory = PACE_MEMORY.as_secs_f64();
-        let faith = memory / (memory + now.since(last.at).as_secs_f64());
-        (1.0 + (told - 1.0) * faith).max(PACE_MIN)
+        let age = now.since(last.at).as_secs_f64();
+        let faith = (1.0 - age / PACE_MEMORY.as_secs_f64()).max(0.0);
+        (mean + (last.report.pace() - mean) * faith).max(PACE_MIN)
     }
 
     pub(crate) fn last_report(&self) -> Option<LoadReport> {
--- a/crates/thymeshift_dispatch/src/table.rs
+++ b/crates/thymeshift_dispatch/src/table.rs
@@ -16,8 +16,8 @@
 use crate::TargetIndex;
 use crate::View;
 use crate::cold_start::ColdStart;
+use crate::concurrency::Concurrency;
 use crate::connections::connection_share;
-use crate::knee::Knee;
 use crate::model::ServiceModel;
 use crate::target::Bound;
 use crate::target::Presence;
@@ -41,8 +41,7 @@
     targets: Vec<Target>,
     is_filled: bool,
     model: ServiceModel,
-    knee: Knee,
-    slots: u32,
+    concurrency: Concurrency,
 }
 
 impl Table {
@@ -59,11 +58,17 @@
     pub(crate) fn bound(&self, view: View) -> Bound {
         match view {
             View::Own => Bound::Learnt,
-            View::Fleet => Bound::Fixed(self.knee.best(self.slots)),
+            View::Fleet => Bound::Fixed(self.concurrency.bound()),
             View::Fallback => Bound::Fixed(FALLBACK_IN_FLIGHT_MAX),
         }
     }
 
+    /// Notes whether requests wait, and whether a target has just answered.
+    pub(crate) fn observe_waiting(&mut self, is_waiting: bool, is_answer: bool, now: Timestamp) {
+        let mean = Duration::from_micros(self.model.service_us() as u64);
+        self.concurrency.observe(is_waiting, is_answer, mean, now);
+    }
+
     /// What is believed of each target.
     pub(crate) fn dump(&self, view: View, now: Timestamp) -> Vec<TargetDump> {
         let bound = self.bound(view);
@@ -74,18 +79,19 @@
     pub(crate) fn learn_latency(&mut self, grant: &Grant, now: Timestamp) {
         let taken_us = self.get_mut(grant.target).learn_latency(grant, now);
         self.model.learn_answer(taken_us, grant.load, grant.told);
-        self.knee.learn(grant.in_flight, taken_us);
     }
 
     /// Learns from a report that came with an answer.
     pub(crate) fn learn_report(&mut self, index: TargetIndex, report: LoadReport, now: Timestamp) {
         let others = self.get_mut(index).learn_report(report, now);
+        self.model.learn_pace(report.pace());
         self.model.learn_others(others);
     }
 
     /// Learns from a report that came with a probe.
     pub(crate) fn learn_probe(&mut self, index: TargetIndex, report: LoadReport, now: Timestamp) {
         let others = self.get_mut(index).learn_probe(report, now);
+        self.model.learn_pace(report.pace());
         self.model.learn_others(others);
     }
 
@@ -126,7 +132,8 @@
                 target.presence = Presence::Removed;
             }
         }
-        self.slots = u32::try_from(service.slots_per_target).unwrap_or(u32::MAX);
+        let slots = u32::try_from(service.slots_per_target).unwrap_or(u32::MAX);
+        self.concurrency.set_slots(slots);
         let shape = Shape {
             slots: u32::try_from(service.slots_per_target).unwrap_or(u32::MAX),
             connection_share: share_for_requests(service, surroundings.entry_vms_max),
--- a/crates/thymeshift_dispatch/src/target.rs
+++ b/crates/thymeshift_dispatch/src/target.rs
@@ -59,8 +59,6 @@
     pub(crate) told: f64,
     /// When it was expected.
     pub(crate) expected: Duration,
-    /// Requests in flight there, this one included.
-    pub(crate) in_flight: u32,
 }
 
 impl Grant {
@@ -206,7 +204,7 @@
     pub(crate) fn expected_us(&self, now: Timestamp, model: &ServiceModel) -> f64 {
         let base_us = self.base_us(now, model);
         let factor = self.slowness.factor(now) * self.cold_start.factor(now);
-        let factor = factor * self.others.pace(now);
+        let factor = factor * self.others.pace(now, model.pace());
         let stalled_us = self.overdue_us(now, base_us);
         let success_share = (1.0 - self.ejection.failure_rate(now)).max(SUCCESS_SHARE_MIN);
         (base_us * factor + stalled_us) / success_share + self.way_us()
@@ -265,7 +263,6 @@
             load: self.load(model),
             told: self.told(now, model),
             expected: Duration::from_micros(expected_us as u64),
-            in_flight: self.in_flight + 1,
         };
         self.in_flight += 1;
         self.sent_at_sum_us += now.as_micros();
