The learnt number of requests at a target compares like with like; data halls in choices

Cause: answers of equal time windows misjudged (138 to 75 for the wrong number in one load peak). The platform's report counts its own request; the product's does not: translated now. Kept: counted when sent and reported when answered must agree; a further request costs what it slows all; the lender tells borrowers the number; a detour of 25 ms spares the way between halls.

--- a/crates/thymeshift_config/src/configuration.rs
+++ b/crates/thymeshift_config/src/configuration.rs
@@ -29,6 +29,9 @@
     pub data_halls: Vec<DataHallName>,
     /// Time of one way between two data halls, in microseconds.
     pub data_hall_one_way_us: u64,
+    /// How much longer an answer may take, in microseconds, to spare the way between two data
+    /// halls: bytes on that way may have a price.
+    pub data_hall_detour_us: u64,
     /// Limits on callers.
     pub limits: Limits,
     /// Services, each with its targets.
@@ -95,6 +98,7 @@
         let entry_vms_max = map.number("entry_vms_max", 1..=100_000);
         let data_halls = map.or("data_halls", Vec::new());
         let data_hall_one_way_us = map.number_or("data_hall_one_way_us", 0..=1_000_000, 1_500);
+        let data_hall_detour_us = map.number_or("data_hall_detour_us", 0..=1_000_000, 0);
         let limits = map.or("limits", Limits::default());
         let services = map.required("services");
         let kinds = map.required("kinds");
@@ -103,6 +107,7 @@
             entry_vms_max: entry_vms_max?,
             data_halls: data_halls?,
             data_hall_one_way_us: data_hall_one_way_us?,
+            data_hall_detour_us: data_hall_detour_us?,
             limits: limits?,
             services: services?,
             kinds: kinds?,
--- a/crates/thymeshift_dispatch/src/concurrency.rs
+++ b/crates/thymeshift_dispatch/src/concurrency.rs
@@ -1,159 +1,135 @@
 //! How many requests at a time one target of a service serves best.
 //!
-//! What it does: while requests wait, it tries two numbers one after the other, counts the
-//! answers that all targets give in the same time with each, and keeps the number that
-//! brought more. Then it rests, and tries again with the next number above or below.
+//! What it does: keeps the times of the latest answers for each number of requests that were
+//! counted when the request was sent and that the target reported to run when it answered,
+//! both the same, and compares a low quantile of them. The best
+//! number is the largest at which one more request still raises the throughput, which is the
+//! number divided by that time. What is not known counts as worth it, unless another process
+//! has told otherwise; what is known is forgotten after a while, and found out anew.
 //!
 //! Why: targets slow down when nearly full. Beyond some number each further request makes
 //! all of them slower than it is worth; that number differs from the slots that a target
-//! tells of, and only counts of the whole fleet show it. Comparing the times of single
-//! answers does not: the fastest targets are chosen first, so that further requests look
-//! slow for where they go. Answers in a given time, with all targets full, compare like
-//! with like.
+//! tells of. Both numbers, because a request that joins or leaves on the way makes the time
+//! say little about either. A low quantile, because part of the answers take many times as
+//! long for other reasons, and more of those at high numbers: the fastest targets are chosen
+//! first.
 
 use std::time::Duration;
 
 use thymeshift_types::Timestamp;
 
-/// Time in which answers are counted for one number, with requests waiting all along: the
-/// larger of this, and so many times the mean time of an answer.
-const WINDOW: Duration = Duration::from_millis(500);
-const WINDOW_ANSWERS: u32 = 4;
-/// Time after a change of the number before answers count, in mean times of an answer: until
-/// then they were begun with another number.
-const SETTLE_ANSWERS: u32 = 2;
-/// Time with requests waiting after a comparison that changed the number. It doubles with
-/// each one that does not: targets seldom change, and a comparison costs answers.
-const REST: Duration = Duration::from_secs(8);
-const REST_DOUBLINGS_MAX: u32 = 5;
-/// Numbers below this part of the slots are not tried.
-const TRIED_SHARE_MIN: f64 = 0.5;
-/// A larger number must bring this much more, because each answer then takes longer.
-const GAIN_MIN: f64 = 1.15;
-/// Longest time between two observations that counts.
-const GAP_MAX: Duration = Duration::from_millis(50);
+/// Numbers of requests told apart; beyond, the largest stands for all.
+const LEVELS: usize = 16;
+/// Answers kept for each number.
+const ANSWERS_KEPT: usize = 64;
+/// Answers at a number before it is believed.
+const BELIEVED_AFTER: usize = 20;
+/// The quantile compared.
+const QUANTILE: f64 = 0.3;
+/// One more request must raise the throughput by this factor.
+const GAIN_MIN: f64 = 1.12;
+/// Assumed slowing by one more request when a target is nearly full.
+const ASSUMED_STEP: f64 = 1.3;
+/// Time without an answer after which what is known of a number is forgotten.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(30);
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Phase {
-    Rest,
-    Kept,
-    Tried,
+/// The latest answers at one number.
+#[derive(Debug, Clone, Default)]
+struct Level {
+    taken_us: Vec<f64>,
+    next: usize,
+    quantile_us: f64,
+    last_at: Timestamp,
 }
 
-/// The number in use, and the comparison that is under way.
-#[derive(Debug, Clone)]
-pub(crate) struct Concurrency {
-    slots: u32,
-    kept: u32,
-    tried: u32,
-    phase: Phase,
-    /// Time with requests waiting in this phase.
-    spent: Duration,
-    answers: u32,
-    answers_kept: u32,
-    /// Comparisons in a row that changed nothing.
-    unchanged: u32,
-    observed_at: Timestamp,
-    was_waiting: bool,
-}
-
-impl Default for Concurrency {
-    fn default() -> Self {
-        Self {
-            slots: 0,
-            kept: 1,
-            tried: 1,
-            phase: Phase::Kept,
-            spent: Duration::ZERO,
-            answers: 0,
-            answers_kept: 0,
-            unchanged: 0,
-            observed_at: Timestamp::default(),
-            was_waiting: false,
+impl Level {
+    fn learn(&mut self, taken_us: f64, now: Timestamp) {
+        if now.since(self.last_at) > FORGOTTEN_AFTER {
+            self.taken_us.clear();
+            self.next = 0;
         }
+        self.last_at = now;
+        if self.taken_us.len() < ANSWERS_KEPT {
+            self.taken_us.push(taken_us);
+        } else {
+            self.taken_us[self.next] = taken_us;
+            self.next = (self.next + 1) % ANSWERS_KEPT;
+        }
+        let mut sorted = self.taken_us.clone();
+        let place = (sorted.len() as f64 * QUANTILE) as usize;
+        let (_, quantile, _) = sorted.select_nth_unstable_by(place, f64::total_cmp);
+        self.quantile_us = *quantile;
     }
-}
 
-impl Concurrency {
-    /// Says how many slots the targets tell of. Until more is known, all are used.
-    pub(crate) fn set_slots(&mut self, slots: u32) {
-        let slots = slots.max(1);
-        if slots == self.slots {
-            return;
-        }
-        *self = Self { slots, kept: slots, ..Self::default() };
-        self.tried = self.next_tried();
+    fn known_us(&self, now: Timestamp) -> Option<f64> {
+        let is_known =
+            self.taken_us.len() >= BELIEVED_AFTER && now.since(self.last_at) <= FORGOTTEN_AFTER;
+        is_known.then_some(self.quantile_us)
     }
+}
 
-    /// Most requests that one target may have now.
-    pub(crate) fn bound(&self) -> u32 {
-        match self.phase {
-            Phase::Rest | Phase::Kept => self.kept,
-            Phase::Tried => self.tried,
-        }
+/// Answers' times by requests at the target, for all targets of a service.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Concurrency {
+    levels: [Level; LEVELS],
+    /// What another process has found out.
+    told: Option<u32>,
+}
+
+impl Concurrency {
+    /// Learns from an answer; `running` requests were at the target, itself included.
+    pub(crate) fn learn(&mut self, running: u32, taken_us: f64, now: Timestamp) {
+        self.levels[place_of(running)].learn(taken_us, now);
     }
 
-    /// Notes whether requests wait, and whether a target has just answered.
-    /// An answer takes `mean` on average.
-    pub(crate) fn observe(
-        &mut self,
-        is_waiting: bool,
-        is_answer: bool,
-        mean: Duration,
-        now: Timestamp,
-    ) {
-        let passed = now.since(self.observed_at).min(GAP_MAX);
-        self.observed_at = now;
-        let was_waiting = std::mem::replace(&mut self.was_waiting, is_waiting);
-        if !was_waiting {
-            return;
-        }
-        self.spent += passed;
-        let settle = mean * SETTLE_ANSWERS;
-        let window_end = settle + WINDOW.max(mean * WINDOW_ANSWERS);
-        let is_settled = self.spent >= settle;
-        self.answers += u32::from(is_answer && is_settled);
-        match self.phase {
-            Phase::Rest if self.spent >= self.rest() => self.begin(Phase::Kept),
-            Phase::Kept if self.spent >= window_end => {
-                self.answers_kept = self.answers;
-                self.begin(Phase::Tried);
-            }
-            Phase::Tried if self.spent >= window_end => {
-                self.compare();
-                self.begin(Phase::Rest);
-            }
-            Phase::Rest | Phase::Kept | Phase::Tried => {}
-        }
+    /// Takes over what another process has found out.
+    pub(crate) fn adopt(&mut self, told: u32) {
+        self.told = Some(told.max(1));
     }
 
-    fn rest(&self) -> Duration {
-        REST * 2_u32.pow(self.unchanged.min(REST_DOUBLINGS_MAX))
+    /// Most requests that one target of `slots` may have, from 1 to `slots`.
+    pub(crate) fn best(&self, slots: u32, now: Timestamp) -> u32 {
+        let told = self.told.unwrap_or(slots);
+        let is_worth = |number: &u32| self.is_worth(*number, now).unwrap_or(*number <= told);
+        (2..=slots).take_while(is_worth).last().unwrap_or(1)
     }
 
-    fn begin(&mut self, phase: Phase) {
-        self.phase = phase;
-        self.spent = Duration::ZERO;
-        self.answers = 0;
+    /// By how much a further request at a target that has `in_flight` lengthens the times of
+    /// all requests there, its own included, over the time of one alone.
+    pub(crate) fn marginal(&self, in_flight: u32, slots: u32, now: Timestamp) -> f64 {
+        let number = in_flight + 1;
+        let total = |number: u32| f64::from(number) * self.slower(number, slots, now);
+        let before = if in_flight == 0 { 0.0 } else { total(in_flight) };
+        (total(number) - before).max(1.0)
     }
 
-    fn compare(&mut self) {
-        let (kept, tried) = (f64::from(self.answers_kept), f64::from(self.answers));
-        let is_better =
-            if self.tried > self.kept { tried > kept * GAIN_MIN } else { tried * GAIN_MIN > kept };
-        self.unchanged = if is_better { 0 } else { self.unchanged + 1 };
-        if is_better {
-            self.kept = self.tried;
+    /// How many times as long as alone a request takes among `number`.
+    fn slower(&self, number: u32, slots: u32, now: Timestamp) -> f64 {
+        let known = |number| self.levels[place_of(number)].known_us(now);
+        let known_slower = || Some(known(number)? / known(number - 1)?.max(1.0));
+        if number <= 1 {
+            return 1.0;
         }
-        self.tried = self.next_tried();
+        let fewer = self.slower(number - 1, slots, now);
+        let step = known_slower().unwrap_or_else(|| assumed_step(number, slots));
+        (fewer * step).max(1.0)
     }
 
-    /// The number above the one kept and the number below in turn, where there is one.
-    fn next_tried(&self) -> u32 {
-        let above = (self.kept + 1).min(self.slots);
-        let least = (f64::from(self.slots) * TRIED_SHARE_MIN).ceil() as u32;
-        let below = (self.kept - 1).max(least).min(self.kept);
-        let was_above = self.tried > self.kept;
-        if (was_above && below < self.kept) || above == self.kept { below } else { above }
+    /// Whether `number` requests yield more than one fewer, as far as it is known.
+    fn is_worth(&self, number: u32, now: Timestamp) -> Option<bool> {
+        let more_us = self.levels[place_of(number)].known_us(now)?;
+        let fewer_us = self.levels[place_of(number - 1)].known_us(now)?;
+        let slower = more_us / fewer_us.max(1.0);
+        Some(f64::from(number) / f64::from(number - 1) > GAIN_MIN * slower)
     }
 }
+
+/// How much slower `number` requests are assumed to be than one fewer: only the last third
+/// of the slots slows targets down.
+fn assumed_step(number: u32, slots: u32) -> f64 {
+    if number * 3 > slots * 2 { ASSUMED_STEP } else { 1.0 }
+}
+
+fn place_of(number: u32) -> usize {
+    (number as usize).clamp(1, LEVELS) - 1
+}
--- a/crates/thymeshift_dispatch/src/dispatcher.rs
+++ b/crates/thymeshift_dispatch/src/dispatcher.rs
@@ -18,6 +18,7 @@
 use crate::Candidates;
 use crate::Decision;
 use crate::Grant;
+use crate::HallIndex;
 use crate::LoadReport;
 use crate::Observation;
 use crate::PauseDetector;
@@ -140,7 +141,26 @@
     /// it is not known here, or may not receive new work.
     pub fn grant_at(&mut self, name: &TargetName, now: Timestamp) -> Option<Grant> {
         let index = self.table.find(name)?;
-        self.table.get(index).is_serving().then(|| self.table.grant(index, now))
+        self.table
+            .get(index)
+            .is_serving()
+            .then(|| self.table.grant(index, HallIndex::default(), now))
+    }
+
+    /// Most requests that one target serves well at a time.
+    pub fn concurrency(&self, now: Timestamp) -> u32 {
+        self.table.concurrency(now)
+    }
+
+    /// Takes over that number from a process that counts for the fleet, so that it need not
+    /// be found out anew when this one takes its place.
+    pub fn adopt_concurrency(&mut self, number: u32) {
+        self.table.adopt_concurrency(number);
+    }
+
+    /// The number of a data hall, for [`Request::origin`].
+    pub fn hall_index(&mut self, name: &DataHallName) -> HallIndex {
+        self.table.hall_index(name)
     }
 
     /// The place of the target called `name`.
@@ -164,6 +184,7 @@
         let surroundings = Surroundings {
             own_data_hall: own_data_hall.clone(),
             one_way: Duration::from_micros(configuration.data_hall_one_way_us),
+            detour: Duration::from_micros(configuration.data_hall_detour_us),
             entry_vms_max: configuration.entry_vms_max,
         };
         self.table.update(service, &surroundings, now);
@@ -185,7 +206,6 @@
     /// Decides on a new request, or on another attempt of one.
     pub fn request<R: Rng>(&mut self, request: Request, now: Timestamp, rng: &mut R) -> Decision {
         self.tick(now);
-        self.table.observe_waiting(!self.queue.is_empty(), false, now);
         if now >= request.deadline {
             return Decision::Refuse(self.refusal(Reason::Deadline, &request, rng));
         }
@@ -239,14 +259,12 @@
     ) -> Option<LeavingMark> {
         let mark = observation.report().and_then(|report| self.learn_report(grant, report, now));
         let has_room = self.table.has_room_to_eject(self.ejection.share_max_percent, now);
-        if let Observation::Answered(_) = observation {
-            self.table.learn_latency(grant, now);
+        if let Observation::Answered(report) = observation {
+            self.table.learn_latency(grant, report, now);
         }
-        let mut is_answer = false;
         let target = self.table.get_mut(grant.target);
         match observation {
             Observation::Answered(report) => {
-                is_answer = true;
                 target.learn_pressure(report, now);
                 target.succeeded(now);
                 self.retry.succeeded();
@@ -264,7 +282,6 @@
                 }
             }
         }
-        self.table.observe_waiting(!self.queue.is_empty(), is_answer, now);
         mark
     }
 
@@ -357,18 +374,20 @@
     }
 
     fn choose<R: Rng>(&mut self, request: &Request, now: Timestamp, rng: &mut R) -> Option<Grant> {
-        let candidates = Candidates::new(&self.table, self.view, now, &request.tried);
+        let candidates =
+            Candidates::new(&self.table, self.view, now, &request.tried, request.origin);
         let chosen = match self.strategy.choose(&candidates, rng) {
             Some(index) => index,
             // A second attempt at the same target is better than none.
             None if !request.tried.is_empty() => {
                 let untried = Tried::default();
-                let candidates = Candidates::new(&self.table, self.view, now, &untried);
+                let candidates =
+                    Candidates::new(&self.table, self.view, now, &untried, request.origin);
                 self.strategy.choose(&candidates, rng)?
             }
             None => return None,
         };
-        Some(self.table.grant(chosen, now))
+        Some(self.table.grant(chosen, request.origin, now))
     }
 
     fn refusal<R: Rng>(&self, reason: Reason, request: &Request, rng: &mut R) -> Refusal {
--- a/crates/thymeshift_dispatch/src/request.rs
+++ b/crates/thymeshift_dispatch/src/request.rs
@@ -2,6 +2,7 @@
 
 use thymeshift_types::Timestamp;
 
+use crate::HallIndex;
 use crate::TargetIndex;
 
 /// Most targets remembered as tried; equal to the largest `attempts_max`.
@@ -50,4 +51,6 @@
     pub queue_max: u32,
     /// Targets it was already sent to.
     pub tried: Tried,
+    /// The data hall it comes from.
+    pub origin: HallIndex,
 }
--- a/crates/thymeshift_dispatch/src/strategy/candidates.rs
+++ b/crates/thymeshift_dispatch/src/strategy/candidates.rs
@@ -3,10 +3,13 @@
 use rand::Rng;
 use thymeshift_types::Timestamp;
 
+use crate::HallIndex;
 use crate::TargetIndex;
 use crate::Tried;
 use crate::View;
+use crate::halls::Halls;
 use crate::model::ServiceModel;
+use crate::table::MarginalCosts;
 use crate::table::Table;
 use crate::target::Bound;
 use crate::target::Target;
@@ -40,20 +43,32 @@
 pub struct Candidates<'a> {
     targets: &'a [Target],
     model: &'a ServiceModel,
+    halls: &'a Halls,
+    origin: HallIndex,
     now: Timestamp,
     tried: &'a Tried,
     bound: Bound,
+    costs: MarginalCosts,
     is_exact: bool,
 }
 
 impl<'a> Candidates<'a> {
-    pub(crate) fn new(table: &'a Table, view: View, now: Timestamp, tried: &'a Tried) -> Self {
+    pub(crate) fn new(
+        table: &'a Table,
+        view: View,
+        now: Timestamp,
+        tried: &'a Tried,
+        origin: HallIndex,
+    ) -> Self {
         Self {
             targets: table.targets(),
             model: table.model(),
+            halls: table.halls(),
+            origin,
             now,
             tried,
-            bound: table.bound(view),
+            bound: table.bound(view, now),
+            costs: table.marginal_costs(view, now),
             is_exact: view == View::Fleet,
         }
     }
@@ -64,9 +79,12 @@
         self.is_exact
     }
 
-    /// Time in which an answer of a candidate is expected, in microseconds.
+    /// Time in which an answer of a candidate is expected, in microseconds, the cost of the
+    /// way to its data hall included.
     pub fn expected_us(&self, candidate: &Candidate<'_>) -> f64 {
-        candidate.target.expected_us(self.now, self.model)
+        let way_us = self.halls.cost_us(self.origin, candidate.target.hall);
+        let place = (candidate.in_flight() as usize).min(self.costs.len() - 1);
+        candidate.target.expected_us(self.now, self.model) * self.costs[place] + way_us
     }
 
     /// The moment of the decision.
--- a/crates/thymeshift_dispatch/src/table.rs
+++ b/crates/thymeshift_dispatch/src/table.rs
@@ -11,6 +11,7 @@
 use thymeshift_types::Timestamp;
 
 use crate::Grant;
+use crate::HallIndex;
 use crate::LoadReport;
 use crate::TargetDump;
 use crate::TargetIndex;
@@ -18,6 +19,7 @@
 use crate::cold_start::ColdStart;
 use crate::concurrency::Concurrency;
 use crate::connections::connection_share;
+use crate::halls::Halls;
 use crate::model::ServiceModel;
 use crate::target::Bound;
 use crate::target::Presence;
@@ -29,6 +31,7 @@
 pub(crate) struct Surroundings {
     pub(crate) own_data_hall: DataHallName,
     pub(crate) one_way: Duration,
+    pub(crate) detour: Duration,
     pub(crate) entry_vms_max: u64,
 }
 
@@ -36,12 +39,20 @@
 /// an answer: every other process may be doing the same.
 const FALLBACK_IN_FLIGHT_MAX: u32 = 1;
 
+/// Numbers of requests at a target whose costs are told apart.
+const MARGINAL_COSTS: usize = 8;
+/// What one more request costs all requests at a target, by how many it has, over the time
+/// of one alone.
+pub(crate) type MarginalCosts = [f64; MARGINAL_COSTS];
+
 #[derive(Debug, Default)]
 pub(crate) struct Table {
     targets: Vec<Target>,
     is_filled: bool,
     model: ServiceModel,
     concurrency: Concurrency,
+    slots: u32,
+    halls: Halls,
 }
 
 impl Table {
@@ -55,30 +66,59 @@
     }
 
     /// What bounds the requests in flight at each target.
-    pub(crate) fn bound(&self, view: View) -> Bound {
+    pub(crate) fn bound(&self, view: View, now: Timestamp) -> Bound {
         match view {
             View::Own => Bound::Learnt,
-            View::Fleet => Bound::Fixed(self.concurrency.bound()),
+            View::Fleet => Bound::Fixed(self.concurrency(now)),
             View::Fallback => Bound::Fixed(FALLBACK_IN_FLIGHT_MAX),
         }
     }
 
-    /// Notes whether requests wait, and whether a target has just answered.
-    pub(crate) fn observe_waiting(&mut self, is_waiting: bool, is_answer: bool, now: Timestamp) {
-        let mean = Duration::from_micros(self.model.service_us() as u64);
-        self.concurrency.observe(is_waiting, is_answer, mean, now);
+    /// Most requests that one target serves well at a time.
+    pub(crate) fn concurrency(&self, now: Timestamp) -> u32 {
+        self.concurrency.best(self.slots, now)
+    }
+
+    /// What one more request costs all requests at a target, by how many it has.
+    pub(crate) fn marginal_costs(&self, view: View, now: Timestamp) -> MarginalCosts {
+        let mut costs = [1.0; MARGINAL_COSTS];
+        if view == View::Fleet {
+            for (in_flight, cost) in costs.iter_mut().enumerate() {
+                *cost = self.concurrency.marginal(in_flight as u32, self.slots, now);
+            }
+        }
+        costs
+    }
+
+    /// Takes over that number from a process that counts for the fleet.
+    pub(crate) fn adopt_concurrency(&mut self, number: u32) {
+        self.concurrency.adopt(number);
     }
 
     /// What is believed of each target.
     pub(crate) fn dump(&self, view: View, now: Timestamp) -> Vec<TargetDump> {
-        let bound = self.bound(view);
+        let bound = self.bound(view, now);
         self.targets.iter().map(|target| target.dump(now, bound, &self.model)).collect()
     }
 
     /// Learns from an answer's time, for its target and for the service.
-    pub(crate) fn learn_latency(&mut self, grant: &Grant, now: Timestamp) {
+    pub(crate) fn learn_latency(
+        &mut self,
+        grant: &Grant,
+        report: Option<LoadReport>,
+        now: Timestamp,
+    ) {
         let taken_us = self.get_mut(grant.target).learn_latency(grant, now);
         self.model.learn_answer(taken_us, grant.load, grant.told);
+        let Some(report) = report.filter(|report| report.queued == 0) else {
+            return;
+        };
+        // A report does not count the request that carries it.
+        let running = report.running + 1;
+        // If others came or went meanwhile, the time says little about either number.
+        if running == grant.in_flight {
+            self.concurrency.learn(running, taken_us, now);
+        }
     }
 
     /// Learns from a report that came with an answer.
@@ -96,8 +136,20 @@
     }
 
     /// Gives the right to send to a target.
-    pub(crate) fn grant(&mut self, index: TargetIndex, now: Timestamp) -> Grant {
-        self.targets[index.as_usize()].grant(index, now, &self.model)
+    pub(crate) fn grant(&mut self, index: TargetIndex, origin: HallIndex, now: Timestamp) -> Grant {
+        let target = &mut self.targets[index.as_usize()];
+        let way_us = self.halls.way_us(origin, target.hall);
+        target.grant(index, way_us, now, &self.model)
+    }
+
+    /// Data halls and ways.
+    pub(crate) fn halls(&self) -> &Halls {
+        &self.halls
+    }
+
+    /// The number of a data hall.
+    pub(crate) fn hall_index(&mut self, name: &DataHallName) -> HallIndex {
+        self.halls.index(name)
     }
 
     pub(crate) fn get(&self, index: TargetIndex) -> &Target {
@@ -126,14 +178,15 @@
         surroundings: &Surroundings,
         now: Timestamp,
     ) {
+        let Surroundings { own_data_hall, one_way, detour, .. } = surroundings;
+        self.halls.set(own_data_hall, *one_way, *detour);
         for target in &mut self.targets {
             let is_listed = service.targets.iter().any(|listed| listed.name == target.name);
             if !is_listed {
                 target.presence = Presence::Removed;
             }
         }
-        let slots = u32::try_from(service.slots_per_target).unwrap_or(u32::MAX);
-        self.concurrency.set_slots(slots);
+        self.slots = u32::try_from(service.slots_per_target).unwrap_or(u32::MAX);
         let shape = Shape {
             slots: u32::try_from(service.slots_per_target).unwrap_or(u32::MAX),
             connection_share: share_for_requests(service, surroundings.entry_vms_max),
@@ -141,10 +194,10 @@
         let ramp = Duration::from_millis(service.cold_start_ramp_ms);
         for listed in &service.targets {
             let index = self.place_of(listed, shape, ramp, now);
+            let hall = self.halls.index(&listed.data_hall);
             let target = self.get_mut(index);
             target.set_shape(shape);
-            let is_near = listed.data_hall == surroundings.own_data_hall;
-            target.distance = if is_near { Duration::ZERO } else { surroundings.one_way };
+            target.hall = hall;
             let is_stale = listed.incarnation < target.incarnation;
             if listed.state == TargetState::Leaving && !is_stale {
                 target.presence = Presence::Leaving;
--- a/crates/thymeshift_dispatch/src/target.rs
+++ b/crates/thymeshift_dispatch/src/target.rs
@@ -11,6 +11,7 @@
 use thymeshift_types::TargetName;
 use thymeshift_types::Timestamp;
 
+use crate::HallIndex;
 use crate::LoadReport;
 use crate::TargetDump;
 use crate::Usability;
@@ -59,6 +60,10 @@
     pub(crate) told: f64,
     /// When it was expected.
     pub(crate) expected: Duration,
+    /// Time there and back, in microseconds.
+    pub(crate) way_us: f64,
+    /// Requests in flight there, this one included.
+    pub(crate) in_flight: u32,
 }
 
 impl Grant {
@@ -111,7 +116,7 @@
     pub(crate) presence: Presence,
     /// An operator's order says that it gets no new work for now.
     pub(crate) is_stopped: bool,
-    pub(crate) distance: Duration,
+    pub(crate) hall: HallIndex,
     pub(crate) shape: Shape,
     in_flight: u32,
     sent_at_sum_us: u64,
@@ -137,7 +142,7 @@
             incarnation,
             presence: Presence::Serving,
             is_stopped: false,
-            distance: Duration::ZERO,
+            hall: HallIndex::default(),
             shape,
             in_flight: 0,
             sent_at_sum_us: 0,
@@ -200,14 +205,14 @@
     /// What the last report tells beyond the usual is added for what reports have been
     /// worth. That is lengthened by how far earlier expectations were off, by the cold
     /// start, and if own requests are out longer than expected (a stall that no report
-    /// tells of); divided by the share of successes; and the way is added.
+    /// tells of); and divided by the share of successes. The way is not counted.
     pub(crate) fn expected_us(&self, now: Timestamp, model: &ServiceModel) -> f64 {
         let base_us = self.base_us(now, model);
         let factor = self.slowness.factor(now) * self.cold_start.factor(now);
         let factor = factor * self.others.pace(now, model.pace());
         let stalled_us = self.overdue_us(now, base_us);
         let success_share = (1.0 - self.ejection.failure_rate(now)).max(SUCCESS_SHARE_MIN);
-        (base_us * factor + stalled_us) / success_share + self.way_us()
+        (base_us * factor + stalled_us) / success_share
     }
 
     fn base_us(&self, now: Timestamp, model: &ServiceModel) -> f64 {
@@ -233,11 +238,6 @@
         f64::from(self.shape.slots)
     }
 
-    /// There and back, in microseconds.
-    fn way_us(&self) -> f64 {
-        2.0 * self.distance.as_micros() as f64
-    }
-
     /// How much longer than expected own requests have been out on average.
     fn overdue_us(&self, now: Timestamp, expected_us: f64) -> f64 {
         if self.in_flight == 0 {
@@ -252,10 +252,11 @@
     pub(crate) fn grant(
         &mut self,
         index: TargetIndex,
+        way_us: f64,
         now: Timestamp,
         model: &ServiceModel,
     ) -> Grant {
-        let expected_us = self.base_us(now, model) + self.way_us();
+        let expected_us = self.base_us(now, model) + way_us;
         let grant = Grant {
             target: index,
             incarnation: self.incarnation,
@@ -263,6 +264,8 @@
             load: self.load(model),
             told: self.told(now, model),
             expected: Duration::from_micros(expected_us as u64),
+            way_us,
+            in_flight: self.in_flight + 1,
         };
         self.in_flight += 1;
         self.sent_at_sum_us += now.as_micros();
@@ -289,7 +292,7 @@
     pub(crate) fn learn_latency(&mut self, grant: &Grant, now: Timestamp) -> f64 {
         let taken = now.since(grant.sent_at);
         self.latency.learn(taken);
-        let way_us = self.way_us();
+        let way_us = grant.way_us;
         let taken_us = (taken.as_micros() as f64 - way_us).max(1.0);
         let expected_us = grant.expected.as_micros() as f64 - way_us;
         self.slowness.learn(taken_us, expected_us, now);
--- a/crates/thymeshift_dispatch/tests/support/mod.rs
+++ b/crates/thymeshift_dispatch/tests/support/mod.rs
@@ -11,6 +11,7 @@
 use thymeshift_dispatch::Decision;
 use thymeshift_dispatch::Dispatcher;
 use thymeshift_dispatch::Grant;
+use thymeshift_dispatch::HallIndex;
 use thymeshift_dispatch::LoadReport;
 use thymeshift_dispatch::ReportedState;
 use thymeshift_dispatch::Request;
@@ -72,7 +73,14 @@
 
 /// A request that waits up to its deadline.
 pub(crate) fn request(priority: u8, deadline: Timestamp) -> Request {
-    Request { priority, deadline, wait_until: deadline, queue_max: 100, tried: Tried::default() }
+    Request {
+        priority,
+        deadline,
+        wait_until: deadline,
+        queue_max: 100,
+        tried: Tried::default(),
+        origin: HallIndex::default(),
+    }
 }
 
 pub(crate) fn report(running: u32, queued: u32) -> LoadReport {
--- a/crates/thymeshift_entry/src/caller/forward.rs
+++ b/crates/thymeshift_entry/src/caller/forward.rs
@@ -11,6 +11,7 @@
 use http::request::Parts;
 use rand::Rng;
 use thymeshift_config::Repeat;
+use thymeshift_dispatch::HallIndex;
 use thymeshift_dispatch::Refusal;
 use thymeshift_dispatch::Request;
 use thymeshift_dispatch::Tried;
@@ -119,6 +120,7 @@
             wait_until: wait_until.min(self.deadline),
             queue_max: u32::try_from(kind.queue_max).unwrap_or(u32::MAX),
             tried,
+            origin: HallIndex::default(),
         }
     }
 
--- a/crates/thymeshift_entry/src/control_plane/datagrams.rs
+++ b/crates/thymeshift_entry/src/control_plane/datagrams.rs
@@ -56,7 +56,9 @@
             }
         }
         Message::Waiting(number) => shared.post.replied(number, Reply::Waiting),
-        Message::Lent(number, target) => shared.post.replied(number, Reply::Lent(target)),
+        Message::Lent(number, target, concurrency) => {
+            shared.post.replied(number, Reply::Lent(target, concurrency));
+        }
         Message::Declined(number) => shared.post.replied(number, Reply::Declined),
         Message::Refused(number, reason, retry_after) => {
             let refusal = Refusal { reason, retry_after };
--- a/crates/thymeshift_entry/src/post.rs
+++ b/crates/thymeshift_entry/src/post.rs
@@ -14,6 +14,7 @@
 use thymeshift_dispatch::Refusal;
 use thymeshift_fleet::Boot;
 use thymeshift_telemetry::metric;
+use thymeshift_types::DataHallName;
 use thymeshift_types::ServiceName;
 use thymeshift_types::TargetName;
 use thymeshift_types::Timestamp;
@@ -43,7 +44,8 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Reply {
     Waiting,
-    Lent(TargetName),
+    /// The target, and the most requests that one target serves well at a time.
+    Lent(TargetName, u32),
     Refused(Refusal),
     Declined,
 }
@@ -68,6 +70,7 @@
 pub(crate) struct Post {
     socket: Option<Arc<UdpSocket>>,
     vm: VmName,
+    data_hall: DataHallName,
     boot: Boot,
     next_number: AtomicU64,
     loans: Mutex<HashMap<LoanNumber, OpenLoan>>,
@@ -75,10 +78,16 @@
 }
 
 impl Post {
-    pub(crate) fn new(socket: Option<Arc<UdpSocket>>, vm: VmName, boot: Boot) -> Arc<Self> {
+    pub(crate) fn new(
+        socket: Option<Arc<UdpSocket>>,
+        vm: VmName,
+        data_hall: DataHallName,
+        boot: Boot,
+    ) -> Arc<Self> {
         Arc::new(Self {
             socket,
             vm,
+            data_hall,
             boot,
             next_number: AtomicU64::new(1),
             loans: Mutex::default(),
@@ -123,7 +132,17 @@
             observation: None,
             is_open: true,
         };
-        let borrow = Borrow { number, service, priority, deadline, wait, queue_max, tried, held };
+        let borrow = Borrow {
+            number,
+            service,
+            data_hall: self.data_hall.clone(),
+            priority,
+            deadline,
+            wait,
+            queue_max,
+            tried,
+            held,
+        };
         self.send(lender.address, Message::Borrow(borrow));
         Borrowing { loan, replies: receiver }
     }
--- a/crates/thymeshift_entry/src/service/lend.rs
+++ b/crates/thymeshift_entry/src/service/lend.rs
@@ -40,6 +40,7 @@
                 wait_until: (now + borrow.wait).min(deadline),
                 queue_max: borrow.queue_max,
                 tried,
+                origin: dispatcher.hall_index(&borrow.data_hall),
             };
             lender.borrow(key.clone(), request, dispatcher, now, &mut rand::rng())
         };
@@ -63,7 +64,7 @@
     pub(super) fn tell(&self, key: &LoanKey<Borrower>, lending: Lending) {
         let number = LoanNumber(key.number);
         let message = match lending {
-            Lending::Lent(target) => Message::Lent(number, target),
+            Lending::Lent(target, concurrency) => Message::Lent(number, target, concurrency),
             Lending::Waiting => Message::Waiting(number),
             Lending::Refused(refusal) => {
                 Message::Refused(number, refusal.reason, refusal.retry_after)
--- a/crates/thymeshift_entry/src/service/obtain.rs
+++ b/crates/thymeshift_entry/src/service/obtain.rs
@@ -132,7 +132,9 @@
                 Ok(Some(Reply::Waiting)) => {
                     limit = BootClock.now().until(request.wait_until) + LAST_WORD_SLACK;
                 }
-                Ok(Some(Reply::Lent(target))) => return self.take_loan(borrowing, &target),
+                Ok(Some(Reply::Lent(target, concurrency))) => {
+                    return self.take_loan(borrowing, &target, concurrency);
+                }
                 Ok(Some(Reply::Refused(refusal))) => {
                     borrowing.loan.closed_by_lender();
                     return Asked::Refused(refusal);
@@ -150,8 +152,17 @@
         }
     }
 
-    fn take_loan(self: &Arc<Self>, borrowing: Borrowing, target: &TargetName) -> Asked {
-        let granted = self.desk.lock().dispatcher.grant_at(target, BootClock.now());
+    fn take_loan(
+        self: &Arc<Self>,
+        borrowing: Borrowing,
+        target: &TargetName,
+        concurrency: u32,
+    ) -> Asked {
+        let granted = {
+            let mut desk = self.desk.lock();
+            desk.dispatcher.adopt_concurrency(concurrency);
+            desk.dispatcher.grant_at(target, BootClock.now())
+        };
         match granted {
             Some(grant) => Asked::Granted(GrantGuard::new(self, grant).with_loan(borrowing.loan)),
             None => Asked::Useless,
--- a/crates/thymeshift_entry/src/shared.rs
+++ b/crates/thymeshift_entry/src/shared.rs
@@ -80,7 +80,7 @@
     ) -> Arc<Self> {
         Arc::new(Self {
             fleet: Mutex::new(Fleet::new(&settings, boot)),
-            post: Post::new(socket, settings.vm.clone(), boot),
+            post: Post::new(socket, settings.vm.clone(), settings.data_hall.clone(), boot),
             discovers,
             settings_path,
             settings: RwLock::new(Arc::new(settings)),
--- a/crates/thymeshift_lab/src/experiment/decision_cost.rs
+++ b/crates/thymeshift_lab/src/experiment/decision_cost.rs
@@ -14,6 +14,7 @@
 use thymeshift_dispatch::AnyStrategy;
 use thymeshift_dispatch::Decision;
 use thymeshift_dispatch::Dispatcher;
+use thymeshift_dispatch::HallIndex;
 use thymeshift_dispatch::LoadReport;
 use thymeshift_dispatch::Observation;
 use thymeshift_dispatch::ReportedState;
@@ -96,7 +97,14 @@
 
 fn request(now: Timestamp) -> Request {
     let deadline = now + Duration::from_secs(1);
-    Request { priority: 1, deadline, wait_until: deadline, queue_max: 10, tried: Tried::default() }
+    Request {
+        priority: 1,
+        deadline,
+        wait_until: deadline,
+        queue_max: 10,
+        tried: Tried::default(),
+        origin: HallIndex::default(),
+    }
 }
 
 fn report(step: u32) -> LoadReport {
--- a/crates/thymeshift_lending/src/lib.rs
+++ b/crates/thymeshift_lending/src/lib.rs
@@ -47,8 +47,8 @@
 /// What a borrower is told.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Lending {
-    /// It may send to this target.
-    Lent(TargetName),
+    /// It may send to this target; the number is [`Dispatcher::concurrency`].
+    Lent(TargetName, u32),
     /// It waits; [`Lender::woken`] tells the rest.
     Waiting,
     /// It gets none.
@@ -93,14 +93,14 @@
         if let Some(known) = self.loans.get(&key) {
             return match &known.state {
                 State::Waiting(_) => Lending::Waiting,
-                State::Lent(grant) => Lending::Lent(dispatcher.target_name(grant)),
+                State::Lent(grant) => lent(dispatcher, grant, now),
             };
         }
         let (state, lending) = match dispatcher.request(request, now, rng) {
             Decision::Refuse(refusal) => return Lending::Refused(refusal),
             Decision::Wait(ticket) => (State::Waiting(ticket), Lending::Waiting),
             Decision::Send(grant) => {
-                let lending = Lending::Lent(dispatcher.target_name(&grant));
+                let lending = lent(dispatcher, &grant, now);
                 (State::Lent(grant), lending)
             }
         };
@@ -173,7 +173,7 @@
         let key = key.clone();
         match woken {
             Ok(grant) => {
-                let lending = Lending::Lent(dispatcher.target_name(&grant));
+                let lending = lent(dispatcher, &grant, now);
                 loan.state = State::Lent(grant);
                 loan.since = now;
                 Ok((key, lending))
@@ -196,6 +196,10 @@
     }
 }
 
+fn lent<S: Strategy>(dispatcher: &Dispatcher<S>, grant: &Grant, now: Timestamp) -> Lending {
+    Lending::Lent(dispatcher.target_name(grant), dispatcher.concurrency(now))
+}
+
 fn end<S: Strategy>(
     loan: Loan,
     observation: Option<Observation>,
--- a/crates/thymeshift_wire/src/datagram.rs
+++ b/crates/thymeshift_wire/src/datagram.rs
@@ -13,6 +13,7 @@
 use thymeshift_dispatch::Observation;
 use thymeshift_fleet::Boot;
 use thymeshift_fleet::Head;
+use thymeshift_types::DataHallName;
 use thymeshift_types::Reason;
 use thymeshift_types::ServiceName;
 use thymeshift_types::TargetName;
@@ -52,8 +53,8 @@
     Borrow(Borrow),
     /// The request waits; another answer follows.
     Waiting(LoanNumber),
-    /// A target to send to.
-    Lent(LoanNumber, TargetName),
+    /// A target to send to, and the most requests that one target serves well at a time.
+    Lent(LoanNumber, TargetName, u32),
     /// No target.
     Refused(LoanNumber, Reason, Duration),
     /// The receiver does not lend: it is stopping, or does not know the service.
@@ -80,6 +81,8 @@
     pub number: LoanNumber,
     /// The service.
     pub service: ServiceName,
+    /// The data hall of the sender.
+    pub data_hall: DataHallName,
     /// Rank of the request's kind; 1 goes first.
     pub priority: u8,
     /// Time left until the answer must have begun.
