--- a/crates/thymeshift_dispatch/src/dispatcher.rs
+++ b/crates/thymeshift_dispatch/src/dispatcher.rs
@@ -1,5 +1,6 @@
 //! All decisions of one service at one VM.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use rand::Rng;
@@ -401,6 +402,14 @@
         serving.map(|target| (target.name.clone(), target.address))
     }
 
+    /// Names and addresses of the targets that may be probed and of which nothing was heard
+    /// for `age`.
+    pub fn unheard_targets(&self, age: Duration, now: Timestamp) -> Vec<(TargetName, SocketAddr)> {
+        let is_unheard = |target: &&Target| target.is_serving() && target.is_unheard(age, now);
+        let unheard = self.table.targets().iter().filter(is_unheard);
+        unheard.map(|target| (target.name.clone(), target.address)).collect()
+    }
+
     /// Requests in flight to one target, for tests and dumps.
     pub fn in_flight(&self, index: TargetIndex) -> u32 {
         self.table.get(index).in_flight()
--- a/crates/thymeshift_dispatch/src/target.rs
+++ b/crates/thymeshift_dispatch/src/target.rs
@@ -282,6 +282,11 @@
         self.others.learn(report, self.in_flight.saturating_sub(1), now)
     }
 
+    /// Whether the last report is older than `age`, or there is none.
+    pub(crate) fn is_unheard(&self, age: Duration, now: Timestamp) -> bool {
+        self.others.age(now).is_none_or(|heard| heard >= age)
+    }
+
     /// A probe's report: the probe itself is not among this VM's requests in flight.
     pub(crate) fn learn_probe(&mut self, report: LoadReport, now: Timestamp) -> f64 {
         self.others.learn(report, self.in_flight, now)
--- a/crates/thymeshift_entry/src/process.rs
+++ b/crates/thymeshift_entry/src/process.rs
@@ -46,6 +46,7 @@
 use crate::environment::Environment;
 use crate::reload::run_reload;
 use crate::shared::Shared;
+use crate::target::run_pace_probes;
 use crate::target::run_probes;
 
 /// Time between two looks at whether all work is done.
@@ -229,10 +230,16 @@
     let callers = Task::new("listener", Restart::on_failure(), move || {
         run_listener::<E::Dialect>(callers_shared.clone(), listener.clone(), is_closing.clone())
     });
+    // Where targets are lent, the lender probes for the whole fleet.
+    let prober = if shared.post.socket().is_some() {
+        with_shared("pace_probes", shared, run_pace_probes::<E::Dialect>)
+    } else {
+        with_shared("probes", shared, run_probes::<E::Dialect>)
+    };
     let data = Supervisor::new("data", statuses.clone())
         .with_task(callers)
         .with_task(with_shared("ticker", shared, run_ticker))
-        .with_task(with_shared("probes", shared, run_probes));
+        .with_task(prober);
     // Turns are taken by pulses where there are datagrams, else by leases.
     let reader = if shared.post.socket().is_some() {
         with_shared("source", shared, run_source::<E>)
--- a/crates/thymeshift_entry/src/service/lend.rs
+++ b/crates/thymeshift_entry/src/service/lend.rs
@@ -24,8 +24,9 @@
         let now = BootClock.now();
         let key = LoanKey { borrower, number: borrow.number.0 };
         let lending = {
-            let Desk { dispatcher, lender, .. } = &mut *self.desk.lock();
-            dispatcher.set_view(View::Fleet);
+            let desk = &mut *self.desk.lock();
+            desk.set_view(View::Fleet, now);
+            let Desk { dispatcher, lender, .. } = desk;
             lender.keep_only(&key.borrower, &numbers(&borrow.held), dispatcher, now);
             let mut tried = Tried::default();
             for name in &borrow.tried {
--- a/crates/thymeshift_entry/src/service/mod.rs
+++ b/crates/thymeshift_entry/src/service/mod.rs
@@ -11,6 +11,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use parking_lot::Mutex;
 use parking_lot::RwLock;
@@ -57,6 +58,18 @@
     waiting: HashMap<Ticket, oneshot::Sender<Woken>>,
     /// What other processes were lent here.
     lender: Lender<Borrower>,
+    /// When a target was last wanted while this process counted for the fleet.
+    lent_at: Option<Timestamp>,
+}
+
+impl Desk {
+    /// Says whose requests the counts hold from now on.
+    fn set_view(&mut self, view: View, now: Timestamp) {
+        self.dispatcher.set_view(view);
+        if view == View::Fleet {
+            self.lent_at = Some(now);
+        }
+    }
 }
 
 /// A process that borrows here. A new start of it is another borrower.
@@ -78,6 +91,7 @@
 }
 
 /// Where a granted request goes.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(crate) struct Destination {
     pub(crate) service: ServiceName,
     pub(crate) index: Option<TargetIndex>,
@@ -108,6 +122,7 @@
                 dispatcher,
                 waiting: HashMap::new(),
                 lender: Lender::default(),
+                lent_at: None,
             }),
             settings: RwLock::new(Arc::new(service.clone())),
             pool: Pool::new(&service.name, share),
@@ -151,7 +166,7 @@
         now: Timestamp,
     ) -> Admitted {
         let mut desk = self.desk.lock();
-        desk.dispatcher.set_view(view);
+        desk.set_view(view, now);
         match desk.dispatcher.request(request, now, &mut rand::rng()) {
             Decision::Send(grant) => Admitted::Send(GrantGuard::new(self, grant)),
             Decision::Refuse(refusal) => Admitted::Refused(refusal),
@@ -168,7 +183,7 @@
     }
 
     /// Must run every few tens of milliseconds. Returns a pause of this process.
-    pub(crate) fn tick(&self, now: Timestamp) -> Option<std::time::Duration> {
+    pub(crate) fn tick(&self, now: Timestamp) -> Option<Duration> {
         let gap = {
             let Desk { dispatcher, lender, .. } = &mut *self.desk.lock();
             lender.expire(dispatcher, now);
@@ -202,10 +217,24 @@
     pub(crate) fn probe_targets(&self) -> Vec<Destination> {
         let desk = self.desk.lock();
         let targets = desk.dispatcher.probe_targets();
-        let service = self.name.clone();
-        let destination =
-            |(name, address)| Destination { service: service.clone(), index: None, name, address };
-        targets.map(destination).collect()
+        targets.map(|(name, address)| self.destination(name, address)).collect()
+    }
+
+    /// Whether targets were lent here within `time`.
+    pub(crate) fn is_lending_within(&self, time: Duration, now: Timestamp) -> bool {
+        let desk = self.desk.lock();
+        let is_recent = desk.lent_at.is_some_and(|at| now.since(at) < time);
+        is_recent && desk.dispatcher.view() == View::Fleet
+    }
+
+    /// Targets of which nothing was heard for `age`.
+    pub(crate) fn unheard_targets(&self, age: Duration, now: Timestamp) -> Vec<Destination> {
+        let unheard = self.desk.lock().dispatcher.unheard_targets(age, now);
+        unheard.into_iter().map(|(name, address)| self.destination(name, address)).collect()
+    }
+
+    fn destination(&self, name: TargetName, address: SocketAddr) -> Destination {
+        Destination { service: self.name.clone(), index: None, name, address }
     }
 
     pub(crate) fn dump(&self, now: Timestamp) -> ServiceDump {
--- a/crates/thymeshift_entry/src/target/mod.rs
+++ b/crates/thymeshift_entry/src/target/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod attempt;
 mod body;
+mod pace_probe;
 mod pool;
 mod probe;
 mod stall;
@@ -17,6 +18,7 @@
 pub(crate) use body::Lease;
 pub(crate) use body::RequestBody;
 pub(crate) use body::TargetBody;
+pub(crate) use pace_probe::run_pace_probes;
 pub(crate) use pool::Pool;
 pub(crate) use probe::run_probes;
 pub(crate) use stall::Stall;
--- /dev/null
+++ b/crates/thymeshift_entry/src/target/pace_probe.rs
@@ -0,0 +1,112 @@
+//! Keeping the lender's view of its targets fresh.
+//!
+//! What it does: while this process lends a service's targets, it probes those of which no
+//! answer or probe has told anything for a short while. Busy targets tell enough by
+//! themselves; a service without requests is not probed.
+//!
+//! Why: how long work takes at a target may change many times a second, and a report is
+//! worth nothing after that. One process probes for the whole fleet, so that the cost does
+//! not grow with it. The service's measuring budget bounds the probes of one target; a part
+//! of it is used, because for a moment several processes may take themselves for the lender.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use metrics::counter;
+use parking_lot::Mutex;
+use thymeshift_config::Probe;
+use thymeshift_config::Service;
+use thymeshift_supervisor::TaskError;
+use thymeshift_telemetry::metric;
+use thymeshift_types::BootClock;
+use thymeshift_types::Clock;
+use thymeshift_wire::Dialect;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::service::Destination;
+use crate::service::ServiceRuntime;
+use crate::shared::Shared;
+use crate::target::probe::ask;
+
+/// Time between two looks.
+const LOOK: Duration = Duration::from_millis(20);
+/// Time between two looks while nothing is lent.
+const IDLE_LOOK: Duration = Duration::from_millis(100);
+/// Age of the last report from which a target is probed, if the budget allows it.
+const AGE: Duration = Duration::from_millis(70);
+/// Processes that may take themselves for the lender at one time.
+const LENDERS_MAX: u64 = 4;
+/// Time after the last request within which a service counts as in use.
+const IN_USE: Duration = Duration::from_millis(250);
+
+/// Targets that are being probed.
+type Probing = Arc<Mutex<HashSet<Destination>>>;
+
+/// Probes for ever.
+pub(crate) async fn run_pace_probes<D: Dialect>(shared: Arc<Shared>) -> Result<(), TaskError> {
+    let probing = Probing::default();
+    loop {
+        let is_lending = begin_due::<D>(&shared, &probing);
+        sleep(if is_lending { LOOK } else { IDLE_LOOK }).await;
+    }
+}
+
+/// Returns whether targets of any service are lent here.
+fn begin_due<D: Dialect>(shared: &Arc<Shared>, probing: &Probing) -> bool {
+    let Some(routing) = shared.routing() else {
+        return false;
+    };
+    let mut is_lending = false;
+    for service in &routing.services {
+        let settings = service.settings();
+        let Some(probe) = &settings.probe else {
+            continue;
+        };
+        let Some(age) = age_allowed(&settings, probe) else {
+            continue;
+        };
+        let now = BootClock.now();
+        if !service.is_lending_within(IN_USE, now) {
+            continue;
+        }
+        is_lending = true;
+        for destination in service.unheard_targets(age, now) {
+            if probing.lock().insert(destination.clone()) {
+                let (service, probe, probing) = (service.clone(), probe.clone(), probing.clone());
+                let shared = shared.clone();
+                tokio::spawn(async move {
+                    run_probe::<D>(&shared, &service, &destination, &probe).await;
+                    probing.lock().remove(&destination);
+                });
+            }
+        }
+    }
+    is_lending
+}
+
+/// Shortest time between two probes of a target that the budget allows a lender.
+fn age_allowed(service: &Service, probe: &Probe) -> Option<Duration> {
+    let probes_per_s = service.measuring_budget_us_per_s / probe.cost_us.max(1) / LENDERS_MAX;
+    let between = Duration::from_secs(1).checked_div(u32::try_from(probes_per_s).ok()?)?;
+    Some(between.max(AGE))
+}
+
+async fn run_probe<D: Dialect>(
+    shared: &Arc<Shared>,
+    service: &Arc<ServiceRuntime>,
+    destination: &Destination,
+    probe: &Probe,
+) {
+    let limit = Duration::from_millis(probe.timeout_ms);
+    let answer = timeout(limit, ask::<D>(service, destination.address, probe, limit)).await;
+    let name = service.name().as_str().to_owned();
+    counter!(metric::PROBES, "service" => name.clone()).increment(1);
+    counter!(metric::MEASURING_US, "service" => name).increment(probe.cost_us);
+    if let Ok(Some(report)) = answer
+        && let Some(mark) = service.learn_probe(&destination.name, report)
+    {
+        shared.note_leaving(&mark, "probe");
+    }
+}
--- a/crates/thymeshift_entry/src/target/probe.rs
+++ b/crates/thymeshift_entry/src/target/probe.rs
@@ -21,7 +21,7 @@
 use thymeshift_types::Clock;
 use thymeshift_types::ServiceName;
 use thymeshift_types::TargetName;
-use thymeshift_wire::load_header;
+use thymeshift_wire::Dialect;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -63,7 +63,7 @@
 }
 
 /// Probes for ever.
-pub(crate) async fn run_probes(shared: Arc<Shared>) -> Result<(), TaskError> {
+pub(crate) async fn run_probes<D: Dialect>(shared: Arc<Shared>) -> Result<(), TaskError> {
     let mut known = Shares::new();
     let mut probes: JoinSet<Ended> = JoinSet::new();
     loop {
@@ -75,11 +75,11 @@
                 share.share.settle(spent);
             }
         }
-        begin_due(&shared, &mut known, &mut probes);
+        begin_due::<D>(&shared, &mut known, &mut probes);
     }
 }
 
-fn begin_due(shared: &Arc<Shared>, known: &mut Shares, probes: &mut JoinSet<Ended>) {
+fn begin_due<D: Dialect>(shared: &Arc<Shared>, known: &mut Shares, probes: &mut JoinSet<Ended>) {
     let Some(routing) = shared.routing() else {
         return;
     };
@@ -98,7 +98,7 @@
             let subject = Subject { service: runtime.name().clone(), target };
             if try_begin(known, &subject, terms) {
                 let shared = shared.clone();
-                probes.spawn(run_probe(shared, runtime.clone(), destination, probe.clone()));
+                probes.spawn(run_probe::<D>(shared, runtime.clone(), destination, probe.clone()));
             }
         }
     }
@@ -132,7 +132,7 @@
     share.share.try_begin(now)
 }
 
-async fn run_probe(
+async fn run_probe<D: Dialect>(
     shared: Arc<Shared>,
     service: Arc<ServiceRuntime>,
     destination: Destination,
@@ -140,7 +140,7 @@
 ) -> Ended {
     let began = BootClock.now();
     let limit = Duration::from_millis(probe.timeout_ms);
-    let answer = timeout(limit, ask(&service, destination.address, &probe, limit)).await;
+    let answer = timeout(limit, ask::<D>(&service, destination.address, &probe, limit)).await;
     let spent = BootClock.now().since(began);
     // Whether or not an answer came: the target may have worked for it.
     let counted_us = (spent.as_micros() as u64).max(probe.cost_us);
@@ -156,7 +156,7 @@
     Ended { subject, spent }
 }
 
-async fn ask(
+pub(super) async fn ask<D: Dialect>(
     service: &Arc<ServiceRuntime>,
     address: SocketAddr,
     probe: &Probe,
@@ -171,7 +171,7 @@
     let request = Request::get(probe.path.as_str()).header(http::header::HOST, host);
     let request = request.body(RequestBody::Whole(Bytes::new())).ok()?;
     let response = connection.sender()?.try_send_request(request).await.ok()?;
-    let report = load_header::read(response.headers());
+    let report = D::probe_report(response.status(), response.headers());
     if http_body_util::BodyExt::collect(response.into_body()).await.is_ok() {
         connection.put_back();
     }
--- a/crates/thymeshift_wire/src/dialect.rs
+++ b/crates/thymeshift_wire/src/dialect.rs
@@ -65,6 +65,10 @@
     /// Reads the load report of an answer, if it carries a readable one.
     fn report(map: &HeaderMap) -> Option<LoadReport>;
 
+    /// Reads the load report of a probe's answer: unlike that of a request, it does not count
+    /// what it answers.
+    fn probe_report(status: StatusCode, map: &HeaderMap) -> Option<LoadReport>;
+
     /// Removes from an answer what is not meant for clients.
     fn clean_answer(map: &mut HeaderMap);
 
--- a/crates/thymeshift_wire/src/native.rs
+++ b/crates/thymeshift_wire/src/native.rs
@@ -66,6 +66,10 @@
         load_header::read(map)
     }
 
+    fn probe_report(_status: StatusCode, map: &HeaderMap) -> Option<LoadReport> {
+        load_header::read(map)
+    }
+
     fn clean_answer(map: &mut HeaderMap) {
         map.remove(headers::ATTEMPT);
         map.remove(headers::LOAD);
