A process is ready as soon as source or a peer has told all; a young one exchanges often

Cause: after a loss of power each process waited for seeds that said nothing (up to 0.5 s a round, two rounds) although the store, which is never stale, had answered; and members found each other only after seconds, so that several processes lent. The native environment, whose platform may be stale, asks all as before.

--- a/crates/thymeshift_entry/src/control_plane/bootstrap.rs
+++ b/crates/thymeshift_entry/src/control_plane/bootstrap.rs
@@ -33,13 +33,48 @@
 const ROUNDS_FOR_PEERS: u32 = 2;
 /// Pause between two rounds.
 const ROUND_PAUSE: Duration = Duration::from_millis(200);
-/// Longest pause between two rounds.
+/// Longest pause between two rounds: everybody who starts asks, and a source that is down
+/// must not be asked ever more.
 const ROUND_PAUSE_MAX: Duration = Duration::from_millis(1_600);
 
 /// Returns once a configuration is in force.
 pub(crate) async fn bootstrap<E: Environment>(shared: &Arc<Shared>) {
-    let mut round = 0;
+    if E::SOURCE_IS_CURRENT {
+        bootstrap_from_anybody::<E>(shared).await;
+    } else {
+        bootstrap_from_all::<E>(shared).await;
+    }
+}
+
+/// Source and peers are asked at the same time, and whoever answers first is believed: the
+/// source is never stale, and what a peer tells is compared with the source in the next call,
+/// long before this process counts as one that must know.
+async fn bootstrap_from_anybody<E: Environment>(shared: &Arc<Shared>) {
+    let mut source = E::Source::new(shared.settings().platform_address);
     let mut pause = ROUND_PAUSE;
+    let mut in_force = shared.in_force.subscribe();
+    loop {
+        let asking = shared.clone();
+        tokio::spawn(async move { ask_peers(&asking).await });
+        let asked = async {
+            ask_source::<E>(shared, &mut source).await;
+            sleep(pause).await;
+        };
+        tokio::select! {
+            // An error would mean that this process is ending.
+            _ = in_force.wait_for(|is_in_force| *is_in_force) => {
+                info!("bootstrapped");
+                return;
+            }
+            () = asked => warn!("no_configuration_yet"),
+        }
+        pause = (pause * 2).min(ROUND_PAUSE_MAX);
+    }
+}
+
+/// Source and peers are asked, and the largest revision counts: both may be stale.
+async fn bootstrap_from_all<E: Environment>(shared: &Arc<Shared>) {
+    let mut round = 0;
     let mut source = E::Source::new(shared.settings().platform_address);
     loop {
         round += 1;
@@ -56,9 +91,7 @@
             let (asked, answered) = (peers.asked, peers.answered);
             warn!("no_configuration_yet", kv: { round, has_platform, asked, answered });
         }
-        sleep(pause).await;
-        // Everybody who starts asks: a source that is down must not be asked ever more.
-        pause = (pause * 2).min(ROUND_PAUSE_MAX);
+        sleep(ROUND_PAUSE).await;
     }
 }
 
--- a/crates/thymeshift_entry/src/control_plane/peer_link.rs
+++ b/crates/thymeshift_entry/src/control_plane/peer_link.rs
@@ -34,6 +34,10 @@
 
 /// Time between two regular exchanges, before the spread.
 const EXCHANGE_EVERY: Duration = Duration::from_millis(1_250);
+/// The same for a process that has just started and hardly knows anybody, and how long it
+/// counts as such.
+const EXCHANGE_EVERY_YOUNG: Duration = Duration::from_millis(200);
+const YOUNG: Duration = Duration::from_secs(4);
 /// Longest time to open a connection to a peer, and for one call.
 const CALL_LIMIT: Duration = Duration::from_millis(500);
 /// Peers told at once when there is news.
@@ -85,7 +89,9 @@
 pub(crate) async fn run_peer_link(shared: Arc<Shared>) -> Result<(), TaskError> {
     loop {
         let spread = rand::rng().random_range(0.8..1.2);
-        let is_news = timeout(EXCHANGE_EVERY.mul_f64(spread), shared.news.notified()).await.is_ok();
+        let age = BootClock.now().since(shared.started_at);
+        let every = if age < YOUNG { EXCHANGE_EVERY_YOUNG } else { EXCHANGE_EVERY };
+        let is_news = timeout(every.mul_f64(spread), shared.news.notified()).await.is_ok();
         if is_news {
             exchange_with(&shared, TOLD_AT_ONCE, Breadth::News).await;
         } else {
--- a/crates/thymeshift_entry/src/environment.rs
+++ b/crates/thymeshift_entry/src/environment.rs
@@ -20,6 +20,8 @@
     type Dialect: Dialect;
     /// Where configuration and targets are published.
     type Source: Source;
+    /// Whether the source never answers with less than what is published.
+    const SOURCE_IS_CURRENT: bool;
     /// Whether targets are discovered apart from the configuration: then a process serves
     /// only once it knows both.
     const DISCOVERS: bool;
--- a/crates/thymeshift_entry/src/native.rs
+++ b/crates/thymeshift_entry/src/native.rs
@@ -31,6 +31,7 @@
 impl Environment for NativeEnvironment {
     type Dialect = Native;
     type Source = NativeSource;
+    const SOURCE_IS_CURRENT: bool = false;
     const DISCOVERS: bool = false;
 }
 
--- a/crates/thymeshift_entry/src/shared.rs
+++ b/crates/thymeshift_entry/src/shared.rs
@@ -56,6 +56,8 @@
     pub(crate) started_at: Timestamp,
     pub(crate) figures: ProcessFigures,
     pub(crate) fleet: Mutex<Fleet>,
+    /// Whether there is a configuration in force.
+    pub(crate) in_force: watch::Sender<bool>,
     pub(crate) phase: watch::Sender<Phase>,
     /// Rings when peers should hear something at once.
     pub(crate) news: Notify,
@@ -87,6 +89,7 @@
             boot,
             started_at: BootClock.now(),
             figures: ProcessFigures::default(),
+            in_force: watch::Sender::new(false),
             phase: watch::Sender::new(Phase::Starting),
             news: Notify::new(),
             platform_answered_at: Mutex::new(None),
@@ -213,6 +216,7 @@
             apply_orders(service, fleet, now);
         }
         *self.routing.write() = Some(routing);
+        self.in_force.send_replace(true);
     }
 
     /// A target said here that it is leaving.
--- a/crates/thymeshift_entry/src/target/pace_probe.rs
+++ b/crates/thymeshift_entry/src/target/pace_probe.rs
@@ -31,13 +31,13 @@
 use crate::target::probe::ask;
 
 /// Time between two looks.
-const LOOK: Duration = Duration::from_millis(20);
+const LOOK: Duration = Duration::from_millis(15);
 /// Time between two looks while nothing is lent.
 const IDLE_LOOK: Duration = Duration::from_millis(100);
 /// Age of the last report from which a target is probed, if the budget allows it.
-const AGE: Duration = Duration::from_millis(70);
+const AGE: Duration = Duration::from_millis(55);
 /// Processes that may take themselves for the lender at one time.
-const LENDERS_MAX: u64 = 4;
+const LENDERS_MAX: u64 = 2;
 /// Time after the last request within which a service counts as in use.
 const IN_USE: Duration = Duration::from_millis(250);
 
