Full targets have fewer requests for a moment, to compare; tests of lending, readers, platform

Cause: after a restart under load all targets have all slots in use, and nothing is learnt about fewer; so the wrong number was kept for seconds. Found by the new test of readers: an outage of the source made 142 processes call 97 times a second; the pause now grows with the others that failed (57 at most).

--- a/crates/thymeshift_dispatch/src/concurrency.rs
+++ b/crates/thymeshift_dispatch/src/concurrency.rs
@@ -89,8 +89,10 @@
 
     /// Most requests that one target of `slots` may have, from 1 to `slots`.
     pub(crate) fn best(&self, slots: u32, now: Timestamp) -> u32 {
-        let told = self.told.unwrap_or(slots);
-        let is_worth = |number: &u32| self.is_worth(*number, now).unwrap_or(*number <= told);
+        let is_worth = |number: &u32| {
+            let known = self.is_worth(*number, now);
+            known.unwrap_or_else(|| self.is_tried(*number, slots, now))
+        };
         (2..=slots).take_while(is_worth).last().unwrap_or(1)
     }
 
@@ -115,6 +117,18 @@
         (fewer * step).max(1.0)
     }
 
+    /// Whether `number` requests are used although it is not known what they are worth.
+    fn is_tried(&self, number: u32, slots: u32, now: Timestamp) -> bool {
+        if let Some(told) = self.told {
+            return number <= told;
+        }
+        // With all targets full nothing is learnt about fewer requests, unless they are
+        // made to have fewer for a moment.
+        let is_full = self.levels[place_of(number)].known_us(now).is_some();
+        let is_suspect = assumed_step(number, slots) > 1.0;
+        !(is_full && is_suspect)
+    }
+
     /// Whether `number` requests yield more than one fewer, as far as it is known.
     fn is_worth(&self, number: u32, now: Timestamp) -> Option<bool> {
         let more_us = self.levels[place_of(number)].known_us(now)?;
--- /dev/null
+++ b/crates/thymeshift_dispatch/tests/fleet_view.rs
@@ -0,0 +1,193 @@
+//! Decisions over the requests of the whole fleet: how many at a target, pace, data halls.
+
+mod support;
+
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use support::at;
+use support::configuration;
+use support::dispatcher;
+use support::ms;
+use support::name;
+use support::report;
+use support::request;
+use support::rng;
+use support::sent;
+use thymeshift_dispatch::AnyStrategy;
+use thymeshift_dispatch::Decision;
+use thymeshift_dispatch::Dispatcher;
+use thymeshift_dispatch::HallIndex;
+use thymeshift_dispatch::LoadReport;
+use thymeshift_dispatch::Observation;
+use thymeshift_dispatch::Request;
+use thymeshift_dispatch::View;
+use thymeshift_types::DataHallName;
+use thymeshift_types::Incarnation;
+use thymeshift_types::Timestamp;
+
+fn fleet_dispatcher(targets: usize, near: usize) -> Dispatcher<AnyStrategy> {
+    let mut configuration = configuration(targets, near, "");
+    configuration.services[0].slots_per_target = 3;
+    let mut dispatcher = dispatcher(&configuration);
+    dispatcher.set_view(View::Fleet);
+    dispatcher
+}
+
+/// Fills one target with `count` requests, lets all take `taken` and answer.
+fn round(
+    dispatcher: &mut Dispatcher<AnyStrategy>,
+    count: u32,
+    taken: Duration,
+    now: Timestamp,
+    rng: &mut SmallRng,
+) {
+    let grants: Vec<_> =
+        (0..count).map(|_| sent(dispatcher, request(1, now + ms(10_000)), now, rng)).collect();
+    for (index, grant) in grants.into_iter().enumerate() {
+        // Only the last one was alone with the same number from its sending to its answer.
+        let running = if index as u32 + 1 == count { count - 1 } else { 0 };
+        let observation = Observation::Answered(Some(report(running, 0)));
+        let _ = dispatcher.learn(&grant, observation, now + taken);
+        dispatcher.release(grant, now + taken);
+    }
+}
+
+#[test]
+fn the_number_of_requests_at_a_target_follows_what_more_of_them_bring() {
+    struct Case {
+        note: &'static str,
+        /// Time of an answer by the number of requests at the target.
+        taken_ms: [u64; 3],
+        expected: u32,
+    }
+    let cases = [
+        Case { note: "no slower when full", taken_ms: [100, 100, 100], expected: 3 },
+        Case { note: "a third makes all slower", taken_ms: [100, 100, 170], expected: 2 },
+        Case { note: "a second makes all slower", taken_ms: [100, 190, 290], expected: 1 },
+        Case { note: "a little slower", taken_ms: [100, 105, 112], expected: 3 },
+    ];
+    for Case { note, taken_ms, expected } in cases {
+        let mut dispatcher = fleet_dispatcher(1, 1);
+        let mut rng = rng();
+        assert_eq!(dispatcher.concurrency(at(0)), 3, "{note}: unknown");
+        let mut now = at(0);
+        for _ in 0..40 {
+            for count in 1..=3 {
+                if count > dispatcher.concurrency(now) {
+                    break;
+                }
+                round(&mut dispatcher, count, ms(taken_ms[count as usize - 1]), now, &mut rng);
+                now = now + ms(400);
+            }
+        }
+        assert_eq!(dispatcher.concurrency(now), expected, "{note}");
+        let later = now + ms(60_000);
+        assert_eq!(dispatcher.concurrency(later), 3, "{note}: found out anew after a while");
+    }
+}
+
+#[test]
+fn targets_that_are_always_full_are_made_to_have_fewer_for_a_moment_to_compare() {
+    for (full_ms, expected) in [(170, 2), (100, 3)] {
+        let mut dispatcher = fleet_dispatcher(1, 1);
+        let mut rng = rng();
+        let mut now = at(0);
+        for _ in 0..60 {
+            let count = dispatcher.concurrency(now);
+            let taken = if count == 3 { ms(full_ms) } else { ms(100) };
+            round(&mut dispatcher, count, taken, now, &mut rng);
+            now = now + ms(400);
+        }
+        assert_eq!(dispatcher.concurrency(now), expected, "{full_ms} ms when full");
+    }
+}
+
+#[test]
+fn a_number_told_by_a_lender_holds_until_more_is_known() {
+    let mut dispatcher = fleet_dispatcher(1, 1);
+    dispatcher.adopt_concurrency(2);
+    assert_eq!(dispatcher.concurrency(at(0)), 2);
+    let mut rng = rng();
+    for _ in 0..2 {
+        let _ = sent(&mut dispatcher, request(1, at(1_000)), at(0), &mut rng);
+    }
+    let third = dispatcher.request(request(1, at(1_000)), at(0), &mut rng);
+    assert!(matches!(third, Decision::Wait(_)), "{third:?}");
+}
+
+#[test]
+fn without_an_answer_of_the_lender_one_request_at_a_time_goes_to_a_target() {
+    let mut dispatcher = fleet_dispatcher(2, 2);
+    dispatcher.set_view(View::Fallback);
+    let mut rng = rng();
+    for _ in 0..2 {
+        let _ = sent(&mut dispatcher, request(1, at(1_000)), at(0), &mut rng);
+    }
+    let third = dispatcher.request(request(1, at(1_000)), at(0), &mut rng);
+    assert!(matches!(third, Decision::Wait(_)), "{third:?}");
+}
+
+fn paced(pace_percent: u32) -> LoadReport {
+    LoadReport { pace_percent, ..report(0, 0) }
+}
+
+#[test]
+fn a_target_known_to_be_fast_goes_before_unknown_ones_and_those_before_slow_ones() {
+    let mut rng = rng();
+    for seed in 0..20 {
+        let mut dispatcher = fleet_dispatcher(3, 3);
+        // The mean pace is far above the usual.
+        for step in 0..200 {
+            let pace = if step % 2 == 0 { 100 } else { 500 };
+            let _ = dispatcher.learn_probe(&name(0), paced(pace), at(step));
+        }
+        let now = at(600 + seed);
+        // A gap in the process's own time would make it forget what it hears next.
+        let _ = dispatcher.tick(now);
+        let _ = dispatcher.learn_probe(&name(1), paced(100), now);
+        let _ = dispatcher.learn_probe(&name(2), paced(500), now);
+        let first = sent(&mut dispatcher, request(1, now + ms(500)), now, &mut rng);
+        assert_eq!(dispatcher.target_name(&first), name(1), "the one known to be fast");
+        let later = now + ms(200);
+        let again = sent(&mut dispatcher, request(1, later + ms(500)), later, &mut rng);
+        assert_ne!(dispatcher.target_name(&again), name(1), "old news; and it has a request");
+    }
+}
+
+#[test]
+fn targets_in_the_hall_of_the_request_are_preferred_up_to_the_detour() {
+    let mut configuration = configuration(4, 2, "");
+    configuration.services[0].slots_per_target = 3;
+    configuration.data_hall_detour_us = 20_000;
+    let mut dispatcher = dispatcher(&configuration);
+    dispatcher.set_view(View::Fleet);
+    let far = dispatcher.hall_index(&DataHallName::new("b").expect("a name"));
+    let mut rng = rng();
+    for (origin, halls) in [(far, [2, 3]), (HallIndex::default(), [0, 1])] {
+        for _ in 0..2 {
+            let wanted = Request { origin, ..request(1, at(500)) };
+            let grant = sent(&mut dispatcher, wanted, at(0), &mut rng);
+            let chosen = dispatcher.target_name(&grant);
+            assert!(halls.map(name).contains(&chosen), "{chosen} for {origin:?}");
+        }
+    }
+}
+
+#[test]
+fn a_grant_at_a_named_target_is_refused_once_it_is_leaving() {
+    let mut dispatcher = fleet_dispatcher(2, 2);
+    assert!(dispatcher.grant_at(&name(0), at(0)).is_some());
+    assert!(dispatcher.mark_leaving(&name(0), Incarnation::new(1)));
+    assert!(dispatcher.grant_at(&name(0), at(0)).is_none());
+    assert!(dispatcher.grant_at(&name(9), at(0)).is_none(), "unknown here");
+}
+
+#[test]
+fn only_targets_that_were_silent_are_to_be_probed() {
+    let mut dispatcher = fleet_dispatcher(3, 3);
+    let _ = dispatcher.learn_probe(&name(1), paced(100), at(0));
+    let silent = dispatcher.unheard_targets(ms(50), at(40));
+    assert_eq!(silent.len(), 2, "{silent:?}");
+    assert_eq!(dispatcher.unheard_targets(ms(50), at(60)).len(), 3);
+}
--- a/crates/thymeshift_entry/src/control_plane/source.rs
+++ b/crates/thymeshift_entry/src/control_plane/source.rs
@@ -119,7 +119,7 @@
             configuration: fleet.configuration.head(),
             targets: fleet.targets.head(),
         };
-        let members = fleet.members.serving(BootClock.now());
+        let members = fleet.members.present(BootClock.now());
         let addresses = members.filter_map(|member| member.datagram_address);
         (pulse, addresses.collect::<Vec<SocketAddr>>())
     };
--- a/crates/thymeshift_fleet/src/members.rs
+++ b/crates/thymeshift_fleet/src/members.rs
@@ -266,6 +266,13 @@
         self.known.values().filter(is_serving).map(|known| &known.member)
     }
 
+    /// The other processes that are not known to be gone: news is worth telling them, also
+    /// those that have not answered for a moment.
+    pub fn present(&self, now: Timestamp) -> impl Iterator<Item = &Member> {
+        let is_present = move |known: &&Known| known.liveness(now) != Liveness::Gone;
+        self.known.values().filter(is_present).map(|known| &known.member)
+    }
+
     /// The member on `vm`.
     pub fn find(&self, vm: &VmName) -> Option<&Member> {
         self.known.get(vm).map(|known| &known.member)
--- a/crates/thymeshift_fleet/src/readers.rs
+++ b/crates/thymeshift_fleet/src/readers.rs
@@ -29,13 +29,16 @@
 const PASSED_OVER: Duration = Duration::from_secs(3);
 /// Pause after the first failed call; it doubles with each further one.
 const PAUSE_MIN: Duration = Duration::from_millis(150);
+/// It is that much longer for each so many others whose calls have just failed too: then the
+/// source is down for all, and any of them will notice its return.
+const FAILED_OTHERS_PER_PAUSE: u32 = 8;
 /// Longest pause, for each member: the fleet's failed calls a second stay the same.
 const PAUSE_MAX_PER_MEMBER: Duration = Duration::from_millis(120);
 /// Bounds of the longest pause.
 const PAUSE_MAX_LEAST: Duration = Duration::from_millis(600);
-const PAUSE_MAX_MOST: Duration = Duration::from_millis(2_500);
+const PAUSE_MAX_MOST: Duration = Duration::from_secs(10);
 /// Doublings of the pause at most.
-const DOUBLINGS_MAX: u32 = 6;
+const DOUBLINGS_MAX: u32 = 7;
 /// Name of the task in the ranking.
 const TASK: &str = "read the source";
 
@@ -105,7 +108,9 @@
         let doublings = self.failures.min(DOUBLINGS_MAX);
         let most = PAUSE_MAX_PER_MEMBER * u32::try_from(member_count).unwrap_or(u32::MAX);
         let most = most.clamp(PAUSE_MAX_LEAST, PAUSE_MAX_MOST);
-        let pause = (PAUSE_MIN * 2_u32.pow(doublings)).min(most);
+        let others = u32::try_from(self.passed_over.len()).unwrap_or(u32::MAX);
+        let first = PAUSE_MIN * (1 + others / FAILED_OTHERS_PER_PAUSE);
+        let pause = (first * 2_u32.pow(doublings)).min(most);
         self.failures += 1;
         self.not_before = now + pause.mul_f64(0.5 + spread);
     }
--- /dev/null
+++ b/crates/thymeshift_fleet/tests/readers.rs
@@ -0,0 +1,206 @@
+//! Who reads the source: few while all is well, somebody in time whatever fails, and not
+//! many while the source is down.
+
+use std::time::Duration;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use thymeshift_fleet::Readers;
+use thymeshift_fleet::Turn;
+use thymeshift_fleet::ranked;
+use thymeshift_types::Timestamp;
+use thymeshift_types::VmName;
+
+/// One step of the simulation.
+const STEP_MS: u64 = 10;
+/// How long the source holds a call.
+const HOLD_MS: u64 = 700;
+/// Within this time of its answer, each answered call must be followed by another one
+/// somewhere: the platform's bound for a leaving target is 2 s.
+const SILENCE_MAX_MS: u64 = 1_900;
+
+fn vm(number: usize) -> VmName {
+    VmName::new(&format!("vm-{number}")).expect("a name")
+}
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(1_000_000 + millis)
+}
+
+struct Process {
+    readers: Readers,
+    /// When its call ends, and how.
+    call: Option<(u64, bool)>,
+    next_look: u64,
+}
+
+/// What the source does with a call of process `index` that begins at a moment.
+type Source = fn(index: usize, at_ms: u64) -> Answer;
+
+enum Answer {
+    Good,
+    /// Refused at once.
+    Refused,
+    /// Nothing is heard until the caller gives up.
+    Silent,
+}
+
+struct Played {
+    calls: u64,
+    /// Longest time between two answered calls.
+    silence_max_ms: u64,
+}
+
+/// Plays `count` processes; `is_up` says whether a process runs and hears others.
+fn play(count: usize, for_ms: u64, source: Source, is_up: fn(usize, u64) -> bool) -> Played {
+    let mut rng = SmallRng::seed_from_u64(7);
+    let new = |index| Process { readers: Readers::new(vm(index)), call: None, next_look: 0 };
+    let mut processes: Vec<Process> = (0..count).map(new).collect();
+    let mut played = Played { calls: 0, silence_max_ms: 0 };
+    let mut answered_ms = 0;
+    for now_ms in (0..for_ms).step_by(STEP_MS as usize) {
+        for index in 0..count {
+            if !is_up(index, now_ms) {
+                processes[index].call = None;
+                continue;
+            }
+            if let Some((ends_ms, is_good)) = processes[index].call {
+                if now_ms < ends_ms {
+                    continue;
+                }
+                processes[index].call = None;
+                if is_good {
+                    played.silence_max_ms = played.silence_max_ms.max(now_ms - answered_ms);
+                    answered_ms = now_ms;
+                    processes[index].readers.succeeded(at(now_ms));
+                } else {
+                    processes[index].readers.failed(count, rng.random(), at(now_ms));
+                }
+                for other in (0..count).filter(|other| *other != index && is_up(*other, now_ms)) {
+                    // One pulse in twenty is lost.
+                    if !rng.random_ratio(1, 20) {
+                        processes[other].readers.heard(&vm(index), is_good, at(now_ms));
+                    }
+                }
+            }
+            if now_ms < processes[index].next_look {
+                continue;
+            }
+            let alive: Vec<VmName> = (0..count)
+                .filter(|other| *other != index && is_up(*other, now_ms))
+                .map(vm)
+                .collect();
+            let hold_ms = match processes[index].readers.turn(&alive, at(now_ms)) {
+                Turn::Watch => HOLD_MS,
+                Turn::Read => 4,
+                Turn::Rest(rest) => {
+                    let rest_ms = (rest.as_millis() as u64).clamp(STEP_MS, 250);
+                    processes[index].next_look = now_ms + rest_ms;
+                    continue;
+                }
+            };
+            played.calls += 1;
+            processes[index].call = Some(match source(index, now_ms) {
+                Answer::Good => (now_ms + hold_ms, true),
+                Answer::Refused => (now_ms + 4, false),
+                Answer::Silent => (now_ms + hold_ms + 700, false),
+            });
+        }
+    }
+    played.silence_max_ms = played.silence_max_ms.max(for_ms - answered_ms);
+    played
+}
+
+#[test]
+fn two_read_while_all_is_well_whatever_the_size_of_the_fleet() {
+    for count in [1, 2, 3, 18, 142] {
+        let played = play(count, 30_000, |_, _| Answer::Good, |_, _| true);
+        assert!(played.silence_max_ms <= SILENCE_MAX_MS, "{count}: {}", played.silence_max_ms);
+        // Two readers for 30 s, and a call of each process that has heard nothing yet.
+        let most = 2 * 30_000 / HOLD_MS + 2 * count as u64 + 10;
+        assert!(played.calls <= most, "{count}: {} calls", played.calls);
+    }
+}
+
+#[test]
+fn somebody_reads_in_time_whoever_fails() {
+    struct Case {
+        note: &'static str,
+        source: Source,
+        is_up: fn(usize, u64) -> bool,
+    }
+    let cases = [
+        Case {
+            note: "a third of the processes is refused",
+            source: |index, _| if index % 3 == 0 { Answer::Refused } else { Answer::Good },
+            is_up: |_, _| true,
+        },
+        Case {
+            note: "the source is silent for half of the processes",
+            source: |index, _| if index % 2 == 0 { Answer::Silent } else { Answer::Good },
+            is_up: |_, _| true,
+        },
+        Case {
+            note: "processes vanish in turn, a third of them at any moment",
+            source: |_, _| Answer::Good,
+            is_up: |index, now_ms| !(now_ms / 2_000 + index as u64).is_multiple_of(3),
+        },
+    ];
+    for Case { note, source, is_up } in cases {
+        let played = play(18, 40_000, source, is_up);
+        assert!(played.silence_max_ms <= SILENCE_MAX_MS, "{note}: {}", played.silence_max_ms);
+        assert!(played.calls < 18 * 40, "{note}: {} calls", played.calls);
+    }
+}
+
+#[test]
+fn an_outage_costs_the_fleet_a_few_calls_a_second_and_its_end_is_noticed() {
+    let source: Source =
+        |_, now_ms| if (10_000..20_000).contains(&now_ms) { Answer::Refused } else { Answer::Good };
+    for count in [3, 18, 142] {
+        let down = play(count, 20_000, source, |_, _| true).calls;
+        let before = play(count, 10_000, source, |_, _| true).calls;
+        let calls_per_s = (down - before) / 10;
+        assert!(calls_per_s <= 10 + count as u64 / 3, "{count}: {calls_per_s} a second");
+        let whole = play(count, 40_000, source, |_, _| true);
+        assert!(whole.silence_max_ms <= 10_000 + 2_800, "{count}: {}", whole.silence_max_ms);
+    }
+}
+
+#[test]
+fn the_ranking_is_the_same_everywhere_and_moves_little() {
+    let members: Vec<VmName> = (0..30).map(vm).collect();
+    let mut reversed = members.clone();
+    reversed.reverse();
+    for task in ["s", "t", "u"] {
+        let order = ranked(task, members.iter());
+        assert_eq!(order, ranked(task, reversed.iter()));
+        let without_first: Vec<&VmName> = order.iter().skip(1).copied().collect();
+        let left = members.iter().filter(|member| *member != order[0]);
+        assert_eq!(ranked(task, left), without_first, "one that goes changes no other's place");
+    }
+    let firsts: std::collections::BTreeSet<String> = (0..100)
+        .map(|task| ranked(&format!("service-{task}"), members.iter())[0].to_string())
+        .collect();
+    assert!(firsts.len() > 20, "work is spread: {}", firsts.len());
+}
+
+#[test]
+fn a_pause_after_failures_grows_and_ends_with_an_answer() {
+    let mut readers = Readers::new(vm(0));
+    let mut rests = Vec::new();
+    let mut now = at(0);
+    for _ in 0..6 {
+        readers.failed(18, 0.5, now);
+        let Turn::Rest(rest) = readers.turn(&[], now) else {
+            panic!("no pause after a failure");
+        };
+        rests.push(rest);
+        now = now + rest;
+    }
+    assert!(rests.is_sorted(), "{rests:?}");
+    assert!(rests[5] <= Duration::from_millis(2_500), "{rests:?}");
+    readers.succeeded(now);
+    assert_eq!(readers.turn(&[], now), Turn::Watch);
+}
