--- a/crates/thymeshift_dispatch/src/dispatcher.rs
+++ b/crates/thymeshift_dispatch/src/dispatcher.rs
@@ -194,7 +194,7 @@
         self.retry.set_reserve_max(service.retry_reserve);
     }
 
-    /// Must be called every few tens of milliseconds: it notices pauses of the process.
+    /// Must be called several times in [`PAUSE_GAP_MAX`]: it notices pauses of the process.
     /// Returns the pause, if there was one.
     pub fn tick(&mut self, now: Timestamp) -> Option<Duration> {
         let gap = self.pause.observe(now)?;
@@ -228,6 +228,11 @@
         Decision::Wait(self.queue.push(request, now))
     }
 
+    /// Whether requests wait.
+    pub fn has_waiting(&self) -> bool {
+        !self.queue.is_empty()
+    }
+
     /// Spends one retry of the budget.
     pub fn try_retry(&mut self) -> bool {
         self.retry.try_spend()
--- a/crates/thymeshift_entry/src/control_plane/source.rs
+++ b/crates/thymeshift_entry/src/control_plane/source.rs
@@ -27,7 +27,7 @@
 
 /// How long the source may hold a call. Short, so that a source that falls silent is noticed
 /// in time by somebody.
-const WATCH_WAIT: Duration = Duration::from_millis(700);
+const WATCH_WAIT: Duration = Duration::from_millis(950);
 /// Pause after an answer that brought changes: those that follow at once come together.
 const GATHER: Duration = Duration::from_millis(150);
 /// Longest rest between two looks at whose turn it is.
--- a/crates/thymeshift_entry/src/control_plane/ticker.rs
+++ b/crates/thymeshift_entry/src/control_plane/ticker.rs
@@ -12,31 +12,34 @@
 use thymeshift_types::BootClock;
 use thymeshift_types::Clock;
 use thymeshift_types::Timestamp;
-use tokio::time::MissedTickBehavior;
-use tokio::time::interval;
+use tokio::time::timeout;
 
 use crate::shared::Shared;
 
-/// Time between two ticks. Waits end at most this much late.
+/// Time between two ticks while requests wait. Waits end at most this much late.
 const TICK: Duration = Duration::from_millis(10);
-/// Ticks between two rounds of housekeeping.
-const HOUSEKEEPING_TICKS: u64 = 100;
+/// The same while none waits: short enough for pauses to be noticed.
+const IDLE_TICK: Duration = Duration::from_millis(100);
+/// Time between two rounds of housekeeping.
+const HOUSEKEEPING_EVERY: Duration = Duration::from_secs(1);
 
 /// Ticks for ever.
 pub(crate) async fn run_ticker(shared: Arc<Shared>) -> Result<(), TaskError> {
-    let mut ticks = interval(TICK);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut count: u64 = 0;
     let mut last = BootClock.now();
+    let mut kept_at = last;
     let mut late_max = Duration::ZERO;
     loop {
-        ticks.tick().await;
+        let wait = if has_waiting(&shared) { TICK } else { IDLE_TICK };
+        // A request that begins to wait needs ticks from now on.
+        let is_early = timeout(wait, shared.waiting.notified()).await.is_ok();
         let now = BootClock.now();
-        late_max = late_max.max(now.since(last).saturating_sub(TICK));
+        if !is_early {
+            late_max = late_max.max(now.since(last).saturating_sub(wait));
+        }
         last = now;
-        count += 1;
         tick_services(&shared, now);
-        if count.is_multiple_of(HOUSEKEEPING_TICKS) {
+        if now.since(kept_at) >= HOUSEKEEPING_EVERY {
+            kept_at = now;
             keep_house(&shared, now);
             set_gauges(&shared, late_max);
             late_max = Duration::ZERO;
@@ -44,6 +47,11 @@
     }
 }
 
+fn has_waiting(shared: &Shared) -> bool {
+    let routing = shared.routing();
+    routing.is_some_and(|routing| routing.services.iter().any(|service| service.has_waiting()))
+}
+
 /// Gauges are set here and not where they change: a look-up for each request would cost
 /// more than the figure is worth.
 fn set_gauges(shared: &Shared, late_max: Duration) {
--- a/crates/thymeshift_entry/src/routing.rs
+++ b/crates/thymeshift_entry/src/routing.rs
@@ -17,7 +17,7 @@
 use thymeshift_types::ServiceName;
 use thymeshift_wire::KindDump;
 
-use crate::post::Post;
+use crate::service::ServiceLinks;
 use crate::service::ServiceRuntime;
 
 /// A figure that is kept for dumps and for metrics at once.
@@ -127,7 +127,7 @@
         configuration: Configuration,
         before: Option<&Self>,
         own_data_hall: &DataHallName,
-        post: &Arc<Post>,
+        links: &ServiceLinks,
     ) -> Self {
         let find = |name: &str| {
             let mut known = before.into_iter().flat_map(|before| before.services.iter());
@@ -140,7 +140,7 @@
                     known.update(&configuration, service, own_data_hall);
                     known
                 }
-                None => ServiceRuntime::new(&configuration, service, own_data_hall, post),
+                None => ServiceRuntime::new(&configuration, service, own_data_hall, links),
             };
             services.push(runtime);
         }
--- a/crates/thymeshift_entry/src/service/lend.rs
+++ b/crates/thymeshift_entry/src/service/lend.rs
@@ -45,6 +45,9 @@
             };
             lender.borrow(key.clone(), request, dispatcher, now, &mut rand::rng())
         };
+        if lending == Lending::Waiting {
+            self.links.waiting.notify_one();
+        }
         self.tell(&key, lending);
         self.wake_waiting(now);
     }
@@ -71,7 +74,7 @@
                 Message::Refused(number, refusal.reason, refusal.retry_after)
             }
         };
-        self.post.send(key.borrower.address, message);
+        self.links.post.send(key.borrower.address, message);
     }
 }
 
--- a/crates/thymeshift_entry/src/service/mod.rs
+++ b/crates/thymeshift_entry/src/service/mod.rs
@@ -39,6 +39,7 @@
 use thymeshift_types::TargetName;
 use thymeshift_types::Timestamp;
 use thymeshift_types::VmName;
+use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
 use crate::post::Post;
@@ -80,13 +81,21 @@
     pub(crate) address: SocketAddr,
 }
 
+/// What all services share.
+#[derive(Clone)]
+pub(crate) struct ServiceLinks {
+    pub(crate) post: Arc<Post>,
+    /// Rings when a request begins to wait, so that its time limit is watched.
+    pub(crate) waiting: Arc<Notify>,
+}
+
 /// A configured service.
 pub(crate) struct ServiceRuntime {
     name: ServiceName,
     desk: Mutex<Desk>,
     settings: RwLock<Arc<Service>>,
     pool: Arc<Pool>,
-    post: Arc<Post>,
+    links: ServiceLinks,
     lenders: Mutex<Lenders>,
 }
 
@@ -111,7 +120,7 @@
         configuration: &Configuration,
         service: &Service,
         own_data_hall: &DataHallName,
-        post: &Arc<Post>,
+        links: &ServiceLinks,
     ) -> Arc<Self> {
         let now = BootClock.now();
         let dispatcher = Dispatcher::configured(configuration, service, own_data_hall, now);
@@ -126,7 +135,7 @@
             }),
             settings: RwLock::new(Arc::new(service.clone())),
             pool: Pool::new(&service.name, share),
-            post: post.clone(),
+            links: links.clone(),
             lenders: Mutex::default(),
         })
     }
@@ -171,6 +180,7 @@
             Decision::Send(grant) => Admitted::Send(GrantGuard::new(self, grant)),
             Decision::Refuse(refusal) => Admitted::Refused(refusal),
             Decision::Wait(ticket) => {
+                self.links.waiting.notify_one();
                 let (sender, receiver) = oneshot::channel();
                 desk.waiting.insert(ticket, sender);
                 Admitted::Wait(WaitGuard { service: self.clone(), ticket, receiver })
@@ -182,7 +192,12 @@
         self.desk.lock().dispatcher.try_retry()
     }
 
-    /// Must run every few tens of milliseconds. Returns a pause of this process.
+    /// Whether requests wait here, of this process or of others.
+    pub(crate) fn has_waiting(&self) -> bool {
+        self.desk.lock().dispatcher.has_waiting()
+    }
+
+    /// Must run every few tens of milliseconds while requests wait. Returns a pause of this process.
     pub(crate) fn tick(&self, now: Timestamp) -> Option<Duration> {
         let gap = {
             let Desk { dispatcher, lender, .. } = &mut *self.desk.lock();
--- a/crates/thymeshift_entry/src/service/obtain.rs
+++ b/crates/thymeshift_entry/src/service/obtain.rs
@@ -80,13 +80,13 @@
     }
 
     async fn ask_lenders(self: &Arc<Self>, shared: &Shared, request: &Request) -> AskedAll {
-        if self.post.socket().is_none() {
+        if self.links.post.socket().is_none() {
             return AskedAll::DecideAs(View::Own);
         }
         let now = BootClock.now();
         let order = self.order(shared, now);
         let usable = order.iter().filter(|lender| match lender {
-            Some(lender) => !self.post.is_passed_over(&lender.vm, now),
+            Some(lender) => !self.links.post.is_passed_over(&lender.vm, now),
             None => !shared.is_stopping(),
         });
         for lender in usable.take(LENDERS_ASKED_MAX) {
@@ -125,7 +125,7 @@
             queue_max: request.queue_max,
             tried: self.names(&request.tried),
         };
-        let mut borrowing = self.post.borrow(lender, wish);
+        let mut borrowing = self.links.post.borrow(lender, wish);
         let mut limit = FIRST_WORD_LIMIT;
         loop {
             match timeout(limit, borrowing.replies.recv()).await {
@@ -141,11 +141,11 @@
                 }
                 Ok(Some(Reply::Declined)) => {
                     borrowing.loan.closed_by_lender();
-                    self.post.pass_over(&lender.vm, BootClock.now());
+                    self.links.post.pass_over(&lender.vm, BootClock.now());
                     return Asked::Useless;
                 }
                 Ok(None) | Err(_) => {
-                    self.post.pass_over(&lender.vm, BootClock.now());
+                    self.links.post.pass_over(&lender.vm, BootClock.now());
                     return Asked::Useless;
                 }
             }
--- a/crates/thymeshift_entry/src/shared.rs
+++ b/crates/thymeshift_entry/src/shared.rs
@@ -37,6 +37,7 @@
 use crate::post::LenderPlace;
 use crate::post::Post;
 use crate::routing::Routing;
+use crate::service::ServiceLinks;
 use crate::service::ServiceRuntime;
 
 /// Figures of the process as a whole.
@@ -65,6 +66,8 @@
     pub(crate) statuses: Statuses,
     pub(crate) links: Links,
     pub(crate) post: Arc<Post>,
+    /// Rings when a request begins to wait.
+    pub(crate) waiting: Arc<Notify>,
     /// Whether targets are discovered apart from the configuration.
     discovers: bool,
     pub(crate) metrics_text: MetricsText,
@@ -83,6 +86,7 @@
         Arc::new(Self {
             fleet: Mutex::new(Fleet::new(&settings, boot)),
             post: Post::new(socket, settings.vm.clone(), settings.data_hall.clone(), boot),
+            waiting: Arc::default(),
             discovers,
             settings_path,
             settings: RwLock::new(Arc::new(settings)),
@@ -100,6 +104,10 @@
         })
     }
 
+    fn service_links(&self) -> ServiceLinks {
+        ServiceLinks { post: self.post.clone(), waiting: self.waiting.clone() }
+    }
+
     /// The settings in force.
     pub(crate) fn settings(&self) -> Arc<Settings> {
         self.settings.read().clone()
@@ -209,7 +217,7 @@
         fleet.leaving.retain(|mark| is_mark_needed(&configuration, mark));
         let before = self.routing();
         let own_data_hall = &self.settings().data_hall;
-        let routing = Routing::new(configuration, before.as_deref(), own_data_hall, &self.post);
+        let routing = Routing::new(configuration, before.as_deref(), own_data_hall, &self.service_links());
         let routing = Arc::new(routing);
         for service in &routing.services {
             apply_marks(service, fleet);
