--- a/crates/thymeshift_entry/src/caller/handler.rs
+++ b/crates/thymeshift_entry/src/caller/handler.rs
@@ -45,7 +45,7 @@
 /// Longest request id taken from a caller, in bytes.
 const REQUEST_ID_BYTES_MAX: usize = 64;
 /// When a caller may come back to a process that is starting or stopping.
-const ELSEWHERE_RETRY_AFTER: Duration = Duration::from_millis(500);
+const ELSEWHERE_RETRY_AFTER: Duration = Duration::from_millis(200);
 
 /// Counts a request as in flight until it is dropped.
 struct InFlight(Arc<Shared>);
@@ -69,6 +69,21 @@
     caller: SocketAddr,
     accepted_at: Timestamp,
     kind: Option<Arc<KindRuntime>>,
+    request_id: HeaderValue,
+    is_recorded: bool,
+}
+
+impl Drop for Progress {
+    /// The caller left before there was an answer.
+    fn drop(&mut self) {
+        if self.is_recorded {
+            return;
+        }
+        let taken_us = BootClock.now().since(self.accepted_at).as_micros() as u64;
+        let request_id = self.request_id.to_str().unwrap_or_default();
+        let kind = self.kind.as_ref().map_or("", |kind| kind.kind.name.as_str());
+        info!("request_abandoned", kv: { request_id, kind, taken_us });
+    }
 }
 
 /// Answers a request.
@@ -81,7 +96,15 @@
     let is_stopping = shared.is_stopping();
     let version = request.version();
     let request_id = request_id(request.headers());
-    let mut progress = Progress { shared, caller, accepted_at: BootClock.now(), kind: None };
+    let accepted_at = BootClock.now();
+    let mut progress = Progress {
+        shared,
+        caller,
+        accepted_at,
+        kind: None,
+        request_id: request_id.clone(),
+        is_recorded: false,
+    };
     let answered = progress.answer::<D>(request, &request_id).await;
     progress.record(&answered, &request_id);
     let mut response =
@@ -168,7 +191,12 @@
     }
 
     /// Counts and logs what became of the request.
-    fn record(&self, answered: &Result<Response<AnswerBody>, Failure>, request_id: &HeaderValue) {
+    fn record(
+        &mut self,
+        answered: &Result<Response<AnswerBody>, Failure>,
+        request_id: &HeaderValue,
+    ) {
+        self.is_recorded = true;
         let taken = BootClock.now().since(self.accepted_at);
         let request_id = request_id.to_str().unwrap_or_default();
         let kind = self.kind.as_ref().map_or("", |kind| kind.kind.name.as_str());
--- a/crates/thymeshift_entry/src/caller/listener.rs
+++ b/crates/thymeshift_entry/src/caller/listener.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::caller::connection::serve;
 use crate::shared::Shared;
@@ -21,6 +22,9 @@
 /// Pause after a failed accept: mostly too many open files, which only time mends.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Longest time for which connections to a process without a configuration are not accepted.
+const START_WAIT: Duration = Duration::from_millis(400);
+
 /// Accepts until `closing` turns true.
 pub(crate) async fn run_listener<D: Dialect>(
     shared: Arc<Shared>,
@@ -28,6 +32,10 @@
     closing: watch::Receiver<bool>,
 ) -> Result<(), TaskError> {
     let mut until = closing.clone();
+    let mut in_force = shared.in_force.subscribe();
+    // Who connects to a process that has just started is served a moment later and need not
+    // come back; without a configuration in that time it is told so.
+    let _ = timeout(START_WAIT, in_force.wait_for(|is_in_force| *is_in_force)).await;
     loop {
         let accepted = tokio::select! {
             biased;
--- a/crates/thymeshift_entry/src/shared.rs
+++ b/crates/thymeshift_entry/src/shared.rs
@@ -217,7 +217,8 @@
         fleet.leaving.retain(|mark| is_mark_needed(&configuration, mark));
         let before = self.routing();
         let own_data_hall = &self.settings().data_hall;
-        let routing = Routing::new(configuration, before.as_deref(), own_data_hall, &self.service_links());
+        let routing =
+            Routing::new(configuration, before.as_deref(), own_data_hall, &self.service_links());
         let routing = Arc::new(routing);
         for service in &routing.services {
             apply_marks(service, fleet);
