--- a/crates/thymeshift_entry/src/post.rs
+++ b/crates/thymeshift_entry/src/post.rs
@@ -28,8 +28,10 @@
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
-/// How long a lender that did not answer is passed over.
+/// How long a lender that did not answer is passed over the first time; it doubles with each
+/// further one until it answers.
 const PASSED_OVER: Duration = Duration::from_millis(500);
+const DOUBLINGS_MAX: u32 = 4;
 /// Loans named in one message at most; the rest is named by the next.
 const HELD_MAX: usize = 128;
 
@@ -74,7 +76,13 @@
     boot: Boot,
     next_number: AtomicU64,
     loans: Mutex<HashMap<LoanNumber, OpenLoan>>,
-    passed_over: Mutex<HashMap<VmName, Timestamp>>,
+    passed_over: Mutex<HashMap<VmName, PassedOver>>,
+}
+
+/// A lender that did not answer.
+struct PassedOver {
+    until: Timestamp,
+    times: u32,
 }
 
 impl Post {
@@ -150,6 +158,9 @@
     /// A lender answered.
     pub(crate) fn replied(&self, number: LoanNumber, reply: Reply) {
         if let Some(open) = self.loans.lock().get(&number) {
+            if reply != Reply::Declined {
+                self.passed_over.lock().remove(&open.lender);
+            }
             // Nobody waits any more if this fails, and the loan is given back then.
             let _ = open.replies.send(reply);
         }
@@ -166,11 +177,15 @@
     /// A lender did not answer, or does not lend.
     pub(crate) fn pass_over(&self, lender: &VmName, now: Timestamp) {
         debug!("lender_passed_over", kv: { lender: = lender });
-        self.passed_over.lock().insert(lender.clone(), now + PASSED_OVER);
+        let mut passed_over = self.passed_over.lock();
+        let first = PassedOver { until: now, times: 0 };
+        let entry = passed_over.entry(lender.clone()).or_insert(first);
+        entry.until = now + PASSED_OVER * 2_u32.pow(entry.times.min(DOUBLINGS_MAX));
+        entry.times += 1;
     }
 
     pub(crate) fn is_passed_over(&self, lender: &VmName, now: Timestamp) -> bool {
-        self.passed_over.lock().get(lender).is_some_and(|until| now < *until)
+        self.passed_over.lock().get(lender).is_some_and(|entry| now < entry.until)
     }
 }
 
--- a/crates/thymeshift_fleet/src/members.rs
+++ b/crates/thymeshift_fleet/src/members.rs
@@ -31,9 +31,15 @@
 /// members of today's fleets fresh; a larger fleet is heard of more slowly, and the message
 /// stays as long as it is.
 const PASSED_ON_MAX: usize = 5;
-/// Time without a new heartbeat after which a member is suspected.
+/// Further ones for each so many members known, and the most.
+const MEMBERS_PER_PASSED_ON: usize = 16;
+const PASSED_ON_MOST: usize = 10;
+/// Time without a new heartbeat after which a member is suspected, in a fleet of up to
+/// [`MEMBERS_PER_PATIENCE`]. Heartbeats take longer through a larger one, and the time grows
+/// with it: whoever needs a member that is dead finds that out by asking.
 const SUSPECT_AFTER: Duration = Duration::from_secs(5);
-/// Time without a new heartbeat after which a member is taken as gone.
+const MEMBERS_PER_PATIENCE: usize = 24;
+/// Time without a new heartbeat after which a member is taken as gone, grown alike.
 const GONE_AFTER: Duration = Duration::from_secs(20);
 /// Time after which a member that is gone is forgotten.
 const FORGET_AFTER: Duration = Duration::from_mins(10);
@@ -143,12 +149,13 @@
 }
 
 impl Known {
-    fn liveness(&self, now: Timestamp) -> Liveness {
+    /// `patience` is how many times as long as in a small fleet heartbeats take.
+    fn liveness(&self, patience: u32, now: Timestamp) -> Liveness {
         let silent = now.since(self.heard_at);
         let has_stopped = self.member.phase == Phase::Stopping && silent > SUSPECT_AFTER;
-        if silent > GONE_AFTER || has_stopped {
+        if silent > GONE_AFTER * patience || has_stopped {
             Liveness::Gone
-        } else if silent > SUSPECT_AFTER || self.unanswered > 0 {
+        } else if silent > SUSPECT_AFTER * patience || self.unanswered > 0 {
             Liveness::Suspect
         } else {
             Liveness::Alive
@@ -171,6 +178,10 @@
         Self { own, known: BTreeMap::new(), hints }
     }
 
+    fn patience(&self) -> u32 {
+        u32::try_from(1 + self.known.len() / MEMBERS_PER_PATIENCE).unwrap_or(u32::MAX)
+    }
+
     /// This process's own entry.
     pub fn own(&self) -> &Member {
         &self.own
@@ -234,8 +245,11 @@
         if breadth == Breadth::News {
             return passed;
         }
-        let heard = self.known.values().filter(|known| known.liveness(now) != Liveness::Gone);
-        let drawn = heard.choose_multiple(rng, PASSED_ON_MAX);
+        let patience = self.patience();
+        let most = PASSED_ON_MAX + self.known.len() / MEMBERS_PER_PASSED_ON;
+        let heard =
+            self.known.values().filter(|known| known.liveness(patience, now) != Liveness::Gone);
+        let drawn = heard.choose_multiple(rng, most.min(PASSED_ON_MOST));
         passed.extend(drawn.into_iter().map(|known| known.member.clone()));
         passed
     }
@@ -244,7 +258,8 @@
     /// address from settings or the platform's list that belongs to no known member is
     /// tried like a member.
     pub fn pick(&self, count: usize, now: Timestamp, rng: &mut impl Rng) -> Vec<SocketAddr> {
-        let members = self.known.values().filter(|known| match known.liveness(now) {
+        let patience = self.patience();
+        let members = self.known.values().filter(|known| match known.liveness(patience, now) {
             Liveness::Alive => true,
             Liveness::Suspect => known.unanswered < 3 || rng.random_ratio(1, 8),
             Liveness::Gone => false,
@@ -260,8 +275,9 @@
 
     /// The other processes that are believed to be there and serve.
     pub fn serving(&self, now: Timestamp) -> impl Iterator<Item = &Member> {
+        let patience = self.patience();
         let is_serving = move |known: &&Known| {
-            known.liveness(now) == Liveness::Alive && known.member.phase == Phase::Serving
+            known.liveness(patience, now) == Liveness::Alive && known.member.phase == Phase::Serving
         };
         self.known.values().filter(is_serving).map(|known| &known.member)
     }
@@ -269,7 +285,8 @@
     /// The other processes that are not known to be gone: news is worth telling them, also
     /// those that have not answered for a moment.
     pub fn present(&self, now: Timestamp) -> impl Iterator<Item = &Member> {
-        let is_present = move |known: &&Known| known.liveness(now) != Liveness::Gone;
+        let patience = self.patience();
+        let is_present = move |known: &&Known| known.liveness(patience, now) != Liveness::Gone;
         self.known.values().filter(is_present).map(|known| &known.member)
     }
 
@@ -280,7 +297,8 @@
 
     /// Number of processes believed to be there, this one included.
     pub fn count_alive(&self, now: Timestamp) -> usize {
-        let alive = |known: &&Known| known.liveness(now) == Liveness::Alive;
+        let patience = self.patience();
+        let alive = |known: &&Known| known.liveness(patience, now) == Liveness::Alive;
         1 + self.known.values().filter(alive).count()
     }
 
@@ -298,9 +316,10 @@
 
     /// All known members, for people and programs to read.
     pub fn dump(&self, now: Timestamp) -> Vec<MemberDump> {
+        let patience = self.patience();
         let dump = |known: &Known| MemberDump {
             member: known.member.clone(),
-            liveness: known.liveness(now),
+            liveness: known.liveness(patience, now),
             silent_ms: now.since(known.heard_at).as_millis() as u64,
         };
         self.known.values().map(dump).collect()
--- a/crates/thymeshift_lab/src/arguments.rs
+++ b/crates/thymeshift_lab/src/arguments.rs
@@ -30,6 +30,7 @@
   thymeshift-lab control-cost [--entries=4,8,16] [--target-size]
   thymeshift-lab recovery [--entries=N]
   thymeshift-lab decision-cost
+  thymeshift-lab rounds [--journal=FOLDER] [--plot=FILE]
   thymeshift-lab scenarios [--entries=N] [--seconds=N] [--seeds=N] [--loads=70,85] [--no-probes]
                            [--hedge-ms=N] [--scenario=NAME…] [--strategy=NAME…]
 
@@ -61,6 +62,7 @@
     ControlCost { entries: Vec<usize>, size: ConfigurationSize },
     Recovery { entries: usize },
     DecisionCost,
+    Rounds { journal: String, plot: String },
     Scenarios(ScenarioPlan),
 }
 
@@ -77,6 +79,7 @@
             "path-cost" => path_cost(parser),
             "control-cost" => control_cost(parser),
             "recovery" => recovery(parser),
+            "rounds" => rounds(parser),
             "scenarios" => scenarios(parser),
             other => Err(format!("unknown command '{other}'").into()),
         },
@@ -237,6 +240,19 @@
     Ok(Command::ControlCost { entries, size })
 }
 
+fn rounds(mut parser: Parser) -> Result<Command, Error> {
+    let mut journal = "journal".to_owned();
+    let mut plot = "docs/rounds.svg".to_owned();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Long("journal") => journal = parser.value()?.string()?,
+            Arg::Long("plot") => plot = parser.value()?.string()?,
+            unexpected => return Err(unexpected.unexpected()),
+        }
+    }
+    Ok(Command::Rounds { journal, plot })
+}
+
 fn recovery(mut parser: Parser) -> Result<Command, Error> {
     let mut entries = 16;
     while let Some(argument) = parser.next()? {
--- /dev/null
+++ b/crates/thymeshift_lab/src/experiment/rounds.rs
@@ -0,0 +1,163 @@
+//! The rounds of the users' bench, read from the journal that it leaves in the repository.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::fs;
+use std::io;
+use std::path::Path;
+use std::path::PathBuf;
+
+use derive_more::Display;
+use derive_more::Error;
+use serde::Deserialize;
+
+use crate::load::PlotError;
+use crate::load::Series;
+use crate::load::draw;
+
+/// Rounds that could not be shown.
+#[derive(Debug, Display, Error)]
+pub enum RoundsError {
+    /// The folder or a file cannot be read.
+    #[display("{}: {source}", path.display())]
+    Read {
+        /// Which.
+        path: PathBuf,
+        /// Why.
+        source: io::Error,
+    },
+    /// A file is not an entry of the journal.
+    #[display("{}: {source}", path.display())]
+    Entry {
+        /// Which.
+        path: PathBuf,
+        /// Why, with the place.
+        source: serde_json::Error,
+    },
+    /// The plot cannot be drawn.
+    #[display("{source}")]
+    Plot {
+        /// Why.
+        source: PlotError,
+    },
+}
+
+/// One entry of the journal, as far as it is shown.
+#[derive(Debug, Clone, Deserialize)]
+struct Entry {
+    /// When it began and ended.
+    at: Vec<String>,
+    cmd: String,
+    site: Option<String>,
+    score: Option<f64>,
+    why: Option<String>,
+    #[serde(default)]
+    days: Vec<Day>,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+struct Day {
+    name: String,
+    score: Option<f64>,
+    #[serde(default)]
+    rules: serde_json::Value,
+}
+
+impl Day {
+    fn has_broken_rules(&self) -> bool {
+        match &self.rules {
+            serde_json::Value::Array(rules) => !rules.is_empty(),
+            serde_json::Value::Object(rules) => !rules.is_empty(),
+            _ => false,
+        }
+    }
+}
+
+/// Reads the journal in `folder`, draws each site's scores into `plot`, and returns tables of
+/// scores and hunts in Markdown.
+pub fn rounds(folder: &Path, plot: &Path) -> Result<String, RoundsError> {
+    let entries = read(folder)?;
+    let mut text = String::new();
+    scores(&entries, &mut text);
+    hunts(&entries, &mut text);
+    let lines = series(&entries);
+    draw(plot, "Score by round", "round", "score", &lines)
+        .map_err(|source| RoundsError::Plot { source })?;
+    Ok(text)
+}
+
+fn read(folder: &Path) -> Result<Vec<Entry>, RoundsError> {
+    let refuse = |path: &Path| {
+        let path = path.to_path_buf();
+        move |source| RoundsError::Read { path, source }
+    };
+    let mut paths = Vec::new();
+    for file in fs::read_dir(folder).map_err(refuse(folder))? {
+        let path = file.map_err(refuse(folder))?.path();
+        if path.extension().is_some_and(|extension| extension == "json") {
+            paths.push(path);
+        }
+    }
+    // Names begin with the moment.
+    paths.sort();
+    let mut entries = Vec::new();
+    for path in paths {
+        let text = fs::read_to_string(&path).map_err(refuse(&path))?;
+        let entry = serde_json::from_str(&text);
+        entries.push(entry.map_err(|source| RoundsError::Entry { path, source })?);
+    }
+    Ok(entries)
+}
+
+fn scores(entries: &[Entry], text: &mut String) {
+    text.push_str("| at | site | score | days | tried |\n| --- | --- | --- | --- | --- |\n");
+    for entry in entries.iter().filter(|entry| entry.cmd == "score") {
+        let (Some(site), Some(score)) = (&entry.site, entry.score) else {
+            continue;
+        };
+        let places: Vec<String> = entry
+            .days
+            .iter()
+            .filter(|day| !day.name.starts_with("fresh"))
+            .filter_map(|day| Some(format!("{:.2}", day.score?)))
+            .collect();
+        let at = entry.at.first().map_or("", |at| at.get(11..16).unwrap_or(at));
+        let why = entry.why.as_deref().unwrap_or_default();
+        add_line(text, &format!("| {at} | {site} | {score:.3} | {} | {why} |", places.join(" ")));
+    }
+}
+
+fn hunts(entries: &[Entry], text: &mut String) {
+    text.push_str(
+        "\n| at | site | days hunted | with a rule broken |\n| --- | --- | --- | --- |\n",
+    );
+    for entry in entries.iter().filter(|entry| entry.cmd == "hunt") {
+        let broken: Vec<&str> = entry
+            .days
+            .iter()
+            .filter(|day| day.has_broken_rules())
+            .map(|day| day.name.as_str())
+            .collect();
+        let broken = if broken.is_empty() { "none".to_owned() } else { broken.join(", ") };
+        let at = entry.at.first().map_or("", |at| at.get(11..16).unwrap_or(at));
+        let site = entry.site.as_deref().unwrap_or_default();
+        add_line(text, &format!("| {at} | {site} | {} | {broken} |", entry.days.len()));
+    }
+}
+
+fn add_line(text: &mut String, line: &str) {
+    // Writing to a string cannot fail.
+    let _ = writeln!(text, "{line}");
+}
+
+fn series(entries: &[Entry]) -> Vec<Series> {
+    let mut by_site: BTreeMap<&str, Vec<(f64, f64)>> = BTreeMap::new();
+    for entry in entries.iter().filter(|entry| entry.cmd == "score") {
+        if let (Some(site), Some(score)) = (entry.site.as_deref(), entry.score) {
+            let points = by_site.entry(site).or_default();
+            points.push((points.len() as f64 + 1.0, score));
+        }
+    }
+    let line = |(site, points): (&str, Vec<(f64, f64)>)| Series { name: site.to_owned(), points };
+    by_site.into_iter().map(line).collect()
+}
--- a/crates/thymeshift_lab/src/main.rs
+++ b/crates/thymeshift_lab/src/main.rs
@@ -78,6 +78,10 @@
             print!("{}", experiment::path_cost(seconds).await?);
             Ok(ExitCode::SUCCESS)
         }),
+        Command::Rounds { journal, plot } => {
+            print!("{}", experiment::rounds(Path::new(&journal), Path::new(&plot))?);
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Demo { entries, seconds } => many_threads(demo(entries, seconds)),
     }
 }
