--- a/crates/thymeshift_config/src/decode.rs
+++ b/crates/thymeshift_config/src/decode.rs
@@ -29,6 +29,22 @@
     fn decode(node: &Node, path: &str, mistakes: &mut Mistakes) -> Option<Self>;
 }
 
+/// Reads a value from YAML; `path` names it in mistakes.
+pub(crate) fn parse<T: Decode>(text: &str, path: &str) -> Result<T, Mistakes> {
+    let mut mistakes = Mistakes::default();
+    let node = match Node::parse(text) {
+        Ok(node) => node,
+        Err(mistake) => {
+            mistakes.add(mistake);
+            return Err(mistakes);
+        }
+    };
+    match T::decode(&node, path, &mut mistakes) {
+        Some(value) if mistakes.is_empty() => Ok(value),
+        _ => Err(mistakes),
+    }
+}
+
 /// Records that `node` is not what was expected.
 pub(crate) fn refuse<T>(
     node: &Node,
--- a/crates/thymeshift_config/src/discovery.rs
+++ b/crates/thymeshift_config/src/discovery.rs
@@ -7,6 +7,7 @@
 use crate::Target;
 use crate::decode::Decode;
 use crate::decode::MapReader;
+use crate::decode::parse;
 use crate::tree::Node;
 
 /// One discovered target.
@@ -30,18 +31,8 @@
 impl Discovery {
     /// Reads and checks a list of discovered targets from YAML.
     pub fn parse(text: &str) -> Result<Self, Mistakes> {
-        let mut mistakes = Mistakes::default();
-        let node = match Node::parse(text) {
-            Ok(node) => node,
-            Err(mistake) => {
-                mistakes.add(mistake);
-                return Err(mistakes);
-            }
-        };
-        match Vec::decode(&node, "targets", &mut mistakes) {
-            Some(targets) if mistakes.is_empty() => Ok(Self { targets }),
-            _ => Err(mistakes),
-        }
+        let targets = parse(text, "targets")?;
+        Ok(Self { targets })
     }
 }
 
--- a/crates/thymeshift_config/src/settings.rs
+++ b/crates/thymeshift_config/src/settings.rs
@@ -10,6 +10,7 @@
 use crate::decode::Decode;
 use crate::decode::MapReader;
 use crate::decode::decode_word;
+use crate::decode::parse;
 use crate::tree::Node;
 
 /// Longest time a planned stop may be given, in milliseconds.
@@ -72,18 +73,7 @@
 impl Settings {
     /// Reads settings from YAML.
     pub fn parse(text: &str) -> Result<Self, Mistakes> {
-        let mut mistakes = Mistakes::default();
-        let node = match Node::parse(text) {
-            Ok(node) => node,
-            Err(mistake) => {
-                mistakes.add(mistake);
-                return Err(mistakes);
-            }
-        };
-        match Self::decode(&node, "", &mut mistakes) {
-            Some(settings) if mistakes.is_empty() => Ok(settings),
-            _ => Err(mistakes),
-        }
+        parse(text, "")
     }
 }
 
--- /dev/null
+++ b/crates/thymeshift_dispatch/src/dispatcher/learning.rs
@@ -0,0 +1,94 @@
+//! What attempts and probes teach a dispatcher.
+
+use thymeshift_types::LeavingMark;
+use thymeshift_types::TargetName;
+use thymeshift_types::Timestamp;
+
+use crate::Dispatcher;
+use crate::Grant;
+use crate::LoadReport;
+use crate::Observation;
+use crate::ReportedState;
+use crate::Strategy;
+use crate::TargetIndex;
+
+/// An attempt that was given up counts as the target's failure once it took this many
+/// times as long as expected.
+const TIMEOUT_FACTOR: u32 = 3;
+
+impl<S: Strategy> Dispatcher<S> {
+    /// Learns from an attempt, at most once for each grant. If the target said that it is
+    /// leaving and that is news, returns the mark to pass on to other VMs.
+    pub fn learn(
+        &mut self,
+        grant: &Grant,
+        observation: Observation,
+        now: Timestamp,
+    ) -> Option<LeavingMark> {
+        let mark = observation.report().and_then(|report| self.learn_report(grant, report, now));
+        let has_room = self.table.has_room_to_eject(self.ejection.share_max_percent, now);
+        if let Observation::Answered(report) = observation {
+            self.table.learn_latency(grant, report, now);
+        }
+        let target = self.table.get_mut(grant.target);
+        match observation {
+            Observation::Answered(report) => {
+                target.learn_pressure(report, now);
+                target.succeeded(now);
+                self.retry.succeeded();
+            }
+            Observation::Failed(_) | Observation::Broken => {
+                target.failed(&self.ejection, has_room, now);
+            }
+            Observation::Shed(_) => target.learn_overload(now),
+            Observation::TimedOut => {
+                target.learn_latency(grant, now);
+                target.learn_overload(now);
+                // A caller with little time left does not prove that the target is slow.
+                if now.since(grant.sent_at) > grant.expected * TIMEOUT_FACTOR {
+                    target.failed(&self.ejection, has_room, now);
+                }
+            }
+        }
+        mark
+    }
+
+    fn learn_report(
+        &mut self,
+        grant: &Grant,
+        report: LoadReport,
+        now: Timestamp,
+    ) -> Option<LeavingMark> {
+        self.table.learn_report(grant.target, report, now);
+        self.learn_state(grant.target, report)
+    }
+
+    /// Takes in a report that no request carried (a probe's). As [`Dispatcher::learn`],
+    /// returns a mark that is news.
+    pub fn learn_probe(
+        &mut self,
+        name: &TargetName,
+        report: LoadReport,
+        now: Timestamp,
+    ) -> Option<LeavingMark> {
+        let index = self.table.find(name)?;
+        self.table.learn_probe(index, report, now);
+        self.learn_state(index, report)
+    }
+
+    fn learn_state(&mut self, index: TargetIndex, report: LoadReport) -> Option<LeavingMark> {
+        let name = self.table.get(index).name.clone();
+        let incarnation = report.incarnation.unwrap_or(self.table.get(index).incarnation);
+        match report.state {
+            ReportedState::Serving => {
+                self.table.note_incarnation(index, incarnation);
+                None
+            }
+            ReportedState::Draining => {
+                let is_news = self.table.mark_leaving(&name, incarnation);
+                let service = self.service.clone();
+                is_news.then_some(LeavingMark { service, target: name, incarnation })
+            }
+        }
+    }
+}
