--- a/crates/thymeshift_dispatch/src/dispatcher.rs
+++ b/crates/thymeshift_dispatch/src/dispatcher.rs
@@ -230,6 +230,11 @@
         !self.queue.is_empty()
     }
 
+    /// Whether the budget allows a retry.
+    pub fn has_retry(&self) -> bool {
+        self.retry.reserve() >= 1.0
+    }
+
     /// Spends one retry of the budget.
     pub fn try_retry(&mut self) -> bool {
         self.retry.try_spend()
--- a/crates/thymeshift_entry/src/caller/forward.rs
+++ b/crates/thymeshift_entry/src/caller/forward.rs
@@ -10,6 +10,7 @@
 use http::Response;
 use http::request::Parts;
 use rand::Rng;
+use spdlog::info;
 use thymeshift_config::Repeat;
 use thymeshift_dispatch::HallIndex;
 use thymeshift_dispatch::Refusal;
@@ -89,6 +90,7 @@
             };
             tried.add(target);
             let AttemptFailure { failure, body: unused, answer, .. } = *failed;
+            self.log_attempt(&failure, attempts);
             let Some(again) = unused.or(copy).filter(|_| self.may_retry(&failure, attempts)) else {
                 // The target's own words say more than ours.
                 return answer.ok_or_else(|| self.with_retry_after(failure));
@@ -98,6 +100,22 @@
         }
     }
 
+    /// One line for each attempt that brought no answer: whether there is another depends
+    /// on it.
+    fn log_attempt(&self, failure: &Failure, attempt: u64) {
+        if !self.shared.allows_request_line() {
+            return;
+        }
+        let request_id = self.request_id.to_str().unwrap_or_default();
+        let left_ms = BootClock.now().until(self.deadline).as_millis() as u64;
+        info!("attempt_failed", kv: {
+            request_id, attempt, attempts_max = self.attempts_max, left_ms,
+            outcome: = failure.outcome, reason: = failure.reason,
+            step: = failure.step, peer: = failure.peer,
+            has_retry = self.service.has_retry()
+        });
+    }
+
     /// Waits for a target.
     async fn grant(&self, tried: Tried) -> Result<GrantGuard, Failure> {
         let begun = BootClock.now();
--- a/crates/thymeshift_entry/src/caller/handler.rs
+++ b/crates/thymeshift_entry/src/caller/handler.rs
@@ -76,7 +76,7 @@
 impl Drop for Progress {
     /// The caller left before there was an answer.
     fn drop(&mut self) {
-        if self.is_recorded {
+        if self.is_recorded || !self.shared.allows_request_line() {
             return;
         }
         let taken_us = BootClock.now().since(self.accepted_at).as_micros() as u64;
@@ -213,6 +213,7 @@
                 let status = response.status().as_u16();
                 debug!("request_answered", kv: { request_id, kind, status, taken_us });
             }
+            Err(_) if !self.shared.allows_request_line() => {}
             Err(failure) => info!("request_failed", kv: {
                 request_id, kind, taken_us,
                 outcome: = failure.outcome, reason: = failure.reason,
--- a/crates/thymeshift_entry/src/service/mod.rs
+++ b/crates/thymeshift_entry/src/service/mod.rs
@@ -188,6 +188,10 @@
         }
     }
 
+    pub(crate) fn has_retry(&self) -> bool {
+        self.desk.lock().dispatcher.has_retry()
+    }
+
     pub(crate) fn try_retry(&self) -> bool {
         self.desk.lock().dispatcher.try_retry()
     }
--- a/crates/thymeshift_entry/src/shared.rs
+++ b/crates/thymeshift_entry/src/shared.rs
@@ -20,6 +20,7 @@
 use thymeshift_fleet::Published;
 use thymeshift_fleet::ranked;
 use thymeshift_supervisor::Statuses;
+use thymeshift_telemetry::LineBudget;
 use thymeshift_telemetry::MetricsText;
 use thymeshift_telemetry::metric;
 use thymeshift_types::BootClock;
@@ -40,6 +41,9 @@
 use crate::service::ServiceLinks;
 use crate::service::ServiceRuntime;
 
+/// Log lines about single requests in a second.
+const REQUEST_LINES_PER_S: u64 = 50;
+
 /// Figures of the process as a whole.
 #[derive(Default)]
 pub(crate) struct ProcessFigures {
@@ -68,6 +72,8 @@
     pub(crate) post: Arc<Post>,
     /// Rings when a request begins to wait.
     pub(crate) waiting: Arc<Notify>,
+    /// Bounds the log lines about single requests.
+    pub(crate) request_lines: LineBudget,
     /// Whether targets are discovered apart from the configuration.
     discovers: bool,
     pub(crate) metrics_text: MetricsText,
@@ -87,6 +93,7 @@
             fleet: Mutex::new(Fleet::new(&settings, boot)),
             post: Post::new(socket, settings.vm.clone(), settings.data_hall.clone(), boot),
             waiting: Arc::default(),
+            request_lines: LineBudget::new(REQUEST_LINES_PER_S),
             discovers,
             settings_path,
             settings: RwLock::new(Arc::new(settings)),
@@ -108,6 +115,11 @@
         ServiceLinks { post: self.post.clone(), waiting: self.waiting.clone() }
     }
 
+    /// Whether a log line about a single request may be written now.
+    pub(crate) fn allows_request_line(&self) -> bool {
+        self.request_lines.allows(BootClock.now().as_micros())
+    }
+
     /// The settings in force.
     pub(crate) fn settings(&self) -> Arc<Settings> {
         self.settings.read().clone()
--- a/crates/thymeshift_telemetry/src/lib.rs
+++ b/crates/thymeshift_telemetry/src/lib.rs
@@ -4,10 +4,12 @@
 //! * [`metric`] names every metric, and [`start_metrics`] collects them for Prometheus.
 
 mod format;
+mod line_budget;
 mod logging;
 pub mod metric;
 
 pub use format::KeyValueFormatter;
+pub use line_budget::LineBudget;
 pub use logging::StartError;
 pub use logging::start_logging;
 pub use metric::MetricsText;
