--- a/crates/thymeshift_entry/src/fleet.rs
+++ b/crates/thymeshift_entry/src/fleet.rs
@@ -7,6 +7,7 @@
 use thymeshift_config::Configuration;
 use thymeshift_config::Discovery;
 use thymeshift_config::Settings;
+use thymeshift_config::Target;
 use thymeshift_fleet::Adoption;
 use thymeshift_fleet::Boot;
 use thymeshift_fleet::Breadth;
@@ -139,7 +140,8 @@
         for watcher in &exchange.watchers {
             self.election.learn(watcher, now);
         }
-        let marks = exchange.leaving.iter().filter(|mark| self.add_mark(mark));
+        let marks = exchange.leaving.iter();
+        let marks = marks.filter(|mark| self.is_wanted(mark) && self.add_mark(mark));
         let marks = marks.cloned().collect();
         let mut has_new_orders = false;
         for order in &exchange.orders {
@@ -149,6 +151,18 @@
         Taken { wanted: self.wanted(exchange), marks, has_new_orders, conflicting: seen }
     }
 
+    /// Whether a mark of a peer is about a target that is known here. A discovered target
+    /// that is gone would otherwise be news again each time its mark had been forgotten.
+    fn is_wanted(&self, mark: &LeavingMark) -> bool {
+        let Some(discovery) = &self.discovery else {
+            return true;
+        };
+        let is_named = |target: &Target| target.name == mark.target;
+        let is_discovered = discovery.targets.iter().any(|found| is_named(&found.target));
+        let services = self.base.iter().flat_map(|base| &base.services);
+        is_discovered || services.flat_map(|service| &service.targets).any(is_named)
+    }
+
     fn wanted(&self, exchange: &Exchange) -> Vec<Document> {
         let mut wanted = Vec::new();
         if is_newer(exchange.configuration, self.configuration.head()) {
