--- a/crates/thymeshift_entry/src/control_plane/peer_link.rs
+++ b/crates/thymeshift_entry/src/control_plane/peer_link.rs
@@ -22,6 +22,8 @@
 use thymeshift_telemetry::metric;
 use thymeshift_types::BootClock;
 use thymeshift_types::Clock;
+use thymeshift_types::Timestamp;
+use thymeshift_wire::Document;
 use thymeshift_wire::Exchange;
 use thymeshift_wire::LinkBytes;
 use thymeshift_wire::LinkError;
@@ -42,6 +44,9 @@
 const CALL_LIMIT: Duration = Duration::from_millis(500);
 /// Peers told at once when there is news.
 const TOLD_AT_ONCE: usize = 3;
+/// Time after which a document is fetched from another peer although the answer of the first
+/// has not come.
+const FETCH_AGAIN: Duration = Duration::from_millis(250);
 /// Connections to peers kept open.
 const LINKS_MAX: usize = 32;
 
@@ -58,6 +63,8 @@
 #[derive(Default)]
 pub(crate) struct Links {
     open: Mutex<HashMap<SocketAddr, PeerLinkClient>>,
+    /// Documents that are being fetched, and since when.
+    fetching: Mutex<HashMap<Document, Timestamp>>,
     bytes: Arc<LinkBytes>,
 }
 
@@ -75,6 +82,22 @@
         Ok(client)
     }
 
+    /// Whether a document may be fetched now: not if another peer was asked for it a moment
+    /// ago, whose answer is on its way.
+    fn begin_fetch(&self, document: Document, now: Timestamp) -> bool {
+        let mut fetching = self.fetching.lock();
+        let is_under_way = fetching.get(&document).is_some_and(|at| now.since(*at) < FETCH_AGAIN);
+        if !is_under_way {
+            fetching.insert(document, now);
+        }
+        !is_under_way
+    }
+
+    /// A fetch has ended.
+    fn end_fetch(&self, document: Document) {
+        self.fetching.lock().remove(&document);
+    }
+
     fn forget(&self, address: SocketAddr) {
         self.open.lock().remove(&address);
     }
@@ -161,8 +184,12 @@
 ) -> Result<(), ExchangeError> {
     let wanted = take_summary(shared, exchange);
     for document in wanted {
+        if !shared.links.begin_fetch(document, BootClock.now()) {
+            continue;
+        }
         let have = shared.fleet.lock().document(document).head();
         let transfer = client.fetch(call_context(), document, have).await?;
+        shared.links.end_fetch(document);
         let current = shared.fleet.lock().document(document).in_force().cloned();
         if let Some(published) = transfer.receive(current.as_ref()) {
             offer(shared, document, &published, "peer");
