--- /dev/null
+++ b/crates/thymeshift_lab/tests/rounds.rs
@@ -0,0 +1,39 @@
+//! Tables and plot of the bench's rounds, from a journal.
+
+use std::fs;
+use std::path::PathBuf;
+
+use thymeshift_lab::experiment::rounds;
+
+fn folder(name: &str) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("rounds-{name}-{}", std::process::id()));
+    fs::create_dir_all(&folder).expect("a folder");
+    folder
+}
+
+#[test]
+fn scores_and_hunts_are_listed_and_drawn() {
+    let folder = folder("good");
+    let score = r#"{"at":["2026-12-02T11:31:17Z","2026-12-02T11:31:40Z"],"cmd":"score",
+      "site":"one","score":0.7134,"why":"first","days":[
+        {"name":"quiet-1","score":0.56,"rules":{}},{"name":"fresh-1","score":0.1,"rules":{}}]}"#;
+    let hunt = r#"{"at":["2026-12-02T12:04:00Z"],"cmd":"hunt","site":"one","score":null,
+      "why":null,"days":[{"name":"mix 1","score":null,"rules":{}},
+        {"name":"mix 2","score":null,"rules":{"LOST":2}}]}"#;
+    fs::write(folder.join("1.json"), score).expect("an entry");
+    fs::write(folder.join("2.json"), hunt).expect("an entry");
+    fs::write(folder.join("notes.txt"), "not an entry").expect("a file");
+    let plot = folder.join("plot.svg");
+    let text = rounds(&folder, &plot).unwrap_or_else(|error| panic!("{error}"));
+    assert!(text.contains("| 11:31 | one | 0.713 | 0.56 | first |"), "{text}");
+    assert!(text.contains("| 12:04 | one | 2 | mix 2 |"), "{text}");
+    assert!(fs::read_to_string(plot).expect("a plot").contains("<svg"));
+}
+
+#[test]
+fn a_broken_entry_is_named_with_its_place() {
+    let folder = folder("broken");
+    fs::write(folder.join("3.json"), "{\n  \"cmd\": 7 }").expect("an entry");
+    let error = rounds(&folder, &folder.join("plot.svg")).expect_err("a mistake").to_string();
+    assert!(error.contains("3.json") && error.contains("line 2"), "{error}");
+}
