--- a/crates/thymeshift_lending/tests/books.rs
+++ b/crates/thymeshift_allocation/tests/books.rs
@@ -1,4 +1,4 @@
-//! The lender's books under messages that are lost, late and doubled, under several lenders
+//! The allocator's books under messages that are lost, late and doubled, under several allocators
 //! at once, and under pauses.
 
 use std::collections::BTreeMap;
@@ -9,6 +9,9 @@
 use quickcheck::QuickCheck;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use thymeshift_allocation::Allocation;
+use thymeshift_allocation::Allocator;
+use thymeshift_allocation::LeaseKey;
 use thymeshift_config::Configuration;
 use thymeshift_dispatch::AnyStrategy;
 use thymeshift_dispatch::Dispatcher;
@@ -18,9 +21,6 @@
 use thymeshift_dispatch::Tried;
 use thymeshift_dispatch::View;
 use thymeshift_dispatch::Wake;
-use thymeshift_lending::Lender;
-use thymeshift_lending::Lending;
-use thymeshift_lending::LoanKey;
 use thymeshift_types::DataHallName;
 use thymeshift_types::Reason;
 use thymeshift_types::Timestamp;
@@ -32,8 +32,8 @@
     Timestamp::from_millis(1_000_000 + millis)
 }
 
-fn key(borrower: u8, number: u64) -> LoanKey<u8> {
-    LoanKey { borrower, number }
+fn key(holder: u8, number: u64) -> LeaseKey<u8> {
+    LeaseKey { holder, number }
 }
 
 fn request(now: Timestamp) -> Request {
@@ -50,7 +50,7 @@
 
 struct Books {
     dispatcher: Dispatcher<AnyStrategy>,
-    lender: Lender<u8>,
+    allocator: Allocator<u8>,
     rng: SmallRng,
 }
 
@@ -69,28 +69,28 @@
         let service = &configuration.services[0];
         let mut dispatcher = Dispatcher::configured(&configuration, service, &hall, at(0));
         dispatcher.set_view(View::Fleet);
-        Self { dispatcher, lender: Lender::default(), rng: SmallRng::seed_from_u64(3) }
+        Self { dispatcher, allocator: Allocator::default(), rng: SmallRng::seed_from_u64(3) }
     }
 
-    fn borrow(&mut self, key: LoanKey<u8>, now: Timestamp) -> Lending {
-        self.lender.borrow(key, request(now), &mut self.dispatcher, now, &mut self.rng)
+    fn acquire(&mut self, key: LeaseKey<u8>, now: Timestamp) -> Allocation {
+        self.allocator.acquire(key, request(now), &mut self.dispatcher, now, &mut self.rng)
     }
 
-    fn give_back(&mut self, key: &LoanKey<u8>, now: Timestamp) {
+    fn release(&mut self, key: &LeaseKey<u8>, now: Timestamp) {
         let observation = Some(Observation::Answered(None));
-        self.lender.give_back(key, observation, &mut self.dispatcher, now);
+        self.allocator.release(key, observation, &mut self.dispatcher, now);
     }
 
     /// Tells all that may be told now.
-    fn wake(&mut self, now: Timestamp) -> Vec<(LoanKey<u8>, Lending)> {
+    fn wake(&mut self, now: Timestamp) -> Vec<(LeaseKey<u8>, Allocation)> {
         let mut told = Vec::new();
         while let Some(wake) = self.dispatcher.next_wake(now, &mut self.rng) {
             let (ticket, woken) = match wake {
                 Wake::Send(ticket, grant) => (ticket, Ok(grant)),
                 Wake::Refuse(ticket, refusal) => (ticket, Err(refusal)),
             };
-            let known = self.lender.woken(ticket, woken, &self.dispatcher, now);
-            told.push(known.expect("every ticket belongs to a loan here"));
+            let known = self.allocator.woken(ticket, woken, &self.dispatcher, now);
+            told.push(known.expect("every ticket belongs to a lease here"));
         }
         told
     }
@@ -106,16 +106,16 @@
     let mut books = Books::new();
     let most = TARGETS as u64 * u64::from(SLOTS);
     for number in 0..most {
-        let lending = books.borrow(key(1, number), at(0));
-        assert!(matches!(lending, Lending::Lent(..)), "{number}: {lending:?}");
+        let allocation = books.acquire(key(1, number), at(0));
+        assert!(matches!(allocation, Allocation::Granted(..)), "{number}: {allocation:?}");
     }
-    assert_eq!(books.borrow(key(2, 0), at(0)), Lending::Waiting);
+    assert_eq!(books.acquire(key(2, 0), at(0)), Allocation::Waiting);
     assert!(books.wake(at(1)).is_empty());
-    books.give_back(&key(1, 3), at(10));
+    books.release(&key(1, 3), at(10));
     let told = books.wake(at(10));
     assert_eq!(told.len(), 1);
     assert_eq!(told[0].0, key(2, 0));
-    assert!(matches!(told[0].1, Lending::Lent(..)), "{told:?}");
+    assert!(matches!(told[0].1, Allocation::Granted(..)), "{told:?}");
     assert_eq!(u64::from(books.in_flight()), most);
 }
 
@@ -123,11 +123,11 @@
 fn one_that_waited_for_too_long_is_refused_and_told_so() {
     let mut books = Books::new();
     for number in 0..=TARGETS as u64 * u64::from(SLOTS) {
-        books.borrow(key(1, number), at(0));
+        books.acquire(key(1, number), at(0));
     }
     let told = books.wake(at(250));
     assert_eq!(told.len(), 1);
-    let Lending::Refused(refusal) = &told[0].1 else {
+    let Allocation::Refused(refusal) = &told[0].1 else {
         panic!("{told:?}");
     };
     assert_eq!(refusal.reason, Reason::DeadlineUnreachable);
@@ -137,54 +137,54 @@
 #[test]
 fn a_doubled_message_is_answered_alike_and_counted_once() {
     let mut books = Books::new();
-    let first = books.borrow(key(1, 1), at(0));
-    let second = books.borrow(key(1, 1), at(5));
+    let first = books.acquire(key(1, 1), at(0));
+    let second = books.acquire(key(1, 1), at(5));
     assert_eq!(first, second);
     assert_eq!(books.in_flight(), 1);
-    books.give_back(&key(1, 1), at(10));
-    books.give_back(&key(1, 1), at(11));
+    books.release(&key(1, 1), at(10));
+    books.release(&key(1, 1), at(11));
     assert_eq!(books.in_flight(), 0);
 }
 
 #[test]
 fn a_loan_whose_end_was_lost_is_taken_back_by_the_next_message_or_by_time() {
     let mut books = Books::new();
-    books.borrow(key(1, 1), at(0));
-    books.borrow(key(1, 2), at(90));
-    books.borrow(key(2, 1), at(0));
-    let Books { dispatcher, lender, .. } = &mut books;
-    lender.keep_only(&1, &[3], dispatcher, at(120));
-    assert_eq!(books.in_flight(), 2, "the old one of this borrower; a young one may be unheard");
-    let Books { dispatcher, lender, .. } = &mut books;
-    lender.expire(dispatcher, at(1_499));
+    books.acquire(key(1, 1), at(0));
+    books.acquire(key(1, 2), at(90));
+    books.acquire(key(2, 1), at(0));
+    let Books { dispatcher, allocator, .. } = &mut books;
+    allocator.keep_only(&1, &[3], dispatcher, at(120));
+    assert_eq!(books.in_flight(), 2, "the old one of this holder; a young one may be unheard");
+    let Books { dispatcher, allocator, .. } = &mut books;
+    allocator.expire(dispatcher, at(1_499));
     assert_eq!(books.in_flight(), 2);
-    lender_expires(&mut books, at(1_600));
+    allocator_expires(&mut books, at(1_600));
     assert_eq!(books.in_flight(), 0);
-    assert!(books.lender.is_empty());
+    assert!(books.allocator.is_empty());
 }
 
-fn lender_expires(books: &mut Books, now: Timestamp) {
-    let Books { dispatcher, lender, .. } = books;
-    lender.expire(dispatcher, now);
+fn allocator_expires(books: &mut Books, now: Timestamp) {
+    let Books { dispatcher, allocator, .. } = books;
+    allocator.expire(dispatcher, now);
 }
 
-/// One event at one of two lenders that exist at the same time.
+/// One event at one of two allocators that exist at the same time.
 #[derive(Debug, Clone, Copy)]
 enum Event {
-    Borrow { lender: bool, borrower: u8, number: u8 },
-    GiveBack { lender: bool, borrower: u8, number: u8 },
-    Held { lender: bool, borrower: u8, number: u8 },
+    Acquire { allocator: bool, holder: u8, number: u8 },
+    Release { allocator: bool, holder: u8, number: u8 },
+    Held { allocator: bool, holder: u8, number: u8 },
     Pass { millis: u16 },
 }
 
 impl Arbitrary for Event {
     fn arbitrary(g: &mut Gen) -> Self {
-        let (lender, borrower, number) =
+        let (allocator, holder, number) =
             (bool::arbitrary(g), u8::arbitrary(g) % 3, u8::arbitrary(g) % 12);
         match u8::arbitrary(g) % 8 {
-            0..=3 => Self::Borrow { lender, borrower, number },
-            4..=5 => Self::GiveBack { lender, borrower, number },
-            6 => Self::Held { lender, borrower, number },
+            0..=3 => Self::Acquire { allocator, holder, number },
+            4..=5 => Self::Release { allocator, holder, number },
+            6 => Self::Held { allocator, holder, number },
             _ => Self::Pass { millis: u16::arbitrary(g) % 800 },
         }
     }
@@ -196,38 +196,38 @@
         let mut both = [Books::new(), Books::new()];
         let mut now = at(0);
         // Loans that are out, as the messages sent so far tell.
-        let mut out: [BTreeMap<LoanKey<u8>, bool>; 2] = Default::default();
+        let mut out: [BTreeMap<LeaseKey<u8>, bool>; 2] = Default::default();
         for event in events {
             match event {
-                Event::Borrow { lender, borrower, number } => {
-                    let key = key(borrower, u64::from(number));
-                    let lending = both[usize::from(lender)].borrow(key.clone(), now);
-                    match lending {
-                        Lending::Lent(..) => out[usize::from(lender)].insert(key, true),
-                        Lending::Waiting => out[usize::from(lender)].insert(key, false),
-                        Lending::Refused(_) => None,
+                Event::Acquire { allocator, holder, number } => {
+                    let key = key(holder, u64::from(number));
+                    let allocation = both[usize::from(allocator)].acquire(key.clone(), now);
+                    match allocation {
+                        Allocation::Granted(..) => out[usize::from(allocator)].insert(key, true),
+                        Allocation::Waiting => out[usize::from(allocator)].insert(key, false),
+                        Allocation::Refused(_) => None,
                     };
                 }
-                Event::GiveBack { lender, borrower, number } => {
-                    let key = key(borrower, u64::from(number));
-                    both[usize::from(lender)].give_back(&key, now);
-                    out[usize::from(lender)].remove(&key);
+                Event::Release { allocator, holder, number } => {
+                    let key = key(holder, u64::from(number));
+                    both[usize::from(allocator)].release(&key, now);
+                    out[usize::from(allocator)].remove(&key);
                 }
-                Event::Held { lender, borrower, number } => {
-                    let Books { dispatcher, lender, .. } = &mut both[usize::from(lender)];
-                    lender.keep_only(&borrower, &[u64::from(number)], dispatcher, now);
+                Event::Held { allocator, holder, number } => {
+                    let Books { dispatcher, allocator, .. } = &mut both[usize::from(allocator)];
+                    allocator.keep_only(&holder, &[u64::from(number)], dispatcher, now);
                 }
                 Event::Pass { millis } => {
                     now = now + Duration::from_millis(u64::from(millis));
                     for books in &mut both {
-                        lender_expires(books, now);
+                        allocator_expires(books, now);
                     }
                 }
             }
             for books in &mut both {
                 books.wake(now);
                 if books.in_flight() > TARGETS as u32 * SLOTS
-                    || books.in_flight() as usize > books.lender.len()
+                    || books.in_flight() as usize > books.allocator.len()
                 {
                     return false;
                 }
@@ -237,10 +237,10 @@
         now = now + Duration::from_secs(5);
         for books in &mut both {
             books.wake(now);
-            lender_expires(books, now);
+            allocator_expires(books, now);
             books.wake(now);
         }
-        both.iter().all(|books| books.in_flight() == 0 && books.lender.is_empty())
+        both.iter().all(|books| books.in_flight() == 0 && books.allocator.is_empty())
     }
     QuickCheck::new()
         .tests(2_000)
--- a/crates/thymeshift_dispatch/tests/fleet_view.rs
+++ b/crates/thymeshift_dispatch/tests/fleet_view.rs
@@ -104,7 +104,7 @@
 }
 
 #[test]
-fn a_number_told_by_a_lender_holds_until_more_is_known() {
+fn a_number_told_by_a_allocator_holds_until_more_is_known() {
     let mut dispatcher = fleet_dispatcher(1, 1);
     dispatcher.adopt_concurrency(2);
     assert_eq!(dispatcher.concurrency(at(0)), 2);
@@ -117,7 +117,7 @@
 }
 
 #[test]
-fn without_an_answer_of_the_lender_one_request_at_a_time_goes_to_a_target() {
+fn without_an_answer_of_the_allocator_one_request_at_a_time_goes_to_a_target() {
     let mut dispatcher = fleet_dispatcher(2, 2);
     dispatcher.set_view(View::Fallback);
     let mut rng = rng();
--- a/crates/thymeshift_entry/src/post.rs
+++ b/crates/thymeshift_entry/src/allocation_client.rs
@@ -1,4 +1,4 @@
-//! Datagrams to and from other entry processes, and the loans that this process holds.
+//! Datagrams to and from other entry processes, and the leases that this process holds.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -19,41 +19,41 @@
 use thymeshift_types::TargetName;
 use thymeshift_types::Timestamp;
 use thymeshift_types::VmName;
-use thymeshift_wire::Borrow;
+use thymeshift_wire::Acquire;
 use thymeshift_wire::DATAGRAM_BYTES_MAX;
 use thymeshift_wire::Datagram;
-use thymeshift_wire::GiveBack;
-use thymeshift_wire::LoanNumber;
+use thymeshift_wire::LeaseNumber;
 use thymeshift_wire::Message;
+use thymeshift_wire::Release;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
-/// How long a lender that did not answer is passed over the first time; it doubles with each
+/// How long a allocator that did not answer is passed over the first time; it doubles with each
 /// further one until it answers.
 const PASSED_OVER: Duration = Duration::from_millis(500);
 const DOUBLINGS_MAX: u32 = 4;
 /// Loans named in one message at most; the rest is named by the next.
 const HELD_MAX: usize = 128;
 
-/// A process that lends, and where it is reached.
+/// A process that allocates, and where it is reached.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct LenderPlace {
+pub(crate) struct AllocatorPlace {
     pub(crate) vm: VmName,
     pub(crate) address: SocketAddr,
 }
 
-/// What a lender says to a wish.
+/// What a allocator says to a wanted.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Reply {
     Waiting,
     /// The target, and the most requests that one target serves well at a time.
-    Lent(TargetName, u32),
+    Granted(TargetName, u32),
     Refused(Refusal),
     Declined,
 }
 
-/// What is asked of a lender.
-pub(crate) struct Wish {
+/// What is asked of a allocator.
+pub(crate) struct Wanted {
     pub(crate) service: ServiceName,
     pub(crate) priority: u8,
     pub(crate) deadline: Duration,
@@ -62,30 +62,30 @@
     pub(crate) tried: Vec<TargetName>,
 }
 
-struct OpenLoan {
+struct OpenLease {
     service: ServiceName,
-    lender: VmName,
+    allocator: VmName,
     replies: mpsc::UnboundedSender<Reply>,
 }
 
-/// The datagram socket with what is remembered about lenders.
-pub(crate) struct Post {
+/// The datagram socket with what is remembered about allocators.
+pub(crate) struct AllocationClient {
     socket: Option<Arc<UdpSocket>>,
     vm: VmName,
     data_hall: DataHallName,
     boot: Boot,
     next_number: AtomicU64,
-    loans: Mutex<HashMap<LoanNumber, OpenLoan>>,
+    leases: Mutex<HashMap<LeaseNumber, OpenLease>>,
     passed_over: Mutex<HashMap<VmName, PassedOver>>,
 }
 
-/// A lender that did not answer.
+/// A allocator that did not answer.
 struct PassedOver {
     until: Timestamp,
     times: u32,
 }
 
-impl Post {
+impl AllocationClient {
     pub(crate) fn new(
         socket: Option<Arc<UdpSocket>>,
         vm: VmName,
@@ -98,7 +98,7 @@
             data_hall,
             boot,
             next_number: AtomicU64::new(1),
-            loans: Mutex::default(),
+            leases: Mutex::default(),
             passed_over: Mutex::default(),
         })
     }
@@ -124,23 +124,27 @@
         counter!(metric::DATAGRAMS, "result" => result).increment(1);
     }
 
-    /// Asks a lender for a target.
-    pub(crate) fn borrow(self: &Arc<Self>, lender: &LenderPlace, wish: Wish) -> Borrowing {
-        let number = LoanNumber(self.next_number.fetch_add(1, Ordering::Relaxed));
+    /// Asks a allocator for a target.
+    pub(crate) fn acquire(
+        self: &Arc<Self>,
+        allocator: &AllocatorPlace,
+        wanted: Wanted,
+    ) -> Acquisition {
+        let number = LeaseNumber(self.next_number.fetch_add(1, Ordering::Relaxed));
         let (replies, receiver) = mpsc::unbounded_channel();
-        let Wish { service, priority, deadline, wait, queue_max, tried } = wish;
-        let open = OpenLoan { service: service.clone(), lender: lender.vm.clone(), replies };
-        self.loans.lock().insert(number, open);
-        let held = self.held(&service, &lender.vm);
-        let loan = Loan {
-            post: self.clone(),
+        let Wanted { service, priority, deadline, wait, queue_max, tried } = wanted;
+        let open = OpenLease { service: service.clone(), allocator: allocator.vm.clone(), replies };
+        self.leases.lock().insert(number, open);
+        let held = self.held(&service, &allocator.vm);
+        let lease = Lease {
+            allocation: self.clone(),
             number,
             service: service.clone(),
-            lender: lender.clone(),
+            allocator: allocator.clone(),
             observation: None,
             is_open: true,
         };
-        let borrow = Borrow {
+        let acquire = Acquire {
             number,
             service,
             data_hall: self.data_hall.clone(),
@@ -151,85 +155,86 @@
             tried,
             held,
         };
-        self.send(lender.address, Message::Borrow(borrow));
-        Borrowing { loan, replies: receiver }
+        self.send(allocator.address, Message::Acquire(acquire));
+        Acquisition { lease, replies: receiver }
     }
 
-    /// A lender answered.
-    pub(crate) fn replied(&self, number: LoanNumber, reply: Reply) {
-        if let Some(open) = self.loans.lock().get(&number) {
+    /// A allocator answered.
+    pub(crate) fn replied(&self, number: LeaseNumber, reply: Reply) {
+        if let Some(open) = self.leases.lock().get(&number) {
             if reply != Reply::Declined {
-                self.passed_over.lock().remove(&open.lender);
+                self.passed_over.lock().remove(&open.allocator);
             }
-            // Nobody waits any more if this fails, and the loan is given back then.
+            // Nobody waits any more if this fails, and the lease is given back then.
             let _ = open.replies.send(reply);
         }
     }
 
-    /// Loans that were asked of a lender for a service and have not ended.
-    fn held(&self, service: &ServiceName, lender: &VmName) -> Vec<LoanNumber> {
-        let loans = self.loans.lock();
-        let held =
-            loans.iter().filter(|(_, open)| open.service == *service && open.lender == *lender);
+    /// Loans that were asked of a allocator for a service and have not ended.
+    fn held(&self, service: &ServiceName, allocator: &VmName) -> Vec<LeaseNumber> {
+        let leases = self.leases.lock();
+        let held = leases
+            .iter()
+            .filter(|(_, open)| open.service == *service && open.allocator == *allocator);
         held.map(|(number, _)| *number).take(HELD_MAX).collect()
     }
 
-    /// A lender did not answer, or does not lend.
-    pub(crate) fn pass_over(&self, lender: &VmName, now: Timestamp) {
-        debug!("lender_passed_over", kv: { lender: = lender });
+    /// A allocator did not answer, or does not allocate.
+    pub(crate) fn pass_over(&self, allocator: &VmName, now: Timestamp) {
+        debug!("allocator_passed_over", kv: { allocator: = allocator });
         let mut passed_over = self.passed_over.lock();
         let first = PassedOver { until: now, times: 0 };
-        let entry = passed_over.entry(lender.clone()).or_insert(first);
+        let entry = passed_over.entry(allocator.clone()).or_insert(first);
         entry.until = now + PASSED_OVER * 2_u32.pow(entry.times.min(DOUBLINGS_MAX));
         entry.times += 1;
     }
 
-    pub(crate) fn is_passed_over(&self, lender: &VmName, now: Timestamp) -> bool {
-        self.passed_over.lock().get(lender).is_some_and(|entry| now < entry.until)
+    pub(crate) fn is_passed_over(&self, allocator: &VmName, now: Timestamp) -> bool {
+        self.passed_over.lock().get(allocator).is_some_and(|entry| now < entry.until)
     }
 }
 
-/// A wish on its way.
-pub(crate) struct Borrowing {
-    pub(crate) loan: Loan,
+/// A wanted on its way.
+pub(crate) struct Acquisition {
+    pub(crate) lease: Lease,
     pub(crate) replies: mpsc::UnboundedReceiver<Reply>,
 }
 
-/// A loan, given back when it is dropped.
-pub(crate) struct Loan {
-    post: Arc<Post>,
-    number: LoanNumber,
+/// A lease, given back when it is dropped.
+pub(crate) struct Lease {
+    allocation: Arc<AllocationClient>,
+    number: LeaseNumber,
     service: ServiceName,
-    lender: LenderPlace,
+    allocator: AllocatorPlace,
     observation: Option<Observation>,
     is_open: bool,
 }
 
-impl Loan {
-    /// What the attempt showed; told to the lender at the end.
+impl Lease {
+    /// What the attempt showed; told to the allocator at the end.
     pub(crate) fn observe(&mut self, observation: Observation) {
         self.observation = Some(observation);
     }
 
-    /// The lender ended it itself.
-    pub(crate) fn closed_by_lender(mut self) {
+    /// The allocator ended it itself.
+    pub(crate) fn closed_by_allocator(mut self) {
         self.is_open = false;
     }
 }
 
-impl Drop for Loan {
+impl Drop for Lease {
     fn drop(&mut self) {
-        self.post.loans.lock().remove(&self.number);
+        self.allocation.leases.lock().remove(&self.number);
         if !self.is_open {
             return;
         }
-        let held = self.post.held(&self.service, &self.lender.vm);
-        let give_back = GiveBack {
+        let held = self.allocation.held(&self.service, &self.allocator.vm);
+        let release = Release {
             number: self.number,
             service: self.service.clone(),
             observation: self.observation,
             held,
         };
-        self.post.send(self.lender.address, Message::GiveBack(give_back));
+        self.allocation.send(self.allocator.address, Message::Release(release));
     }
 }
--- a/crates/thymeshift_entry/src/control_plane/bootstrap.rs
+++ b/crates/thymeshift_entry/src/control_plane/bootstrap.rs
@@ -97,7 +97,7 @@
 
 /// Whether the source answered.
 async fn ask_source<E: Environment>(shared: &Arc<Shared>, source: &mut E::Source) -> bool {
-    if shared.post.socket().is_none() {
+    if shared.allocation.socket().is_none() {
         return ask_platform(shared).await;
     }
     let is_lost = |error: &SourceError| warn!("source_call_failed", kv: { error: = error });
--- a/crates/thymeshift_entry/src/control_plane/datagrams.rs
+++ b/crates/thymeshift_entry/src/control_plane/datagrams.rs
@@ -15,17 +15,17 @@
 use thymeshift_wire::DATAGRAM_BYTES_MAX;
 use thymeshift_wire::Datagram;
 use thymeshift_wire::Message;
-use thymeshift_wire::Pulse;
+use thymeshift_wire::SourceHeartbeat;
 
+use crate::allocation_client::Reply;
 use crate::control_plane::peer_link::exchange_once;
-use crate::post::Reply;
-use crate::service::Borrower;
+use crate::service::LeaseHolder;
 use crate::service::ServiceRuntime;
 use crate::shared::Shared;
 
 /// Takes datagrams in for ever; without a socket it waits for ever.
 pub(crate) async fn run_datagrams(shared: Arc<Shared>) -> Result<(), TaskError> {
-    let Some(socket) = shared.post.socket().cloned() else {
+    let Some(socket) = shared.allocation.socket().cloned() else {
         return std::future::pending().await;
     };
     let mut buffer = vec![0; DATAGRAM_BYTES_MAX];
@@ -43,26 +43,26 @@
 
 fn take(shared: &Arc<Shared>, datagram: Datagram, from: SocketAddr) {
     let Datagram { sender, boot, message } = datagram;
-    let borrower = |sender| Borrower { vm: sender, boot, address: from };
+    let holder = |sender| LeaseHolder { vm: sender, boot, address: from };
     match message {
-        Message::Pulse(pulse) => take_pulse(shared, &sender, &pulse),
-        Message::Borrow(borrow) => match lending_service(shared, &borrow.service) {
-            Some(service) => service.lend(borrower(sender), &borrow),
-            None => shared.post.send(from, Message::Declined(borrow.number)),
+        Message::SourceHeartbeat(heartbeat) => take_source_heartbeat(shared, &sender, &heartbeat),
+        Message::Acquire(acquire) => match allocating_service(shared, &acquire.service) {
+            Some(service) => service.allocate(holder(sender), &acquire),
+            None => shared.allocation.send(from, Message::Declined(acquire.number)),
         },
-        Message::GiveBack(give_back) => {
-            if let Some(service) = service(shared, &give_back.service) {
-                service.take_back(borrower(sender), &give_back);
+        Message::Release(release) => {
+            if let Some(service) = service(shared, &release.service) {
+                service.take_release(holder(sender), &release);
             }
         }
-        Message::Waiting(number) => shared.post.replied(number, Reply::Waiting),
-        Message::Lent(number, target, concurrency) => {
-            shared.post.replied(number, Reply::Lent(target, concurrency));
+        Message::Waiting(number) => shared.allocation.replied(number, Reply::Waiting),
+        Message::Granted(number, target, concurrency) => {
+            shared.allocation.replied(number, Reply::Granted(target, concurrency));
         }
-        Message::Declined(number) => shared.post.replied(number, Reply::Declined),
+        Message::Declined(number) => shared.allocation.replied(number, Reply::Declined),
         Message::Refused(number, reason, retry_after) => {
             let refusal = Refusal { reason, retry_after };
-            shared.post.replied(number, Reply::Refused(refusal));
+            shared.allocation.replied(number, Reply::Refused(refusal));
         }
     }
 }
@@ -71,23 +71,23 @@
     shared.routing()?.service(name.as_str()).cloned()
 }
 
-fn lending_service(shared: &Shared, name: &ServiceName) -> Option<Arc<ServiceRuntime>> {
+fn allocating_service(shared: &Shared, name: &ServiceName) -> Option<Arc<ServiceRuntime>> {
     if shared.is_serving() { service(shared, name) } else { None }
 }
 
-fn take_pulse(shared: &Arc<Shared>, sender: &VmName, pulse: &Pulse) {
+fn take_source_heartbeat(shared: &Arc<Shared>, sender: &VmName, heartbeat: &SourceHeartbeat) {
     let address = {
         let mut fleet = shared.fleet.lock();
-        fleet.readers.heard(sender, pulse.is_answered, BootClock.now());
-        let is_news = is_newer(pulse.configuration, fleet.configuration.head())
-            || is_newer(pulse.targets, fleet.targets.head());
+        fleet.readers.heard(sender, heartbeat.is_answered, BootClock.now());
+        let is_news = is_newer(heartbeat.configuration, fleet.configuration.head())
+            || is_newer(heartbeat.targets, fleet.targets.head());
         let member = fleet.members.find(sender).filter(|_| is_news);
         member.map(|member| member.peer_address)
     };
     if let Some(address) = address {
         let shared = shared.clone();
         tokio::spawn(async move {
-            // A failure is counted and logged there; the next pulse tries again.
+            // A failure is counted and logged there; the next heartbeat tries again.
             let _ = exchange_once(&shared, address, Breadth::News).await;
         });
     }
--- a/crates/thymeshift_entry/src/control_plane/source.rs
+++ b/crates/thymeshift_entry/src/control_plane/source.rs
@@ -16,7 +16,7 @@
 use thymeshift_types::Clock;
 use thymeshift_types::VmName;
 use thymeshift_wire::Message;
-use thymeshift_wire::Pulse;
+use thymeshift_wire::SourceHeartbeat;
 use tokio::time::sleep;
 
 use crate::control_plane::platform::offer;
@@ -112,18 +112,18 @@
 
 /// Tells all members how the call ended.
 fn tell_members(shared: &Shared, is_answered: bool) {
-    let (pulse, addresses) = {
+    let (heartbeat, addresses) = {
         let fleet = shared.fleet.lock();
-        let pulse = Pulse {
+        let heartbeat = SourceHeartbeat {
             is_answered,
             configuration: fleet.configuration.head(),
             targets: fleet.targets.head(),
         };
         let members = fleet.members.present(BootClock.now());
         let addresses = members.filter_map(|member| member.datagram_address);
-        (pulse, addresses.collect::<Vec<SocketAddr>>())
+        (heartbeat, addresses.collect::<Vec<SocketAddr>>())
     };
     for address in addresses {
-        shared.post.send(address, Message::Pulse(pulse.clone()));
+        shared.allocation.send(address, Message::SourceHeartbeat(heartbeat.clone()));
     }
 }
--- a/crates/thymeshift_entry/src/lib.rs
+++ b/crates/thymeshift_entry/src/lib.rs
@@ -10,12 +10,12 @@
 //! * [`post`]: datagrams between entry processes.
 //! * [`process`]: the supervisor tree, start and planned stop.
 
+mod allocation_client;
 mod caller;
 mod control_plane;
 mod environment;
 mod fleet;
 mod native;
-mod post;
 mod process;
 mod reload;
 mod routing;
--- a/crates/thymeshift_entry/src/process.rs
+++ b/crates/thymeshift_entry/src/process.rs
@@ -230,8 +230,8 @@
     let callers = Task::new("listener", Restart::on_failure(), move || {
         run_listener::<E::Dialect>(callers_shared.clone(), listener.clone(), is_closing.clone())
     });
-    // Where targets are lent, the lender probes for the whole fleet.
-    let prober = if shared.post.socket().is_some() {
+    // Where targets are granted, the allocator probes for the whole fleet.
+    let prober = if shared.allocation.socket().is_some() {
         with_shared("pace_probes", shared, run_pace_probes::<E::Dialect>)
     } else {
         with_shared("probes", shared, run_probes::<E::Dialect>)
@@ -240,8 +240,8 @@
         .with_task(callers)
         .with_task(with_shared("ticker", shared, run_ticker))
         .with_task(prober);
-    // Turns are taken by pulses where there are datagrams, else by leases.
-    let reader = if shared.post.socket().is_some() {
+    // Turns are taken by heartbeats of readers where there are datagrams, else by leases.
+    let reader = if shared.allocation.socket().is_some() {
         with_shared("source", shared, run_source::<E>)
     } else {
         with_shared("platform", shared, run_platform)
--- a/crates/thymeshift_entry/src/service/guards.rs
+++ b/crates/thymeshift_entry/src/service/guards.rs
@@ -12,7 +12,7 @@
 use thymeshift_types::Timestamp;
 use tokio::sync::oneshot;
 
-use crate::post::Loan;
+use crate::allocation_client::Lease;
 use crate::service::Destination;
 use crate::service::ServiceRuntime;
 use crate::service::Woken;
@@ -21,17 +21,17 @@
 pub(crate) struct GrantGuard {
     service: Arc<ServiceRuntime>,
     grant: Option<Grant>,
-    /// The lender's count of the same request, if another process chose the target.
-    loan: Option<Loan>,
+    /// The allocator's count of the same request, if another process chose the target.
+    lease: Option<Lease>,
 }
 
 impl GrantGuard {
     pub(super) fn new(service: &Arc<ServiceRuntime>, grant: Grant) -> Self {
-        Self { service: service.clone(), grant: Some(grant), loan: None }
+        Self { service: service.clone(), grant: Some(grant), lease: None }
     }
 
-    pub(super) fn with_loan(mut self, loan: Loan) -> Self {
-        self.loan = Some(loan);
+    pub(super) fn with_lease(mut self, lease: Lease) -> Self {
+        self.lease = Some(lease);
         self
     }
 
@@ -64,8 +64,8 @@
     }
 
     pub(crate) fn learn(&mut self, observation: Observation) -> Option<LeavingMark> {
-        if let Some(loan) = &mut self.loan {
-            loan.observe(observation);
+        if let Some(lease) = &mut self.lease {
+            lease.observe(observation);
         }
         let grant = self.grant.as_ref()?;
         let now = BootClock.now();
--- a/crates/thymeshift_entry/src/service/mod.rs
+++ b/crates/thymeshift_entry/src/service/mod.rs
@@ -1,11 +1,11 @@
 //! One service while the process runs: its dispatcher, who waits, and its connections.
 //!
 //! * [`guards`]: what a request holds while it has, or waits for, a target.
-//! * [`lend`]: lending targets to other processes.
-//! * [`obtain`]: obtaining a target, from a lender or from the own dispatcher.
+//! * [`allocate`]: allocation targets to other processes.
+//! * [`obtain`]: obtaining a target, from a allocator or from the own dispatcher.
 
+mod allocate;
 mod guards;
-mod lend;
 mod obtain;
 
 use std::collections::HashMap;
@@ -15,6 +15,7 @@
 
 use parking_lot::Mutex;
 use parking_lot::RwLock;
+use thymeshift_allocation::Allocator;
 use thymeshift_config::Configuration;
 use thymeshift_config::Service;
 use thymeshift_dispatch::AnyStrategy;
@@ -30,7 +31,6 @@
 use thymeshift_dispatch::Wake;
 use thymeshift_dispatch::connection_share;
 use thymeshift_fleet::Boot;
-use thymeshift_lending::Lender;
 use thymeshift_types::BootClock;
 use thymeshift_types::Clock;
 use thymeshift_types::DataHallName;
@@ -42,8 +42,8 @@
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
-use crate::post::Post;
-use crate::service::obtain::Lenders;
+use crate::allocation_client::AllocationClient;
+use crate::service::obtain::AllocatorOrder;
 use crate::target::Pool;
 
 pub(crate) use guards::GrantGuard;
@@ -57,10 +57,10 @@
 struct Desk {
     dispatcher: Dispatcher<AnyStrategy>,
     waiting: HashMap<Ticket, oneshot::Sender<Woken>>,
-    /// What other processes were lent here.
-    lender: Lender<Borrower>,
+    /// What other processes were granted here.
+    allocator: Allocator<LeaseHolder>,
     /// When a target was last wanted while this process counted for the fleet.
-    lent_at: Option<Timestamp>,
+    allocated_at: Option<Timestamp>,
 }
 
 impl Desk {
@@ -68,14 +68,14 @@
     fn set_view(&mut self, view: View, now: Timestamp) {
         self.dispatcher.set_view(view);
         if view == View::Fleet {
-            self.lent_at = Some(now);
+            self.allocated_at = Some(now);
         }
     }
 }
 
-/// A process that borrows here. A new start of it is another borrower.
+/// A process that acquires here. A new start of it is another holder.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct Borrower {
+pub(crate) struct LeaseHolder {
     pub(crate) vm: VmName,
     pub(crate) boot: Boot,
     pub(crate) address: SocketAddr,
@@ -84,7 +84,7 @@
 /// What all services share.
 #[derive(Clone)]
 pub(crate) struct ServiceLinks {
-    pub(crate) post: Arc<Post>,
+    pub(crate) allocation: Arc<AllocationClient>,
     /// Rings when a request begins to wait, so that its time limit is watched.
     pub(crate) waiting: Arc<Notify>,
 }
@@ -96,7 +96,7 @@
     settings: RwLock<Arc<Service>>,
     pool: Arc<Pool>,
     links: ServiceLinks,
-    lenders: Mutex<Lenders>,
+    allocators: Mutex<AllocatorOrder>,
 }
 
 /// Where a granted request goes.
@@ -130,13 +130,13 @@
             desk: Mutex::new(Desk {
                 dispatcher,
                 waiting: HashMap::new(),
-                lender: Lender::default(),
-                lent_at: None,
+                allocator: Allocator::default(),
+                allocated_at: None,
             }),
             settings: RwLock::new(Arc::new(service.clone())),
             pool: Pool::new(&service.name, share),
             links: links.clone(),
-            lenders: Mutex::default(),
+            allocators: Mutex::default(),
         })
     }
 
@@ -204,8 +204,8 @@
     /// Must run every few tens of milliseconds while requests wait. Returns a pause of this process.
     pub(crate) fn tick(&self, now: Timestamp) -> Option<Duration> {
         let gap = {
-            let Desk { dispatcher, lender, .. } = &mut *self.desk.lock();
-            lender.expire(dispatcher, now);
+            let Desk { dispatcher, allocator, .. } = &mut *self.desk.lock();
+            allocator.expire(dispatcher, now);
             dispatcher.tick(now)
         };
         self.wake_waiting(now);
@@ -239,10 +239,10 @@
         targets.map(|(name, address)| self.destination(name, address)).collect()
     }
 
-    /// Whether targets were lent here within `time`.
-    pub(crate) fn is_lending_within(&self, time: Duration, now: Timestamp) -> bool {
+    /// Whether targets were granted here within `time`.
+    pub(crate) fn is_allocating_within(&self, time: Duration, now: Timestamp) -> bool {
         let desk = self.desk.lock();
-        let is_recent = desk.lent_at.is_some_and(|at| now.since(at) < time);
+        let is_recent = desk.allocated_at.is_some_and(|at| now.since(at) < time);
         is_recent && desk.dispatcher.view() == View::Fleet
     }
 
@@ -270,9 +270,9 @@
                 Wake::Send(ticket, grant) => (ticket, Ok(grant)),
                 Wake::Refuse(ticket, refusal) => (ticket, Err(refusal)),
             };
-            let woken = match desk.lender.woken(ticket, woken, &desk.dispatcher, now) {
-                Ok((key, lending)) => {
-                    self.tell(&key, lending);
+            let woken = match desk.allocator.woken(ticket, woken, &desk.dispatcher, now) {
+                Ok((key, allocation)) => {
+                    self.tell(&key, allocation);
                     continue;
                 }
                 Err(woken) => woken,
--- a/crates/thymeshift_entry/src/service/obtain.rs
+++ b/crates/thymeshift_entry/src/service/obtain.rs
@@ -1,4 +1,4 @@
-//! Obtaining a target: from the process that lends the service's targets, or, where there
+//! Obtaining a target: from the process that allocates the service's targets, or, where there
 //! is none that answers, from the own dispatcher.
 
 use std::sync::Arc;
@@ -16,36 +16,36 @@
 use thymeshift_types::Timestamp;
 use tokio::time::timeout;
 
-use crate::post::Borrowing;
-use crate::post::LenderPlace;
-use crate::post::Reply;
-use crate::post::Wish;
+use crate::allocation_client::Acquisition;
+use crate::allocation_client::AllocatorPlace;
+use crate::allocation_client::Reply;
+use crate::allocation_client::Wanted;
 use crate::service::Admitted;
 use crate::service::GrantGuard;
 use crate::service::ServiceRuntime;
 use crate::shared::Shared;
 
-/// Longest wait for a lender's first word.
+/// Longest wait for a allocator's first word.
 const FIRST_WORD_LIMIT: Duration = Duration::from_millis(25);
-/// How much later than the end of its wait a lender's last word may come.
+/// How much later than the end of its wait a allocator's last word may come.
 const LAST_WORD_SLACK: Duration = Duration::from_millis(25);
-/// Lenders asked for one request before the process decides alone.
-const LENDERS_ASKED_MAX: usize = 2;
-/// How long the order of lenders is kept before it is worked out anew.
+/// AllocatorOrder asked for one request before the process decides alone.
+const ALLOCATORS_ASKED_MAX: usize = 2;
+/// How long the order of allocators is kept before it is worked out anew.
 const ORDER_KEPT: Duration = Duration::from_millis(200);
 
-/// Processes in the order in which they lend a service's targets; None is this process.
+/// Processes in the order in which they allocate a service's targets; None is this process.
 #[derive(Default)]
-pub(super) struct Lenders {
-    order: Arc<[Option<LenderPlace>]>,
+pub(super) struct AllocatorOrder {
+    order: Arc<[Option<AllocatorPlace>]>,
     made_at: Option<Timestamp>,
 }
 
-/// What a lender's word came to.
+/// What a allocator's word came to.
 enum Asked {
     Granted(GrantGuard),
     Refused(Refusal),
-    /// It did not answer, does not lend, or lent a target that may not be used.
+    /// It did not answer, does not allocate, or granted a target that may not be used.
     Useless,
 }
 
@@ -56,7 +56,7 @@
         shared: &Shared,
         request: Request,
     ) -> Result<GrantGuard, Option<Refusal>> {
-        let view = match self.ask_lenders(shared, &request).await {
+        let view = match self.ask_allocators(shared, &request).await {
             AskedAll::Decided(decided) => return decided.map_err(Some),
             AskedAll::DecideAs(view) => view,
         };
@@ -79,23 +79,23 @@
         }
     }
 
-    async fn ask_lenders(self: &Arc<Self>, shared: &Shared, request: &Request) -> AskedAll {
-        if self.links.post.socket().is_none() {
+    async fn ask_allocators(self: &Arc<Self>, shared: &Shared, request: &Request) -> AskedAll {
+        if self.links.allocation.socket().is_none() {
             return AskedAll::DecideAs(View::Own);
         }
         let now = BootClock.now();
         let order = self.order(shared, now);
-        let usable = order.iter().filter(|lender| match lender {
-            Some(lender) => !self.links.post.is_passed_over(&lender.vm, now),
+        let usable = order.iter().filter(|allocator| match allocator {
+            Some(allocator) => !self.links.allocation.is_passed_over(&allocator.vm, now),
             None => !shared.is_stopping(),
         });
-        for lender in usable.take(LENDERS_ASKED_MAX) {
-            let Some(lender) = lender else {
+        for allocator in usable.take(ALLOCATORS_ASKED_MAX) {
+            let Some(allocator) = allocator else {
                 return AskedAll::DecideAs(View::Fleet);
             };
-            match self.ask(lender, request).await {
+            match self.ask(allocator, request).await {
                 Asked::Granted(grant) => {
-                    counter!(metric::OBTAINED, "by" => "lender").increment(1);
+                    counter!(metric::OBTAINED, "by" => "allocator").increment(1);
                     return AskedAll::Decided(Ok(grant));
                 }
                 Asked::Refused(refusal) => return AskedAll::Decided(Err(refusal)),
@@ -105,19 +105,19 @@
         AskedAll::DecideAs(View::Fallback)
     }
 
-    fn order(&self, shared: &Shared, now: Timestamp) -> Arc<[Option<LenderPlace>]> {
-        let mut lenders = self.lenders.lock();
-        let is_fresh = lenders.made_at.is_some_and(|at| now.since(at) < ORDER_KEPT);
+    fn order(&self, shared: &Shared, now: Timestamp) -> Arc<[Option<AllocatorPlace>]> {
+        let mut allocators = self.allocators.lock();
+        let is_fresh = allocators.made_at.is_some_and(|at| now.since(at) < ORDER_KEPT);
         if !is_fresh {
-            lenders.order = shared.lender_order(self.name(), now).into();
-            lenders.made_at = Some(now);
+            allocators.order = shared.allocator_order(self.name(), now).into();
+            allocators.made_at = Some(now);
         }
-        lenders.order.clone()
+        allocators.order.clone()
     }
 
-    async fn ask(self: &Arc<Self>, lender: &LenderPlace, request: &Request) -> Asked {
+    async fn ask(self: &Arc<Self>, allocator: &AllocatorPlace, request: &Request) -> Asked {
         let now = BootClock.now();
-        let wish = Wish {
+        let wanted = Wanted {
             service: self.name().clone(),
             priority: request.priority,
             deadline: now.until(request.deadline),
@@ -125,36 +125,36 @@
             queue_max: request.queue_max,
             tried: self.names(&request.tried),
         };
-        let mut borrowing = self.links.post.borrow(lender, wish);
+        let mut acquisition = self.links.allocation.acquire(allocator, wanted);
         let mut limit = FIRST_WORD_LIMIT;
         loop {
-            match timeout(limit, borrowing.replies.recv()).await {
+            match timeout(limit, acquisition.replies.recv()).await {
                 Ok(Some(Reply::Waiting)) => {
                     limit = BootClock.now().until(request.wait_until) + LAST_WORD_SLACK;
                 }
-                Ok(Some(Reply::Lent(target, concurrency))) => {
-                    return self.take_loan(borrowing, &target, concurrency);
+                Ok(Some(Reply::Granted(target, concurrency))) => {
+                    return self.take_lease(acquisition, &target, concurrency);
                 }
                 Ok(Some(Reply::Refused(refusal))) => {
-                    borrowing.loan.closed_by_lender();
+                    acquisition.lease.closed_by_allocator();
                     return Asked::Refused(refusal);
                 }
                 Ok(Some(Reply::Declined)) => {
-                    borrowing.loan.closed_by_lender();
-                    self.links.post.pass_over(&lender.vm, BootClock.now());
+                    acquisition.lease.closed_by_allocator();
+                    self.links.allocation.pass_over(&allocator.vm, BootClock.now());
                     return Asked::Useless;
                 }
                 Ok(None) | Err(_) => {
-                    self.links.post.pass_over(&lender.vm, BootClock.now());
+                    self.links.allocation.pass_over(&allocator.vm, BootClock.now());
                     return Asked::Useless;
                 }
             }
         }
     }
 
-    fn take_loan(
+    fn take_lease(
         self: &Arc<Self>,
-        borrowing: Borrowing,
+        acquisition: Acquisition,
         target: &TargetName,
         concurrency: u32,
     ) -> Asked {
@@ -164,7 +164,9 @@
             desk.dispatcher.grant_at(target, BootClock.now())
         };
         match granted {
-            Some(grant) => Asked::Granted(GrantGuard::new(self, grant).with_loan(borrowing.loan)),
+            Some(grant) => {
+                Asked::Granted(GrantGuard::new(self, grant).with_lease(acquisition.lease))
+            }
             None => Asked::Useless,
         }
     }
@@ -175,7 +177,7 @@
     }
 }
 
-/// What asking all lenders came to.
+/// What asking all allocators came to.
 enum AskedAll {
     Decided(Result<GrantGuard, Refusal>),
     DecideAs(View),
--- a/crates/thymeshift_entry/src/shared.rs
+++ b/crates/thymeshift_entry/src/shared.rs
@@ -33,10 +33,10 @@
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
+use crate::allocation_client::AllocationClient;
+use crate::allocation_client::AllocatorPlace;
 use crate::control_plane::Links;
 use crate::fleet::Fleet;
-use crate::post::LenderPlace;
-use crate::post::Post;
 use crate::routing::Routing;
 use crate::service::ServiceLinks;
 use crate::service::ServiceRuntime;
@@ -69,7 +69,7 @@
     pub(crate) platform_answered_at: Mutex<Option<Timestamp>>,
     pub(crate) statuses: Statuses,
     pub(crate) links: Links,
-    pub(crate) post: Arc<Post>,
+    pub(crate) allocation: Arc<AllocationClient>,
     /// Rings when a request begins to wait.
     pub(crate) waiting: Arc<Notify>,
     /// Bounds the log lines about single requests.
@@ -91,7 +91,12 @@
     ) -> Arc<Self> {
         Arc::new(Self {
             fleet: Mutex::new(Fleet::new(&settings, boot)),
-            post: Post::new(socket, settings.vm.clone(), settings.data_hall.clone(), boot),
+            allocation: AllocationClient::new(
+                socket,
+                settings.vm.clone(),
+                settings.data_hall.clone(),
+                boot,
+            ),
             waiting: Arc::default(),
             request_lines: LineBudget::new(REQUEST_LINES_PER_S),
             discovers,
@@ -112,7 +117,7 @@
     }
 
     fn service_links(&self) -> ServiceLinks {
-        ServiceLinks { post: self.post.clone(), waiting: self.waiting.clone() }
+        ServiceLinks { allocation: self.allocation.clone(), waiting: self.waiting.clone() }
     }
 
     /// Whether a log line about a single request may be written now.
@@ -131,20 +136,20 @@
         *self.settings.write() = Arc::new(settings);
     }
 
-    /// The processes in the order in which they lend the targets of `service`; None is this
+    /// The processes in the order in which they allocate the targets of `service`; None is this
     /// process.
-    pub(crate) fn lender_order(
+    pub(crate) fn allocator_order(
         &self,
         service: &ServiceName,
         now: Timestamp,
-    ) -> Vec<Option<LenderPlace>> {
+    ) -> Vec<Option<AllocatorPlace>> {
         let fleet = self.fleet.lock();
         let own = &fleet.members.own().vm;
         let others = fleet.members.serving(now).map(|member| &member.vm);
         let order = ranked(service.as_str(), others.chain([own]));
         let place = |vm: &VmName| {
             let address = fleet.members.find(vm)?.datagram_address?;
-            Some(LenderPlace { vm: vm.clone(), address })
+            Some(AllocatorPlace { vm: vm.clone(), address })
         };
         order
             .into_iter()
--- a/crates/thymeshift_entry/src/target/pace_probe.rs
+++ b/crates/thymeshift_entry/src/target/pace_probe.rs
@@ -1,13 +1,13 @@
-//! Keeping the lender's view of its targets fresh.
+//! Keeping the allocator's view of its targets fresh.
 //!
-//! What it does: while this process lends a service's targets, it probes those of which no
+//! What it does: while this process allocates a service's targets, it probes those of which no
 //! answer or probe has told anything for a short while. Busy targets tell enough by
 //! themselves; a service without requests is not probed.
 //!
 //! Why: how long work takes at a target may change many times a second, and a report is
 //! worth nothing after that. One process probes for the whole fleet, so that the cost does
 //! not grow with it. The service's measuring budget bounds the probes of one target; a part
-//! of it is used, because for a moment several processes may take themselves for the lender.
+//! of it is used, because for a moment several processes may take themselves for the allocator.
 
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -32,12 +32,12 @@
 
 /// Time between two looks.
 const LOOK: Duration = Duration::from_millis(15);
-/// Time between two looks while nothing is lent.
+/// Time between two looks while nothing is granted.
 const IDLE_LOOK: Duration = Duration::from_millis(100);
 /// Age of the last report from which a target is probed, if the budget allows it.
 const AGE: Duration = Duration::from_millis(55);
-/// Processes that may take themselves for the lender at one time.
-const LENDERS_MAX: u64 = 2;
+/// Processes that may take themselves for the allocator at one time.
+const ALLOCATORS_MAX: u64 = 2;
 /// Time after the last request within which a service counts as in use.
 const IN_USE: Duration = Duration::from_millis(250);
 
@@ -48,17 +48,17 @@
 pub(crate) async fn run_pace_probes<D: Dialect>(shared: Arc<Shared>) -> Result<(), TaskError> {
     let probing = Probing::default();
     loop {
-        let is_lending = begin_due::<D>(&shared, &probing);
-        sleep(if is_lending { LOOK } else { IDLE_LOOK }).await;
+        let is_allocating = begin_due::<D>(&shared, &probing);
+        sleep(if is_allocating { LOOK } else { IDLE_LOOK }).await;
     }
 }
 
-/// Returns whether targets of any service are lent here.
+/// Returns whether targets of any service are granted here.
 fn begin_due<D: Dialect>(shared: &Arc<Shared>, probing: &Probing) -> bool {
     let Some(routing) = shared.routing() else {
         return false;
     };
-    let mut is_lending = false;
+    let mut is_allocating = false;
     for service in &routing.services {
         let settings = service.settings();
         let Some(probe) = &settings.probe else {
@@ -68,10 +68,10 @@
             continue;
         };
         let now = BootClock.now();
-        if !service.is_lending_within(IN_USE, now) {
+        if !service.is_allocating_within(IN_USE, now) {
             continue;
         }
-        is_lending = true;
+        is_allocating = true;
         for destination in service.unheard_targets(age, now) {
             if probing.lock().insert(destination.clone()) {
                 let (service, probe, probing) = (service.clone(), probe.clone(), probing.clone());
@@ -83,12 +83,12 @@
             }
         }
     }
-    is_lending
+    is_allocating
 }
 
-/// Shortest time between two probes of a target that the budget allows a lender.
+/// Shortest time between two probes of a target that the budget allows a allocator.
 fn age_allowed(service: &Service, probe: &Probe) -> Option<Duration> {
-    let probes_per_s = service.measuring_budget_us_per_s / probe.cost_us.max(1) / LENDERS_MAX;
+    let probes_per_s = service.measuring_budget_us_per_s / probe.cost_us.max(1) / ALLOCATORS_MAX;
     let between = Duration::from_secs(1).checked_div(u32::try_from(probes_per_s).ok()?)?;
     Some(between.max(AGE))
 }
--- a/crates/thymeshift_fleet/tests/readers.rs
+++ b/crates/thymeshift_fleet/tests/readers.rs
@@ -78,7 +78,7 @@
                     processes[index].readers.failed(count, rng.random(), at(now_ms));
                 }
                 for other in (0..count).filter(|other| *other != index && is_up(*other, now_ms)) {
-                    // One pulse in twenty is lost.
+                    // One heartbeat in twenty is lost.
                     if !rng.random_ratio(1, 20) {
                         processes[other].readers.heard(&vm(index), is_good, at(now_ms));
                     }
--- a/crates/thymeshift_wire/src/datagram.rs
+++ b/crates/thymeshift_wire/src/datagram.rs
@@ -1,4 +1,4 @@
-//! Datagrams between entry processes: pulses of readers, and the loan of targets.
+//! Datagrams between entry processes: heartbeats of readers of readers, and the lease of targets.
 //!
 //! A datagram may be lost, late or doubled. Each message stands for itself, and nothing that
 //! must hold depends on its arrival.
@@ -27,11 +27,11 @@
 #[display("datagram: {_0}")]
 pub struct DatagramError(postcard::Error);
 
-/// Number of a loan, counted by the borrowing process from its start.
+/// Number of a lease, counted by the acquisition process from its start.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize,
 )]
-pub struct LoanNumber(pub u64);
+pub struct LeaseNumber(pub u64);
 
 /// A message with its sender.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -48,24 +48,24 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Message {
     /// A call to the source ended.
-    Pulse(Pulse),
+    SourceHeartbeat(SourceHeartbeat),
     /// Asks for a target.
-    Borrow(Borrow),
+    Acquire(Acquire),
     /// The request waits; another answer follows.
-    Waiting(LoanNumber),
+    Waiting(LeaseNumber),
     /// A target to send to, and the most requests that one target serves well at a time.
-    Lent(LoanNumber, TargetName, u32),
+    Granted(LeaseNumber, TargetName, u32),
     /// No target.
-    Refused(LoanNumber, Reason, Duration),
-    /// The receiver does not lend: it is stopping, or does not know the service.
-    Declined(LoanNumber),
+    Refused(LeaseNumber, Reason, Duration),
+    /// The receiver does not allocate: it is stopping, or does not know the service.
+    Declined(LeaseNumber),
     /// A target is given back.
-    GiveBack(GiveBack),
+    Release(Release),
 }
 
 /// News of a reader.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Pulse {
+pub struct SourceHeartbeat {
     /// Whether the source answered.
     pub is_answered: bool,
     /// The configuration in force at the reader.
@@ -76,9 +76,9 @@
 
 /// A request that wants a target.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Borrow {
-    /// The loan asked for.
-    pub number: LoanNumber,
+pub struct Acquire {
+    /// The lease asked for.
+    pub number: LeaseNumber,
     /// The service.
     pub service: ServiceName,
     /// The data hall of the sender.
@@ -93,21 +93,21 @@
     pub queue_max: u32,
     /// Targets that the request was already sent to.
     pub tried: Vec<TargetName>,
-    /// All loans of this service that the sender holds or asks for.
-    pub held: Vec<LoanNumber>,
+    /// All leases of this service that the sender holds or asks for.
+    pub held: Vec<LeaseNumber>,
 }
 
-/// The end of a loan, or of the wish for one.
+/// The end of a lease, or of the wanted for one.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct GiveBack {
-    /// The loan.
-    pub number: LoanNumber,
+pub struct Release {
+    /// The lease.
+    pub number: LeaseNumber,
     /// The service.
     pub service: ServiceName,
     /// What the attempt showed, if there was one.
     pub observation: Option<Observation>,
-    /// All loans of this service that the sender holds or asks for.
-    pub held: Vec<LoanNumber>,
+    /// All leases of this service that the sender holds or asks for.
+    pub held: Vec<LeaseNumber>,
 }
 
 impl Datagram {
