--- a/crates/thymeshift_allocation/src/lib.rs
+++ b/crates/thymeshift_allocation/src/lib.rs
@@ -1,4 +1,4 @@
-//! One process allocates a service's targets to all others.
+//! One process allocates a group of a service's targets to all others.
 //!
 //! Alone, each of many processes sees a small part of the load on a target. Here they ask
 //! one of them, which decides with the [`Dispatcher`] that everybody has, but over the
@@ -14,6 +14,9 @@
 //! The cost is one message each way for a request and one at its end, whatever the size of
 //! the fleet.
 
+mod group;
+mod rooms;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -29,6 +32,10 @@
 use thymeshift_types::TargetName;
 use thymeshift_types::Timestamp;
 
+pub use group::Group;
+pub use group::Grouping;
+pub use rooms::Rooms;
+
 /// A lease that its holder does not name is taken back once it is this old: the answer
 /// that told of it may still have been on its way when the holder wrote.
 const UNNAMED_AFTER: Duration = Duration::from_millis(100);
@@ -185,7 +192,12 @@
         }
     }
 
-    /// Loans that are out or waited for.
+    /// Whether a lease is out or waited for.
+    pub fn knows(&self, key: &LeaseKey<B>) -> bool {
+        self.leases.contains_key(key)
+    }
+
+    /// Leases that are out or waited for.
     pub fn len(&self) -> usize {
         self.leases.len()
     }
--- /dev/null
+++ b/crates/thymeshift_allocation/tests/groups.rs
@@ -0,0 +1,103 @@
+//! How targets are divided into groups, and where a request goes that finds no room.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use thymeshift_allocation::Group;
+use thymeshift_allocation::Grouping;
+use thymeshift_allocation::Rooms;
+use thymeshift_config::Target;
+use thymeshift_config::TargetState;
+use thymeshift_types::DataHallName;
+use thymeshift_types::Incarnation;
+use thymeshift_types::TargetName;
+use thymeshift_types::Timestamp;
+
+fn hall(name: &str) -> DataHallName {
+    DataHallName::new(name).expect("a name")
+}
+
+fn group(name: &str) -> Group {
+    Group::Hall(hall(name))
+}
+
+/// Targets in halls `a`, `b` and so on, as many as `counts` says, and leaving ones in `a`.
+fn targets(counts: &[usize], leaving: usize) -> Vec<Target> {
+    let target = |name: String, hall_name: &str, state| Target {
+        name: TargetName::new(&name).expect("a name"),
+        address: ([127, 0, 0, 1], 1).into(),
+        data_hall: hall(hall_name),
+        incarnation: Incarnation::default(),
+        state,
+    };
+    let mut all = Vec::new();
+    for (hall_name, count) in ["a", "b", "c", "d"].iter().zip(counts) {
+        let names = (0..*count).map(|number| format!("{hall_name}-{number}"));
+        all.extend(names.map(|name| target(name, hall_name, TargetState::Serving)));
+    }
+    let names = (0..leaving).map(|number| format!("leaving-{number}"));
+    all.extend(names.map(|name| target(name, "a", TargetState::Leaving)));
+    all
+}
+
+#[test]
+fn only_services_with_many_targets_in_each_hall_are_divided() {
+    struct Case {
+        note: &'static str,
+        counts: &'static [usize],
+        leaving: usize,
+        groups: usize,
+    }
+    let cases = [
+        Case { note: "no target", counts: &[], leaving: 0, groups: 1 },
+        Case { note: "few in each hall", counts: &[3, 2, 2, 3], leaving: 0, groups: 1 },
+        Case { note: "many, but in one hall", counts: &[90], leaving: 0, groups: 1 },
+        Case { note: "eight in each in the mean", counts: &[4, 12, 8], leaving: 0, groups: 3 },
+        Case { note: "one less", counts: &[4, 12, 7], leaving: 0, groups: 1 },
+        Case { note: "leaving ones do not count", counts: &[4, 12, 7], leaving: 9, groups: 1 },
+    ];
+    for Case { note, counts, leaving, groups } in cases {
+        let targets = targets(counts, leaving);
+        let grouping = Grouping::of(&targets);
+        assert_eq!(grouping.iter().count(), groups, "{note}");
+        assert_eq!(grouping.is_divided(), groups > 1, "{note}");
+        for target in targets.iter().filter(|target| target.state == TargetState::Serving) {
+            let holding = grouping.iter().filter(|group| group.has(target)).count();
+            assert_eq!(holding, 1, "{note}: {} is in one group", target.name);
+        }
+    }
+}
+
+#[test]
+fn a_request_goes_to_its_own_hall_or_is_spread_by_size() {
+    let grouping = Grouping::of(&targets(&[10, 30], 0));
+    for draw in 0..40 {
+        assert_eq!(*grouping.first_for(&hall("b"), draw), group("b"));
+    }
+    let from_elsewhere = (0..4_000).filter(|draw| {
+        let first = grouping.first_for(&hall("z"), *draw);
+        *first == group("a")
+    });
+    assert_eq!(from_elsewhere.count(), 1_000, "a quarter of the targets is in a");
+}
+
+#[test]
+fn no_more_requests_are_sent_on_than_there_is_room_for() {
+    let now = Timestamp::from_millis(5_000);
+    let mut rng = SmallRng::seed_from_u64(3);
+    let mut rooms = Rooms::default();
+    rooms.learn(group("a"), 50, now);
+    rooms.learn(group("b"), 12, now);
+    rooms.learn(group("c"), 4, now);
+    rooms.learn(group("d"), 0, now);
+    let mut taken: BTreeMap<Group, u32> = BTreeMap::new();
+    while let Some(group) = rooms.take(&group("a"), now, &mut rng) {
+        *taken.entry(group).or_default() += 1;
+    }
+    assert_eq!(taken, BTreeMap::from([(group("b"), 12), (group("c"), 4)]), "not its own");
+    rooms.learn(group("b"), 1, now);
+    let late = now + Duration::from_secs(3);
+    assert_eq!(rooms.take(&group("a"), late, &mut rng), None, "what was told has aged");
+}
--- a/crates/thymeshift_config/src/decode.rs
+++ b/crates/thymeshift_config/src/decode.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 
+use thymeshift_types::Capacity;
 use thymeshift_types::DataHallName;
 use thymeshift_types::Incarnation;
 use thymeshift_types::KindName;
@@ -240,6 +241,18 @@
     }
 }
 
+impl Decode for Capacity {
+    fn decode(node: &Node, path: &str, mistakes: &mut Mistakes) -> Option<Self> {
+        let expected = "processors as a number such as 0.2 or 4, from 0.001 to 1000";
+        let (text, is_quoted) = scalar(node, path, expected, mistakes)?;
+        let capacity = text.parse().ok().and_then(Self::of_processors);
+        match capacity {
+            Some(capacity) if !is_quoted => Some(capacity),
+            _ => refuse(node, path, expected, mistakes),
+        }
+    }
+}
+
 impl Decode for SocketAddr {
     fn decode(node: &Node, path: &str, mistakes: &mut Mistakes) -> Option<Self> {
         let expected = "an IP number and port such as 10.0.0.7:8080";
--- a/crates/thymeshift_config/src/discovery.rs
+++ b/crates/thymeshift_config/src/discovery.rs
@@ -5,6 +5,7 @@
 
 use crate::Mistakes;
 use crate::Target;
+use crate::TargetState;
 use crate::decode::Decode;
 use crate::decode::MapReader;
 use crate::decode::parse;
@@ -34,6 +35,24 @@
         let targets = parse(text, "targets")?;
         Ok(Self { targets })
     }
+
+    /// These targets, and those that served `before` and are missing here, unless their
+    /// address is in use again. Returns how many were kept, too.
+    pub fn keeping(&self, before: &Self) -> (Self, usize) {
+        let is_listed = |kept: &Discovered| {
+            let same = |listed: &Discovered| {
+                listed.target.name == kept.target.name
+                    || listed.target.address == kept.target.address
+            };
+            self.targets.iter().any(same)
+        };
+        let served =
+            before.targets.iter().filter(|known| known.target.state == TargetState::Serving);
+        let kept: Vec<Discovered> = served.filter(|known| !is_listed(known)).cloned().collect();
+        let count = kept.len();
+        let targets = self.targets.iter().cloned().chain(kept).collect();
+        (Self { targets }, count)
+    }
 }
 
 impl Decode for Discovered {
--- a/crates/thymeshift_config/src/settings.rs
+++ b/crates/thymeshift_config/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use serde::Serialize;
+use thymeshift_types::Capacity;
 use thymeshift_types::DataHallName;
 use thymeshift_types::VmName;
 
@@ -59,6 +60,9 @@
     /// Where datagrams of other entry processes arrive; without it none are sent, and every
     /// process decides alone.
     pub datagram_address: Option<SocketAddr>,
+    /// The part of a processor that this VM may use. Work for the whole fleet goes to VMs
+    /// with more of it.
+    pub processor_share: Capacity,
     /// Worker threads; 0 takes one for each processor.
     pub worker_threads: u64,
     /// How long a stopping process goes on accepting after `/ready` has begun to fail,
@@ -89,6 +93,7 @@
         let platform_address = map.required("platform_address");
         let peers = map.or("peers", Vec::new());
         let datagram_address = map.optional("datagram_address");
+        let processor_share = map.or("processor_share", Capacity::default());
         let worker_threads = map.number_or("worker_threads", 0..=1_024, 0);
         let stop_readiness_lag_ms = map.number_or("stop_readiness_lag_ms", 0..=STOP_MS_MAX, 3_000);
         let stop_bound_ms = map.number_or("stop_bound_ms", 0..=STOP_MS_MAX, 60_000);
@@ -104,6 +109,7 @@
             platform_address: platform_address?,
             peers: peers?,
             datagram_address: datagram_address?,
+            processor_share: processor_share?,
             worker_threads: worker_threads?,
             stop_readiness_lag_ms: stop_readiness_lag_ms?,
             stop_bound_ms: stop_bound_ms?,
--- a/crates/thymeshift_dispatch/src/dispatcher.rs
+++ b/crates/thymeshift_dispatch/src/dispatcher.rs
@@ -342,6 +342,11 @@
         unheard.map(|target| (target.name.clone(), target.address)).collect()
     }
 
+    /// Further requests that targets would serve at nearly their usual pace.
+    pub fn room(&self, now: Timestamp) -> u32 {
+        self.table.room(self.view, now)
+    }
+
     /// Requests in flight to one target, for tests and dumps.
     pub fn in_flight(&self, index: TargetIndex) -> u32 {
         self.table.get(index).in_flight()
--- a/crates/thymeshift_dispatch/src/table.rs
+++ b/crates/thymeshift_dispatch/src/table.rs
@@ -39,6 +39,11 @@
 /// an answer: every other process may be doing the same.
 const FALLBACK_IN_FLIGHT_MAX: u32 = 1;
 
+/// A target has room only while an answer is expected within this many times the usual.
+const ROOM_FACTOR_MAX: f64 = 1.6;
+/// A target of which nothing was heard for this long counts as one at its usual pace.
+const ROOM_UNHEARD: Duration = Duration::from_secs(1);
+
 /// Numbers of requests at a target whose costs are told apart.
 const MARGINAL_COSTS: usize = 8;
 /// What one more request costs all requests at a target, by how many it has, over the time
@@ -79,6 +84,17 @@
         self.concurrency.best(self.slots, now)
     }
 
+    /// Further requests that targets would serve at nearly their usual pace.
+    pub(crate) fn room(&self, view: View, now: Timestamp) -> u32 {
+        let bound = self.bound(view, now);
+        let usual_us = self.model.service_us() * ROOM_FACTOR_MAX;
+        let is_quick = |target: &&Target| {
+            target.is_unheard(ROOM_UNHEARD, now) || target.expected_us(now, &self.model) <= usual_us
+        };
+        let open = self.targets.iter().filter(|target| target.is_open(now, bound));
+        open.filter(is_quick).map(|target| target.room(bound)).sum()
+    }
+
     /// What one more request costs all requests at a target, by how many it has.
     pub(crate) fn marginal_costs(&self, view: View, now: Timestamp) -> MarginalCosts {
         let mut costs = [1.0; MARGINAL_COSTS];
--- a/crates/thymeshift_dispatch/src/target.rs
+++ b/crates/thymeshift_dispatch/src/target.rs
@@ -182,6 +182,16 @@
         }
     }
 
+    /// Further requests that it may get.
+    pub(crate) fn room(&self, bound: Bound) -> u32 {
+        match bound {
+            Bound::Learnt => (self.limit.value() as u32).saturating_sub(self.in_flight),
+            Bound::Fixed(most) => {
+                most.min(self.shape.connection_share).saturating_sub(self.in_flight)
+            }
+        }
+    }
+
     /// Whether it may be open again without a change of configuration.
     pub(crate) fn is_serving(&self) -> bool {
         self.presence == Presence::Serving && !self.is_stopped
--- a/crates/thymeshift_entry/src/allocation_client.rs
+++ b/crates/thymeshift_entry/src/allocation_client.rs
@@ -1,4 +1,4 @@
-//! Datagrams to and from other entry processes, and the leases that this process holds.
+//! Datagrams to other entry processes, and the leases that this process holds.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -10,6 +10,7 @@
 use metrics::counter;
 use parking_lot::Mutex;
 use spdlog::debug;
+use thymeshift_allocation::Group;
 use thymeshift_dispatch::Observation;
 use thymeshift_dispatch::Refusal;
 use thymeshift_fleet::Boot;
@@ -28,11 +29,13 @@
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
-/// How long a allocator that did not answer is passed over the first time; it doubles with each
-/// further one until it answers.
+use crate::service::GroupRuntime;
+
+/// How long an allocator that did not answer is passed over the first time; it doubles with
+/// each further one until it answers.
 const PASSED_OVER: Duration = Duration::from_millis(500);
 const DOUBLINGS_MAX: u32 = 4;
-/// Loans named in one message at most; the rest is named by the next.
+/// Leases named in one message at most; the rest is named by the next.
 const HELD_MAX: usize = 128;
 
 /// A process that allocates, and where it is reached.
@@ -42,7 +45,25 @@
     pub(crate) address: SocketAddr,
 }
 
-/// What a allocator says to a wanted.
+/// The allocator that is asked.
+#[derive(Clone)]
+pub(crate) enum Allocating {
+    /// This process.
+    Here(Arc<GroupRuntime>),
+    /// Another one.
+    There(AllocatorPlace),
+}
+
+/// Who holds a lease. A new start of a process is another holder.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct LeaseHolder {
+    pub(crate) vm: VmName,
+    pub(crate) boot: Boot,
+    /// Where it hears of its leases; none if it is this process.
+    pub(crate) address: Option<SocketAddr>,
+}
+
+/// What an allocator answers.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Reply {
     Waiting,
@@ -50,11 +71,27 @@
     Granted(TargetName, u32),
     Refused(Refusal),
     Declined,
+    /// To be asked for in another group.
+    Redirected(Group),
+}
+
+impl Reply {
+    fn into_message(self, number: LeaseNumber) -> Message {
+        match self {
+            Self::Waiting => Message::Waiting(number),
+            Self::Granted(target, concurrency) => Message::Granted(number, target, concurrency),
+            Self::Refused(refusal) => Message::Refused(number, refusal.reason, refusal.retry_after),
+            Self::Declined => Message::Declined(number),
+            Self::Redirected(group) => Message::Redirected(number, group),
+        }
+    }
 }
 
-/// What is asked of a allocator.
+/// What is asked of an allocator.
 pub(crate) struct Wanted {
     pub(crate) service: ServiceName,
+    pub(crate) group: Group,
+    pub(crate) may_redirect: bool,
     pub(crate) priority: u8,
     pub(crate) deadline: Duration,
     pub(crate) wait: Duration,
@@ -64,10 +101,18 @@
 
 struct OpenLease {
     service: ServiceName,
-    allocator: VmName,
+    group: Group,
+    /// The allocator; none if it is this process.
+    allocator: Option<VmName>,
     replies: mpsc::UnboundedSender<Reply>,
 }
 
+impl OpenLease {
+    fn is_of(&self, service: &ServiceName, group: &Group, allocator: Option<&VmName>) -> bool {
+        self.service == *service && self.group == *group && self.allocator.as_ref() == allocator
+    }
+}
+
 /// The datagram socket with what is remembered about allocators.
 pub(crate) struct AllocationClient {
     socket: Option<Arc<UdpSocket>>,
@@ -79,7 +124,7 @@
     passed_over: Mutex<HashMap<VmName, PassedOver>>,
 }
 
-/// A allocator that did not answer.
+/// An allocator that did not answer.
 struct PassedOver {
     until: Timestamp,
     times: u32,
@@ -124,29 +169,42 @@
         counter!(metric::DATAGRAMS, "result" => result).increment(1);
     }
 
-    /// Asks a allocator for a target.
+    /// Asks an allocator for a target.
     pub(crate) fn acquire(
         self: &Arc<Self>,
-        allocator: &AllocatorPlace,
+        allocating: &Allocating,
         wanted: Wanted,
     ) -> Acquisition {
         let number = LeaseNumber(self.next_number.fetch_add(1, Ordering::Relaxed));
         let (replies, receiver) = mpsc::unbounded_channel();
-        let Wanted { service, priority, deadline, wait, queue_max, tried } = wanted;
-        let open = OpenLease { service: service.clone(), allocator: allocator.vm.clone(), replies };
+        let allocator = match allocating {
+            Allocating::Here(_) => None,
+            Allocating::There(place) => Some(place.vm.clone()),
+        };
+        let Wanted { service, group, may_redirect, priority, deadline, wait, queue_max, tried } =
+            wanted;
+        let open = OpenLease {
+            service: service.clone(),
+            group: group.clone(),
+            allocator: allocator.clone(),
+            replies,
+        };
         self.leases.lock().insert(number, open);
-        let held = self.held(&service, &allocator.vm);
-        let lease = Lease {
-            allocation: self.clone(),
+        let held = self.held(&service, &group, allocator.as_ref());
+        let lease = AllocationLease {
+            client: self.clone(),
             number,
             service: service.clone(),
-            allocator: allocator.clone(),
+            group: group.clone(),
+            allocating: allocating.clone(),
             observation: None,
             is_open: true,
         };
         let acquire = Acquire {
             number,
             service,
+            group,
+            may_redirect,
             data_hall: self.data_hall.clone(),
             priority,
             deadline,
@@ -155,31 +213,49 @@
             tried,
             held,
         };
-        self.send(allocator.address, Message::Acquire(acquire));
+        match allocating {
+            Allocating::Here(runtime) => runtime.acquire(self.own_holder(), &acquire),
+            Allocating::There(place) => self.send(place.address, Message::Acquire(acquire)),
+        }
         Acquisition { lease, replies: receiver }
     }
 
-    /// A allocator answered.
+    fn own_holder(&self) -> LeaseHolder {
+        LeaseHolder { vm: self.vm.clone(), boot: self.boot, address: None }
+    }
+
+    /// Tells a holder what became of its request.
+    pub(crate) fn reply(&self, holder: &LeaseHolder, number: LeaseNumber, reply: Reply) {
+        match holder.address {
+            Some(address) => self.send(address, reply.into_message(number)),
+            None => self.replied(number, reply),
+        }
+    }
+
+    /// An allocator answered.
     pub(crate) fn replied(&self, number: LeaseNumber, reply: Reply) {
         if let Some(open) = self.leases.lock().get(&number) {
-            if reply != Reply::Declined {
-                self.passed_over.lock().remove(&open.allocator);
+            if let (Some(allocator), false) = (&open.allocator, reply == Reply::Declined) {
+                self.passed_over.lock().remove(allocator);
             }
-            // Nobody waits any more if this fails, and the lease is given back then.
+            // Nobody waits any more if this fails, and the lease is released then.
             let _ = open.replies.send(reply);
         }
     }
 
-    /// Loans that were asked of a allocator for a service and have not ended.
-    fn held(&self, service: &ServiceName, allocator: &VmName) -> Vec<LeaseNumber> {
+    /// Leases that were asked of an allocator for a group and have not ended.
+    fn held(
+        &self,
+        service: &ServiceName,
+        group: &Group,
+        allocator: Option<&VmName>,
+    ) -> Vec<LeaseNumber> {
         let leases = self.leases.lock();
-        let held = leases
-            .iter()
-            .filter(|(_, open)| open.service == *service && open.allocator == *allocator);
+        let held = leases.iter().filter(|(_, open)| open.is_of(service, group, allocator));
         held.map(|(number, _)| *number).take(HELD_MAX).collect()
     }
 
-    /// A allocator did not answer, or does not allocate.
+    /// An allocator did not answer, or does not allocate.
     pub(crate) fn pass_over(&self, allocator: &VmName, now: Timestamp) {
         debug!("allocator_passed_over", kv: { allocator: = allocator });
         let mut passed_over = self.passed_over.lock();
@@ -194,23 +270,24 @@
     }
 }
 
-/// A wanted on its way.
+/// A request for a target on its way.
 pub(crate) struct Acquisition {
-    pub(crate) lease: Lease,
+    pub(crate) lease: AllocationLease,
     pub(crate) replies: mpsc::UnboundedReceiver<Reply>,
 }
 
-/// A lease, given back when it is dropped.
-pub(crate) struct Lease {
-    allocation: Arc<AllocationClient>,
+/// A lease of a target, released when it is dropped.
+pub(crate) struct AllocationLease {
+    client: Arc<AllocationClient>,
     number: LeaseNumber,
     service: ServiceName,
-    allocator: AllocatorPlace,
+    group: Group,
+    allocating: Allocating,
     observation: Option<Observation>,
     is_open: bool,
 }
 
-impl Lease {
+impl AllocationLease {
     /// What the attempt showed; told to the allocator at the end.
     pub(crate) fn observe(&mut self, observation: Observation) {
         self.observation = Some(observation);
@@ -222,19 +299,26 @@
     }
 }
 
-impl Drop for Lease {
+impl Drop for AllocationLease {
     fn drop(&mut self) {
-        self.allocation.leases.lock().remove(&self.number);
+        self.client.leases.lock().remove(&self.number);
         if !self.is_open {
             return;
         }
-        let held = self.allocation.held(&self.service, &self.allocator.vm);
+        let allocator = match &self.allocating {
+            Allocating::Here(_) => None,
+            Allocating::There(place) => Some(&place.vm),
+        };
         let release = Release {
             number: self.number,
             service: self.service.clone(),
+            group: self.group.clone(),
             observation: self.observation,
-            held,
+            held: self.client.held(&self.service, &self.group, allocator),
         };
-        self.allocation.send(self.allocator.address, Message::Release(release));
+        match &self.allocating {
+            Allocating::Here(runtime) => runtime.release(self.client.own_holder(), &release),
+            Allocating::There(place) => self.client.send(place.address, Message::Release(release)),
+        }
     }
 }
--- a/crates/thymeshift_entry/src/control_plane/mod.rs
+++ b/crates/thymeshift_entry/src/control_plane/mod.rs
@@ -11,6 +11,8 @@
 mod peer_link;
 mod peer_server;
 mod platform;
+mod relay;
+mod rooms;
 mod source;
 mod ticker;
 
@@ -25,5 +27,7 @@
 pub(crate) use peer_link::say_goodbye;
 pub(crate) use peer_server::run_peer_server;
 pub(crate) use platform::run_platform;
+pub(crate) use relay::tell_below;
+pub(crate) use rooms::run_rooms;
 pub(crate) use source::run_source;
 pub(crate) use ticker::run_ticker;
--- a/crates/thymeshift_entry/src/control_plane/source.rs
+++ b/crates/thymeshift_entry/src/control_plane/source.rs
@@ -9,17 +9,19 @@
 use rand::Rng;
 use spdlog::info;
 use spdlog::warn;
+use thymeshift_fleet::Contender;
+use thymeshift_fleet::Member;
 use thymeshift_fleet::Turn;
 use thymeshift_supervisor::TaskError;
 use thymeshift_telemetry::metric;
 use thymeshift_types::BootClock;
 use thymeshift_types::Clock;
-use thymeshift_types::VmName;
 use thymeshift_wire::Message;
 use thymeshift_wire::SourceHeartbeat;
 use tokio::time::sleep;
 
 use crate::control_plane::platform::offer;
+use crate::control_plane::relay::heads;
 use crate::environment::Environment;
 use crate::environment::Source;
 use crate::environment::SourceError;
@@ -37,12 +39,14 @@
 pub(crate) async fn run_source<E: Environment>(shared: Arc<Shared>) -> Result<(), TaskError> {
     let mut source = E::Source::new(shared.settings().platform_address);
     let mut was_answered = true;
+    // Until then the start of the process reads. An error would mean that it is ending.
+    let _ = shared.in_force.subscribe().wait_for(|is_in_force| *is_in_force).await;
     loop {
         let turn = {
             let now = BootClock.now();
             let fleet = shared.fleet.lock();
-            let alive: Vec<VmName> =
-                fleet.members.serving(now).map(|member| member.vm.clone()).collect();
+            let alive: Vec<Contender<'_>> =
+                fleet.members.serving(now).map(Member::contender).collect();
             fleet.readers.turn(&alive, now)
         };
         let wait = match turn {
@@ -114,11 +118,7 @@
 fn tell_members(shared: &Shared, is_answered: bool) {
     let (heartbeat, addresses) = {
         let fleet = shared.fleet.lock();
-        let heartbeat = SourceHeartbeat {
-            is_answered,
-            configuration: fleet.configuration.head(),
-            targets: fleet.targets.head(),
-        };
+        let heartbeat = SourceHeartbeat { is_answered, heads: heads(&fleet) };
         let members = fleet.members.present(BootClock.now());
         let addresses = members.filter_map(|member| member.datagram_address);
         (heartbeat, addresses.collect::<Vec<SocketAddr>>())
--- a/crates/thymeshift_entry/src/control_plane/ticker.rs
+++ b/crates/thymeshift_entry/src/control_plane/ticker.rs
@@ -83,6 +83,7 @@
         warn!("request_lines_left_out", kv: { count = left_out });
     }
     shared.metrics_text.run_upkeep();
+    shared.drop_kept_targets(now);
     let has_expired = {
         let mut fleet = shared.fleet.lock();
         fleet.members.forget_old(now);
--- a/crates/thymeshift_entry/src/fleet.rs
+++ b/crates/thymeshift_entry/src/fleet.rs
@@ -38,8 +38,10 @@
     pub(crate) readers: Readers,
     /// The configuration in force, without discovered targets.
     pub(crate) base: Option<Configuration>,
-    /// The discovered targets in force.
+    /// The discovered targets in force: those listed, and those kept for a moment.
     pub(crate) discovery: Option<Discovery>,
+    /// The discovered targets as listed, while others are kept beside them.
+    listed: Option<Discovery>,
     pub(crate) election: WatchElection,
     pub(crate) members: Members,
     pub(crate) leaving: LeavingRegister,
@@ -62,7 +64,7 @@
 }
 
 impl Fleet {
-    pub(crate) fn new(settings: &Settings, boot: Boot) -> Self {
+    pub(crate) fn new(settings: &Settings, boot: Boot, now: Timestamp) -> Self {
         let own = Member {
             vm: settings.vm.clone(),
             boot,
@@ -71,6 +73,7 @@
             control_address: settings.control_address,
             datagram_address: settings.datagram_address,
             data_hall: settings.data_hall.clone(),
+            capacity: settings.processor_share,
             phase: Phase::Starting,
             revision: None,
         };
@@ -78,9 +81,10 @@
             configuration: Adoption::default(),
             vm_list: Adoption::default(),
             targets: Adoption::default(),
-            readers: Readers::new(settings.vm.clone()),
+            readers: Readers::new(settings.vm.clone(), settings.processor_share, now),
             base: None,
             discovery: None,
+            listed: None,
             election: WatchElection::new(settings.vm.clone(), boot),
             members: Members::new(own, settings.peers.clone()),
             leaving: LeavingRegister::default(),
@@ -119,6 +123,35 @@
         recent.cloned().chain(repeated.iter().cloned()).collect()
     }
 
+    /// Takes in discovered targets. While the source has just returned from an outage,
+    /// targets that served before are kept although it does not list them: it may have
+    /// forgotten them meanwhile, and those that live are listed again soon. Returns how many
+    /// are kept.
+    pub(crate) fn take_discovery(&mut self, listed: Discovery, now: Timestamp) -> usize {
+        let before = self.discovery.take().filter(|_| self.readers.is_just_back(now));
+        let Some(before) = before else {
+            self.listed = None;
+            self.discovery = Some(listed);
+            return 0;
+        };
+        let (kept, count) = listed.keeping(&before);
+        self.discovery = Some(kept);
+        self.listed = (count > 0).then_some(listed);
+        count
+    }
+
+    /// Drops kept targets that were not listed again in time. Returns whether there were any.
+    pub(crate) fn drop_kept(&mut self, now: Timestamp) -> bool {
+        if self.readers.is_just_back(now) {
+            return false;
+        }
+        let Some(listed) = self.listed.take() else {
+            return false;
+        };
+        self.discovery = Some(listed);
+        true
+    }
+
     /// Takes in a leaving mark. Returns whether it is news.
     pub(crate) fn add_mark(&mut self, mark: &LeavingMark) -> bool {
         let is_news = self.leaving.add(mark);
@@ -188,6 +221,7 @@
     /// This process was paused for `gap`.
     pub(crate) fn paused(&mut self, gap: Duration) {
         self.election.paused();
+        self.readers.paused(gap);
         self.members.paused(gap);
     }
 }
--- a/crates/thymeshift_entry/src/routing.rs
+++ b/crates/thymeshift_entry/src/routing.rs
@@ -115,7 +115,7 @@
 
 /// What requests are decided by.
 pub(crate) struct Routing {
-    pub(crate) configuration: Configuration,
+    pub(crate) configuration: Arc<Configuration>,
     pub(crate) services: Vec<Arc<ServiceRuntime>>,
     kinds: Vec<Arc<KindRuntime>>,
 }
@@ -129,6 +129,7 @@
         own_data_hall: &DataHallName,
         links: &ServiceLinks,
     ) -> Self {
+        let configuration = Arc::new(configuration);
         let find = |name: &str| {
             let mut known = before.into_iter().flat_map(|before| before.services.iter());
             known.find(|service| service.name().as_str() == name).cloned()
--- /dev/null
+++ b/crates/thymeshift_entry/src/service/group.rs
@@ -0,0 +1,235 @@
+//! Allocating the targets of one group to all processes, this one included.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use thymeshift_allocation::Allocation;
+use thymeshift_allocation::Allocator;
+use thymeshift_allocation::Group;
+use thymeshift_allocation::LeaseKey;
+use thymeshift_config::Configuration;
+use thymeshift_config::Service;
+use thymeshift_dispatch::AnyStrategy;
+use thymeshift_dispatch::Dispatcher;
+use thymeshift_dispatch::LoadReport;
+use thymeshift_dispatch::Request;
+use thymeshift_dispatch::ServiceDump;
+use thymeshift_dispatch::Tried;
+use thymeshift_dispatch::View;
+use thymeshift_dispatch::Wake;
+use thymeshift_types::BootClock;
+use thymeshift_types::Clock;
+use thymeshift_types::DataHallName;
+use thymeshift_types::LeavingMark;
+use thymeshift_types::TargetName;
+use thymeshift_types::Timestamp;
+use thymeshift_wire::Acquire;
+use thymeshift_wire::LeaseNumber;
+use thymeshift_wire::Release;
+
+use crate::allocation_client::LeaseHolder;
+use crate::allocation_client::Reply;
+use crate::service::ServiceLinks;
+use crate::service::SharedRooms;
+
+/// The dispatcher over the whole fleet's requests to one group, with the books of its leases.
+pub(crate) struct GroupRuntime {
+    group: Group,
+    books: Mutex<Books>,
+    rooms: SharedRooms,
+    links: ServiceLinks,
+}
+
+struct Books {
+    dispatcher: Dispatcher<AnyStrategy>,
+    allocator: Allocator<LeaseHolder>,
+    /// When a target was last asked for.
+    asked_at: Option<Timestamp>,
+}
+
+impl GroupRuntime {
+    pub(super) fn new(
+        group: Group,
+        configuration: &Configuration,
+        service: &Service,
+        own_data_hall: &DataHallName,
+        rooms: SharedRooms,
+        links: ServiceLinks,
+    ) -> Arc<Self> {
+        let now = BootClock.now();
+        let part = part_of(service, &group);
+        let mut dispatcher = Dispatcher::configured(configuration, &part, own_data_hall, now);
+        dispatcher.set_view(View::Fleet);
+        let books = Books { dispatcher, allocator: Allocator::default(), asked_at: None };
+        Arc::new(Self { group, books: Mutex::new(books), rooms, links })
+    }
+
+    pub(super) fn update(
+        &self,
+        configuration: &Configuration,
+        service: &Service,
+        own_data_hall: &DataHallName,
+        now: Timestamp,
+    ) {
+        let part = part_of(service, &self.group);
+        self.books.lock().dispatcher.reconfigure(configuration, &part, own_data_hall, now);
+        self.wake_waiting(now);
+    }
+
+    /// A process asks for a target.
+    pub(crate) fn acquire(&self, holder: LeaseHolder, acquire: &Acquire) {
+        let now = BootClock.now();
+        let key = LeaseKey { holder, number: acquire.number.0 };
+        let reply = self.decide(&key, acquire, now);
+        if reply == Reply::Waiting {
+            self.links.waiting.notify_one();
+        }
+        self.links.allocation.reply(&key.holder, acquire.number, reply);
+        self.wake_waiting(now);
+    }
+
+    fn decide(&self, key: &LeaseKey<LeaseHolder>, acquire: &Acquire, now: Timestamp) -> Reply {
+        let Books { dispatcher, allocator, asked_at } = &mut *self.books.lock();
+        *asked_at = Some(now);
+        allocator.keep_only(&key.holder, &numbers(&acquire.held), dispatcher, now);
+        if acquire.may_redirect
+            && !allocator.knows(key)
+            && dispatcher.room(now) == 0
+            && let Some(other) = self.rooms.lock().take(&self.group, now, &mut rand::rng())
+        {
+            return Reply::Redirected(other);
+        }
+        let request = request_of(acquire, dispatcher, now);
+        let allocation = allocator.acquire(key.clone(), request, dispatcher, now, &mut rand::rng());
+        reply_of(allocation)
+    }
+
+    /// A process releases a target, or no longer waits for one.
+    pub(crate) fn release(&self, holder: LeaseHolder, release: &Release) {
+        let now = BootClock.now();
+        let key = LeaseKey { holder, number: release.number.0 };
+        {
+            let Books { dispatcher, allocator, .. } = &mut *self.books.lock();
+            allocator.release(&key, release.observation, dispatcher, now);
+            allocator.keep_only(&key.holder, &numbers(&release.held), dispatcher, now);
+        }
+        self.wake_waiting(now);
+    }
+
+    /// Tells waiting processes what became of their requests.
+    pub(super) fn wake_waiting(&self, now: Timestamp) {
+        let Books { dispatcher, allocator, .. } = &mut *self.books.lock();
+        let rng = &mut rand::rng();
+        while let Some(wake) = dispatcher.next_wake(now, rng) {
+            let (ticket, woken) = match wake {
+                Wake::Send(ticket, grant) => (ticket, Ok(grant)),
+                Wake::Refuse(ticket, refusal) => (ticket, Err(refusal)),
+            };
+            match allocator.woken(ticket, woken, dispatcher, now) {
+                Ok((key, allocation)) => {
+                    let number = LeaseNumber(key.number);
+                    self.links.allocation.reply(&key.holder, number, reply_of(allocation));
+                }
+                // Its holder released it in this very moment.
+                Err(Ok(grant)) => dispatcher.release(grant, now),
+                Err(Err(_)) => {}
+            }
+        }
+    }
+
+    /// Further requests that the targets would serve at nearly their usual pace.
+    pub(crate) fn room(&self, now: Timestamp) -> u32 {
+        self.books.lock().dispatcher.room(now)
+    }
+
+    pub(super) fn has_waiting(&self) -> bool {
+        self.books.lock().dispatcher.has_waiting()
+    }
+
+    /// As [`crate::service::ServiceRuntime::tick`].
+    pub(super) fn tick(&self, now: Timestamp) -> Option<Duration> {
+        let gap = {
+            let Books { dispatcher, allocator, .. } = &mut *self.books.lock();
+            allocator.expire(dispatcher, now);
+            dispatcher.tick(now)
+        };
+        self.wake_waiting(now);
+        gap
+    }
+
+    pub(super) fn adopt_concurrency(&self, number: u32) {
+        self.books.lock().dispatcher.adopt_concurrency(number);
+    }
+
+    pub(super) fn mark_leaving(&self, mark: &LeavingMark) -> bool {
+        self.books.lock().dispatcher.mark_leaving(&mark.target, mark.incarnation)
+    }
+
+    pub(super) fn set_stopped(&self, is_stopped: &impl Fn(&TargetName) -> bool) {
+        self.books.lock().dispatcher.set_stopped(is_stopped);
+    }
+
+    pub(crate) fn learn_probe(&self, name: &TargetName, report: LoadReport) -> Option<LeavingMark> {
+        self.books.lock().dispatcher.learn_probe(name, report, BootClock.now())
+    }
+
+    /// Whether a target was asked for within `time`.
+    pub(crate) fn is_asked_within(&self, time: Duration, now: Timestamp) -> bool {
+        self.books.lock().asked_at.is_some_and(|at| now.since(at) < time)
+    }
+
+    /// Names and addresses of the targets of which nothing was heard for `age`.
+    pub(crate) fn unheard_targets(
+        &self,
+        age: Duration,
+        now: Timestamp,
+    ) -> Vec<(TargetName, SocketAddr)> {
+        self.books.lock().dispatcher.unheard_targets(age, now)
+    }
+
+    pub(super) fn dump(&self, now: Timestamp) -> ServiceDump {
+        self.books.lock().dispatcher.dump(now)
+    }
+}
+
+/// The service with the targets of the group alone.
+fn part_of(service: &Service, group: &Group) -> Service {
+    let targets = service.targets.iter().filter(|target| group.has(target)).cloned().collect();
+    Service { targets, ..service.clone() }
+}
+
+fn request_of(
+    acquire: &Acquire,
+    dispatcher: &mut Dispatcher<AnyStrategy>,
+    now: Timestamp,
+) -> Request {
+    let mut tried = Tried::default();
+    for name in &acquire.tried {
+        if let Some(index) = dispatcher.index_of(name) {
+            tried.add(index);
+        }
+    }
+    let deadline = now + acquire.deadline;
+    Request {
+        priority: acquire.priority,
+        deadline,
+        wait_until: (now + acquire.wait).min(deadline),
+        queue_max: acquire.queue_max,
+        tried,
+        origin: dispatcher.hall_index(&acquire.data_hall),
+    }
+}
+
+fn reply_of(allocation: Allocation) -> Reply {
+    match allocation {
+        Allocation::Granted(target, concurrency) => Reply::Granted(target, concurrency),
+        Allocation::Waiting => Reply::Waiting,
+        Allocation::Refused(refusal) => Reply::Refused(refusal),
+    }
+}
+
+fn numbers(held: &[LeaseNumber]) -> Vec<u64> {
+    held.iter().map(|number| number.0).collect()
+}
--- a/crates/thymeshift_entry/src/service/guards.rs
+++ b/crates/thymeshift_entry/src/service/guards.rs
@@ -12,7 +12,7 @@
 use thymeshift_types::Timestamp;
 use tokio::sync::oneshot;
 
-use crate::allocation_client::Lease;
+use crate::allocation_client::AllocationLease;
 use crate::service::Destination;
 use crate::service::ServiceRuntime;
 use crate::service::Woken;
@@ -22,7 +22,7 @@
     service: Arc<ServiceRuntime>,
     grant: Option<Grant>,
     /// The allocator's count of the same request, if another process chose the target.
-    lease: Option<Lease>,
+    lease: Option<AllocationLease>,
 }
 
 impl GrantGuard {
@@ -30,7 +30,7 @@
         Self { service: service.clone(), grant: Some(grant), lease: None }
     }
 
-    pub(super) fn with_lease(mut self, lease: Lease) -> Self {
+    pub(super) fn with_lease(mut self, lease: AllocationLease) -> Self {
         self.lease = Some(lease);
         self
     }
@@ -41,13 +41,13 @@
 
     pub(crate) fn destination(&self) -> Option<Destination> {
         let grant = self.grant.as_ref()?;
-        let desk = self.service.desk.lock();
-        let name = desk.dispatcher.target_name(grant);
+        let own = self.service.own.lock();
+        let name = own.dispatcher.target_name(grant);
         Some(Destination {
             service: self.service.name().clone(),
             index: Some(grant.target()),
             name,
-            address: desk.dispatcher.address(grant),
+            address: own.dispatcher.address(grant),
         })
     }
 
@@ -60,7 +60,7 @@
         let Some(grant) = &self.grant else {
             return false;
         };
-        self.service.desk.lock().dispatcher.may_send(grant, deadline, BootClock.now())
+        self.service.own.lock().dispatcher.may_send(grant, deadline, BootClock.now())
     }
 
     pub(crate) fn learn(&mut self, observation: Observation) -> Option<LeavingMark> {
@@ -69,7 +69,7 @@
         }
         let grant = self.grant.as_ref()?;
         let now = BootClock.now();
-        self.service.desk.lock().dispatcher.learn(grant, observation, now)
+        self.service.own.lock().dispatcher.learn(grant, observation, now)
     }
 }
 
@@ -99,9 +99,9 @@
 impl Drop for WaitGuard {
     fn drop(&mut self) {
         let granted = {
-            let mut desk = self.service.desk.lock();
-            desk.waiting.remove(&self.ticket);
-            desk.dispatcher.cancel(self.ticket);
+            let mut own = self.service.own.lock();
+            own.waiting.remove(&self.ticket);
+            own.dispatcher.cancel(self.ticket);
             self.receiver.try_recv()
         };
         if let Ok(Ok(grant)) = granted {
--- a/crates/thymeshift_entry/src/service/mod.rs
+++ b/crates/thymeshift_entry/src/service/mod.rs
@@ -1,13 +1,14 @@
-//! One service while the process runs: its dispatcher, who waits, and its connections.
+//! One service while the process runs: who allocates its targets, and its connections.
 //!
 //! * [`guards`]: what a request holds while it has, or waits for, a target.
-//! * [`allocate`]: allocation targets to other processes.
-//! * [`obtain`]: obtaining a target, from a allocator or from the own dispatcher.
+//! * [`group`]: allocating the targets of one group to all processes.
+//! * [`obtain`]: obtaining a target, from an allocator or from the own dispatcher.
 
-mod allocate;
+mod group;
 mod guards;
 mod obtain;
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -15,13 +16,16 @@
 
 use parking_lot::Mutex;
 use parking_lot::RwLock;
-use thymeshift_allocation::Allocator;
+use thymeshift_allocation::Group;
+use thymeshift_allocation::Grouping;
+use thymeshift_allocation::Rooms;
 use thymeshift_config::Configuration;
 use thymeshift_config::Service;
 use thymeshift_dispatch::AnyStrategy;
 use thymeshift_dispatch::Decision;
 use thymeshift_dispatch::Dispatcher;
 use thymeshift_dispatch::Grant;
+use thymeshift_dispatch::LoadReport;
 use thymeshift_dispatch::Refusal;
 use thymeshift_dispatch::Request;
 use thymeshift_dispatch::ServiceDump;
@@ -30,7 +34,6 @@
 use thymeshift_dispatch::View;
 use thymeshift_dispatch::Wake;
 use thymeshift_dispatch::connection_share;
-use thymeshift_fleet::Boot;
 use thymeshift_types::BootClock;
 use thymeshift_types::Clock;
 use thymeshift_types::DataHallName;
@@ -38,47 +41,31 @@
 use thymeshift_types::ServiceName;
 use thymeshift_types::TargetName;
 use thymeshift_types::Timestamp;
-use thymeshift_types::VmName;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
 use crate::allocation_client::AllocationClient;
-use crate::service::obtain::AllocatorOrder;
+use crate::service::obtain::Allocators;
 use crate::target::Pool;
 
+pub(crate) use group::GroupRuntime;
 pub(crate) use guards::GrantGuard;
 pub(crate) use guards::WaitGuard;
 
+/// Time after the last request for a target within which a group's state tells more than
+/// what the process knows by itself.
+const ALLOCATING_WITHIN: Duration = Duration::from_secs(1);
+
 /// What a waiting request hears.
 pub(super) type Woken = Result<Grant, Refusal>;
+/// The room of all groups of a service, shared by those that are allocated here.
+type SharedRooms = Arc<Mutex<Rooms>>;
 
-/// The dispatcher with those who wait for its decisions; under one lock, so that a
-/// decision cannot come before its request waits for it.
-struct Desk {
+/// The dispatcher over this process's own requests, with those who wait for its decisions;
+/// under one lock, so that a decision cannot come before its request waits for it.
+struct OwnRequests {
     dispatcher: Dispatcher<AnyStrategy>,
     waiting: HashMap<Ticket, oneshot::Sender<Woken>>,
-    /// What other processes were granted here.
-    allocator: Allocator<LeaseHolder>,
-    /// When a target was last wanted while this process counted for the fleet.
-    allocated_at: Option<Timestamp>,
-}
-
-impl Desk {
-    /// Says whose requests the counts hold from now on.
-    fn set_view(&mut self, view: View, now: Timestamp) {
-        self.dispatcher.set_view(view);
-        if view == View::Fleet {
-            self.allocated_at = Some(now);
-        }
-    }
-}
-
-/// A process that acquires here. A new start of it is another holder.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct LeaseHolder {
-    pub(crate) vm: VmName,
-    pub(crate) boot: Boot,
-    pub(crate) address: SocketAddr,
 }
 
 /// What all services share.
@@ -89,14 +76,25 @@
     pub(crate) waiting: Arc<Notify>,
 }
 
+/// What is configured, as far as a service depends on it.
+struct Configured {
+    configuration: Arc<Configuration>,
+    service: Arc<Service>,
+    grouping: Grouping,
+}
+
 /// A configured service.
 pub(crate) struct ServiceRuntime {
     name: ServiceName,
-    desk: Mutex<Desk>,
-    settings: RwLock<Arc<Service>>,
+    own_data_hall: DataHallName,
+    configured: RwLock<Arc<Configured>>,
+    own: Mutex<OwnRequests>,
+    /// Groups that are, or were, allocated here.
+    groups: Mutex<BTreeMap<Group, Arc<GroupRuntime>>>,
+    rooms: SharedRooms,
     pool: Arc<Pool>,
     links: ServiceLinks,
-    allocators: Mutex<AllocatorOrder>,
+    allocators: Mutex<Allocators>,
 }
 
 /// Where a granted request goes.
@@ -108,33 +106,46 @@
     pub(crate) address: SocketAddr,
 }
 
-/// What becomes of a request at the desk.
+/// What the own dispatcher decides on a request.
 pub(crate) enum Admitted {
     Send(GrantGuard),
     Wait(WaitGuard),
     Refused(Refusal),
 }
 
+impl Configured {
+    fn new(configuration: &Arc<Configuration>, service: &Service) -> Arc<Self> {
+        Arc::new(Self {
+            configuration: configuration.clone(),
+            service: Arc::new(service.clone()),
+            grouping: Grouping::of(&service.targets),
+        })
+    }
+
+    fn connection_share(&self) -> u32 {
+        let entry_vms_max = self.configuration.entry_vms_max;
+        connection_share(self.service.connections_per_target, entry_vms_max)
+    }
+}
+
 impl ServiceRuntime {
     pub(crate) fn new(
-        configuration: &Configuration,
+        configuration: &Arc<Configuration>,
         service: &Service,
         own_data_hall: &DataHallName,
         links: &ServiceLinks,
     ) -> Arc<Self> {
         let now = BootClock.now();
         let dispatcher = Dispatcher::configured(configuration, service, own_data_hall, now);
-        let share = connection_share(service.connections_per_target, configuration.entry_vms_max);
+        let configured = Configured::new(configuration, service);
         Arc::new(Self {
             name: service.name.clone(),
-            desk: Mutex::new(Desk {
-                dispatcher,
-                waiting: HashMap::new(),
-                allocator: Allocator::default(),
-                allocated_at: None,
-            }),
-            settings: RwLock::new(Arc::new(service.clone())),
-            pool: Pool::new(&service.name, share),
+            own_data_hall: own_data_hall.clone(),
+            pool: Pool::new(&service.name, configured.connection_share()),
+            configured: RwLock::new(configured),
+            own: Mutex::new(OwnRequests { dispatcher, waiting: HashMap::new() }),
+            groups: Mutex::default(),
+            rooms: SharedRooms::default(),
             links: links.clone(),
             allocators: Mutex::default(),
         })
@@ -143,15 +154,18 @@
     /// Takes in a new configuration.
     pub(crate) fn update(
         self: &Arc<Self>,
-        configuration: &Configuration,
+        configuration: &Arc<Configuration>,
         service: &Service,
         own_data_hall: &DataHallName,
     ) {
         let now = BootClock.now();
-        let share = connection_share(service.connections_per_target, configuration.entry_vms_max);
-        *self.settings.write() = Arc::new(service.clone());
-        self.pool.set_share(share);
-        self.desk.lock().dispatcher.reconfigure(configuration, service, own_data_hall, now);
+        let configured = Configured::new(configuration, service);
+        self.pool.set_share(configured.connection_share());
+        *self.configured.write() = configured;
+        self.own.lock().dispatcher.reconfigure(configuration, service, own_data_hall, now);
+        for group in self.groups() {
+            group.update(configuration, service, own_data_hall, now);
+        }
         self.wake_waiting(now);
     }
 
@@ -159,14 +173,57 @@
         &self.name
     }
 
+    fn configured(&self) -> Arc<Configured> {
+        self.configured.read().clone()
+    }
+
     pub(crate) fn settings(&self) -> Arc<Service> {
-        self.settings.read().clone()
+        self.configured.read().service.clone()
     }
 
     pub(crate) fn pool(&self) -> &Arc<Pool> {
         &self.pool
     }
 
+    /// The groups that are, or were, allocated here.
+    pub(crate) fn groups(&self) -> Vec<Arc<GroupRuntime>> {
+        self.groups.lock().values().cloned().collect()
+    }
+
+    /// A group to allocate here. It begins with what its earlier allocator told.
+    pub(crate) fn group(&self, group: &Group) -> Arc<GroupRuntime> {
+        // Not under the lock below: whoever works out the order of allocators takes others.
+        let told = self.allocators.lock().told_concurrency(group);
+        let mut groups = self.groups.lock();
+        if let Some(known) = groups.get(group) {
+            return known.clone();
+        }
+        let configured = self.configured();
+        let runtime = GroupRuntime::new(
+            group.clone(),
+            &configured.configuration,
+            &configured.service,
+            &self.own_data_hall,
+            self.rooms.clone(),
+            self.links.clone(),
+        );
+        if let Some(number) = told {
+            runtime.adopt_concurrency(number);
+        }
+        groups.insert(group.clone(), runtime.clone());
+        runtime
+    }
+
+    /// The groups that the targets are divided into.
+    pub(crate) fn divided_into(&self) -> Vec<Group> {
+        self.configured().grouping.iter().cloned().collect()
+    }
+
+    /// Another group told its room.
+    pub(crate) fn learn_room(&self, group: Group, room: u32) {
+        self.rooms.lock().learn(group, room, BootClock.now());
+    }
+
     /// Asks this process's own dispatcher for a target.
     pub(crate) fn admit(
         self: &Arc<Self>,
@@ -174,123 +231,130 @@
         view: View,
         now: Timestamp,
     ) -> Admitted {
-        let mut desk = self.desk.lock();
-        desk.set_view(view, now);
-        match desk.dispatcher.request(request, now, &mut rand::rng()) {
+        let mut own = self.own.lock();
+        own.dispatcher.set_view(view);
+        match own.dispatcher.request(request, now, &mut rand::rng()) {
             Decision::Send(grant) => Admitted::Send(GrantGuard::new(self, grant)),
             Decision::Refuse(refusal) => Admitted::Refused(refusal),
             Decision::Wait(ticket) => {
                 self.links.waiting.notify_one();
                 let (sender, receiver) = oneshot::channel();
-                desk.waiting.insert(ticket, sender);
+                own.waiting.insert(ticket, sender);
                 Admitted::Wait(WaitGuard { service: self.clone(), ticket, receiver })
             }
         }
     }
 
     pub(crate) fn has_retry(&self) -> bool {
-        self.desk.lock().dispatcher.has_retry()
+        self.own.lock().dispatcher.has_retry()
     }
 
     pub(crate) fn try_retry(&self) -> bool {
-        self.desk.lock().dispatcher.try_retry()
+        self.own.lock().dispatcher.try_retry()
     }
 
     /// Whether requests wait here, of this process or of others.
     pub(crate) fn has_waiting(&self) -> bool {
-        self.desk.lock().dispatcher.has_waiting()
+        self.own.lock().dispatcher.has_waiting()
+            || self.groups().iter().any(|group| group.has_waiting())
     }
 
     /// Must run every few tens of milliseconds while requests wait. Returns a pause of this process.
     pub(crate) fn tick(&self, now: Timestamp) -> Option<Duration> {
-        let gap = {
-            let Desk { dispatcher, allocator, .. } = &mut *self.desk.lock();
-            allocator.expire(dispatcher, now);
-            dispatcher.tick(now)
-        };
+        let gap = self.own.lock().dispatcher.tick(now);
         self.wake_waiting(now);
-        gap
+        let gaps = self.groups().into_iter().filter_map(|group| group.tick(now));
+        gaps.chain(gap).max()
     }
 
     pub(crate) fn mark_leaving(&self, mark: &LeavingMark) -> bool {
-        let is_news = self.desk.lock().dispatcher.mark_leaving(&mark.target, mark.incarnation);
+        let mut is_news = self.own.lock().dispatcher.mark_leaving(&mark.target, mark.incarnation);
+        let groups = self.groups();
+        for group in &groups {
+            is_news |= group.mark_leaving(mark);
+        }
         if is_news {
-            self.wake_waiting(BootClock.now());
+            self.wake_all(&groups);
         }
         is_news
     }
 
-    pub(crate) fn set_stopped(&self, is_stopped: impl FnMut(&TargetName) -> bool) {
-        self.desk.lock().dispatcher.set_stopped(is_stopped);
-        self.wake_waiting(BootClock.now());
-    }
-
-    pub(crate) fn learn_probe(
-        &self,
-        name: &TargetName,
-        report: thymeshift_dispatch::LoadReport,
-    ) -> Option<LeavingMark> {
-        self.desk.lock().dispatcher.learn_probe(name, report, BootClock.now())
+    pub(crate) fn set_stopped(&self, is_stopped: impl Fn(&TargetName) -> bool) {
+        self.own.lock().dispatcher.set_stopped(&is_stopped);
+        let groups = self.groups();
+        for group in &groups {
+            group.set_stopped(&is_stopped);
+        }
+        self.wake_all(&groups);
     }
 
-    pub(crate) fn probe_targets(&self) -> Vec<Destination> {
-        let desk = self.desk.lock();
-        let targets = desk.dispatcher.probe_targets();
-        targets.map(|(name, address)| self.destination(name, address)).collect()
+    fn wake_all(&self, groups: &[Arc<GroupRuntime>]) {
+        let now = BootClock.now();
+        self.wake_waiting(now);
+        for group in groups {
+            group.wake_waiting(now);
+        }
     }
 
-    /// Whether targets were granted here within `time`.
-    pub(crate) fn is_allocating_within(&self, time: Duration, now: Timestamp) -> bool {
-        let desk = self.desk.lock();
-        let is_recent = desk.allocated_at.is_some_and(|at| now.since(at) < time);
-        is_recent && desk.dispatcher.view() == View::Fleet
+    pub(crate) fn learn_probe(&self, name: &TargetName, report: LoadReport) -> Option<LeavingMark> {
+        self.own.lock().dispatcher.learn_probe(name, report, BootClock.now())
     }
 
-    /// Targets of which nothing was heard for `age`.
-    pub(crate) fn unheard_targets(&self, age: Duration, now: Timestamp) -> Vec<Destination> {
-        let unheard = self.desk.lock().dispatcher.unheard_targets(age, now);
-        unheard.into_iter().map(|(name, address)| self.destination(name, address)).collect()
+    pub(crate) fn probe_targets(&self) -> Vec<Destination> {
+        let own = self.own.lock();
+        let targets = own.dispatcher.probe_targets();
+        targets.map(|(name, address)| self.destination(name, address)).collect()
     }
 
-    fn destination(&self, name: TargetName, address: SocketAddr) -> Destination {
+    pub(crate) fn destination(&self, name: TargetName, address: SocketAddr) -> Destination {
         Destination { service: self.name.clone(), index: None, name, address }
     }
 
+    /// What this process believes: of targets that it allocates, what it knows as their
+    /// allocator.
     pub(crate) fn dump(&self, now: Timestamp) -> ServiceDump {
-        self.desk.lock().dispatcher.dump(now)
+        let mut dump = self.own.lock().dispatcher.dump(now);
+        for group in self.groups() {
+            if !group.is_asked_within(ALLOCATING_WITHIN, now) {
+                continue;
+            }
+            let known = group.dump(now);
+            dump.view = known.view;
+            dump.queues.extend(known.queues);
+            dump.expected_wait_us = dump.expected_wait_us.max(known.expected_wait_us);
+            for target in known.targets {
+                let place = dump.targets.iter_mut().find(|own| own.name == target.name);
+                if let Some(place) = place {
+                    *place = target;
+                }
+            }
+        }
+        dump
     }
 
     /// Tells waiting requests what became of them.
     fn wake_waiting(&self, now: Timestamp) {
-        let mut desk = self.desk.lock();
-        let desk = &mut *desk;
+        let OwnRequests { dispatcher, waiting } = &mut *self.own.lock();
         let rng = &mut rand::rng();
-        while let Some(wake) = desk.dispatcher.next_wake(now, rng) {
+        while let Some(wake) = dispatcher.next_wake(now, rng) {
             let (ticket, woken) = match wake {
                 Wake::Send(ticket, grant) => (ticket, Ok(grant)),
                 Wake::Refuse(ticket, refusal) => (ticket, Err(refusal)),
             };
-            let woken = match desk.allocator.woken(ticket, woken, &desk.dispatcher, now) {
-                Ok((key, allocation)) => {
-                    self.tell(&key, allocation);
-                    continue;
-                }
-                Err(woken) => woken,
-            };
-            let unheard = match desk.waiting.remove(&ticket) {
+            let unheard = match waiting.remove(&ticket) {
                 Some(sender) => sender.send(woken).err(),
                 None => Some(woken),
             };
             // Its caller went away in this very moment.
             if let Some(Ok(grant)) = unheard {
-                desk.dispatcher.release(grant, now);
+                dispatcher.release(grant, now);
             }
         }
     }
 
     pub(super) fn release(&self, grant: Grant) {
         let now = BootClock.now();
-        self.desk.lock().dispatcher.release(grant, now);
+        self.own.lock().dispatcher.release(grant, now);
         self.wake_waiting(now);
     }
 }
--- a/crates/thymeshift_entry/src/service/obtain.rs
+++ b/crates/thymeshift_entry/src/service/obtain.rs
@@ -1,10 +1,13 @@
-//! Obtaining a target: from the process that allocates the service's targets, or, where there
-//! is none that answers, from the own dispatcher.
+//! Obtaining a target: from the process that allocates a group of the service's targets, or,
+//! where there is none that answers, from the own dispatcher.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use metrics::counter;
+use rand::Rng;
+use thymeshift_allocation::Group;
 use thymeshift_dispatch::Refusal;
 use thymeshift_dispatch::Request;
 use thymeshift_dispatch::Tried;
@@ -17,6 +20,7 @@
 use tokio::time::timeout;
 
 use crate::allocation_client::Acquisition;
+use crate::allocation_client::Allocating;
 use crate::allocation_client::AllocatorPlace;
 use crate::allocation_client::Reply;
 use crate::allocation_client::Wanted;
@@ -25,27 +29,56 @@
 use crate::service::ServiceRuntime;
 use crate::shared::Shared;
 
-/// Longest wait for a allocator's first word.
+/// Longest wait for an allocator's first word.
 const FIRST_WORD_LIMIT: Duration = Duration::from_millis(25);
-/// How much later than the end of its wait a allocator's last word may come.
+/// How much later than the end of its wait an allocator's last word may come.
 const LAST_WORD_SLACK: Duration = Duration::from_millis(25);
-/// AllocatorOrder asked for one request before the process decides alone.
+/// Allocators of one group asked for one request.
 const ALLOCATORS_ASKED_MAX: usize = 2;
-/// How long the order of allocators is kept before it is worked out anew.
-const ORDER_KEPT: Duration = Duration::from_millis(200);
+/// How long the order of allocators is kept before it is worked out anew. One that is gone is
+/// noticed by its silence.
+const ORDER_KEPT: Duration = Duration::from_secs(1);
+
+/// Processes in the order in which they allocate a group; None is this process.
+pub(crate) type AllocatorOrder = Arc<[Option<AllocatorPlace>]>;
+
+/// What is known of the allocators of each group.
+#[derive(Default)]
+pub(super) struct Allocators(HashMap<Group, GroupAllocators>);
 
-/// Processes in the order in which they allocate a service's targets; None is this process.
 #[derive(Default)]
-pub(super) struct AllocatorOrder {
-    order: Arc<[Option<AllocatorPlace>]>,
+struct GroupAllocators {
+    order: AllocatorOrder,
     made_at: Option<Timestamp>,
+    concurrency: Option<u32>,
 }
 
-/// What a allocator's word came to.
+impl Allocators {
+    fn fresh_order(&self, group: &Group, now: Timestamp) -> Option<AllocatorOrder> {
+        let known = self.0.get(group)?;
+        let is_fresh = known.made_at.is_some_and(|at| now.since(at) < ORDER_KEPT);
+        is_fresh.then(|| known.order.clone())
+    }
+
+    fn keep_order(&mut self, group: &Group, order: AllocatorOrder, now: Timestamp) {
+        let known = self.0.entry(group.clone()).or_default();
+        known.order = order;
+        known.made_at = Some(now);
+    }
+
+    /// The most requests that one target of the group serves well at a time, as its allocator
+    /// told last.
+    pub(super) fn told_concurrency(&self, group: &Group) -> Option<u32> {
+        self.0.get(group)?.concurrency
+    }
+}
+
+/// What asking the allocators of one group came to.
 enum Asked {
     Granted(GrantGuard),
     Refused(Refusal),
-    /// It did not answer, does not allocate, or granted a target that may not be used.
+    Redirected(Group),
+    /// None answered or allocates, or a target was granted that may not be used.
     Useless,
 }
 
@@ -56,15 +89,16 @@
         shared: &Shared,
         request: Request,
     ) -> Result<GrantGuard, Option<Refusal>> {
-        let view = match self.ask_allocators(shared, &request).await {
-            AskedAll::Decided(decided) => return decided.map_err(Some),
-            AskedAll::DecideAs(view) => view,
-        };
-        let by = match view {
-            View::Own => "alone",
-            View::Fleet => "own_books",
-            View::Fallback => "fallback",
-        };
+        let has_allocators = self.links.allocation.socket().is_some();
+        if has_allocators {
+            match self.ask_groups(shared, &request).await {
+                Asked::Granted(grant) => return Ok(grant),
+                Asked::Refused(refusal) => return Err(Some(refusal)),
+                Asked::Redirected(_) | Asked::Useless => {}
+            }
+        }
+        let (view, by) =
+            if has_allocators { (View::Fallback, "fallback") } else { (View::Own, "alone") };
         counter!(metric::OBTAINED, "by" => by).increment(1);
         match self.admit(request, view, BootClock.now()) {
             Admitted::Send(grant) => Ok(grant),
@@ -79,53 +113,92 @@
         }
     }
 
-    async fn ask_allocators(self: &Arc<Self>, shared: &Shared, request: &Request) -> AskedAll {
-        if self.links.allocation.socket().is_none() {
-            return AskedAll::DecideAs(View::Own);
+    /// Asks for a target of the own data hall's group, and of another one if that has no
+    /// room.
+    async fn ask_groups(self: &Arc<Self>, shared: &Shared, request: &Request) -> Asked {
+        let configured = self.configured();
+        let grouping = &configured.grouping;
+        let first = grouping.first_for(&self.own_data_hall, rand::rng().random());
+        let other = match self.ask_group(shared, first, grouping.is_divided(), request).await {
+            Asked::Redirected(other) => other,
+            asked => return asked,
+        };
+        match self.ask_group(shared, &other, false, request).await {
+            Asked::Useless => self.ask_group(shared, first, false, request).await,
+            asked => asked,
         }
+    }
+
+    async fn ask_group(
+        self: &Arc<Self>,
+        shared: &Shared,
+        group: &Group,
+        may_redirect: bool,
+        request: &Request,
+    ) -> Asked {
         let now = BootClock.now();
-        let order = self.order(shared, now);
-        let usable = order.iter().filter(|allocator| match allocator {
-            Some(allocator) => !self.links.allocation.is_passed_over(&allocator.vm, now),
+        let order = self.allocator_order(shared, group, now);
+        let usable = order.iter().filter(|place| match place {
+            Some(place) => !self.links.allocation.is_passed_over(&place.vm, now),
             None => !shared.is_stopping(),
         });
-        for allocator in usable.take(ALLOCATORS_ASKED_MAX) {
-            let Some(allocator) = allocator else {
-                return AskedAll::DecideAs(View::Fleet);
+        for place in usable.take(ALLOCATORS_ASKED_MAX) {
+            let (allocating, by) = match place {
+                Some(place) => (Allocating::There(place.clone()), "allocator"),
+                None => (Allocating::Here(self.group(group)), "own_books"),
             };
-            match self.ask(allocator, request).await {
-                Asked::Granted(grant) => {
-                    counter!(metric::OBTAINED, "by" => "allocator").increment(1);
-                    return AskedAll::Decided(Ok(grant));
-                }
-                Asked::Refused(refusal) => return AskedAll::Decided(Err(refusal)),
+            let wanted = self.wanted(group, may_redirect, request);
+            match self.ask(&allocating, wanted, request).await {
                 Asked::Useless => {}
+                asked => {
+                    if matches!(asked, Asked::Granted(_)) {
+                        counter!(metric::OBTAINED, "by" => by).increment(1);
+                    }
+                    return asked;
+                }
             }
         }
-        AskedAll::DecideAs(View::Fallback)
+        Asked::Useless
     }
 
-    fn order(&self, shared: &Shared, now: Timestamp) -> Arc<[Option<AllocatorPlace>]> {
-        let mut allocators = self.allocators.lock();
-        let is_fresh = allocators.made_at.is_some_and(|at| now.since(at) < ORDER_KEPT);
-        if !is_fresh {
-            allocators.order = shared.allocator_order(self.name(), now).into();
-            allocators.made_at = Some(now);
-        }
-        allocators.order.clone()
-    }
-
-    async fn ask(self: &Arc<Self>, allocator: &AllocatorPlace, request: &Request) -> Asked {
+    fn wanted(&self, group: &Group, may_redirect: bool, request: &Request) -> Wanted {
         let now = BootClock.now();
-        let wanted = Wanted {
+        Wanted {
             service: self.name().clone(),
+            group: group.clone(),
+            may_redirect,
             priority: request.priority,
             deadline: now.until(request.deadline),
             wait: now.until(request.wait_until),
             queue_max: request.queue_max,
             tried: self.names(&request.tried),
-        };
-        let mut acquisition = self.links.allocation.acquire(allocator, wanted);
+        }
+    }
+
+    /// The processes that allocate a group, first choice first; None is this process.
+    pub(crate) fn allocator_order(
+        &self,
+        shared: &Shared,
+        group: &Group,
+        now: Timestamp,
+    ) -> AllocatorOrder {
+        if let Some(order) = self.allocators.lock().fresh_order(group, now) {
+            return order;
+        }
+        // Not under the lock: this takes the fleet's.
+        let order: Arc<[_]> = shared.allocator_order(self.name(), group, now).into();
+        self.allocators.lock().keep_order(group, order.clone(), now);
+        order
+    }
+
+    async fn ask(
+        self: &Arc<Self>,
+        allocating: &Allocating,
+        wanted: Wanted,
+        request: &Request,
+    ) -> Asked {
+        let group = wanted.group.clone();
+        let mut acquisition = self.links.allocation.acquire(allocating, wanted);
         let mut limit = FIRST_WORD_LIMIT;
         loop {
             match timeout(limit, acquisition.replies.recv()).await {
@@ -133,36 +206,44 @@
                     limit = BootClock.now().until(request.wait_until) + LAST_WORD_SLACK;
                 }
                 Ok(Some(Reply::Granted(target, concurrency))) => {
-                    return self.take_lease(acquisition, &target, concurrency);
+                    return self.take_lease(acquisition, &group, &target, concurrency);
                 }
                 Ok(Some(Reply::Refused(refusal))) => {
                     acquisition.lease.closed_by_allocator();
                     return Asked::Refused(refusal);
                 }
+                Ok(Some(Reply::Redirected(group))) => {
+                    acquisition.lease.closed_by_allocator();
+                    return Asked::Redirected(group);
+                }
                 Ok(Some(Reply::Declined)) => {
                     acquisition.lease.closed_by_allocator();
-                    self.links.allocation.pass_over(&allocator.vm, BootClock.now());
+                    self.pass_over(allocating);
                     return Asked::Useless;
                 }
                 Ok(None) | Err(_) => {
-                    self.links.allocation.pass_over(&allocator.vm, BootClock.now());
+                    self.pass_over(allocating);
                     return Asked::Useless;
                 }
             }
         }
     }
 
+    fn pass_over(&self, allocating: &Allocating) {
+        if let Allocating::There(place) = allocating {
+            self.links.allocation.pass_over(&place.vm, BootClock.now());
+        }
+    }
+
     fn take_lease(
         self: &Arc<Self>,
         acquisition: Acquisition,
+        group: &Group,
         target: &TargetName,
         concurrency: u32,
     ) -> Asked {
-        let granted = {
-            let mut desk = self.desk.lock();
-            desk.dispatcher.adopt_concurrency(concurrency);
-            desk.dispatcher.grant_at(target, BootClock.now())
-        };
+        self.allocators.lock().0.entry(group.clone()).or_default().concurrency = Some(concurrency);
+        let granted = self.own.lock().dispatcher.grant_at(target, BootClock.now());
         match granted {
             Some(grant) => {
                 Asked::Granted(GrantGuard::new(self, grant).with_lease(acquisition.lease))
@@ -172,13 +253,7 @@
     }
 
     fn names(&self, tried: &Tried) -> Vec<TargetName> {
-        let desk = self.desk.lock();
-        tried.iter().map(|index| desk.dispatcher.name_at(index)).collect()
+        let own = self.own.lock();
+        tried.iter().map(|index| own.dispatcher.name_at(index)).collect()
     }
 }
-
-/// What asking all allocators came to.
-enum AskedAll {
-    Decided(Result<GrantGuard, Refusal>),
-    DecideAs(View),
-}
--- a/crates/thymeshift_entry/src/shared.rs
+++ b/crates/thymeshift_entry/src/shared.rs
@@ -1,6 +1,7 @@
 //! What all tasks of the process share.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 
 use metrics::counter;
@@ -9,11 +10,13 @@
 use parking_lot::RwLock;
 use spdlog::error;
 use spdlog::info;
+use thymeshift_allocation::Group;
 use thymeshift_config::Configuration;
 use thymeshift_config::Discovery;
 use thymeshift_config::Settings;
 use thymeshift_config::TargetState;
 use thymeshift_fleet::Boot;
+use thymeshift_fleet::Member;
 use thymeshift_fleet::Offer;
 use thymeshift_fleet::OrderSubject;
 use thymeshift_fleet::Phase;
@@ -36,6 +39,7 @@
 use crate::allocation_client::AllocationClient;
 use crate::allocation_client::AllocatorPlace;
 use crate::control_plane::Links;
+use crate::control_plane::tell_below;
 use crate::fleet::Fleet;
 use crate::routing::Routing;
 use crate::service::ServiceLinks;
@@ -74,6 +78,8 @@
     pub(crate) waiting: Arc<Notify>,
     /// Bounds the log lines about single requests.
     pub(crate) request_lines: LineBudget,
+    /// Whether this process waits for a document from the one above it in its data hall.
+    pub(crate) is_awaiting_relay: AtomicBool,
     /// Whether targets are discovered apart from the configuration.
     discovers: bool,
     pub(crate) metrics_text: MetricsText,
@@ -90,7 +96,7 @@
         metrics_text: MetricsText,
     ) -> Arc<Self> {
         Arc::new(Self {
-            fleet: Mutex::new(Fleet::new(&settings, boot)),
+            fleet: Mutex::new(Fleet::new(&settings, boot, BootClock.now())),
             allocation: AllocationClient::new(
                 socket,
                 settings.vm.clone(),
@@ -99,6 +105,7 @@
             ),
             waiting: Arc::default(),
             request_lines: LineBudget::new(REQUEST_LINES_PER_S),
+            is_awaiting_relay: AtomicBool::new(false),
             discovers,
             settings_path,
             settings: RwLock::new(Arc::new(settings)),
@@ -136,24 +143,34 @@
         *self.settings.write() = Arc::new(settings);
     }
 
-    /// The processes in the order in which they allocate the targets of `service`; None is this
-    /// process.
+    /// The processes in the order in which they allocate a group of `service`'s targets; None
+    /// is this process. A data hall's group is allocated within the hall, if it has processes.
     pub(crate) fn allocator_order(
         &self,
         service: &ServiceName,
+        group: &Group,
         now: Timestamp,
     ) -> Vec<Option<AllocatorPlace>> {
         let fleet = self.fleet.lock();
-        let own = &fleet.members.own().vm;
-        let others = fleet.members.serving(now).map(|member| &member.vm);
-        let order = ranked(service.as_str(), others.chain([own]));
+        let own = fleet.members.own();
+        let is_near = |member: &&Member| match group {
+            Group::All => true,
+            Group::Hall(hall) => member.data_hall == *hall,
+        };
+        let all: Vec<&Member> = fleet.members.serving(now).chain([own]).collect();
+        let mut near: Vec<&Member> = all.iter().copied().filter(is_near).collect();
+        if near.is_empty() {
+            near = all;
+        }
+        let task = format!("allocate {service}/{group}");
+        let order = ranked(&task, near.into_iter().map(Member::contender));
         let place = |vm: &VmName| {
             let address = fleet.members.find(vm)?.datagram_address?;
             Some(AllocatorPlace { vm: vm.clone(), address })
         };
         order
             .into_iter()
-            .filter_map(|vm| if vm == own { Some(None) } else { place(vm).map(Some) })
+            .filter_map(|vm| if *vm == own.vm { Some(None) } else { place(vm).map(Some) })
             .collect()
     }
 
@@ -188,7 +205,7 @@
         log_offer("configuration", offer, published, source, rejection);
         if offer == Offer::Adopted {
             gauge!(metric::REVISION).set(published.head().revision.as_u64() as f64);
-            self.news.notify_one();
+            self.pass_on();
         }
         offer
     }
@@ -199,18 +216,40 @@
         let mut fleet = self.fleet.lock();
         let (offer, adopted) = fleet.targets.offer(published, now, Discovery::parse);
         if let Some(discovery) = adopted {
-            fleet.discovery = Some(discovery);
+            let kept = fleet.take_discovery(discovery, now);
+            if kept > 0 {
+                info!("targets_kept", kv: { kept, revision: = published.head().revision });
+            }
             self.put_in_force(&mut fleet, now);
         }
         let rejection = fleet.targets.rejection().map(|rejection| rejection.mistakes.clone());
         drop(fleet);
         log_offer("targets", offer, published, source, rejection);
         if offer == Offer::Adopted {
-            self.news.notify_one();
+            self.pass_on();
         }
         offer
     }
 
+    /// Drops targets that were kept after an outage of the source and not listed again.
+    pub(crate) fn drop_kept_targets(&self, now: Timestamp) {
+        let mut fleet = self.fleet.lock();
+        if fleet.drop_kept(now) {
+            info!("kept_targets_dropped");
+            self.put_in_force(&mut fleet, now);
+        }
+    }
+
+    /// Tells other processes that there is a new document here: those below in the data hall
+    /// where there are datagrams, else a few peers.
+    fn pass_on(&self) {
+        if self.allocation.socket().is_some() {
+            tell_below(self);
+        } else {
+            self.news.notify_one();
+        }
+    }
+
     /// Under the fleet's lock, so that routings replace each other in the order of their
     /// revisions.
     fn put_in_force(&self, fleet: &mut Fleet, now: Timestamp) {
--- a/crates/thymeshift_entry/src/target/pace_probe.rs
+++ b/crates/thymeshift_entry/src/target/pace_probe.rs
@@ -26,6 +26,7 @@
 use tokio::time::timeout;
 
 use crate::service::Destination;
+use crate::service::GroupRuntime;
 use crate::service::ServiceRuntime;
 use crate::shared::Shared;
 use crate::target::probe::ask;
@@ -68,24 +69,43 @@
             continue;
         };
         let now = BootClock.now();
-        if !service.is_allocating_within(IN_USE, now) {
-            continue;
-        }
-        is_allocating = true;
-        for destination in service.unheard_targets(age, now) {
-            if probing.lock().insert(destination.clone()) {
-                let (service, probe, probing) = (service.clone(), probe.clone(), probing.clone());
-                let shared = shared.clone();
-                tokio::spawn(async move {
-                    run_probe::<D>(&shared, &service, &destination, &probe).await;
-                    probing.lock().remove(&destination);
-                });
+        for group in service.groups() {
+            if !group.is_asked_within(IN_USE, now) {
+                continue;
+            }
+            is_allocating = true;
+            for (name, address) in group.unheard_targets(age, now) {
+                let destination = service.destination(name, address);
+                if probing.lock().insert(destination.clone()) {
+                    let subject = Subject { service: service.clone(), group: group.clone() };
+                    begin::<D>(shared, subject, destination, probe.clone(), probing.clone());
+                }
             }
         }
     }
     is_allocating
 }
 
+/// Whose target is probed.
+struct Subject {
+    service: Arc<ServiceRuntime>,
+    group: Arc<GroupRuntime>,
+}
+
+fn begin<D: Dialect>(
+    shared: &Arc<Shared>,
+    subject: Subject,
+    destination: Destination,
+    probe: Probe,
+    probing: Probing,
+) {
+    let shared = shared.clone();
+    tokio::spawn(async move {
+        run_probe::<D>(&shared, &subject, &destination, &probe).await;
+        probing.lock().remove(&destination);
+    });
+}
+
 /// Shortest time between two probes of a target that the budget allows a allocator.
 fn age_allowed(service: &Service, probe: &Probe) -> Option<Duration> {
     let probes_per_s = service.measuring_budget_us_per_s / probe.cost_us.max(1) / ALLOCATORS_MAX;
@@ -95,17 +115,18 @@
 
 async fn run_probe<D: Dialect>(
     shared: &Arc<Shared>,
-    service: &Arc<ServiceRuntime>,
+    subject: &Subject,
     destination: &Destination,
     probe: &Probe,
 ) {
+    let Subject { service, group } = subject;
     let limit = Duration::from_millis(probe.timeout_ms);
     let answer = timeout(limit, ask::<D>(service, destination.address, probe, limit)).await;
     let name = service.name().as_str().to_owned();
     counter!(metric::PROBES, "service" => name.clone()).increment(1);
     counter!(metric::MEASURING_US, "service" => name).increment(probe.cost_us);
     if let Ok(Some(report)) = answer
-        && let Some(mark) = service.learn_probe(&destination.name, report)
+        && let Some(mark) = group.learn_probe(&destination.name, report)
     {
         shared.note_leaving(&mark, "probe");
     }
--- a/crates/thymeshift_fleet/src/lib.rs
+++ b/crates/thymeshift_fleet/src/lib.rs
@@ -6,6 +6,8 @@
 //! * [`WatchElection`]: who reads the platform, a few at a time, without an election.
 //! * [`LeavingRegister`]: targets that get no new work, sticky for each incarnation.
 //! * [`Members`]: who else is there, from direct evidence and passed-on heartbeats.
+//! * [`Readers`]: who reads the source, a few at a time, by rank.
+//! * [`relay_place`]: how a document reaches all processes of a data hall.
 //! * [`Orders`]: operators' temporary orders, the same everywhere in any order of arrival.
 //!
 //! Times are arguments; after a pause of its own a process calls `paused` on what has such
@@ -22,6 +24,7 @@
 mod published;
 mod rank;
 mod readers;
+mod relay;
 mod watch;
 
 pub use adoption::Adoption;
@@ -48,8 +51,13 @@
 pub use orders::Orders;
 pub use published::Head;
 pub use published::Published;
+pub use rank::Contender;
 pub use rank::ranked;
 pub use readers::Readers;
 pub use readers::Turn;
+pub use relay::FAN_OUT;
+pub use relay::RELAY_PATIENCE;
+pub use relay::RelayPlace;
+pub use relay::relay_place;
 pub use watch::WatchElection;
 pub use watch::Watcher;
--- a/crates/thymeshift_fleet/src/members.rs
+++ b/crates/thymeshift_fleet/src/members.rs
@@ -20,11 +20,14 @@
 use rand::seq::IteratorRandom;
 use serde::Deserialize;
 use serde::Serialize;
+use thymeshift_types::Capacity;
 use thymeshift_types::DataHallName;
 use thymeshift_types::Revision;
 use thymeshift_types::Timestamp;
 use thymeshift_types::VmName;
 
+use crate::Contender;
+
 /// Members kept at most.
 const MEMBERS_MAX: usize = 4_096;
 /// Other members passed on in one regular message. With two exchanges a second it keeps the
@@ -44,6 +47,9 @@
 /// Time after which a member that is gone is forgotten.
 const FORGET_AFTER: Duration = Duration::from_mins(10);
 
+/// One in so many picks of peers goes beyond the own data hall.
+const PICKS_PER_OTHER_HALL: u32 = 4;
+
 /// Tells two starts of a process on one VM apart. Larger is later.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize,
@@ -94,6 +100,8 @@
     pub datagram_address: Option<SocketAddr>,
     /// Its data hall.
     pub data_hall: DataHallName,
+    /// Its VM's capacity.
+    pub capacity: Capacity,
     /// What it says of itself.
     pub phase: Phase,
     /// The configuration's revision in force there.
@@ -101,6 +109,11 @@
 }
 
 impl Member {
+    /// This process as one that may be given a task.
+    pub fn contender(&self) -> Contender<'_> {
+        Contender { vm: &self.vm, capacity: self.capacity }
+    }
+
     fn is_newer_than(&self, other: &Self) -> bool {
         (self.boot, self.heartbeat) > (other.boot, other.heartbeat)
     }
@@ -256,15 +269,21 @@
 
     /// Up to `count` addresses to talk to next. Suspects are tried now and then; an
     /// address from settings or the platform's list that belongs to no known member is
-    /// tried like a member.
+    /// tried like a member. In a large fleet most talk stays within the data hall: the ways
+    /// between halls are longer and may cost.
     pub fn pick(&self, count: usize, now: Timestamp, rng: &mut impl Rng) -> Vec<SocketAddr> {
         let patience = self.patience();
+        let is_local =
+            self.known.len() >= MEMBERS_PER_PATIENCE && !rng.random_ratio(1, PICKS_PER_OTHER_HALL);
+        let is_near =
+            move |known: &&Known| !is_local || known.member.data_hall == self.own.data_hall;
         let members = self.known.values().filter(|known| match known.liveness(patience, now) {
             Liveness::Alive => true,
             Liveness::Suspect => known.unanswered < 3 || rng.random_ratio(1, 8),
             Liveness::Gone => false,
         });
-        let members: Vec<SocketAddr> = members.map(|known| known.member.peer_address).collect();
+        let members: Vec<SocketAddr> =
+            members.filter(is_near).map(|known| known.member.peer_address).collect();
         let is_unknown = |hint: &&SocketAddr| {
             let is_known = self.known.values().any(|known| known.member.peer_address == **hint);
             !is_known && **hint != self.own.peer_address
--- a/crates/thymeshift_fleet/src/rank.rs
+++ b/crates/thymeshift_fleet/src/rank.rs
@@ -1,15 +1,42 @@
 //! The order of processes for a task: the same wherever the same processes are known.
 //!
-//! Rendezvous hashing: each process gets a number from its own name and the task's. One that
-//! comes or goes changes the order of no two others, so that little work moves.
+//! Rendezvous hashing with weights: each process gets a number from its own name, the task's
+//! and its VM's capacity. One that comes or goes changes the order of no two others, so that
+//! little work moves. Work for the whole fleet should hardly ever fall on a small VM while
+//! there are large ones, so the weight is the cube of the capacity.
 
+use thymeshift_types::Capacity;
 use thymeshift_types::VmName;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// `members` in the order in which they are asked to do `task`.
-pub fn ranked<'a>(task: &str, members: impl Iterator<Item = &'a VmName>) -> Vec<&'a VmName> {
+/// Power of the capacity that a process is weighted by.
+const CAPACITY_POWER: i32 = 3;
+/// Number of hashes there are.
+const HASHES: f64 = 18_446_744_073_709_551_616.0;
+
+/// A process that may be given a task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Contender<'a> {
+    /// Its VM.
+    pub vm: &'a VmName,
+    /// Its VM's capacity.
+    pub capacity: Capacity,
+}
+
+/// `contenders` in the order in which they are asked to do `task`.
+pub fn ranked<'a>(task: &str, contenders: impl Iterator<Item = Contender<'a>>) -> Vec<&'a VmName> {
     let seed = xxh3_64_with_seed(task.as_bytes(), 0);
-    let mut ranked: Vec<&VmName> = members.collect();
-    ranked.sort_by_cached_key(|vm| (xxh3_64_with_seed(vm.as_str().as_bytes(), seed), vm.as_str()));
-    ranked
+    let scored = contenders.map(|contender| (score(contender, seed), contender.vm));
+    let mut scored: Vec<(f64, &VmName)> = scored.collect();
+    scored.sort_unstable_by(|(left, left_vm), (right, right_vm)| {
+        left.total_cmp(right).then_with(|| left_vm.cmp(right_vm))
+    });
+    scored.into_iter().map(|(_, vm)| vm).collect()
+}
+
+/// The smaller, the earlier: an exponential variable whose rate is the weight.
+fn score(contender: Contender<'_>, seed: u64) -> f64 {
+    let hash = xxh3_64_with_seed(contender.vm.as_str().as_bytes(), seed);
+    let even = (hash as f64 + 0.5) / HASHES;
+    -even.ln() / contender.capacity.processors().powi(CAPACITY_POWER)
 }
--- a/crates/thymeshift_fleet/src/readers.rs
+++ b/crates/thymeshift_fleet/src/readers.rs
@@ -13,9 +13,11 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use thymeshift_types::Capacity;
 use thymeshift_types::Timestamp;
 use thymeshift_types::VmName;
 
+use crate::Contender;
 use crate::ranked;
 
 /// Processes that read all the time: one may be cut off without anybody noticing at once.
@@ -39,6 +41,14 @@
 const PAUSE_MAX_MOST: Duration = Duration::from_secs(10);
 /// Doublings of the pause at most.
 const DOUBLINGS_MAX: u32 = 7;
+/// For so long after its start a process hardly knows who else is there, and does not take
+/// itself for one of the first.
+const YOUNG: Duration = Duration::from_millis(1_500);
+/// Time without an answer to anybody from which on the source counts as having been away.
+const OUTAGE_MIN: Duration = Duration::from_millis(2_200);
+/// Time after its return within which the source lists again what it forgot meanwhile, if it
+/// is still there.
+const LISTED_AGAIN_WITHIN: Duration = Duration::from_millis(2_300);
 /// Name of the task in the ranking.
 const TASK: &str = "read the source";
 
@@ -57,7 +67,11 @@
 #[derive(Debug, Clone)]
 pub struct Readers {
     own: VmName,
+    capacity: Capacity,
+    started_at: Timestamp,
     confirmed_at: Option<Timestamp>,
+    /// When the source was back after an outage.
+    returned_at: Option<Timestamp>,
     passed_over: BTreeMap<VmName, Timestamp>,
     failures: u32,
     not_before: Timestamp,
@@ -65,10 +79,13 @@
 
 impl Readers {
     /// The knowledge of a process that has just started.
-    pub fn new(own: VmName) -> Self {
+    pub fn new(own: VmName, capacity: Capacity, now: Timestamp) -> Self {
         Self {
             own,
+            capacity,
+            started_at: now,
             confirmed_at: None,
+            returned_at: None,
             passed_over: BTreeMap::new(),
             failures: 0,
             not_before: Timestamp::default(),
@@ -76,33 +93,55 @@
     }
 
     /// What to do now; `alive` are the other processes.
-    pub fn turn(&self, alive: &[VmName], now: Timestamp) -> Turn {
+    pub fn turn(&self, alive: &[Contender<'_>], now: Timestamp) -> Turn {
         if now < self.not_before {
             return Turn::Rest(now.until(self.not_before));
         }
         let rank = self.rank(alive, now);
-        if rank < READERS && self.failures == 0 {
+        let is_young = !alive.is_empty() && now.since(self.started_at) < YOUNG;
+        if rank < READERS && self.failures == 0 && !is_young {
             return Turn::Watch;
         }
         let delay = (RANK_DELAY * rank as u32).min(RANK_DELAY_MAX);
-        let due = self.confirmed_at.map_or(now, |at| at + SILENCE_MAX + delay);
+        let due = self.confirmed_at.unwrap_or(self.started_at) + SILENCE_MAX + delay;
         if now >= due { Turn::Read } else { Turn::Rest(now.until(due)) }
     }
 
-    fn rank(&self, alive: &[VmName], now: Timestamp) -> usize {
-        let is_eligible =
-            |vm: &&VmName| self.passed_over.get(*vm).is_none_or(|until| *until <= now);
-        let others = alive.iter().filter(is_eligible);
-        let order = ranked(TASK, others.chain([&self.own]));
+    fn rank(&self, alive: &[Contender<'_>], now: Timestamp) -> usize {
+        let is_eligible = |other: &Contender<'_>| {
+            self.passed_over.get(other.vm).is_none_or(|until| *until <= now)
+        };
+        let others = alive.iter().copied().filter(is_eligible);
+        let own = Contender { vm: &self.own, capacity: self.capacity };
+        let order = ranked(TASK, others.chain([own]));
         order.iter().position(|vm| **vm == self.own).unwrap_or(0)
     }
 
     /// An own call was answered.
     pub fn succeeded(&mut self, now: Timestamp) {
         self.failures = 0;
+        self.confirm(now);
+    }
+
+    fn confirm(&mut self, now: Timestamp) {
+        let before = self.confirmed_at.unwrap_or(self.started_at);
+        if now.since(before) >= OUTAGE_MIN {
+            self.returned_at = Some(now);
+        }
         self.confirmed_at = Some(now);
     }
 
+    /// Whether the source has just returned from an outage, so that what it no longer lists
+    /// may still be there.
+    pub fn is_just_back(&self, now: Timestamp) -> bool {
+        self.returned_at.is_some_and(|at| now.since(at) < LISTED_AGAIN_WITHIN)
+    }
+
+    /// This process was paused for `gap`: the silence of the source was its own.
+    pub fn paused(&mut self, gap: Duration) {
+        self.confirmed_at = self.confirmed_at.map(|at| at + gap);
+    }
+
     /// An own call failed. `spread`, from 0 to 1, keeps processes apart.
     pub fn failed(&mut self, member_count: usize, spread: f64, now: Timestamp) {
         let doublings = self.failures.min(DOUBLINGS_MAX);
@@ -118,7 +157,7 @@
     /// Another process told that its call was answered, or failed.
     pub fn heard(&mut self, vm: &VmName, is_answered: bool, now: Timestamp) {
         if is_answered {
-            self.confirmed_at = Some(now);
+            self.confirm(now);
             self.passed_over.remove(vm);
         } else {
             self.passed_over.retain(|_, until| *until > now);
--- a/crates/thymeshift_fleet/tests/agreement.rs
+++ b/crates/thymeshift_fleet/tests/agreement.rs
@@ -23,6 +23,7 @@
 use thymeshift_fleet::Orders;
 use thymeshift_fleet::Phase;
 use thymeshift_fleet::WatchElection;
+use thymeshift_types::Capacity;
 use thymeshift_types::DataHallName;
 use thymeshift_types::Incarnation;
 use thymeshift_types::LeavingMark;
@@ -190,6 +191,7 @@
         peer_address: ([127, 0, 0, 1], port).into(),
         control_address: ([127, 0, 0, 1], port + 1_000).into(),
         datagram_address: None,
+        capacity: Capacity::default(),
         data_hall: DataHallName::new("a").expect("a name"),
         phase: Phase::Serving,
         revision: None,
--- a/crates/thymeshift_types/src/lib.rs
+++ b/crates/thymeshift_types/src/lib.rs
@@ -3,12 +3,14 @@
 //! Everything here is plain data: no I/O and no global state. Clocks are passed in as
 //! [`Clock`] so that every decision can be tested at a chosen moment.
 
+mod capacity;
 mod clock;
 mod failure;
 mod leaving;
 mod name;
 mod revision;
 
+pub use capacity::Capacity;
 pub use clock::BootClock;
 pub use clock::Clock;
 pub use clock::ManualClock;
--- a/crates/thymeshift_wire/src/datagram.rs
+++ b/crates/thymeshift_wire/src/datagram.rs
@@ -1,4 +1,4 @@
-//! Datagrams between entry processes: heartbeats of readers of readers, and the lease of targets.
+//! Datagrams between entry processes: heartbeats of readers, and the lease of targets.
 //!
 //! A datagram may be lost, late or doubled. Each message stands for itself, and nothing that
 //! must hold depends on its arrival.
@@ -10,6 +10,7 @@
 use derive_more::From;
 use serde::Deserialize;
 use serde::Serialize;
+use thymeshift_allocation::Group;
 use thymeshift_dispatch::Observation;
 use thymeshift_fleet::Boot;
 use thymeshift_fleet::Head;
@@ -59,8 +60,14 @@
     Refused(LeaseNumber, Reason, Duration),
     /// The receiver does not allocate: it is stopping, or does not know the service.
     Declined(LeaseNumber),
+    /// The group has no room; another one has.
+    Redirected(LeaseNumber, Group),
     /// A target is given back.
     Release(Release),
+    /// How many more requests a group would take.
+    Room(GroupRoom),
+    /// The sender has taken in documents.
+    News(Heads),
 }
 
 /// News of a reader.
@@ -68,12 +75,30 @@
 pub struct SourceHeartbeat {
     /// Whether the source answered.
     pub is_answered: bool,
-    /// The configuration in force at the reader.
+    /// What is in force at the reader.
+    pub heads: Heads,
+}
+
+/// What a process has in force.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heads {
+    /// The configuration.
     pub configuration: Option<Head>,
-    /// The discovered targets known to the reader.
+    /// The discovered targets.
     pub targets: Option<Head>,
 }
 
+/// The room of a group of targets.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupRoom {
+    /// The service.
+    pub service: ServiceName,
+    /// The group.
+    pub group: Group,
+    /// Further requests that its targets would serve at nearly their usual pace.
+    pub room: u32,
+}
+
 /// A request that wants a target.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Acquire {
@@ -81,6 +106,10 @@
     pub number: LeaseNumber,
     /// The service.
     pub service: ServiceName,
+    /// The group of its targets.
+    pub group: Group,
+    /// Whether the request may be sent to another group.
+    pub may_redirect: bool,
     /// The data hall of the sender.
     pub data_hall: DataHallName,
     /// Rank of the request's kind; 1 goes first.
@@ -93,7 +122,7 @@
     pub queue_max: u32,
     /// Targets that the request was already sent to.
     pub tried: Vec<TargetName>,
-    /// All leases of this service that the sender holds or asks for.
+    /// All leases of this group that the sender holds or asks for.
     pub held: Vec<LeaseNumber>,
 }
 
@@ -104,9 +133,11 @@
     pub number: LeaseNumber,
     /// The service.
     pub service: ServiceName,
+    /// The group of its targets.
+    pub group: Group,
     /// What the attempt showed, if there was one.
     pub observation: Option<Observation>,
-    /// All leases of this service that the sender holds or asks for.
+    /// All leases of this group that the sender holds or asks for.
     pub held: Vec<LeaseNumber>,
 }
 
--- a/crates/thymeshift_wire/src/lib.rs
+++ b/crates/thymeshift_wire/src/lib.rs
@@ -40,6 +40,8 @@
 pub use datagram::DATAGRAM_BYTES_MAX;
 pub use datagram::Datagram;
 pub use datagram::DatagramError;
+pub use datagram::GroupRoom;
+pub use datagram::Heads;
 pub use datagram::LeaseNumber;
 pub use datagram::Message;
 pub use datagram::Release;
