--- /dev/null
+++ b/crates/thymeshift_dispatch/src/probe_pacing.rs
@@ -0,0 +1,49 @@
+//! When an allocator may probe a target again.
+//!
+//! What it does: leaves at least the allowed time between the beginnings of two probes of a
+//! target, and lets that time double with each probe in a row that brought no answer.
+//!
+//! Why: a target that does not answer tells nothing by being asked again, and each attempt
+//! costs a connection. Without the doubling a target that resets connections would be asked
+//! at every look, beyond its measuring budget.
+
+use std::time::Duration;
+
+use thymeshift_types::Timestamp;
+
+/// Longest time between two probes of a target that does not answer.
+const INTERVAL_MAX: Duration = Duration::from_secs(2);
+/// Doublings at most.
+const DOUBLINGS_MAX: u32 = 6;
+
+/// The probes of one target.
+#[derive(Debug, Clone, Default)]
+pub struct ProbePacing {
+    is_running: bool,
+    failures: u32,
+    not_before: Timestamp,
+}
+
+impl ProbePacing {
+    /// Takes the right to probe now; `interval` is the shortest time between two probes.
+    pub fn try_begin(&mut self, interval: Duration, now: Timestamp) -> bool {
+        if self.is_running || now < self.not_before {
+            return false;
+        }
+        self.is_running = true;
+        let doubled = interval * 2_u32.pow(self.failures.min(DOUBLINGS_MAX));
+        self.not_before = now + doubled.min(INTERVAL_MAX).max(interval);
+        true
+    }
+
+    /// The probe has ended.
+    pub fn ended(&mut self, is_answered: bool) {
+        self.is_running = false;
+        self.failures = if is_answered { 0 } else { self.failures + 1 };
+    }
+
+    /// Whether nothing would be lost by forgetting this.
+    pub fn is_over(&self, now: Timestamp) -> bool {
+        !self.is_running && now.since(self.not_before) > INTERVAL_MAX * 2
+    }
+}
--- a/crates/thymeshift_dispatch/tests/budgets.rs
+++ b/crates/thymeshift_dispatch/tests/budgets.rs
@@ -10,6 +10,7 @@
 use quickcheck::TestResult;
 use thymeshift_dispatch::MeasuringShare;
 use thymeshift_dispatch::PauseDetector;
+use thymeshift_dispatch::ProbePacing;
 use thymeshift_dispatch::RetryBudget;
 use thymeshift_dispatch::connection_share;
 use thymeshift_types::Timestamp;
@@ -182,3 +183,39 @@
     assert_eq!(pause.observe(START + ms(1_100)), Some(ms(600)));
     assert_eq!(pause.observe(START + ms(1_000)), None, "time does not go back");
 }
+
+#[test]
+fn a_target_that_answers_no_probe_is_asked_ever_less_often() {
+    const INTERVAL: Duration = Duration::from_millis(55);
+    const LOOK_MS: u64 = 15;
+    struct Case {
+        note: &'static str,
+        is_answered: bool,
+        taken_ms: u64,
+        least: usize,
+        most: usize,
+    }
+    let cases = [
+        Case { note: "answers at once", is_answered: true, taken_ms: 0, least: 150, most: 182 },
+        Case { note: "is slow", is_answered: true, taken_ms: 200, least: 40, most: 50 },
+        Case { note: "resets at once", is_answered: false, taken_ms: 0, least: 8, most: 12 },
+        Case { note: "is silent", is_answered: false, taken_ms: 60, least: 8, most: 12 },
+    ];
+    for Case { note, is_answered, taken_ms, least, most } in cases {
+        let mut pacing = ProbePacing::default();
+        let mut begun = 0;
+        let mut ends_ms = None;
+        for now_ms in (0..10_000).step_by(LOOK_MS as usize) {
+            if ends_ms.is_some_and(|ends_ms| now_ms >= ends_ms) {
+                pacing.ended(is_answered);
+                ends_ms = None;
+            }
+            if pacing.try_begin(INTERVAL, Timestamp::from_millis(1_000 + now_ms)) {
+                assert!(ends_ms.is_none(), "{note}: one probe at a time");
+                begun += 1;
+                ends_ms = Some(now_ms + taken_ms);
+            }
+        }
+        assert!((least..=most).contains(&begun), "{note}: {begun} probes in 10 s");
+    }
+}
--- a/crates/thymeshift_entry/src/target/pace_probe.rs
+++ b/crates/thymeshift_entry/src/target/pace_probe.rs
@@ -9,7 +9,7 @@
 //! not grow with it. The service's measuring budget bounds the probes of one target; a part
 //! of it is used, because for a moment several processes may take themselves for the allocator.
 
-use std::collections::HashSet;
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,6 +17,7 @@
 use parking_lot::Mutex;
 use thymeshift_config::Probe;
 use thymeshift_config::Service;
+use thymeshift_dispatch::ProbePacing;
 use thymeshift_supervisor::TaskError;
 use thymeshift_telemetry::metric;
 use thymeshift_types::BootClock;
@@ -42,13 +43,15 @@
 /// Time after the last request within which a service counts as in use.
 const IN_USE: Duration = Duration::from_millis(250);
 
-/// Targets that are being probed.
-type Probing = Arc<Mutex<HashSet<Destination>>>;
+/// The probes of each target.
+type Probing = Arc<Mutex<HashMap<Destination, ProbePacing>>>;
 
 /// Probes for ever.
 pub(crate) async fn run_pace_probes<D: Dialect>(shared: Arc<Shared>) -> Result<(), TaskError> {
     let probing = Probing::default();
     loop {
+        let now = BootClock.now();
+        probing.lock().retain(|_, pacing| !pacing.is_over(now));
         let is_allocating = begin_due::<D>(&shared, &probing);
         sleep(if is_allocating { LOOK } else { IDLE_LOOK }).await;
     }
@@ -76,7 +79,11 @@
             is_allocating = true;
             for (name, address) in group.unheard_targets(age, now) {
                 let destination = service.destination(name, address);
-                if probing.lock().insert(destination.clone()) {
+                let may_begin = {
+                    let mut probing = probing.lock();
+                    probing.entry(destination.clone()).or_default().try_begin(age, now)
+                };
+                if may_begin {
                     let subject = Subject { service: service.clone(), group: group.clone() };
                     begin::<D>(shared, subject, destination, probe.clone(), probing.clone());
                 }
@@ -101,8 +108,10 @@
 ) {
     let shared = shared.clone();
     tokio::spawn(async move {
-        run_probe::<D>(&shared, &subject, &destination, &probe).await;
-        probing.lock().remove(&destination);
+        let is_answered = run_probe::<D>(&shared, &subject, &destination, &probe).await;
+        if let Some(pacing) = probing.lock().get_mut(&destination) {
+            pacing.ended(is_answered);
+        }
     });
 }
 
@@ -113,21 +122,24 @@
     Some(between.max(AGE))
 }
 
+/// Returns whether the target told its load.
 async fn run_probe<D: Dialect>(
     shared: &Arc<Shared>,
     subject: &Subject,
     destination: &Destination,
     probe: &Probe,
-) {
+) -> bool {
     let Subject { service, group } = subject;
     let limit = Duration::from_millis(probe.timeout_ms);
     let answer = timeout(limit, ask::<D>(service, destination.address, probe, limit)).await;
     let name = service.name().as_str().to_owned();
     counter!(metric::PROBES, "service" => name.clone()).increment(1);
     counter!(metric::MEASURING_US, "service" => name).increment(probe.cost_us);
-    if let Ok(Some(report)) = answer
-        && let Some(mark) = group.learn_probe(&destination.name, report)
-    {
+    let Ok(Some(report)) = answer else {
+        return false;
+    };
+    if let Some(mark) = group.learn_probe(&destination.name, report) {
         shared.note_leaving(&mark, "probe");
     }
+    true
 }
