--- a/crates/thymeshift_config/src/settings.rs
+++ b/crates/thymeshift_config/src/settings.rs
@@ -60,6 +60,9 @@
     /// Where datagrams of other entry processes arrive; without it none are sent, and every
     /// process decides alone.
     pub datagram_address: Option<SocketAddr>,
+    /// Whether the whole fleet starts for the first time: then nobody is served yet, and most
+    /// processes can wait for those that read the platform.
+    pub is_first_start: bool,
     /// The part of a processor that this VM may use. Work for the whole fleet goes to VMs
     /// with more of it.
     pub processor_share: Capacity,
@@ -93,6 +96,7 @@
         let platform_address = map.required("platform_address");
         let peers = map.or("peers", Vec::new());
         let datagram_address = map.optional("datagram_address");
+        let is_first_start = map.or("is_first_start", false);
         let processor_share = map.or("processor_share", Capacity::default());
         let worker_threads = map.number_or("worker_threads", 0..=1_024, 0);
         let stop_readiness_lag_ms = map.number_or("stop_readiness_lag_ms", 0..=STOP_MS_MAX, 3_000);
@@ -109,6 +113,7 @@
             platform_address: platform_address?,
             peers: peers?,
             datagram_address: datagram_address?,
+            is_first_start: is_first_start?,
             processor_share: processor_share?,
             worker_threads: worker_threads?,
             stop_readiness_lag_ms: stop_readiness_lag_ms?,
--- a/crates/thymeshift_entry/src/control_plane/bootstrap.rs
+++ b/crates/thymeshift_entry/src/control_plane/bootstrap.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use futures::future::join_all;
+use rand::Rng;
 use spdlog::info;
 use spdlog::warn;
 use thymeshift_fleet::Breadth;
@@ -17,6 +18,7 @@
 use thymeshift_types::Clock;
 use thymeshift_wire::Document;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::control_plane::peer_link::exchange_once;
 use crate::control_plane::platform::fetch;
@@ -33,6 +35,10 @@
 const ROUNDS_FOR_PEERS: u32 = 2;
 /// Pause between two rounds.
 const ROUND_PAUSE: Duration = Duration::from_millis(200);
+/// How long peers have before the source is asked too.
+const SOURCE_DELAY: Duration = Duration::from_millis(60);
+/// Rounds in which a patient process asks peers that answer and know nothing yet.
+const PATIENT_ROUNDS: u32 = 8;
 /// Longest pause between two rounds: everybody who starts asks, and a source that is down
 /// must not be asked ever more.
 const ROUND_PAUSE_MAX: Duration = Duration::from_millis(1_600);
@@ -46,32 +52,49 @@
     }
 }
 
-/// Source and peers are asked at the same time, and whoever answers first is believed: the
-/// source is never stale, and what a peer tells is compared with the source in the next call,
-/// long before this process counts as one that must know.
+/// Whoever answers first is believed: the source is never stale, and what a peer tells is
+/// compared with the source in the next call, long before this process counts as one that must
+/// know. Peers are asked a little earlier, because a call of the source has its price.
 async fn bootstrap_from_anybody<E: Environment>(shared: &Arc<Shared>) {
+    let mut in_force = shared.in_force.subscribe();
+    tokio::select! {
+        // An error would mean that this process is ending.
+        _ = in_force.wait_for(|is_in_force| *is_in_force) => info!("bootstrapped"),
+        () = ask_by_turns::<E>(shared) => {}
+    }
+}
+
+/// Asks peers and source for ever.
+async fn ask_by_turns<E: Environment>(shared: &Arc<Shared>) {
     let mut source = E::Source::new(shared.settings().platform_address);
     let mut pause = ROUND_PAUSE;
-    let mut in_force = shared.in_force.subscribe();
+    let mut waits_left = if is_patient(shared) { PATIENT_ROUNDS } else { 0 };
     loop {
         let asking = shared.clone();
-        tokio::spawn(async move { ask_peers(&asking).await });
-        let asked = async {
-            ask_source::<E>(shared, &mut source).await;
-            sleep(pause).await;
+        let peers = tokio::spawn(async move { ask_peers(&asking).await });
+        let answered = match timeout(SOURCE_DELAY, peers).await {
+            Ok(Ok(peers)) => peers.answered,
+            Ok(Err(_)) | Err(_) => 0,
         };
-        tokio::select! {
-            // An error would mean that this process is ending.
-            _ = in_force.wait_for(|is_in_force| *is_in_force) => {
-                info!("bootstrapped");
-                return;
-            }
-            () = asked => warn!("no_configuration_yet"),
+        if waits_left > 0 && answered > 0 {
+            waits_left -= 1;
+            sleep(ROUND_PAUSE.mul_f64(rand::rng().random_range(0.5..1.5))).await;
+            continue;
         }
+        ask_source::<E>(shared, &mut source).await;
+        warn!("no_configuration_yet");
+        sleep(pause).await;
         pause = (pause * 2).min(ROUND_PAUSE_MAX);
     }
 }
 
+/// Whether this process leaves it to others to read the source: to those that all processes
+/// ask first.
+fn is_patient(shared: &Shared) -> bool {
+    let settings = shared.settings();
+    settings.is_first_start && !settings.peers.contains(&settings.peer_address)
+}
+
 /// Source and peers are asked, and the largest revision counts: both may be stale.
 async fn bootstrap_from_all<E: Environment>(shared: &Arc<Shared>) {
     let mut round = 0;
--- a/crates/thymeshift_entry/src/control_plane/datagrams.rs
+++ b/crates/thymeshift_entry/src/control_plane/datagrams.rs
@@ -41,6 +41,7 @@
 fn take(shared: &Arc<Shared>, datagram: Datagram, from: SocketAddr) {
     let Datagram { sender, boot, message } = datagram;
     let client = &shared.allocation;
+    shared.fleet.lock().members.heard(&sender, boot, BootClock.now());
     match message {
         Message::SourceHeartbeat(heartbeat) => {
             let is_answered = heartbeat.is_answered;
--- a/crates/thymeshift_entry/src/control_plane/peer_link.rs
+++ b/crates/thymeshift_entry/src/control_plane/peer_link.rs
@@ -36,17 +36,22 @@
 
 /// Time between two regular exchanges, before the spread.
 const EXCHANGE_EVERY: Duration = Duration::from_millis(1_250);
+/// The same in a fleet that is larger: members for which it grows by as much again. Processes
+/// that work together hear of each other by datagrams, too.
+const MEMBERS_PER_EXCHANGE_EVERY: u32 = 144;
 /// The same for a process that has just started and hardly knows anybody, and how long it
 /// counts as such.
 const EXCHANGE_EVERY_YOUNG: Duration = Duration::from_millis(200);
 const YOUNG: Duration = Duration::from_secs(4);
-/// Longest time to open a connection to a peer, and for one call.
+/// Longest time to open a connection to a peer, and for one exchange.
 const CALL_LIMIT: Duration = Duration::from_millis(500);
+/// Longest time to fetch a document: it may be long, and the link of a small VM busy.
+const FETCH_LIMIT: Duration = Duration::from_millis(2_000);
 /// Peers told at once when there is news.
 const TOLD_AT_ONCE: usize = 3;
 /// Time after which a document is fetched from another peer although the answer of the first
 /// has not come.
-const FETCH_AGAIN: Duration = Duration::from_millis(250);
+const FETCH_AGAIN: Duration = Duration::from_millis(400);
 /// Connections to peers kept open.
 const LINKS_MAX: usize = 32;
 
@@ -113,7 +118,7 @@
     loop {
         let spread = rand::rng().random_range(0.8..1.2);
         let age = BootClock.now().since(shared.started_at);
-        let every = if age < YOUNG { EXCHANGE_EVERY_YOUNG } else { EXCHANGE_EVERY };
+        let every = if age < YOUNG { EXCHANGE_EVERY_YOUNG } else { exchange_every(&shared) };
         let is_news = timeout(every.mul_f64(spread), shared.news.notified()).await.is_ok();
         if is_news {
             exchange_with(&shared, TOLD_AT_ONCE, Breadth::News).await;
@@ -123,6 +128,12 @@
     }
 }
 
+fn exchange_every(shared: &Shared) -> Duration {
+    let members = shared.fleet.lock().members.count_alive(BootClock.now());
+    let members = u32::try_from(members).unwrap_or(u32::MAX);
+    EXCHANGE_EVERY + EXCHANGE_EVERY * members / MEMBERS_PER_EXCHANGE_EVERY
+}
+
 /// Tells a few peers that this process is stopping.
 pub(crate) async fn say_goodbye(shared: &Arc<Shared>) {
     exchange_with(shared, TOLD_AT_ONCE, Breadth::News).await;
@@ -165,13 +176,13 @@
 ) -> Result<(), ExchangeError> {
     let client = shared.links.get(address).await?;
     let summary = shared.fleet.lock().summary(breadth, BootClock.now(), &mut rand::rng());
-    let answer = client.exchange(call_context(), summary).await?;
+    let answer = client.exchange(call_context(CALL_LIMIT), summary).await?;
     take(shared, &client, &answer, address).await
 }
 
-fn call_context() -> context::Context {
+fn call_context(limit: Duration) -> context::Context {
     let mut context = context::current();
-    context.deadline = Instant::now() + CALL_LIMIT;
+    context.deadline = Instant::now() + limit;
     context
 }
 
@@ -188,7 +199,7 @@
             continue;
         }
         let have = shared.fleet.lock().document(document).head();
-        let transfer = client.fetch(call_context(), document, have).await?;
+        let transfer = client.fetch(call_context(FETCH_LIMIT), document, have).await?;
         shared.links.end_fetch(document);
         let current = shared.fleet.lock().document(document).in_force().cloned();
         if let Some(published) = transfer.receive(current.as_ref()) {
--- a/crates/thymeshift_entry/src/control_plane/source.rs
+++ b/crates/thymeshift_entry/src/control_plane/source.rs
@@ -33,7 +33,7 @@
 /// Pause after an answer that brought changes: those that follow at once come together.
 const GATHER: Duration = Duration::from_millis(150);
 /// Longest rest between two looks at whose turn it is.
-const REST_MAX: Duration = Duration::from_millis(250);
+const REST_MAX: Duration = Duration::from_millis(800);
 
 /// Reads for ever, whenever it is this process's turn.
 pub(crate) async fn run_source<E: Environment>(shared: Arc<Shared>) -> Result<(), TaskError> {
--- a/crates/thymeshift_entry/src/process.rs
+++ b/crates/thymeshift_entry/src/process.rs
@@ -52,6 +52,8 @@
 
 /// Time between two looks at whether all work is done.
 const DRAIN_LOOK: Duration = Duration::from_millis(20);
+/// Longest time for telling peers of a planned stop.
+const GOODBYE_LIMIT: Duration = Duration::from_millis(200);
 
 /// Connections that may wait to be accepted. One that finds no room is tried again by its
 /// caller's machine only after a second.
@@ -195,7 +197,8 @@
     }
     closing.send_replace(true);
     let is_drained = timeout(bound, drained(shared)).await.is_ok();
-    say_goodbye(shared).await;
+    // The others find out anyway; the bound set by the operator does not wait for them.
+    let _ = timeout(GOODBYE_LIMIT, say_goodbye(shared)).await;
     if is_drained {
         info!("stopped");
         return Exit::Stopped;
--- a/crates/thymeshift_fleet/src/members.rs
+++ b/crates/thymeshift_fleet/src/members.rs
@@ -242,6 +242,14 @@
         }
     }
 
+    /// A process sent something by itself: direct evidence, if it is the start known here.
+    pub fn heard(&mut self, vm: &VmName, boot: Boot, now: Timestamp) {
+        if let Some(known) = self.known.get_mut(vm).filter(|known| known.member.boot == boot) {
+            known.heard_at = now;
+            known.unanswered = 0;
+        }
+    }
+
     /// A peer did not answer.
     pub fn unanswered(&mut self, address: SocketAddr) {
         for known in self.known.values_mut() {
--- a/crates/thymeshift_wire/src/transport.rs
+++ b/crates/thymeshift_wire/src/transport.rs
@@ -26,15 +26,15 @@
 use crate::CountedStream;
 use crate::LinkBytes;
 use crate::PeerLinkClient;
+use crate::codec::MESSAGE_BYTES_MAX;
 use crate::codec::Postcard;
 use crate::control::ControlRequest;
 use crate::control::ControlResponse;
 use crate::peer::PeerLinkRequest;
 use crate::peer::PeerLinkResponse;
 
-/// Longest frame, in bytes: a whole document of a megabyte and what surrounds it. Checked
-/// before anything is allocated for it.
-const FRAME_BYTES_MAX: usize = 2 * 1_024 * 1_024;
+/// Longest frame, in bytes. Checked before anything is allocated for it.
+const FRAME_BYTES_MAX: usize = MESSAGE_BYTES_MAX;
 
 /// A connection between processes that could not be opened.
 #[derive(Debug, Display, Error)]
