--- a/crates/thymeshift_allocation/src/lib.rs
+++ b/crates/thymeshift_allocation/src/lib.rs
@@ -75,7 +75,7 @@
     ends: Timestamp,
 }
 
-/// The books of a allocation process, for one service.
+/// The books of an allocator, for one group of targets.
 #[derive(Debug)]
 pub struct Allocator<B> {
     leases: BTreeMap<LeaseKey<B>, Lease>,
--- a/crates/thymeshift_entry/src/control_plane/peer_link.rs
+++ b/crates/thymeshift_entry/src/control_plane/peer_link.rs
@@ -46,7 +46,7 @@
 /// Longest time to open a connection to a peer, and for one exchange.
 const CALL_LIMIT: Duration = Duration::from_millis(500);
 /// Longest time to fetch a document: it may be long, and the link of a small VM busy.
-const FETCH_LIMIT: Duration = Duration::from_millis(2_000);
+const FETCH_LIMIT: Duration = Duration::from_secs(2);
 /// Peers told at once when there is news.
 const TOLD_AT_ONCE: usize = 3;
 /// Time after which a document is fetched from another peer although the answer of the first
--- a/crates/thymeshift_entry/src/service/obtain.rs
+++ b/crates/thymeshift_entry/src/service/obtain.rs
@@ -145,7 +145,7 @@
         for place in usable.take(ALLOCATORS_ASKED_MAX) {
             let (allocating, by) = match place {
                 Some(place) => (Allocating::There(place.clone()), "allocator"),
-                None => (Allocating::Here(self.group(group)), "own_books"),
+                None => (Allocating::Here(self.group(group)), "here"),
             };
             let wanted = self.wanted(group, may_redirect, request);
             match self.ask(&allocating, wanted, request).await {
--- a/crates/thymeshift_entry/src/target/pace_probe.rs
+++ b/crates/thymeshift_entry/src/target/pace_probe.rs
@@ -115,7 +115,7 @@
     });
 }
 
-/// Shortest time between two probes of a target that the budget allows a allocator.
+/// Shortest time between two probes of a target that the budget allows an allocator.
 fn age_allowed(service: &Service, probe: &Probe) -> Option<Duration> {
     let probes_per_s = service.measuring_budget_us_per_s / probe.cost_us.max(1) / ALLOCATORS_MAX;
     let between = Duration::from_secs(1).checked_div(u32::try_from(probes_per_s).ok()?)?;
--- a/crates/thymeshift_telemetry/src/metric.rs
+++ b/crates/thymeshift_telemetry/src/metric.rs
@@ -31,7 +31,7 @@
 pub const PLATFORM_CALLS: &str = "thymeshift_platform_calls_total";
 /// Datagrams to other processes, by `result` (`sent`, `dropped`).
 pub const DATAGRAMS: &str = "thymeshift_datagrams_total";
-/// Targets obtained, by `by` (`allocator`, `own_books`, `alone`, `fallback`).
+/// Targets obtained, by `by` (`allocator`, `here`, `alone`, `fallback`).
 pub const OBTAINED: &str = "thymeshift_targets_obtained_total";
 /// Exchanges with peers, by `result` (`answered`, `failed`).
 pub const PEER_EXCHANGES: &str = "thymeshift_peer_exchanges_total";
--- a/crates/thymeshift_wire/src/datagram.rs
+++ b/crates/thymeshift_wire/src/datagram.rs
@@ -126,7 +126,7 @@
     pub held: Vec<LeaseNumber>,
 }
 
-/// The end of a lease, or of the wanted for one.
+/// The end of a lease, or of the request for one.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Release {
     /// The lease.
