--- a/crates/thymeshift_allocation/tests/books.rs
+++ b/crates/thymeshift_allocation/tests/books.rs
@@ -102,7 +102,7 @@
 }
 
 #[test]
-fn targets_are_lent_up_to_their_number_and_the_next_waits_for_one_that_comes_back() {
+fn targets_are_granted_up_to_their_number_and_the_next_waits_for_one_that_comes_back() {
     let mut books = Books::new();
     let most = TARGETS as u64 * u64::from(SLOTS);
     for number in 0..most {
@@ -147,7 +147,7 @@
 }
 
 #[test]
-fn a_loan_whose_end_was_lost_is_taken_back_by_the_next_message_or_by_time() {
+fn a_lease_whose_end_was_lost_is_taken_back_by_the_next_message_or_by_time() {
     let mut books = Books::new();
     books.acquire(key(1, 1), at(0));
     books.acquire(key(1, 2), at(90));
--- a/crates/thymeshift_entry/src/control_plane/ticker.rs
+++ b/crates/thymeshift_entry/src/control_plane/ticker.rs
@@ -9,6 +9,7 @@
 use spdlog::warn;
 use thymeshift_supervisor::TaskError;
 use thymeshift_telemetry::metric;
+use thymeshift_telemetry::take_unwritten_lines;
 use thymeshift_types::BootClock;
 use thymeshift_types::Clock;
 use thymeshift_types::Timestamp;
@@ -82,6 +83,10 @@
     if left_out > 0 {
         warn!("request_lines_left_out", kv: { count = left_out });
     }
+    let unwritten = take_unwritten_lines();
+    if unwritten > 0 {
+        warn!("log_lines_unwritten", kv: { count = unwritten });
+    }
     shared.metrics_text.run_upkeep();
     shared.drop_kept_targets(now);
     let has_expired = {
--- a/crates/thymeshift_lab/src/experiment/children.rs
+++ b/crates/thymeshift_lab/src/experiment/children.rs
@@ -66,6 +66,22 @@
         let name = program.display().to_string();
         let refuse = |source| ChildError::Start { program: name.clone(), source };
         let errors = File::create(log).map_err(refuse)?;
+        Self::spawn(program, arguments, errors.into(), &log.display().to_string()).await
+    }
+
+    /// Starts `program` with a log that goes into a pipe which nobody ever reads.
+    pub async fn start_unread(program: &Path, arguments: &[&str]) -> Result<Self, ChildError> {
+        Self::spawn(program, arguments, Stdio::piped(), "nowhere").await
+    }
+
+    async fn spawn(
+        program: &Path,
+        arguments: &[&str],
+        errors: Stdio,
+        log: &str,
+    ) -> Result<Self, ChildError> {
+        let name = program.display().to_string();
+        let refuse = |source| ChildError::Start { program: name.clone(), source };
         let mut process = Command::new(program)
             .args(arguments)
             .stdin(Stdio::null())
@@ -74,8 +90,7 @@
             .kill_on_drop(true)
             .spawn()
             .map_err(refuse)?;
-        let silent =
-            || ChildError::Silent { program: name.clone(), log: log.display().to_string() };
+        let silent = || ChildError::Silent { program: name.clone(), log: log.to_owned() };
         let output = process.stdout.take().ok_or_else(silent)?;
         let mut lines = BufReader::new(output).lines();
         let line = timeout(START_LIMIT, lines.next_line()).await;
--- a/crates/thymeshift_query/src/table.rs
+++ b/crates/thymeshift_query/src/table.rs
@@ -136,9 +136,16 @@
             Self::Configuration => {
                 &["vm", "revision", "digest", "in_force_ms", "conflict", "rejected", "mistakes"]
             }
-            Self::Services => {
-                &["vm", "service", "strategy", "targets", "open", "retry_reserve", "wait_us"]
-            }
+            Self::Services => &[
+                "vm",
+                "service",
+                "strategy",
+                "view",
+                "targets",
+                "open",
+                "retry_reserve",
+                "wait_us",
+            ],
             Self::Targets => &[
                 "vm",
                 "service",
@@ -169,6 +176,7 @@
                 "liveness",
                 "phase",
                 "data_hall",
+                "processors",
                 "revision",
                 "silent_ms",
                 "peer",
--- a/crates/thymeshift_query/src/tables.rs
+++ b/crates/thymeshift_query/src/tables.rs
@@ -80,6 +80,7 @@
     vec![
         Cell::text(&service.name),
         Cell::text(service.strategy),
+        Cell::text(service.view),
         number(service.targets.len() as u64),
         number(service.targets.iter().filter(is_open).count() as u64),
         Cell::Number(service.retry_reserve),
@@ -149,6 +150,7 @@
             Cell::text(known.liveness),
             Cell::text(member.phase),
             Cell::text(&member.data_hall),
+            Cell::Number(member.capacity.processors()),
             Cell::maybe(member.revision.map(thymeshift_types::Revision::as_u64)),
             number(known.silent_ms),
             Cell::text(member.peer_address),
--- a/crates/thymeshift_telemetry/src/lib.rs
+++ b/crates/thymeshift_telemetry/src/lib.rs
@@ -1,12 +1,14 @@
 //! Key=value logging and the list of metrics.
 //!
-//! * [`start_logging`] sends one line for each event to standard error.
+//! * [`start_logging`] sends one line for each event to standard error, and never waits for
+//!   its reader.
 //! * [`metric`] names every metric, and [`start_metrics`] collects them for Prometheus.
 
 mod format;
 mod line_budget;
 mod logging;
 pub mod metric;
+mod unblocking_sink;
 
 pub use format::KeyValueFormatter;
 pub use line_budget::LineBudget;
@@ -14,3 +16,4 @@
 pub use logging::start_logging;
 pub use metric::MetricsText;
 pub use metric::start_metrics;
+pub use unblocking_sink::take_unwritten_lines;
--- a/crates/thymeshift_telemetry/src/logging.rs
+++ b/crates/thymeshift_telemetry/src/logging.rs
@@ -12,13 +12,15 @@
 use thymeshift_config::LogLevel;
 
 use crate::KeyValueFormatter;
+use crate::unblocking_sink::UnblockingSink;
 
 /// The log could not be started.
 #[derive(Debug, Display, Error, From)]
 #[display("starting the log: {_0}")]
 pub struct StartError(spdlog::Error);
 
-/// Sends events of `level` and above to standard error from now on.
+/// Sends events of `level` and above to standard error from now on. Nobody waits for whoever
+/// reads it.
 pub fn start_logging(level: LogLevel) -> Result<(), StartError> {
     let sink = StdStreamSink::builder().stderr().formatter(KeyValueFormatter).build()?;
     let filter = LevelFilter::MoreSevereEqual(match level {
@@ -27,7 +29,8 @@
         LogLevel::Info => Level::Info,
         LogLevel::Debug => Level::Debug,
     });
-    let logger = Logger::builder().sink(Arc::new(sink)).level_filter(filter).build()?;
+    let logger =
+        Logger::builder().sink(Arc::new(UnblockingSink::new(sink))).level_filter(filter).build()?;
     spdlog::set_default_logger(Arc::new(logger));
     Ok(())
 }
