A randomized soak over real processes: thymeshift-lab soak

Cause: the users ask for a soak that injects faults from outside the real programs. Each seed draws faults that come in series and overlap: entry processes paused, killed, stopped as planned, told to reload; targets that shed, fail, freeze, cut, close, confuse or pause; the platform silent, slow, stale, backwards, rubbish, failing; its link delayed, reset, silent or cut one way by a proxy on the loopback; revisions published. While it runs each process's revision is watched; afterwards the judge compares callers and targets, a last revision must be in force everywhere within 8 s and 98 of 100 requests be answered. Every third seed has planned work alone and must lose no answer. Ruled out: links between entry processes and to targets through proxies, clocks that misbehave: not built yet.

--- a/crates/thymeshift_lab/src/arguments.rs
+++ b/crates/thymeshift_lab/src/arguments.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+use std::ops::Range;
 use std::str::FromStr;
 use std::time::Duration;
 
@@ -29,6 +30,7 @@
   thymeshift-lab path-cost [--seconds=N]
   thymeshift-lab control-cost [--entries=4,8,16] [--target-size]
   thymeshift-lab recovery [--entries=N]
+  thymeshift-lab soak [--from=SEED] [--count=N] [--seconds=N] [--entries=N]
   thymeshift-lab decision-cost
   thymeshift-lab rounds [--journal=FOLDER] [--plot=FILE]
   thymeshift-lab scenarios [--entries=N] [--seconds=N] [--seeds=N] [--loads=70,85] [--no-probes]
@@ -61,6 +63,7 @@
     PathCost { seconds: u64 },
     ControlCost { entries: Vec<usize>, size: ConfigurationSize },
     Recovery { entries: usize },
+    Soak { seeds: Range<u64>, entries: usize, seconds: u64 },
     DecisionCost,
     Rounds { journal: String, plot: String },
     Scenarios(ScenarioPlan),
@@ -79,6 +82,7 @@
             "path-cost" => path_cost(parser),
             "control-cost" => control_cost(parser),
             "recovery" => recovery(parser),
+            "soak" => soak(parser),
             "rounds" => rounds(parser),
             "scenarios" => scenarios(parser),
             other => Err(format!("unknown command '{other}'").into()),
@@ -253,6 +257,23 @@
     Ok(Command::Rounds { journal, plot })
 }
 
+fn soak(mut parser: Parser) -> Result<Command, Error> {
+    let (mut from, mut count, mut seconds, mut entries) = (1, 1, 8, 4);
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Long("from") => from = number(&mut parser)?,
+            Arg::Long("count") => count = number(&mut parser)?,
+            Arg::Long("seconds") => seconds = number(&mut parser)?,
+            Arg::Long("entries") => entries = number(&mut parser)?,
+            unexpected => return Err(unexpected.unexpected()),
+        }
+    }
+    if entries < 2 {
+        return Err("'soak' needs at least two entry processes".into());
+    }
+    Ok(Command::Soak { seeds: from..from.saturating_add(count), entries, seconds })
+}
+
 fn recovery(mut parser: Parser) -> Result<Command, Error> {
     let mut entries = 16;
     while let Some(argument) = parser.next()? {
--- a/crates/thymeshift_lab/src/experiment/control_cost.rs
+++ b/crates/thymeshift_lab/src/experiment/control_cost.rs
@@ -115,6 +115,7 @@
         seed: 1,
         folder: folder.to_path_buf(),
         worker_threads: 1,
+        has_datagrams: false,
     };
     let mut fleet = Fleet::start(plan).await?;
     fleet.configuration = configuration;
--- a/crates/thymeshift_lab/src/experiment/demo.rs
+++ b/crates/thymeshift_lab/src/experiment/demo.rs
@@ -48,6 +48,7 @@
         seed: 1,
         folder,
         worker_threads: 1,
+        has_datagrams: false,
     })
 }
 
--- a/crates/thymeshift_lab/src/experiment/fleet.rs
+++ b/crates/thymeshift_lab/src/experiment/fleet.rs
@@ -79,6 +79,8 @@
     pub folder: PathBuf,
     /// Worker threads of an entry process.
     pub worker_threads: u64,
+    /// Whether entry processes exchange datagrams, and allocate targets to each other.
+    pub has_datagrams: bool,
 }
 
 /// A target's process.
@@ -116,6 +118,8 @@
     pub entries: Vec<Child>,
     /// The configuration with the stand-ins' addresses.
     pub configuration: Configuration,
+    /// Where entry processes that start from now on reach the platform, if not directly.
+    pub platform_seen_at: Option<SocketAddr>,
     plan: FleetPlan,
     started: usize,
 }
@@ -151,8 +155,15 @@
                 targets.push(TargetChild { service: service.name.to_string(), name, child });
             }
         }
-        let mut fleet =
-            Self { platform, targets, entries: Vec::new(), configuration, plan, started: 0 };
+        let mut fleet = Self {
+            platform,
+            targets,
+            entries: Vec::new(),
+            configuration,
+            platform_seen_at: None,
+            plan,
+            started: 0,
+        };
         fleet.publish(1).await?;
         for _ in 0..fleet.plan.entries {
             let entry = fleet.start_entry().await?;
@@ -171,12 +182,18 @@
         let peers = self.entries.iter().rev().take(PEERS_TOLD);
         let peers: Result<Vec<String>, ChildError> =
             peers.map(|peer| Ok(peer.address("peer")?.to_string())).collect();
+        let platform = match self.platform_seen_at {
+            Some(address) => address,
+            None => self.platform.address("data")?,
+        };
+        let datagrams =
+            if self.plan.has_datagrams { "datagram_address: 127.0.0.1:0\n" } else { "" };
         let settings = format!(
             "vm: entry-{number:03}\ndata_hall: {hall}\ncaller_address: 127.0.0.1:0\n\
              peer_address: 127.0.0.1:0\ncontrol_address: 127.0.0.1:0\n\
              observe_address: 127.0.0.1:0\nplatform_address: {}\npeers: [{}]\n\
-             worker_threads: {}\nstop_readiness_lag_ms: 300\nstop_bound_ms: 20000\n",
-            self.platform.address("data")?,
+             worker_threads: {}\nstop_readiness_lag_ms: 300\nstop_bound_ms: 20000\n{datagrams}",
+            platform,
             peers?.join(", "),
             self.plan.worker_threads,
         );
--- a/crates/thymeshift_lab/src/experiment/path_cost.rs
+++ b/crates/thymeshift_lab/src/experiment/path_cost.rs
@@ -123,6 +123,7 @@
         seed: 1,
         folder: folder.path().clone(),
         worker_threads: 1,
+        has_datagrams: false,
     };
     let fleet = Fleet::start(plan).await?;
     let target = fleet.targets[0].child.address("data")?;
--- a/crates/thymeshift_lab/src/experiment/scenarios.rs
+++ b/crates/thymeshift_lab/src/experiment/scenarios.rs
@@ -76,6 +76,7 @@
         seed: 1,
         folder: plan.folder.clone(),
         worker_threads: 1,
+        has_datagrams: false,
     };
     let mut lab = Lab { fleet: Fleet::start(fleet_plan).await?, revision: 1 };
     for scenario in &plan.scenarios {
--- /dev/null
+++ b/crates/thymeshift_lab/src/experiment/soak.rs
@@ -0,0 +1,386 @@
+//! A randomized soak: real processes under load while faults come in series and overlap.
+//!
+//! The seed decides the faults and the load. While it runs, each process's revision in force is
+//! watched; afterwards what callers were told is compared with what targets ran, the faults
+//! end, and a new revision must be in force everywhere and requests be answered again. Seeds
+//! with planned work alone must cost no caller an answer.
+//!
+//! Only processes that the soak started are signalled.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use parking_lot::Mutex;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rustix::process::Signal;
+use thymeshift_types::Revision;
+use tokio::time::sleep;
+use tokio::time::sleep_until;
+use tokio::time::timeout;
+
+use crate::experiment::children::Child;
+use crate::experiment::demo::tariff_load;
+use crate::experiment::demo::tariff_plan;
+use crate::experiment::fleet::Fleet;
+use crate::experiment::fleet::FleetError;
+use crate::experiment::fleet::FleetPlan;
+use crate::experiment::fleet::dump;
+use crate::experiment::judge::Judgement;
+use crate::experiment::judge::judge;
+use crate::experiment::soak_fault::SoakFault;
+use crate::experiment::soak_fault::Timed;
+use crate::experiment::soak_fault::draw_faults;
+use crate::load;
+use crate::load::Entries;
+use crate::load::LoadPlan;
+use crate::load::LoadResult;
+use crate::standin::Behaviour;
+use crate::standin::PlatformMode;
+use crate::standin::Proxy;
+use crate::standin::ProxyMode;
+
+/// One seed in so many has planned work alone.
+const GENTLE_EVERY: u64 = 3;
+/// Share of the tariff example's load.
+const LOAD_SHARE: f64 = 0.15;
+/// Length of the load after all faults have ended.
+const CLOSING_LOAD: Duration = Duration::from_secs(2);
+/// Part of its requests that must be answered.
+const CLOSING_ANSWERED_MIN: f64 = 0.98;
+/// Time within which the last revision must be in force everywhere.
+const IN_FORCE_WITHIN: Duration = Duration::from_secs(8);
+/// How late the platform's balancer notices that a process stops.
+const BALANCER_LAG: Duration = Duration::from_millis(150);
+/// Longest time for the end of a process.
+const END_LIMIT: Duration = Duration::from_secs(30);
+/// Time between two looks at the revisions.
+const LOOK: Duration = Duration::from_millis(100);
+/// Kinds that must not run twice.
+const UNSAFE_KINDS: [&str; 1] = ["contract-switch"];
+
+/// What to run.
+#[derive(Debug, Clone)]
+pub struct SoakPlan {
+    /// Decides faults and load.
+    pub seed: u64,
+    /// Entry processes.
+    pub entries: usize,
+    /// Length of the load under faults.
+    pub duration: Duration,
+    /// Where logs and settings are written.
+    pub folder: PathBuf,
+}
+
+/// What a seed showed.
+pub struct Soak {
+    seed: u64,
+    faults: Vec<Timed>,
+    result: LoadResult,
+    /// What the judge says of the load under faults.
+    pub judgement: Judgement,
+    /// Revisions that went down within one process.
+    pub reverted: u64,
+    /// Answers that planned work alone cost.
+    pub lost_by_planned_work: u64,
+    /// Time until the last revision was in force everywhere; none if it was not in time.
+    pub in_force_after: Option<Duration>,
+    /// Part of the requests after the faults that were answered.
+    pub closing_answered: f64,
+}
+
+impl Soak {
+    /// Whether every promise held.
+    pub fn is_clean(&self) -> bool {
+        self.judgement.is_clean()
+            && self.reverted == 0
+            && self.lost_by_planned_work == 0
+            && self.in_force_after.is_some()
+            && self.closing_answered >= CLOSING_ANSWERED_MIN
+    }
+}
+
+impl fmt::Display for Soak {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let verdict = if self.is_clean() { "clean" } else { "RED" };
+        let sent: u64 = self.result.kinds.iter().map(|kind| kind.sent).sum();
+        let answered: u64 = self.result.kinds.iter().map(|kind| kind.answered).sum();
+        write!(
+            f,
+            "seed {}: {verdict}; {} faults; {answered} of {sent} answered under them; {}; \
+             reverted {}, lost by planned work {}, last revision after {:?}, answered afterwards \
+             {:.3}",
+            self.seed,
+            self.faults.len(),
+            self.judgement,
+            self.reverted,
+            self.lost_by_planned_work,
+            self.in_force_after,
+            self.closing_answered
+        )?;
+        if !self.is_clean() {
+            for Timed { at, fault } in &self.faults {
+                write!(f, "\n  {:>5} ms {fault}", at.as_millis())?;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Runs one seed.
+pub async fn soak(plan: SoakPlan) -> Result<Soak, FleetError> {
+    let SoakPlan { seed, entries, duration, folder } = plan;
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let is_gentle = seed.is_multiple_of(GENTLE_EVERY);
+    let fleet_plan = FleetPlan { seed, has_datagrams: true, ..tariff_plan(folder, entries)? };
+    let mut fleet = Fleet::start(fleet_plan).await?;
+    let proxy = Proxy::start(fleet.platform.address("data")?).await?;
+    fleet.platform_seen_at = Some(proxy.address);
+    replace_all(&mut fleet).await?;
+    let faults = draw_faults(&mut rng, entries, fleet.targets.len(), duration, is_gentle);
+    let balancer = Entries::new(fleet.caller_addresses()?);
+    let mut revision = 1;
+    let watched = Arc::new(Watched::default());
+    let (result, played) = tokio::join!(
+        load::run(load_plan(&balancer, duration, rng.random())),
+        play(&mut fleet, &proxy, &balancer, &faults, &mut revision, &watched)
+    );
+    played?;
+    fleet.set_platform(PlatformMode::Normal).await?;
+    proxy.set_mode(ProxyMode::Pass);
+    let judgement = judge(&result, &ledgers(&fleet).await?, &UNSAFE_KINDS);
+    let in_force_after = publish_everywhere(&mut fleet, revision + 1, &watched).await?;
+    let closing = load::run(load_plan(&balancer, CLOSING_LOAD, rng.random())).await;
+    let lost = result.kinds.iter().map(|kind| kind.nothing + kind.broken).sum();
+    Ok(Soak {
+        seed,
+        judgement,
+        reverted: watched.reverted(),
+        lost_by_planned_work: if is_gentle { lost } else { 0 },
+        in_force_after,
+        closing_answered: answered_share(&closing),
+        faults,
+        result,
+    })
+}
+
+fn load_plan(balancer: &Entries, duration: Duration, seed: u64) -> LoadPlan {
+    LoadPlan {
+        entries: balancer.clone(),
+        kinds: tariff_load(LOAD_SHARE),
+        duration,
+        seed,
+        one_way_us: 500,
+        warm_connections: 4,
+    }
+}
+
+fn answered_share(result: &LoadResult) -> f64 {
+    let sent: u64 = result.kinds.iter().map(|kind| kind.sent).sum();
+    let answered: u64 = result.kinds.iter().map(|kind| kind.answered).sum();
+    answered as f64 / sent.max(1) as f64
+}
+
+async fn ledgers(
+    fleet: &Fleet,
+) -> Result<Vec<BTreeMap<String, crate::standin::LedgerEntry>>, FleetError> {
+    let mut ledgers = Vec::new();
+    for target in &fleet.targets {
+        ledgers.push(target.ledger().await?);
+    }
+    Ok(ledgers)
+}
+
+/// The first processes know the platform's own address; those that take their place meet the
+/// proxy.
+async fn replace_all(fleet: &mut Fleet) -> Result<(), FleetError> {
+    for _ in 0..fleet.entries.len() {
+        let fresh = fleet.start_entry().await?;
+        fleet.entries.push(fresh);
+        let old = fleet.entries.remove(0);
+        old.signal(Signal::KILL);
+    }
+    Ok(())
+}
+
+/// The largest revision seen in force at each process, by its control address.
+#[derive(Default)]
+struct Watched {
+    seen: Mutex<BTreeMap<String, Revision>>,
+    reverted: Mutex<u64>,
+}
+
+impl Watched {
+    /// Looks at one process. One that is paused or killed does not answer.
+    async fn look(&self, entry: &Child) -> Option<Revision> {
+        let key = entry.address("control").ok()?.to_string();
+        let dumped = timeout(LOOK, dump(entry)).await.ok()?.ok()?;
+        let revision = dumped.configuration.in_force?.revision;
+        let mut seen = self.seen.lock();
+        let largest = seen.entry(key).or_insert(revision);
+        if revision < *largest {
+            *self.reverted.lock() += 1;
+        }
+        *largest = revision.max(*largest);
+        Some(revision)
+    }
+
+    fn reverted(&self) -> u64 {
+        *self.reverted.lock()
+    }
+}
+
+/// Plays the faults; each that lasts is ended before this returns.
+async fn play(
+    fleet: &mut Fleet,
+    proxy: &Proxy,
+    balancer: &Entries,
+    faults: &[Timed],
+    revision: &mut u64,
+    watched: &Watched,
+) -> Result<(), FleetError> {
+    let start = tokio::time::Instant::now();
+    let mut ends: Vec<(tokio::time::Instant, SoakFault)> = Vec::new();
+    let mut due: Vec<Timed> = faults.to_vec();
+    due.reverse();
+    while !due.is_empty() || !ends.is_empty() {
+        let begins = due.last().map(|timed| start + timed.at);
+        ends.sort_by_key(|(at, _)| std::cmp::Reverse(*at));
+        let ending = ends.last().map(|(at, _)| *at);
+        match (begins, ending) {
+            (Some(begin), end) if end.is_none_or(|end| begin <= end) => {
+                sleep_until(begin).await;
+                let Some(Timed { fault, .. }) = due.pop() else { break };
+                if let Some(lasts) = begin_fault(fleet, proxy, balancer, fault, revision).await? {
+                    ends.push((tokio::time::Instant::now() + lasts, fault));
+                }
+            }
+            (_, Some(end)) => {
+                sleep_until(end).await;
+                let Some((_, fault)) = ends.pop() else { break };
+                end_fault(fleet, proxy, fault).await?;
+            }
+            (_, None) => break,
+        }
+        for entry in &fleet.entries {
+            watched.look(entry).await;
+        }
+    }
+    Ok(())
+}
+
+/// Begins a fault; returns how long it lasts, if it has to be ended.
+async fn begin_fault(
+    fleet: &mut Fleet,
+    proxy: &Proxy,
+    balancer: &Entries,
+    fault: SoakFault,
+    revision: &mut u64,
+) -> Result<Option<Duration>, FleetError> {
+    match fault {
+        SoakFault::PauseEntry { entry, lasts } => {
+            fleet.entries[entry].signal(Signal::STOP);
+            Ok(Some(lasts))
+        }
+        SoakFault::KillEntry { entry } => {
+            fleet.entries[entry].signal(Signal::KILL);
+            let mut killed = fleet.entries.remove(entry);
+            let _ = timeout(END_LIMIT, killed.wait()).await;
+            balancer.set(fleet.caller_addresses()?);
+            let fresh = fleet.start_entry().await?;
+            fleet.entries.push(fresh);
+            balancer.set(fleet.caller_addresses()?);
+            Ok(None)
+        }
+        SoakFault::StopEntry { entry } => {
+            let fresh = fleet.start_entry().await?;
+            fleet.entries.push(fresh);
+            let mut old = fleet.entries.remove(entry);
+            // It may be paused, and would not hear of the other signal.
+            old.signal(Signal::CONT);
+            old.signal(Signal::TERM);
+            sleep(BALANCER_LAG).await;
+            balancer.set(fleet.caller_addresses()?);
+            if timeout(END_LIMIT, old.wait()).await.is_err() {
+                return Err(FleetError::NotReady);
+            }
+            Ok(None)
+        }
+        SoakFault::ReloadEntry { entry } => {
+            fleet.entries[entry].signal(Signal::HUP);
+            Ok(None)
+        }
+        SoakFault::Target { target, fault, lasts } => {
+            let behaviour = Behaviour { fault, ..Behaviour::default() };
+            fleet.targets[target].set_behaviour(&behaviour).await?;
+            Ok(Some(lasts))
+        }
+        SoakFault::PauseTarget { target, lasts } => {
+            // Ended here: while it is stopped its control port does not answer.
+            fleet.targets[target].child.signal(Signal::STOP);
+            sleep(lasts).await;
+            fleet.targets[target].child.signal(Signal::CONT);
+            Ok(None)
+        }
+        SoakFault::Platform { mode, lasts } => {
+            fleet.set_platform(mode).await?;
+            Ok(Some(lasts))
+        }
+        SoakFault::Link { mode, lasts } => {
+            proxy.set_mode(mode);
+            Ok(Some(lasts))
+        }
+        SoakFault::Publish => {
+            *revision += 1;
+            fleet.configuration.limits.body_bytes_max += 1;
+            fleet.publish(*revision).await?;
+            Ok(None)
+        }
+    }
+}
+
+async fn end_fault(fleet: &Fleet, proxy: &Proxy, fault: SoakFault) -> Result<(), FleetError> {
+    match fault {
+        SoakFault::Target { target, .. } => {
+            fleet.targets[target].set_behaviour(&Behaviour::default()).await
+        }
+        SoakFault::PauseEntry { .. } => {
+            // Its place may have changed meanwhile; those that run are not disturbed.
+            for entry in &fleet.entries {
+                entry.signal(Signal::CONT);
+            }
+            Ok(())
+        }
+        SoakFault::Platform { .. } => fleet.set_platform(PlatformMode::Normal).await,
+        SoakFault::Link { .. } => {
+            proxy.set_mode(ProxyMode::Pass);
+            Ok(())
+        }
+        _ => Ok(()),
+    }
+}
+
+/// Publishes a revision; returns the time until every process runs it, if that was in time.
+async fn publish_everywhere(
+    fleet: &mut Fleet,
+    number: u64,
+    watched: &Watched,
+) -> Result<Option<Duration>, FleetError> {
+    fleet.configuration.limits.body_bytes_max += 1;
+    fleet.publish(number).await?;
+    let start = Instant::now();
+    for entry in &fleet.entries {
+        while watched.look(entry).await.is_none_or(|revision| revision.as_u64() < number) {
+            if start.elapsed() > IN_FORCE_WITHIN {
+                return Ok(None);
+            }
+            sleep(LOOK).await;
+        }
+    }
+    Ok(Some(start.elapsed()))
+}
--- a/crates/thymeshift_lab/src/main.rs
+++ b/crates/thymeshift_lab/src/main.rs
@@ -4,6 +4,7 @@
 
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::path::Path;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -14,6 +15,7 @@
 use thymeshift_lab::experiment::ControlCost;
 use thymeshift_lab::experiment::Row;
 use thymeshift_lab::experiment::ScenarioPlan;
+use thymeshift_lab::experiment::SoakPlan;
 use thymeshift_lab::load;
 use thymeshift_lab::standin::Platform;
 use thymeshift_lab::standin::Running;
@@ -74,6 +76,7 @@
             println!("{recovery}");
             Ok(if recovery.is_clean() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
         }),
+        Command::Soak { seeds, entries, seconds } => many_threads(soak(seeds, entries, seconds)),
         Command::PathCost { seconds } => many_threads(async {
             print!("{}", experiment::path_cost(seconds).await?);
             Ok(ExitCode::SUCCESS)
@@ -108,6 +111,23 @@
     Ok(if demo.judgement.is_clean() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
+/// Runs seeds one after the other; the exit code says whether all were clean.
+async fn soak(seeds: Range<u64>, entries: usize, seconds: u64) -> Result<ExitCode, Failure> {
+    let mut red = Vec::new();
+    let count = seeds.end - seeds.start;
+    for seed in seeds {
+        let duration = Duration::from_secs(seconds);
+        let folder = Path::new("out/soak").join(seed.to_string());
+        let soak = experiment::soak(SoakPlan { seed, entries, duration, folder }).await?;
+        println!("{soak}");
+        if !soak.is_clean() {
+            red.push(seed);
+        }
+    }
+    println!("{} of {count} seeds clean; red: {red:?}", count - red.len() as u64);
+    Ok(if red.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
 async fn scenarios(plan: ScenarioPlan) -> Result<ExitCode, Failure> {
     let mut rows = Vec::new();
     println!("{}", Row::head());
