What strangers send is read or refused: changed texts and datagrams

Cause: the users ask for fuzzing of settings, configuration, operators' lines and datagrams. Ruled out: a coverage-guided fuzzer (needs the nightly toolchain). Not fuzzed: callers' requests (hyper reads them; bad_http holds cases), peers' frames beyond quickcheck in codec.rs.

--- /dev/null
+++ b/crates/thymeshift_lab/tests/strangers.rs
@@ -0,0 +1,165 @@
+//! Whatever strangers send is read or refused: nothing panics, and nothing hangs.
+//!
+//! Texts and datagrams of the corpus are changed at random places and read. The seed is fixed
+//! in CI; `THYMESHIFT_FUZZ_SECONDS=60 cargo test -p thymeshift_lab --test strangers` goes on for
+//! that long with a fresh seed, which a failure names.
+
+use std::fs;
+use std::path::PathBuf;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use thymeshift_config::Configuration;
+use thymeshift_config::Discovery;
+use thymeshift_config::Settings;
+use thymeshift_fleet::Boot;
+use thymeshift_types::Reason;
+use thymeshift_types::TargetName;
+use thymeshift_types::VmName;
+use thymeshift_wire::Datagram;
+use thymeshift_wire::Heads;
+use thymeshift_wire::LeaseNumber;
+use thymeshift_wire::Message;
+use thymeshift_wire::SourceHeartbeat;
+
+const SEED: u64 = 20_261_202;
+/// Readings of each sort in CI.
+const ROUNDS: usize = 300;
+/// Changes made to one text at most.
+const CHANGES_MAX: usize = 4;
+/// Longest time for one reading.
+const READ_LIMIT: Duration = Duration::from_secs(2);
+/// Pieces that texts of these languages are made of.
+const PIECES: [&str; 16] = [
+    "- ",
+    ": ",
+    "\n",
+    "\"",
+    "'",
+    "[",
+    "]",
+    "{",
+    "}",
+    "&a",
+    "*a",
+    "|",
+    "\t",
+    "\u{0}",
+    "9999999999999",
+    "!!binary ",
+];
+
+/// Calls `read` with changed samples, for as long as is asked for.
+fn read_changed(samples: &[Vec<u8>], read: impl Fn(&[u8])) {
+    let seconds = std::env::var("THYMESHIFT_FUZZ_SECONDS").ok().and_then(|text| text.parse().ok());
+    let (seed, until) = match seconds {
+        Some(seconds) => (rand::rng().random(), Instant::now() + Duration::from_secs(seconds)),
+        None => (SEED, Instant::now()),
+    };
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut rounds = 0;
+    while rounds < ROUNDS || Instant::now() < until {
+        let changed = change(samples.choose(&mut rng).expect("a sample"), &mut rng);
+        let begun = Instant::now();
+        let ended = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| read(&changed)));
+        let text = String::from_utf8_lossy(&changed);
+        assert!(ended.is_ok(), "seed {seed}, round {rounds} panics: {text}");
+        assert!(begun.elapsed() < READ_LIMIT, "seed {seed}, round {rounds} hangs: {text}");
+        rounds += 1;
+    }
+    println!("{rounds} readings, seed {seed}");
+}
+
+fn change(sample: &[u8], rng: &mut SmallRng) -> Vec<u8> {
+    let mut bytes = sample.to_vec();
+    for _ in 0..rng.random_range(1..=CHANGES_MAX) {
+        let at = rng.random_range(0..=bytes.len());
+        match rng.random_range(0..5) {
+            0 => bytes.truncate(at),
+            1 => bytes.insert(at, rng.random()),
+            2 => {
+                let piece = PIECES.choose(rng).copied().unwrap_or_default();
+                bytes.splice(at..at, piece.bytes());
+            }
+            3 => {
+                let end = rng.random_range(at..=bytes.len());
+                bytes.drain(at..end.min(at + 40));
+            }
+            _ => {
+                let end = bytes.len().min(at + rng.random_range(0..60));
+                let copied = bytes[at..end].to_vec();
+                let to = rng.random_range(0..=bytes.len());
+                bytes.splice(to..to, copied);
+            }
+        }
+    }
+    bytes
+}
+
+fn example(name: &str) -> Vec<u8> {
+    let path = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../examples").join(name);
+    fs::read(&path).unwrap_or_else(|error| panic!("{}: {error}", path.display()))
+}
+
+#[test]
+fn settings_and_configurations() {
+    let samples = [
+        example("tariff/settings.yaml"),
+        example("tariff/configuration.yaml"),
+        example("agency/configuration.yaml"),
+        b"- {service: s, name: t, address: '10.0.0.1:80', data_hall: a, state: serving}\n".to_vec(),
+    ];
+    read_changed(&samples, |bytes| {
+        let text = String::from_utf8_lossy(bytes);
+        let mistakes = [
+            Settings::parse(&text).err(),
+            Configuration::parse(&text).err(),
+            Discovery::parse(&text).err(),
+        ];
+        for mistakes in mistakes.into_iter().flatten() {
+            assert!(!mistakes.to_string().is_empty(), "a refusal says why");
+        }
+    });
+}
+
+#[test]
+fn lines_of_operators() {
+    let samples = [
+        "show targets where service = calculator and load > 2 sort by age",
+        "show kinds where not (priority < 3) or retries >= 9 limit 3",
+        "drain target calculator/t1 for 10 minutes",
+        "explain GET /tariffs/compare",
+    ];
+    let samples: Vec<Vec<u8>> = samples.iter().map(|line| line.as_bytes().to_vec()).collect();
+    read_changed(&samples, |bytes| {
+        if let Err(mistake) = thymeshift_query::parse(&String::from_utf8_lossy(bytes)) {
+            assert!(!mistake.to_string().is_empty(), "a refusal says why");
+        }
+    });
+}
+
+#[test]
+fn datagrams_of_peers() {
+    let target = TargetName::new("t-1").expect("a name");
+    let heads = Heads { configuration: None, targets: None };
+    let messages = [
+        Message::Waiting(LeaseNumber(7)),
+        Message::Granted(LeaseNumber(7), target, 3),
+        Message::Refused(LeaseNumber(8), Reason::QueueFull, Duration::from_millis(40)),
+        Message::SourceHeartbeat(SourceHeartbeat { is_answered: true, heads }),
+        Message::News(heads),
+    ];
+    let samples = messages.map(|message| {
+        let sender = VmName::new("vm-1").expect("a name");
+        Datagram { sender, boot: Boot::new(1), message }.encode().expect("a datagram")
+    });
+    read_changed(&samples, |bytes| {
+        if let Ok(datagram) = Datagram::decode(bytes) {
+            assert!(datagram.encode().is_ok(), "what is read can be written");
+        }
+    });
+}
