Requests wait out a target's slow spell

Change: a target that reported a slow spell is not open while the work would take longer there than the rest of the spell; what is usual for all targets costs nothing. A probe that tells of its end wakes requests that wait. A test in fleet_view.rs.

--- a/crates/thymeshift_dispatch/src/dump.rs
+++ b/crates/thymeshift_dispatch/src/dump.rs
@@ -23,6 +23,10 @@
     /// As many requests as the adaptive limit allows are in flight.
     #[display("at_limit")]
     AtLimit,
+    /// It reports that work takes much longer there for the moment: a request ends sooner if
+    /// it waits.
+    #[display("slow_spell")]
+    SlowSpell,
     /// It failed several times in a row and is set aside for a while.
     #[display("ejected")]
     Ejected,
--- a/crates/thymeshift_dispatch/src/report.rs
+++ b/crates/thymeshift_dispatch/src/report.rs
@@ -120,6 +120,18 @@
         (mean + (last.report.pace() - mean) * faith).max(PACE_MIN)
     }
 
+    /// Whether work ends sooner if it waits until the reported slow spell is over than if it
+    /// starts now. Work keeps the pace at which it starts, and takes `service` at the pace
+    /// `usual` of all targets.
+    pub(crate) fn is_slow_spell(&self, now: Timestamp, usual: f64, service: Duration) -> bool {
+        let Some(last) = self.last else {
+            return false;
+        };
+        let spell_left = PACE_MEMORY.saturating_sub(now.since(last.at));
+        let longer = service.mul_f64((last.report.pace() - usual).max(0.0));
+        !spell_left.is_zero() && longer > spell_left
+    }
+
     pub(crate) fn last_report(&self) -> Option<LoadReport> {
         self.last.map(|last| last.report)
     }
--- a/crates/thymeshift_dispatch/src/strategy/candidates.rs
+++ b/crates/thymeshift_dispatch/src/strategy/candidates.rs
@@ -94,10 +94,10 @@
 
     /// The open targets in a fixed order.
     pub fn iter(&self) -> impl Iterator<Item = Candidate<'a>> + use<'a> {
-        let Self { targets, now, tried, bound, .. } = *self;
+        let Self { targets, model, now, tried, bound, .. } = *self;
         targets.iter().enumerate().filter_map(move |(index, target)| {
             let index = TargetIndex::new(index);
-            let is_open = target.is_open(now, bound) && !tried.has(index);
+            let is_open = target.is_open(now, bound, model) && !tried.has(index);
             is_open.then_some(Candidate { index, target })
         })
     }
--- a/crates/thymeshift_dispatch/src/table.rs
+++ b/crates/thymeshift_dispatch/src/table.rs
@@ -91,7 +91,7 @@
         let is_quick = |target: &&Target| {
             target.is_unheard(ROOM_UNHEARD, now) || target.expected_us(now, &self.model) <= usual_us
         };
-        let open = self.targets.iter().filter(|target| target.is_open(now, bound));
+        let open = self.targets.iter().filter(|target| target.is_open(now, bound, &self.model));
         open.filter(is_quick).map(|target| target.room(bound)).sum()
     }
 
--- a/crates/thymeshift_dispatch/src/target.rs
+++ b/crates/thymeshift_dispatch/src/target.rs
@@ -160,19 +160,30 @@
         self.limit.set_ceiling(shape.connection_share);
     }
 
-    pub(crate) fn usability(&self, now: Timestamp, bound: Bound) -> Usability {
+    pub(crate) fn usability(
+        &self,
+        now: Timestamp,
+        bound: Bound,
+        model: &ServiceModel,
+    ) -> Usability {
         match self.presence {
             Presence::Removed => Usability::Removed,
             Presence::Leaving => Usability::Leaving,
             Presence::Serving if self.is_stopped => Usability::Stopped,
             Presence::Serving if self.ejection.is_ejected(now) => Usability::Ejected,
             Presence::Serving if !self.has_room(bound) => Usability::AtLimit,
+            Presence::Serving if self.is_slow_spell(now, model) => Usability::SlowSpell,
             Presence::Serving => Usability::Open,
         }
     }
 
-    pub(crate) fn is_open(&self, now: Timestamp, bound: Bound) -> bool {
-        self.usability(now, bound) == Usability::Open
+    pub(crate) fn is_open(&self, now: Timestamp, bound: Bound, model: &ServiceModel) -> bool {
+        self.usability(now, bound, model) == Usability::Open
+    }
+
+    fn is_slow_spell(&self, now: Timestamp, model: &ServiceModel) -> bool {
+        let service = Duration::from_micros(model.service_us() as u64);
+        self.others.is_slow_spell(now, model.pace(), service)
     }
 
     fn has_room(&self, bound: Bound) -> bool {
@@ -347,7 +358,7 @@
     /// What is believed of this target.
     pub(crate) fn dump(&self, now: Timestamp, bound: Bound, model: &ServiceModel) -> TargetDump {
         let report = self.others.last_report();
-        let usability = self.usability(now, bound);
+        let usability = self.usability(now, bound, model);
         let ejected_for = self.ejection.until().filter(|_| usability == Usability::Ejected);
         TargetDump {
             name: self.name.clone(),
--- a/crates/thymeshift_dispatch/tests/fleet_view.rs
+++ b/crates/thymeshift_dispatch/tests/fleet_view.rs
@@ -22,6 +22,7 @@
 use thymeshift_dispatch::Observation;
 use thymeshift_dispatch::Request;
 use thymeshift_dispatch::View;
+use thymeshift_dispatch::Wake;
 use thymeshift_types::DataHallName;
 use thymeshift_types::Incarnation;
 use thymeshift_types::Timestamp;
@@ -155,6 +156,66 @@
     }
 }
 
+#[test]
+fn a_request_waits_out_a_slow_spell_that_is_shorter_than_what_it_costs() {
+    struct Case {
+        note: &'static str,
+        /// Time of an answer at the usual pace.
+        taken_ms: u64,
+        /// What all targets reported before.
+        before_percent: u32,
+        /// What the only target with room reports.
+        pace_percent: u32,
+        age_ms: u64,
+        is_sent: bool,
+    }
+    let case = Case {
+        note: "a spell that costs far more than it lasts",
+        taken_ms: 200,
+        before_percent: 100,
+        pace_percent: 500,
+        age_ms: 10,
+        is_sent: false,
+    };
+    let cases = [
+        Case { note: "the usual pace", pace_percent: 100, is_sent: true, ..case },
+        Case { note: "a little slower", pace_percent: 130, is_sent: true, ..case },
+        Case { note: "work that is short even then", taken_ms: 10, is_sent: true, ..case },
+        Case { note: "the report is old", age_ms: 160, is_sent: true, ..case },
+        Case { note: "all are as slow all the time", before_percent: 500, is_sent: true, ..case },
+        case,
+    ];
+    for Case { note, taken_ms, before_percent, pace_percent, age_ms, is_sent } in cases {
+        let mut dispatcher = fleet_dispatcher(1, 1);
+        let mut rng = rng();
+        let mut now = at(0);
+        for _ in 0..400 {
+            let grant = sent(&mut dispatcher, request(1, now + ms(10_000)), now, &mut rng);
+            now = now + ms(taken_ms);
+            let report = LoadReport { pace_percent: before_percent, ..report(0, 0) };
+            let _ = dispatcher.learn(&grant, Observation::Answered(Some(report)), now);
+            dispatcher.release(grant, now);
+            // Old news when the next request comes.
+            now = now + ms(200);
+        }
+        let _ = dispatcher.learn_probe(&name(0), paced(pace_percent), now);
+        now = now + ms(age_ms);
+        let decision = dispatcher.request(request(1, now + ms(10_000)), now, &mut rng);
+        match decision {
+            Decision::Send(_) => assert!(is_sent, "{note}: sent"),
+            Decision::Wait(_) => assert!(!is_sent, "{note}: waits"),
+            Decision::Refuse(refusal) => panic!("{note}: {refusal:?}"),
+        }
+        if is_sent {
+            continue;
+        }
+        assert!(dispatcher.next_wake(now + ms(20), &mut rng).is_none(), "{note}: still slow");
+        let _ = dispatcher.learn_probe(&name(0), paced(before_percent), now + ms(30));
+        let woken = dispatcher.next_wake(now + ms(30), &mut rng);
+        assert!(matches!(woken, Some(Wake::Send(..))), "{note}: fast again: {woken:?}");
+    }
+}
+
 #[test]
 fn targets_in_the_hall_of_the_request_are_preferred_up_to_the_detour() {
     let mut configuration = configuration(4, 2, "");
--- a/crates/thymeshift_entry/src/control_plane/explain.rs
+++ b/crates/thymeshift_entry/src/control_plane/explain.rs
@@ -70,8 +70,9 @@
 fn verdict(kind: &KindRuntime, targets: &[TargetDump]) -> String {
     let strategy = kind.service.settings().strategy;
     let open = targets.iter().filter(|target| target.usability == Usability::Open).count();
-    let may_open =
-        |target: &&TargetDump| matches!(target.usability, Usability::AtLimit | Usability::Ejected);
+    let may_open = |target: &&TargetDump| {
+        matches!(target.usability, Usability::AtLimit | Usability::SlowSpell | Usability::Ejected)
+    };
     if open > 0 {
         format!("sent at once: {open} of {} targets are open, chosen by {strategy}", targets.len())
     } else if targets.iter().any(|target| may_open(&target)) {
--- a/crates/thymeshift_entry/src/service/group.rs
+++ b/crates/thymeshift_entry/src/service/group.rs
@@ -172,7 +172,11 @@
     }
 
     pub(crate) fn learn_probe(&self, name: &TargetName, report: LoadReport) -> Option<LeavingMark> {
-        self.books.lock().dispatcher.learn_probe(name, report, BootClock.now())
+        let now = BootClock.now();
+        let mark = self.books.lock().dispatcher.learn_probe(name, report, now);
+        // A target whose slow spell is over takes requests that wait.
+        self.wake_waiting(now);
+        mark
     }
 
     /// Whether a target was asked for within `time`.
