A young fleet finds its allocators at once

Change: the order is worked out anew when members appear, start anew or change their phase; the first five exchanges of a process come 50 ms apart and name up to 64 members in both directions; the source is asked 20 ms after the peers in place of 60; callers are let in once another process is known, 150 ms after the start at the latest.

--- a/crates/thymeshift_entry/src/caller/listener.rs
+++ b/crates/thymeshift_entry/src/caller/listener.rs
@@ -7,6 +7,7 @@
 use metrics::counter;
 use spdlog::warn;
 use thymeshift_config::Limits;
+use thymeshift_fleet::Phase;
 use thymeshift_supervisor::TaskError;
 use thymeshift_telemetry::metric;
 use thymeshift_wire::Dialect;
@@ -32,10 +33,10 @@
     closing: watch::Receiver<bool>,
 ) -> Result<(), TaskError> {
     let mut until = closing.clone();
-    let mut in_force = shared.in_force.subscribe();
+    let mut phase = shared.phase.subscribe();
     // Who connects to a process that has just started is served a moment later and need not
     // come back; without a configuration in that time it is told so.
-    let _ = timeout(START_WAIT, in_force.wait_for(|is_in_force| *is_in_force)).await;
+    let _ = timeout(START_WAIT, phase.wait_for(|phase| *phase != Phase::Starting)).await;
     loop {
         let accepted = tokio::select! {
             biased;
--- a/crates/thymeshift_entry/src/control_plane/bootstrap.rs
+++ b/crates/thymeshift_entry/src/control_plane/bootstrap.rs
@@ -36,7 +36,12 @@
 /// Pause between two rounds.
 const ROUND_PAUSE: Duration = Duration::from_millis(200);
 /// How long peers have before the source is asked too.
-const SOURCE_DELAY: Duration = Duration::from_millis(60);
+const SOURCE_DELAY: Duration = Duration::from_millis(20);
+/// How long after its start a process that knows a configuration but no other process waits
+/// for one before it serves: decisions taken alone overload targets.
+const PEERS_LIMIT: Duration = Duration::from_millis(150);
+/// Pause before they are asked again.
+const PEERS_PAUSE: Duration = Duration::from_millis(20);
 /// Rounds in which a patient process asks peers that answer and know nothing yet.
 const PATIENT_ROUNDS: u32 = 8;
 /// Longest pause between two rounds: everybody who starts asks, and a source that is down
@@ -59,9 +64,22 @@
     let mut in_force = shared.in_force.subscribe();
     tokio::select! {
         // An error would mean that this process is ending.
-        _ = in_force.wait_for(|is_in_force| *is_in_force) => info!("bootstrapped"),
+        _ = in_force.wait_for(|is_in_force| *is_in_force) => {}
         () = ask_by_turns::<E>(shared) => {}
     }
+    let left = PEERS_LIMIT.saturating_sub(BootClock.now().since(shared.started_at));
+    let is_alone = timeout(left, find_peers(shared)).await.is_err();
+    info!("bootstrapped", kv: { is_alone });
+}
+
+/// Asks for other processes until one is known.
+async fn find_peers(shared: &Arc<Shared>) {
+    while shared.fleet.lock().members.count_alive(BootClock.now()) == 1 {
+        let peers = ask_peers(shared).await;
+        if peers.answered == 0 {
+            sleep(PEERS_PAUSE).await;
+        }
+    }
 }
 
 /// Asks peers and source for ever.
@@ -152,8 +170,7 @@
     let now = BootClock.now();
     let picked = shared.fleet.lock().members.pick(PEERS_ASKED, now, &mut rand::rng());
     let asked = picked.len();
-    let exchanges =
-        picked.into_iter().map(|address| exchange_once(shared, address, Breadth::Regular));
+    let exchanges = picked.into_iter().map(|address| exchange_once(shared, address, Breadth::Wide));
     let answered = join_all(exchanges).await.into_iter().flatten().count();
     Peers { asked, answered }
 }
--- a/crates/thymeshift_entry/src/control_plane/peer_link.rs
+++ b/crates/thymeshift_entry/src/control_plane/peer_link.rs
@@ -43,6 +43,9 @@
 /// counts as such.
 const EXCHANGE_EVERY_YOUNG: Duration = Duration::from_millis(200);
 const YOUNG: Duration = Duration::from_secs(4);
+/// The same until it has told and heard of all others once: whoever allocates is found by
+/// knowing them.
+const EXCHANGE_EVERY_NEW: Duration = Duration::from_millis(50);
 /// Longest time to open a connection to a peer, and for one exchange.
 const CALL_LIMIT: Duration = Duration::from_millis(500);
 /// Longest time to fetch a document: it may be long, and the link of a small VM busy.
@@ -117,19 +120,27 @@
 pub(crate) async fn run_peer_link(shared: Arc<Shared>) -> Result<(), TaskError> {
     loop {
         let spread = rand::rng().random_range(0.8..1.2);
-        let age = BootClock.now().since(shared.started_at);
-        let every = if age < YOUNG { EXCHANGE_EVERY_YOUNG } else { exchange_every(&shared) };
+        let every = exchange_every(&shared);
         let is_news = timeout(every.mul_f64(spread), shared.news.notified()).await.is_ok();
         if is_news {
             exchange_with(&shared, TOLD_AT_ONCE, Breadth::News).await;
         } else {
-            exchange_with(&shared, 1, Breadth::Regular).await;
+            let breadth = shared.fleet.lock().members.breadth(false);
+            exchange_with(&shared, 1, breadth).await;
         }
     }
 }
 
 fn exchange_every(shared: &Shared) -> Duration {
-    let members = shared.fleet.lock().members.count_alive(BootClock.now());
+    let now = BootClock.now();
+    let fleet = shared.fleet.lock();
+    if fleet.members.own().is_young() {
+        return EXCHANGE_EVERY_NEW;
+    }
+    if now.since(shared.started_at) < YOUNG {
+        return EXCHANGE_EVERY_YOUNG;
+    }
+    let members = fleet.members.count_alive(now);
     let members = u32::try_from(members).unwrap_or(u32::MAX);
     EXCHANGE_EVERY + EXCHANGE_EVERY * members / MEMBERS_PER_EXCHANGE_EVERY
 }
--- a/crates/thymeshift_entry/src/control_plane/peer_server.rs
+++ b/crates/thymeshift_entry/src/control_plane/peer_server.rs
@@ -8,6 +8,7 @@
 use tarpc::server::Channel;
 use thymeshift_fleet::Breadth;
 use thymeshift_fleet::Head;
+use thymeshift_fleet::Member;
 use thymeshift_fleet::Transfer;
 use thymeshift_supervisor::TaskError;
 use thymeshift_types::BootClock;
@@ -54,8 +55,14 @@
         {
             self.fetch_from(sender.peer_address);
         }
-        let breadth = if summary.members.len() > 1 { Breadth::Regular } else { Breadth::News };
-        self.shared.fleet.lock().summary(breadth, BootClock.now(), &mut rand::rng())
+        let mut fleet = self.shared.fleet.lock();
+        let is_sender_young = summary.members.first().is_some_and(Member::is_young);
+        let breadth = if is_sender_young || summary.members.len() > 1 {
+            fleet.members.breadth(is_sender_young)
+        } else {
+            Breadth::News
+        };
+        fleet.summary(breadth, BootClock.now(), &mut rand::rng())
     }
 
     async fn fetch(self, _: Context, document: Document, have: Option<Head>) -> Transfer {
--- a/crates/thymeshift_entry/src/service/obtain.rs
+++ b/crates/thymeshift_entry/src/service/obtain.rs
@@ -35,8 +35,8 @@
 const LAST_WORD_SLACK: Duration = Duration::from_millis(25);
 /// Allocators of one group asked for one request.
 const ALLOCATORS_ASKED_MAX: usize = 2;
-/// How long the order of allocators is kept before it is worked out anew. One that is gone is
-/// noticed by its silence.
+/// How long the order of allocators is kept before it is worked out anew, unless members
+/// change. One that is gone is noticed by its silence.
 const ORDER_KEPT: Duration = Duration::from_secs(1);
 
 /// Processes in the order in which they allocate a group; None is this process.
@@ -50,20 +50,24 @@
 struct GroupAllocators {
     order: AllocatorOrder,
     made_at: Option<Timestamp>,
+    /// Changes among members that it takes into account.
+    changes: u64,
     concurrency: Option<u32>,
 }
 
 impl Allocators {
-    fn fresh_order(&self, group: &Group, now: Timestamp) -> Option<AllocatorOrder> {
+    fn fresh_order(&self, group: &Group, changes: u64, now: Timestamp) -> Option<AllocatorOrder> {
         let known = self.0.get(group)?;
-        let is_fresh = known.made_at.is_some_and(|at| now.since(at) < ORDER_KEPT);
+        let is_young = known.made_at.is_some_and(|at| now.since(at) < ORDER_KEPT);
+        let is_fresh = is_young && known.changes == changes;
         is_fresh.then(|| known.order.clone())
     }
 
-    fn keep_order(&mut self, group: &Group, order: AllocatorOrder, now: Timestamp) {
+    fn keep_order(&mut self, group: &Group, order: AllocatorOrder, changes: u64, now: Timestamp) {
         let known = self.0.entry(group.clone()).or_default();
         known.order = order;
         known.made_at = Some(now);
+        known.changes = changes;
     }
 
     /// The most requests that one target of the group serves well at a time, as its allocator
@@ -182,12 +186,13 @@
         group: &Group,
         now: Timestamp,
     ) -> AllocatorOrder {
-        if let Some(order) = self.allocators.lock().fresh_order(group, now) {
+        // Not under the lock below: these take the fleet's.
+        let changes = shared.fleet.lock().members.changes();
+        if let Some(order) = self.allocators.lock().fresh_order(group, changes, now) {
             return order;
         }
-        // Not under the lock: this takes the fleet's.
         let order: Arc<[_]> = shared.allocator_order(self.name(), group, now).into();
-        self.allocators.lock().keep_order(group, order.clone(), now);
+        self.allocators.lock().keep_order(group, order.clone(), changes, now);
         order
     }
 
--- a/crates/thymeshift_fleet/src/members.rs
+++ b/crates/thymeshift_fleet/src/members.rs
@@ -37,6 +37,12 @@
 /// Further ones for each so many members known, and the most.
 const MEMBERS_PER_PASSED_ON: usize = 16;
 const PASSED_ON_MOST: usize = 10;
+/// Other members passed on where the process that asks or tells has just started: it is to know
+/// at once who shares work with it. Bounded by what a small link carries in a few milliseconds.
+const PASSED_ON_WIDE: usize = 64;
+/// Heartbeats that a process has counted while it counts as just started: one for each regular
+/// exchange.
+const YOUNG_HEARTBEATS: u64 = 5;
 /// Time without a new heartbeat after which a member is suspected, in a fleet of up to
 /// [`MEMBERS_PER_PATIENCE`]. Heartbeats take longer through a larger one, and the time grows
 /// with it: whoever needs a member that is dead finds that out by asking.
@@ -114,6 +120,17 @@
         Contender { vm: &self.vm, capacity: self.capacity }
     }
 
+    /// Whether it has just started, and knows few others.
+    pub fn is_young(&self) -> bool {
+        self.heartbeat < YOUNG_HEARTBEATS
+    }
+
+    /// Whether `other`, a later word of the same process, may be given other tasks.
+    fn has_another_part(&self, other: &Self) -> bool {
+        (self.boot, self.phase, self.datagram_address)
+            != (other.boot, other.phase, other.datagram_address)
+    }
+
     fn is_newer_than(&self, other: &Self) -> bool {
         (self.boot, self.heartbeat) > (other.boot, other.heartbeat)
     }
@@ -124,6 +141,8 @@
 pub enum Breadth {
     /// The sender and a few others.
     Regular,
+    /// The sender and many others: one of the two has just started.
+    Wide,
     /// The sender alone: the message is about something that changed.
     News,
 }
@@ -183,12 +202,13 @@
     known: BTreeMap<VmName, Known>,
     /// Addresses from settings and the platform's list, tried while nobody is known there.
     hints: Vec<SocketAddr>,
+    changes: u64,
 }
 
 impl Members {
     /// Members as seen by `own`.
     pub fn new(own: Member, hints: Vec<SocketAddr>) -> Self {
-        Self { own, known: BTreeMap::new(), hints }
+        Self { own, known: BTreeMap::new(), hints, changes: 0 }
     }
 
     fn patience(&self) -> u32 {
@@ -220,6 +240,7 @@
         let is_full = self.known.len() >= MEMBERS_MAX;
         match self.known.get_mut(&member.vm) {
             Some(known) if member.is_newer_than(&known.member) => {
+                self.changes += u64::from(known.member.has_another_part(member));
                 known.member = member.clone();
                 known.heard_at = now;
                 known.unanswered = 0;
@@ -229,6 +250,7 @@
             None => {
                 let known = Known { member: member.clone(), heard_at: now, unanswered: 0 };
                 self.known.insert(member.vm.clone(), known);
+                self.changes += 1;
             }
         }
     }
@@ -259,18 +281,34 @@
         }
     }
 
+    /// Counts up whenever another process appears, starts anew or changes its phase: what was
+    /// worked out from the members before is old then.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    /// How much to say of members in a regular message to or from a process that is young if
+    /// `is_other_young`.
+    pub fn breadth(&self, is_other_young: bool) -> Breadth {
+        if is_other_young || self.own.is_young() { Breadth::Wide } else { Breadth::Regular }
+    }
+
     /// The members to pass on: this process first, then in regular messages a few others
     /// drawn at random.
     pub fn passed_on(&self, breadth: Breadth, now: Timestamp, rng: &mut impl Rng) -> Vec<Member> {
         let mut passed = vec![self.own.clone()];
-        if breadth == Breadth::News {
-            return passed;
-        }
+        let most = match breadth {
+            Breadth::News => return passed,
+            Breadth::Regular => {
+                let most = PASSED_ON_MAX + self.known.len() / MEMBERS_PER_PASSED_ON;
+                most.min(PASSED_ON_MOST)
+            }
+            Breadth::Wide => PASSED_ON_WIDE,
+        };
         let patience = self.patience();
-        let most = PASSED_ON_MAX + self.known.len() / MEMBERS_PER_PASSED_ON;
         let heard =
             self.known.values().filter(|known| known.liveness(patience, now) != Liveness::Gone);
-        let drawn = heard.choose_multiple(rng, most.min(PASSED_ON_MOST));
+        let drawn = heard.choose_multiple(rng, most);
         passed.extend(drawn.into_iter().map(|known| known.member.clone()));
         passed
     }
--- a/crates/thymeshift_fleet/tests/agreement.rs
+++ b/crates/thymeshift_fleet/tests/agreement.rs
@@ -323,3 +323,63 @@
     }
     assert!((4..=24).contains(&calls), "{calls} calls in five minutes");
 }
+
+#[test]
+fn a_process_that_has_just_started_is_told_of_all_others_at_once() {
+    struct Case {
+        note: &'static str,
+        own_heartbeats: u64,
+        is_other_young: bool,
+        passed_on: usize,
+    }
+    let cases = [
+        Case { note: "both settled", own_heartbeats: 50, is_other_young: false, passed_on: 7 },
+        Case { note: "it asks", own_heartbeats: 50, is_other_young: true, passed_on: 31 },
+        Case { note: "it is asked", own_heartbeats: 1, is_other_young: false, passed_on: 31 },
+    ];
+    for Case { note, own_heartbeats, is_other_young, passed_on } in cases {
+        let mut members = Members::new(member(0), Vec::new());
+        for number in 1..=30 {
+            members.learn(&member(number), at(0));
+        }
+        for _ in 0..own_heartbeats {
+            members.beat(Phase::Serving, None);
+        }
+        let breadth = members.breadth(is_other_young);
+        let passed = members.passed_on(breadth, at(1), &mut SmallRng::seed_from_u64(3));
+        assert_eq!(passed.len(), passed_on, "{note}");
+    }
+}
+
+#[test]
+fn changes_among_members_are_counted_and_heartbeats_alone_are_none() {
+    struct Case {
+        note: &'static str,
+        told: Member,
+        is_change: bool,
+    }
+    let starting = Member { phase: Phase::Starting, ..member(1) };
+    let cases = [
+        Case { note: "unknown before", told: starting.clone(), is_change: true },
+        Case { note: "the same again", told: starting.clone(), is_change: false },
+        Case {
+            note: "its heartbeat goes on",
+            told: Member { heartbeat: 1, ..starting.clone() },
+            is_change: false,
+        },
+        Case { note: "it serves", told: Member { heartbeat: 2, ..member(1) }, is_change: true },
+        Case { note: "old news", told: Member { heartbeat: 1, ..starting }, is_change: false },
+        Case {
+            note: "it started anew",
+            told: Member { boot: Boot::new(2), ..member(1) },
+            is_change: true,
+        },
+        Case { note: "this process itself", told: member(0), is_change: false },
+    ];
+    let mut members = Members::new(member(0), Vec::new());
+    for Case { note, told, is_change } in cases {
+        let before = members.changes();
+        members.learn(&told, at(0));
+        assert_eq!(members.changes() > before, is_change, "{note}");
+    }
+}
