The number of requests at a target begins with two thirds of the slots; few targets explore

Cause: after a total loss every target had six requests for 1.5 to 3 s although more than four make all of them 1.7 times slower (trace): the learner began with all slots, and needed 20 answers at a number that was the same at the target's end.

--- a/crates/thymeshift_dispatch/src/concurrency.rs
+++ b/crates/thymeshift_dispatch/src/concurrency.rs
@@ -1,18 +1,18 @@
 //! How many requests at a time one target of a service serves best.
 //!
 //! What it does: keeps the times of the latest answers for each number of requests that were
-//! counted when the request was sent and that the target reported to run when it answered,
-//! both the same, and compares a low quantile of them. The best
+//! at the target when the request was sent, and compares a low quantile of them. The best
 //! number is the largest at which one more request still raises the throughput, which is the
-//! number divided by that time. What is not known counts as worth it, unless another process
-//! has told otherwise; what is known is forgotten after a while, and found out anew.
+//! number divided by that time. What is not known is assumed: one more request is worth it,
+//! but for the last third of the slots. A few targets explore: they may have one request more
+//! or fewer than the best number while it is not known what that is worth. What is known is
+//! forgotten after a while, and found out anew.
 //!
 //! Why: targets slow down when nearly full. Beyond some number each further request makes
 //! all of them slower than it is worth; that number differs from the slots that a target
-//! tells of. Both numbers, because a request that joins or leaves on the way makes the time
-//! say little about either. A low quantile, because part of the answers take many times as
-//! long for other reasons, and more of those at high numbers: the fastest targets are chosen
-//! first.
+//! tells of. A process that knows nothing yet overloads all targets if it begins with all
+//! slots, and wastes little if it begins with two thirds. A low quantile, because part of the
+//! answers take many times as long for other reasons.
 
 use std::time::Duration;
 
@@ -22,12 +22,16 @@
 const LEVELS: usize = 16;
 /// Answers kept for each number.
 const ANSWERS_KEPT: usize = 64;
-/// Answers at a number before it is believed.
-const BELIEVED_AFTER: usize = 20;
+/// Answers at a number before it is believed, at least, and for each request of that number:
+/// the more requests, the smaller is what one more brings.
+const BELIEVED_AFTER_MIN: usize = 10;
+const BELIEVED_AFTER_PER_REQUEST: usize = 4;
 /// The quantile compared.
 const QUANTILE: f64 = 0.3;
-/// One more request must raise the throughput by this factor.
-const GAIN_MIN: f64 = 1.12;
+/// One more request must raise the throughput by this share, or by this part of what it would
+/// bring if it slowed nothing, whichever is less.
+const GAIN_MIN: f64 = 0.12;
+const GAIN_PART_MIN: f64 = 0.5;
 /// Assumed slowing by one more request when a target is nearly full.
 const ASSUMED_STEP: f64 = 1.3;
 /// Time without an answer after which what is known of a number is forgotten.
@@ -61,13 +65,23 @@
         self.quantile_us = *quantile;
     }
 
-    fn known_us(&self, now: Timestamp) -> Option<f64> {
+    /// The quantile, if there are `believed_after` answers.
+    fn known_us(&self, believed_after: usize, now: Timestamp) -> Option<f64> {
         let is_known =
-            self.taken_us.len() >= BELIEVED_AFTER && now.since(self.last_at) <= FORGOTTEN_AFTER;
+            self.taken_us.len() >= believed_after && now.since(self.last_at) <= FORGOTTEN_AFTER;
         is_known.then_some(self.quantile_us)
     }
 }
 
+/// Numbers of requests of which it is not known what they are worth.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Explored {
+    /// One more than the best number.
+    pub(crate) more: Option<u32>,
+    /// One fewer.
+    pub(crate) fewer: Option<u32>,
+}
+
 /// Answers' times by requests at the target, for all targets of a service.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Concurrency {
@@ -77,9 +91,9 @@
 }
 
 impl Concurrency {
-    /// Learns from an answer; `running` requests were at the target, itself included.
-    pub(crate) fn learn(&mut self, running: u32, taken_us: f64, now: Timestamp) {
-        self.levels[place_of(running)].learn(taken_us, now);
+    /// Learns from an answer; `number` requests were at the target, itself included.
+    pub(crate) fn learn(&mut self, number: u32, taken_us: f64, now: Timestamp) {
+        self.levels[place_of(number)].learn(taken_us, now);
     }
 
     /// Takes over what another process has found out.
@@ -91,11 +105,21 @@
     pub(crate) fn best(&self, slots: u32, now: Timestamp) -> u32 {
         let is_worth = |number: &u32| {
             let known = self.is_worth(*number, now);
-            known.unwrap_or_else(|| self.is_tried(*number, slots, now))
+            known.unwrap_or_else(|| self.is_assumed(*number, slots))
         };
         (2..=slots).take_while(is_worth).last().unwrap_or(1)
     }
 
+    /// Which number the exploring targets may have instead of the best one.
+    pub(crate) fn explored(&self, slots: u32, now: Timestamp) -> Explored {
+        let best = self.best(slots, now);
+        let is_known = |number: u32| self.known_us(number, now).is_some();
+        Explored {
+            more: (best < slots && !is_known(best + 1)).then_some(best + 1),
+            fewer: (best > 1 && is_known(best) && !is_known(best - 1)).then_some(best - 1),
+        }
+    }
+
     /// By how much a further request at a target that has `in_flight` lengthens the times of
     /// all requests there, its own included, over the time of one alone.
     pub(crate) fn marginal(&self, in_flight: u32, slots: u32, now: Timestamp) -> f64 {
@@ -107,8 +131,8 @@
 
     /// How many times as long as alone a request takes among `number`.
     fn slower(&self, number: u32, slots: u32, now: Timestamp) -> f64 {
-        let known = |number| self.levels[place_of(number)].known_us(now);
-        let known_slower = || Some(known(number)? / known(number - 1)?.max(1.0));
+        let known_slower =
+            || Some(self.known_us(number, now)? / self.known_us(number - 1, now)?.max(1.0));
         if number <= 1 {
             return 1.0;
         }
@@ -117,24 +141,26 @@
         (fewer * step).max(1.0)
     }
 
+    /// Time of answers at `number` requests, as far as it is known.
+    fn known_us(&self, number: u32, now: Timestamp) -> Option<f64> {
+        let believed_after = BELIEVED_AFTER_MIN.max(BELIEVED_AFTER_PER_REQUEST * number as usize);
+        self.levels[place_of(number)].known_us(believed_after, now)
+    }
+
     /// Whether `number` requests are used although it is not known what they are worth.
-    fn is_tried(&self, number: u32, slots: u32, now: Timestamp) -> bool {
-        if let Some(told) = self.told {
-            return number <= told;
+    fn is_assumed(&self, number: u32, slots: u32) -> bool {
+        match self.told {
+            Some(told) => number <= told,
+            None => assumed_step(number, slots) <= 1.0,
         }
-        // With all targets full nothing is learnt about fewer requests, unless they are
-        // made to have fewer for a moment.
-        let is_full = self.levels[place_of(number)].known_us(now).is_some();
-        let is_suspect = assumed_step(number, slots) > 1.0;
-        !(is_full && is_suspect)
     }
 
     /// Whether `number` requests yield more than one fewer, as far as it is known.
     fn is_worth(&self, number: u32, now: Timestamp) -> Option<bool> {
-        let more_us = self.levels[place_of(number)].known_us(now)?;
-        let fewer_us = self.levels[place_of(number - 1)].known_us(now)?;
-        let slower = more_us / fewer_us.max(1.0);
-        Some(f64::from(number) / f64::from(number - 1) > GAIN_MIN * slower)
+        let slower = self.known_us(number, now)? / self.known_us(number - 1, now)?.max(1.0);
+        let ideal_gain = 1.0 / f64::from(number - 1);
+        let gain_min = GAIN_MIN.min(GAIN_PART_MIN * ideal_gain);
+        Some(1.0 + ideal_gain > (1.0 + gain_min) * slower)
     }
 }
 
--- a/crates/thymeshift_dispatch/src/limit.rs
+++ b/crates/thymeshift_dispatch/src/limit.rs
@@ -64,11 +64,6 @@
         self.value = self.value.min(f64::from(self.ceiling));
     }
 
-    /// Whether one more request may be sent beside `in_flight`.
-    pub(crate) fn has_room(&self, in_flight: u32) -> bool {
-        in_flight < self.value as u32
-    }
-
     /// Learns from one attempt; `round_trip` bounds how often the limit is lowered.
     pub(crate) fn learn(
         &mut self,
--- a/crates/thymeshift_dispatch/src/table.rs
+++ b/crates/thymeshift_dispatch/src/table.rs
@@ -22,6 +22,7 @@
 use crate::halls::Halls;
 use crate::model::ServiceModel;
 use crate::target::Bound;
+use crate::target::Explores;
 use crate::target::Presence;
 use crate::target::Shape;
 use crate::target::Target;
@@ -39,6 +40,10 @@
 /// an answer: every other process may be doing the same.
 const FALLBACK_IN_FLIGHT_MAX: u32 = 1;
 
+/// Targets for each one that explores another number of requests: the answers of one target
+/// tell enough within a second or two, and its share of the work bounds what exploring costs.
+const TARGETS_PER_EXPLORER: usize = 8;
+
 /// A target has room only while an answer is expected within this many times the usual.
 const ROOM_FACTOR_MAX: f64 = 1.6;
 /// A target of which nothing was heard for this long counts as one at its usual pace.
@@ -74,7 +79,9 @@
     pub(crate) fn bound(&self, view: View, now: Timestamp) -> Bound {
         match view {
             View::Own => Bound::Learnt,
-            View::Fleet => Bound::Fixed(self.concurrency(now)),
+            View::Fleet => {
+                Bound::Best(self.concurrency(now), self.concurrency.explored(self.slots, now))
+            }
             View::Fallback => Bound::Fixed(FALLBACK_IN_FLIGHT_MAX),
         }
     }
@@ -129,11 +136,11 @@
         let Some(report) = report.filter(|report| report.queued == 0) else {
             return;
         };
-        // A report does not count the request that carries it.
-        let running = report.running + 1;
-        // If others came or went meanwhile, the time says little about either number.
-        if running == grant.in_flight {
-            self.concurrency.learn(running, taken_us, now);
+        // The target may run requests that are not counted here, those of a process that
+        // decides alone for example. Neither count holds the request that was answered.
+        let counted = self.get(grant.target).in_flight().saturating_sub(1);
+        if report.running <= counted {
+            self.concurrency.learn(grant.in_flight, taken_us, now);
         }
     }
 
@@ -219,9 +226,22 @@
                 target.presence = Presence::Leaving;
             }
         }
+        self.choose_explorers();
         self.is_filled = true;
     }
 
+    /// One target in [`TARGETS_PER_EXPLORER`] explores more requests, and another one fewer.
+    fn choose_explorers(&mut self) {
+        let serving = self.targets.iter_mut().filter(|target| target.is_serving());
+        for (place, target) in serving.enumerate() {
+            target.explores = match place % TARGETS_PER_EXPLORER {
+                0 => Explores::More,
+                1 => Explores::Fewer,
+                _ => Explores::Nothing,
+            };
+        }
+    }
+
     /// The place of a listed target; a new incarnation or address gets a new place, so
     /// that requests in flight to the old one keep theirs.
     fn place_of(
--- a/crates/thymeshift_dispatch/src/target.rs
+++ b/crates/thymeshift_dispatch/src/target.rs
@@ -16,6 +16,7 @@
 use crate::TargetDump;
 use crate::Usability;
 use crate::cold_start::ColdStart;
+use crate::concurrency::Explored;
 use crate::ejection::Ejection;
 use crate::latency::Latency;
 use crate::limit::Limit;
@@ -97,6 +98,18 @@
     Learnt,
     /// A number.
     Fixed(u32),
+    /// The best number, but for targets that explore.
+    Best(u32, Explored),
+}
+
+/// What a target explores.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Explores {
+    Nothing,
+    /// One request more than the best number.
+    More,
+    /// One fewer.
+    Fewer,
 }
 
 /// Whether the target is still in the configuration and may get new work.
@@ -117,6 +130,7 @@
     /// An operator's order says that it gets no new work for now.
     pub(crate) is_stopped: bool,
     pub(crate) hall: HallIndex,
+    pub(crate) explores: Explores,
     pub(crate) shape: Shape,
     in_flight: u32,
     sent_at_sum_us: u64,
@@ -143,6 +157,7 @@
             presence: Presence::Serving,
             is_stopped: false,
             hall: HallIndex::default(),
+            explores: Explores::Nothing,
             shape,
             in_flight: 0,
             sent_at_sum_us: 0,
@@ -187,20 +202,28 @@
     }
 
     fn has_room(&self, bound: Bound) -> bool {
-        match bound {
-            Bound::Learnt => self.limit.has_room(self.in_flight),
-            Bound::Fixed(most) => self.in_flight < most.min(self.shape.connection_share),
-        }
+        self.room(bound) > 0
     }
 
     /// Further requests that it may get.
     pub(crate) fn room(&self, bound: Bound) -> u32 {
-        match bound {
-            Bound::Learnt => (self.limit.value() as u32).saturating_sub(self.in_flight),
-            Bound::Fixed(most) => {
-                most.min(self.shape.connection_share).saturating_sub(self.in_flight)
+        let most = match bound {
+            Bound::Learnt => self.limit.value() as u32,
+            Bound::Fixed(most) => most.min(self.shape.connection_share),
+            Bound::Best(best, explored) => {
+                self.explored_or(best, explored).min(self.shape.connection_share)
             }
-        }
+        };
+        most.saturating_sub(self.in_flight)
+    }
+
+    fn explored_or(&self, best: u32, explored: Explored) -> u32 {
+        let explored = match self.explores {
+            Explores::Nothing => None,
+            Explores::More => explored.more,
+            Explores::Fewer => explored.fewer,
+        };
+        explored.unwrap_or(best)
     }
 
     /// Whether it may be open again without a change of configuration.
