Requests that can still be in time go before those that cannot

Hypothesis: after an outage and in bursts most of the queue are callers that come again; an answer that is late anyway is worth the same a little later, and takes a slot from one in time. Change: the time that a caller still waits, against what callers of the kind usually say, tells how long it has been trying (Patience); the objective that is left travels to the allocator; in-time requests go before late ones, and the forecast of the wait counts only who goes before.

--- a/crates/thymeshift_allocation/tests/books.rs
+++ b/crates/thymeshift_allocation/tests/books.rs
@@ -42,6 +42,7 @@
         priority: 1,
         deadline,
         wait_until: now + Duration::from_millis(200),
+        objective: now + Duration::from_millis(200),
         queue_max: 100,
         tried: Tried::default(),
         origin: HallIndex::default(),
--- a/crates/thymeshift_dispatch/src/dispatcher.rs
+++ b/crates/thymeshift_dispatch/src/dispatcher.rs
@@ -96,7 +96,7 @@
             .map(|priority| QueueDump { priority, waiting: self.queue.len_of(priority) })
             .filter(|queue| queue.waiting > 0)
             .collect();
-        let ahead = self.queue.ahead_of(*PRIORITIES.end());
+        let ahead = self.queue.ahead_of(*PRIORITIES.end(), false, now);
         ServiceDump {
             name: self.service.clone(),
             strategy: self.strategy.name(),
@@ -205,22 +205,21 @@
     pub fn request<R: Rng>(&mut self, request: Request, now: Timestamp, rng: &mut R) -> Decision {
         self.tick(now);
         if now >= request.deadline {
-            return Decision::Refuse(self.refusal(Reason::Deadline, &request, rng));
+            return Decision::Refuse(self.refusal(Reason::Deadline, &request, now, rng));
         }
         if let Some(grant) = self.choose(&request, now, rng) {
             return Decision::Send(grant);
         }
         let is_served = self.table.targets().iter().any(Target::is_serving);
         if !is_served {
-            return Decision::Refuse(self.refusal(Reason::NoTarget, &request, rng));
+            return Decision::Refuse(self.refusal(Reason::NoTarget, &request, now, rng));
         }
         if self.queue.len_of(request.priority) >= request.queue_max as usize {
-            return Decision::Refuse(self.refusal(Reason::QueueFull, &request, rng));
+            return Decision::Refuse(self.refusal(Reason::QueueFull, &request, now, rng));
         }
-        let ahead = self.queue.ahead_of(request.priority);
-        let wait = self.admission.expected_wait(ahead);
+        let wait = self.admission.expected_wait(self.ahead_of(&request, now));
         if now + wait > request.wait_until {
-            return Decision::Refuse(self.refusal(Reason::DeadlineUnreachable, &request, rng));
+            return Decision::Refuse(self.refusal(Reason::DeadlineUnreachable, &request, now, rng));
         }
         Decision::Wait(self.queue.push(request, now))
     }
@@ -268,22 +267,27 @@
     /// none, after each release, update and tick.
     pub fn next_wake<R: Rng>(&mut self, now: Timestamp, rng: &mut R) -> Option<Wake> {
         if let Some(waiter) = self.queue.pop_expired(now) {
-            let refusal = self.refusal(Reason::DeadlineUnreachable, &waiter.request, rng);
+            let refusal = self.refusal(Reason::DeadlineUnreachable, &waiter.request, now, rng);
             return Some(Wake::Refuse(waiter.ticket, refusal));
         }
-        let waiter = self.queue.pop(now)?;
+        let waiter = self.queue.pop(now, self.answered_at(now))?;
         match self.choose(&waiter.request, now, rng) {
             Some(grant) => Some(Wake::Send(waiter.ticket, grant)),
-            None => self.keep_or_refuse(waiter, rng),
+            None => self.keep_or_refuse(waiter, now, rng),
         }
     }
 
-    fn keep_or_refuse<R: Rng>(&mut self, waiter: Waiter, rng: &mut R) -> Option<Wake> {
+    fn keep_or_refuse<R: Rng>(
+        &mut self,
+        waiter: Waiter,
+        now: Timestamp,
+        rng: &mut R,
+    ) -> Option<Wake> {
         if self.table.targets().iter().any(Target::is_serving) {
             self.queue.put_back(waiter);
             return None;
         }
-        let refusal = self.refusal(Reason::NoTarget, &waiter.request, rng);
+        let refusal = self.refusal(Reason::NoTarget, &waiter.request, now, rng);
         Some(Wake::Refuse(waiter.ticket, refusal))
     }
 
@@ -323,11 +327,29 @@
         Some(self.table.grant(chosen, request.origin, now))
     }
 
-    fn refusal<R: Rng>(&self, reason: Reason, request: &Request, rng: &mut R) -> Refusal {
-        let ahead = self.queue.ahead_of(request.priority);
+    fn refusal<R: Rng>(
+        &self,
+        reason: Reason,
+        request: &Request,
+        now: Timestamp,
+        rng: &mut R,
+    ) -> Refusal {
+        let ahead = self.ahead_of(request, now);
         Refusal { reason, retry_after: self.admission.retry_after(ahead, rng) }
     }
 
+    /// Waiting requests that go before this one.
+    fn ahead_of(&self, request: &Request, now: Timestamp) -> usize {
+        let answered_at = self.answered_at(now);
+        let is_in_time = answered_at <= request.objective;
+        self.queue.ahead_of(request.priority, is_in_time, answered_at)
+    }
+
+    /// When the answer to a request that is sent now usually comes.
+    fn answered_at(&self, now: Timestamp) -> Timestamp {
+        now + Duration::from_micros(self.table.model().service_us() as u64)
+    }
+
     /// Names and indices of the targets that may be probed.
     pub fn probe_targets(&self) -> impl Iterator<Item = (TargetName, std::net::SocketAddr)> + '_ {
         let serving = self.table.targets().iter().filter(|target| target.is_serving());
--- a/crates/thymeshift_dispatch/src/queue.rs
+++ b/crates/thymeshift_dispatch/src/queue.rs
@@ -1,12 +1,14 @@
 //! Requests that wait for a target, by rank.
 //!
-//! What it does: lower ranks wait for higher ones, except that every
+//! What it does: requests that can still be answered within their objective go before those
+//! that cannot, and among either lower ranks wait for higher ones; but every
 //! [`STARVATION_TURN`]th turn goes to the lowest rank that waits. Within a rank the
 //! oldest goes first, until the oldest has used up half of its time: then the rank is
 //! overloaded, and the newest goes first, because it has the best chance in time.
 //!
-//! Why: archives may wait, but they must arrive; and in overload a first-in-first-out
-//! queue answers everybody too late.
+//! Why: archives may wait, but they must arrive; in overload a first-in-first-out
+//! queue answers everybody too late; and an answer that is late anyway is worth the same
+//! a little later.
 
 use std::collections::VecDeque;
 
@@ -38,6 +40,11 @@
         now >= self.request.wait_until
     }
 
+    /// Whether an answer that comes at `answered_at` is within the objective.
+    fn is_in_time(&self, answered_at: Timestamp) -> bool {
+        answered_at <= self.request.objective
+    }
+
     fn is_half_spent(&self, now: Timestamp) -> bool {
         let whole = self.since.until(self.request.wait_until);
         now.since(self.since) * 2 > whole
@@ -64,9 +71,16 @@
         self.ranks[rank_of(priority)].len()
     }
 
-    /// Waiting requests that go before a new one of this priority.
-    pub(crate) fn ahead_of(&self, priority: u8) -> usize {
-        self.ranks[..=rank_of(priority)].iter().map(VecDeque::len).sum()
+    /// Waiting requests that go before a new one of this priority; `is_in_time` is whether that
+    /// can be answered within its objective, and answers to requests that are sent now come
+    /// at `answered_at`.
+    pub(crate) fn ahead_of(&self, priority: u8, is_in_time: bool, answered_at: Timestamp) -> usize {
+        let higher = self.ranks[..=rank_of(priority)].iter().flatten();
+        if is_in_time {
+            return higher.filter(|waiter| waiter.is_in_time(answered_at)).count();
+        }
+        let lower = self.ranks[rank_of(priority) + 1..].iter().flatten();
+        higher.count() + lower.filter(|waiter| waiter.is_in_time(answered_at)).count()
     }
 
     pub(crate) fn push(&mut self, request: Request, now: Timestamp) -> Ticket {
@@ -98,16 +112,18 @@
         None
     }
 
-    /// Takes out the waiter whose turn it is.
-    pub(crate) fn pop(&mut self, now: Timestamp) -> Option<Waiter> {
+    /// Takes out the waiter whose turn it is. Answers to requests that are sent now come at
+    /// `answered_at`.
+    pub(crate) fn pop(&mut self, now: Timestamp, answered_at: Timestamp) -> Option<Waiter> {
         self.turn = self.turn.wrapping_add(1);
-        let is_lowest_turn = self.turn.is_multiple_of(STARVATION_TURN);
-        let rank = if is_lowest_turn {
-            self.ranks.iter_mut().rev().find(|rank| !rank.is_empty())
-        } else {
-            self.ranks.iter_mut().find(|rank| !rank.is_empty())
-        }?;
-        if rank.front()?.is_half_spent(now) { rank.pop_back() } else { rank.pop_front() }
+        if self.turn.is_multiple_of(STARVATION_TURN) {
+            return self.ranks.iter_mut().rev().find_map(VecDeque::pop_front);
+        }
+        let in_time = self
+            .ranks
+            .iter_mut()
+            .find_map(|rank| pop_turn(rank, now, |waiter| waiter.is_in_time(answered_at)));
+        in_time.or_else(|| self.ranks.iter_mut().find_map(|rank| pop_turn(rank, now, |_| true)))
     }
 
     /// Puts a waiter back that could not be sent after all.
@@ -116,6 +132,18 @@
     }
 }
 
+/// The waiter of a rank whose turn it is, among those that may go.
+fn pop_turn(
+    rank: &mut VecDeque<Waiter>,
+    now: Timestamp,
+    may_go: impl Fn(&Waiter) -> bool,
+) -> Option<Waiter> {
+    let oldest = rank.iter().position(&may_go)?;
+    let index =
+        if rank[oldest].is_half_spent(now) { rank.iter().rposition(may_go)? } else { oldest };
+    rank.remove(index)
+}
+
 fn rank_of(priority: u8) -> usize {
     usize::from(priority).clamp(1, RANKS) - 1
 }
--- a/crates/thymeshift_dispatch/src/request.rs
+++ b/crates/thymeshift_dispatch/src/request.rs
@@ -47,6 +47,8 @@
     pub deadline: Timestamp,
     /// When it stops waiting for a target; at most the deadline.
     pub wait_until: Timestamp,
+    /// Until when its answer is worth most to the caller; later ones are worth much less.
+    pub objective: Timestamp,
     /// Most requests of its rank waiting at one time.
     pub queue_max: u32,
     /// Targets it was already sent to.
--- a/crates/thymeshift_dispatch/tests/support/mod.rs
+++ b/crates/thymeshift_dispatch/tests/support/mod.rs
@@ -77,6 +77,7 @@
         priority,
         deadline,
         wait_until: deadline,
+        objective: deadline,
         queue_max: 100,
         tried: Tried::default(),
         origin: HallIndex::default(),
--- a/crates/thymeshift_entry/src/allocation_client.rs
+++ b/crates/thymeshift_entry/src/allocation_client.rs
@@ -95,6 +95,7 @@
     pub(crate) priority: u8,
     pub(crate) deadline: Duration,
     pub(crate) wait: Duration,
+    pub(crate) objective: Duration,
     pub(crate) queue_max: u32,
     pub(crate) tried: Vec<TargetName>,
 }
@@ -181,8 +182,8 @@
             Allocating::Here(_) => None,
             Allocating::There(place) => Some(place.vm.clone()),
         };
-        let Wanted { service, group, may_redirect, priority, deadline, wait, queue_max, tried } =
-            wanted;
+        let Wanted { service, group, may_redirect, priority, .. } = wanted;
+        let Wanted { deadline, wait, objective, queue_max, tried, .. } = wanted;
         let open = OpenLease {
             service: service.clone(),
             group: group.clone(),
@@ -209,6 +210,7 @@
             priority,
             deadline,
             wait,
+            objective,
             queue_max,
             tried,
             held,
--- a/crates/thymeshift_entry/src/caller/forward.rs
+++ b/crates/thymeshift_entry/src/caller/forward.rs
@@ -56,6 +56,8 @@
     pub(crate) answer_buffer_bytes: u64,
     pub(crate) head: Parts,
     pub(crate) deadline: Timestamp,
+    /// Until when an answer is worth most to the caller.
+    pub(crate) objective: Timestamp,
     pub(crate) attempts_max: u64,
     pub(crate) depth: u64,
     pub(crate) body_stall: Duration,
@@ -163,6 +165,7 @@
             priority: kind.priority as u8,
             deadline: self.deadline,
             wait_until: wait_until.min(self.deadline),
+            objective: self.objective,
             queue_max: u32::try_from(kind.queue_max).unwrap_or(u32::MAX),
             tried,
             origin: HallIndex::default(),
--- a/crates/thymeshift_entry/src/caller/handler.rs
+++ b/crates/thymeshift_entry/src/caller/handler.rs
@@ -163,6 +163,10 @@
     ) -> Forward<D> {
         let longest = Duration::from_millis(kind.kind.deadline_ms);
         let timeout = context.timeout.map_or(longest, |asked| asked.min(longest));
+        let deadline = self.accepted_at + timeout;
+        let objective = self
+            .objective(&kind, context.timeout)
+            .map_or(deadline, |objective| deadline.min(self.accepted_at + objective));
         let attempts_max = kind.kind.attempts_max;
         let attempts_max =
             context.attempts_left.map_or(attempts_max, |left| left.min(attempts_max));
@@ -173,7 +177,8 @@
             answer_buffer_bytes: limits.answer_buffer_bytes,
             shared: self.shared.clone(),
             head: onward_head(parts, self.caller, request_id),
-            deadline: self.accepted_at + timeout,
+            deadline,
+            objective,
             attempts_max: attempts_max.max(1),
             depth: context.depth,
             body_stall: body_limits(limits).stall,
@@ -181,6 +186,16 @@
         }
     }
 
+    /// Time left in which an answer is worth most, if the kind states one: it counts from the
+    /// caller's first attempt.
+    fn objective(&self, kind: &KindRuntime, caller_waits: Option<Duration>) -> Option<Duration> {
+        let objective_ms = kind.kind.objective_ms;
+        let objective = (objective_ms > 0).then(|| Duration::from_millis(objective_ms))?;
+        let tried_for = caller_waits
+            .map_or(Duration::ZERO, |told| kind.figures.patience.lock().tried_for(told));
+        Some(objective.saturating_sub(tried_for))
+    }
+
     /// A refusal before anything was sent.
     fn refused(&self, reason: Reason, step: Step) -> Failure {
         let peer = match reason {
--- a/crates/thymeshift_entry/src/routing.rs
+++ b/crates/thymeshift_entry/src/routing.rs
@@ -8,9 +8,11 @@
 use metrics::Histogram;
 use metrics::counter;
 use metrics::histogram;
+use parking_lot::Mutex;
 use thymeshift_config::Configuration;
 use thymeshift_config::Kind;
 use thymeshift_config::RequestHead;
+use thymeshift_dispatch::Patience;
 use thymeshift_telemetry::metric;
 use thymeshift_types::DataHallName;
 use thymeshift_types::Outcome;
@@ -51,6 +53,8 @@
     pub(crate) retries: Tally,
     pub(crate) waited: Tally,
     pub(crate) seconds: Histogram,
+    /// How long callers usually wait.
+    pub(crate) patience: Mutex<Patience>,
 }
 
 impl KindFigures {
@@ -68,6 +72,7 @@
             retries: Tally::new(counter!(metric::RETRIES, "kind" => name.clone())),
             waited: Tally::new(counter!(metric::WAITED, "kind" => name.clone())),
             seconds: histogram!(metric::REQUEST_SECONDS, "kind" => name.clone()),
+            patience: Mutex::default(),
         })
     }
 
--- a/crates/thymeshift_entry/src/service/group.rs
+++ b/crates/thymeshift_entry/src/service/group.rs
@@ -220,6 +220,7 @@
         priority: acquire.priority,
         deadline,
         wait_until: (now + acquire.wait).min(deadline),
+        objective: (now + acquire.objective).min(deadline),
         queue_max: acquire.queue_max,
         tried,
         origin: dispatcher.hall_index(&acquire.data_hall),
--- a/crates/thymeshift_entry/src/service/obtain.rs
+++ b/crates/thymeshift_entry/src/service/obtain.rs
@@ -174,6 +174,7 @@
             priority: request.priority,
             deadline: now.until(request.deadline),
             wait: now.until(request.wait_until),
+            objective: now.until(request.objective),
             queue_max: request.queue_max,
             tried: self.names(&request.tried),
         }
--- a/crates/thymeshift_lab/src/experiment/decision_cost.rs
+++ b/crates/thymeshift_lab/src/experiment/decision_cost.rs
@@ -101,6 +101,7 @@
         priority: 1,
         deadline,
         wait_until: deadline,
+        objective: deadline,
         queue_max: 10,
         tried: Tried::default(),
         origin: HallIndex::default(),
--- a/crates/thymeshift_wire/src/datagram.rs
+++ b/crates/thymeshift_wire/src/datagram.rs
@@ -118,6 +118,8 @@
     pub deadline: Duration,
     /// Longest time to wait for a target.
     pub wait: Duration,
+    /// Time left in which its answer is worth most; zero if it is over.
+    pub objective: Duration,
     /// Most requests of its rank waiting at one time.
     pub queue_max: u32,
     /// Targets that the request was already sent to.
