The usual pace is that of the faster targets; slow targets teach nothing about the number

Change: usual is the 30% quantile of the targets' paces, at its best of the last second; an answer counts for the number only if its target was not known to be slower than usual when it was sent. Also: a waiter that finds no target keeps its place (it went to the front of its rank before).

--- a/crates/thymeshift_dispatch/src/dispatcher.rs
+++ b/crates/thymeshift_dispatch/src/dispatcher.rs
@@ -37,7 +37,6 @@
 use crate::Wake;
 use crate::admission::Admission;
 use crate::queue::Queue;
-use crate::queue::Waiter;
 use crate::table::Surroundings;
 use crate::table::Table;
 use crate::target::Target;
@@ -270,23 +269,15 @@
             let refusal = self.refusal(Reason::DeadlineUnreachable, &waiter.request, now, rng);
             return Some(Wake::Refuse(waiter.ticket, refusal));
         }
-        let waiter = self.queue.pop(now, self.answered_at(now))?;
-        match self.choose(&waiter.request, now, rng) {
-            Some(grant) => Some(Wake::Send(waiter.ticket, grant)),
-            None => self.keep_or_refuse(waiter, now, rng),
+        let waiter = self.queue.peek(now, self.answered_at(now))?;
+        if let Some(grant) = self.choose(&waiter.request, now, rng) {
+            self.queue.take(waiter.ticket);
+            return Some(Wake::Send(waiter.ticket, grant));
         }
-    }
-
-    fn keep_or_refuse<R: Rng>(
-        &mut self,
-        waiter: Waiter,
-        now: Timestamp,
-        rng: &mut R,
-    ) -> Option<Wake> {
         if self.table.targets().iter().any(Target::is_serving) {
-            self.queue.put_back(waiter);
             return None;
         }
+        self.queue.remove(waiter.ticket);
         let refusal = self.refusal(Reason::NoTarget, &waiter.request, now, rng);
         Some(Wake::Refuse(waiter.ticket, refusal))
     }
--- a/crates/thymeshift_dispatch/src/patience.rs
+++ b/crates/thymeshift_dispatch/src/patience.rs
@@ -19,7 +19,7 @@
 const SHARE_WEIGHT: f64 = 1.0 / 256.0;
 /// Share from which on a time is a usual one.
 const USUAL_SHARE: f64 = 0.15;
-/// Share by which the longest time fades with each request, so that one odd caller does not
+/// Share by which the longest times fade with each request, so that one odd caller does not
 /// make all others look late for ever.
 const FADE: f64 = 0.0002;
 
@@ -37,6 +37,7 @@
     pub fn tried_for(&mut self, told: Duration) -> Duration {
         let told_s = told.as_secs_f64();
         self.longest_s *= 1.0 - FADE;
+        self.largest_s.iter_mut().for_each(|largest_s| *largest_s *= 1.0 - FADE);
         if told_s > self.longest_s * (1.0 + SLACK) {
             // Places of other times would be wrong from now on.
             *self = Self { longest_s: told_s, ..Self::default() };
--- a/crates/thymeshift_dispatch/src/queue.rs
+++ b/crates/thymeshift_dispatch/src/queue.rs
@@ -112,36 +112,34 @@
         None
     }
 
-    /// Takes out the waiter whose turn it is. Answers to requests that are sent now come at
-    /// `answered_at`.
-    pub(crate) fn pop(&mut self, now: Timestamp, answered_at: Timestamp) -> Option<Waiter> {
-        self.turn = self.turn.wrapping_add(1);
-        if self.turn.is_multiple_of(STARVATION_TURN) {
-            return self.ranks.iter_mut().rev().find_map(VecDeque::pop_front);
+    /// The waiter whose turn it is; [`Self::take`] takes it out. Answers to requests that are
+    /// sent now come at `answered_at`.
+    pub(crate) fn peek(&self, now: Timestamp, answered_at: Timestamp) -> Option<Waiter> {
+        if (self.turn + 1).is_multiple_of(STARVATION_TURN) {
+            return self.ranks.iter().rev().find_map(VecDeque::front).copied();
         }
-        let in_time = self
-            .ranks
-            .iter_mut()
-            .find_map(|rank| pop_turn(rank, now, |waiter| waiter.is_in_time(answered_at)));
-        in_time.or_else(|| self.ranks.iter_mut().find_map(|rank| pop_turn(rank, now, |_| true)))
+        let is_in_time = |waiter: &Waiter| waiter.is_in_time(answered_at);
+        let in_time = self.ranks.iter().find_map(|rank| next_of(rank, now, is_in_time));
+        in_time.or_else(|| self.ranks.iter().find_map(|rank| next_of(rank, now, |_| true)))
     }
 
-    /// Puts a waiter back that could not be sent after all.
-    pub(crate) fn put_back(&mut self, waiter: Waiter) {
-        self.ranks[rank_of(waiter.request.priority)].push_front(waiter);
+    /// Takes out a waiter that is served.
+    pub(crate) fn take(&mut self, ticket: Ticket) {
+        self.turn = (self.turn + 1) % STARVATION_TURN;
+        self.remove(ticket);
     }
 }
 
-/// The waiter of a rank whose turn it is, among those that may go.
-fn pop_turn(
-    rank: &mut VecDeque<Waiter>,
+/// The waiter of a rank that goes first, among those that may go.
+fn next_of(
+    rank: &VecDeque<Waiter>,
     now: Timestamp,
     may_go: impl Fn(&Waiter) -> bool,
 ) -> Option<Waiter> {
-    let oldest = rank.iter().position(&may_go)?;
-    let index =
-        if rank[oldest].is_half_spent(now) { rank.iter().rposition(may_go)? } else { oldest };
-    rank.remove(index)
+    let oldest = rank.iter().find(|waiter| may_go(waiter))?;
+    let newest = || rank.iter().rev().find(|waiter| may_go(waiter));
+    let next = if oldest.is_half_spent(now) { newest()? } else { oldest };
+    Some(*next)
 }
 
 fn rank_of(priority: u8) -> usize {
--- a/crates/thymeshift_dispatch/src/table.rs
+++ b/crates/thymeshift_dispatch/src/table.rs
@@ -49,6 +49,11 @@
 /// A target of which nothing was heard for this long counts as one at its usual pace.
 const ROOM_UNHEARD: Duration = Duration::from_secs(1);
 
+/// Time between two looks at all targets' paces, and how old they may be: targets that are
+/// probed tell theirs several times as often.
+const USUAL_PACE_EVERY: Duration = Duration::from_millis(50);
+const USUAL_PACE_AGE_MAX: Duration = Duration::from_secs(1);
+
 /// Numbers of requests at a target whose costs are told apart.
 const MARGINAL_COSTS: usize = 8;
 /// What one more request costs all requests at a target, by how many it has, over the time
@@ -63,6 +68,7 @@
     concurrency: Concurrency,
     slots: u32,
     halls: Halls,
+    usual_pace_at: Timestamp,
 }
 
 impl Table {
@@ -139,7 +145,7 @@
         // The target may run requests that are not counted here, those of a process that
         // decides alone for example. Neither count holds the request that was answered.
         let counted = self.get(grant.target).in_flight().saturating_sub(1);
-        if report.running <= counted {
+        if report.running <= counted && grant.is_usual_pace {
             self.concurrency.learn(grant.in_flight, taken_us, now);
         }
     }
@@ -149,6 +155,7 @@
         let others = self.get_mut(index).learn_report(report, now);
         self.model.learn_pace(report.pace());
         self.model.learn_others(others);
+        self.learn_usual_pace(now);
     }
 
     /// Learns from a report that came with a probe.
@@ -156,6 +163,18 @@
         let others = self.get_mut(index).learn_probe(report, now);
         self.model.learn_pace(report.pace());
         self.model.learn_others(others);
+        self.learn_usual_pace(now);
+    }
+
+    fn learn_usual_pace(&mut self, now: Timestamp) {
+        if now.since(self.usual_pace_at) < USUAL_PACE_EVERY {
+            return;
+        }
+        self.usual_pace_at = now;
+        let serving = self.targets.iter().filter(|target| target.is_serving());
+        let paces = serving.filter_map(|target| target.told_pace(USUAL_PACE_AGE_MAX, now));
+        let paces = paces.collect();
+        self.model.learn_usual_pace(paces, now);
     }
 
     /// Gives the right to send to a target.
--- a/crates/thymeshift_dispatch/src/target.rs
+++ b/crates/thymeshift_dispatch/src/target.rs
@@ -27,6 +27,8 @@
 
 /// Requests over which a target's load changes: the memory of a report.
 const REPORT_MEMORY_REQUESTS: f64 = 2.0;
+/// A pace up to this many times the usual one counts as usual.
+const USUAL_PACE_FACTOR_MAX: f64 = 1.3;
 /// Smallest share of successes counted, which bounds the cost of a failing target.
 const SUCCESS_SHARE_MIN: f64 = 0.02;
 
@@ -65,6 +67,8 @@
     pub(crate) way_us: f64,
     /// Requests in flight there, this one included.
     pub(crate) in_flight: u32,
+    /// Whether the target was not known to work slower than usual.
+    pub(crate) is_usual_pace: bool,
 }
 
 impl Grant {
@@ -198,7 +202,12 @@
 
     fn is_slow_spell(&self, now: Timestamp, model: &ServiceModel) -> bool {
         let service = Duration::from_micros(model.service_us() as u64);
-        self.others.is_slow_spell(now, model.pace(), service)
+        self.others.is_slow_spell(now, model.usual_pace(), service)
+    }
+
+    /// The pace that it told within `age_max`.
+    pub(crate) fn told_pace(&self, age_max: Duration, now: Timestamp) -> Option<f64> {
+        self.others.told_pace(age_max, now)
     }
 
     fn has_room(&self, bound: Bound) -> bool {
@@ -293,6 +302,11 @@
         (age_us - expected_us).max(0.0)
     }
 
+    fn is_usual_pace(&self, now: Timestamp, model: &ServiceModel) -> bool {
+        let pace = self.others.current_pace(now);
+        pace.is_none_or(|pace| pace <= model.usual_pace() * USUAL_PACE_FACTOR_MAX)
+    }
+
     pub(crate) fn grant(
         &mut self,
         index: TargetIndex,
@@ -310,6 +324,7 @@
             expected: Duration::from_micros(expected_us as u64),
             way_us,
             in_flight: self.in_flight + 1,
+            is_usual_pace: self.is_usual_pace(now, model),
         };
         self.in_flight += 1;
         self.sent_at_sum_us += now.as_micros();
--- a/crates/thymeshift_dispatch/tests/fleet_view.rs
+++ b/crates/thymeshift_dispatch/tests/fleet_view.rs
@@ -312,6 +312,85 @@
     }
 }
 
+#[test]
+fn what_is_slow_is_told_by_the_faster_targets_of_the_last_second() {
+    struct Case {
+        note: &'static str,
+        /// What each target reports all the time.
+        paces: [u32; 5],
+        /// What the target reports at which the request may start.
+        pace_percent: u32,
+        is_sent: bool,
+    }
+    let cases = [
+        Case { note: "one spell", paces: [100; 5], pace_percent: 500, is_sent: false },
+        Case {
+            note: "a spell beside targets that are slow for long",
+            paces: [100, 100, 100, 1_200, 1_200],
+            pace_percent: 500,
+            is_sent: false,
+        },
+        Case { note: "nearly all are slow", paces: [500; 5], pace_percent: 500, is_sent: true },
+        Case {
+            note: "much slower than the slow",
+            paces: [500; 5],
+            pace_percent: 2_500,
+            is_sent: false,
+        },
+    ];
+    for Case { note, paces, pace_percent, is_sent } in cases {
+        let mut dispatcher = fleet_dispatcher(5, 5);
+        let mut rng = rng();
+        let mut now = at(0);
+        // A request takes 200 ms.
+        for _ in 0..10 {
+            let grant = sent(&mut dispatcher, request(1, now + ms(10_000)), now, &mut rng);
+            now = now + ms(200);
+            let _ = dispatcher.learn(&grant, Observation::Answered(None), now);
+            dispatcher.release(grant, now);
+        }
+        for _ in 0..20 {
+            now = now + ms(200);
+            let _ = dispatcher.tick(now);
+            for (index, pace) in paces.into_iter().enumerate() {
+                let _ = dispatcher.learn_probe(&name(index), paced(pace), now);
+            }
+        }
+        // All others are leaving.
+        for index in 1..5 {
+            dispatcher.mark_leaving(&name(index), Incarnation::new(1));
+        }
+        let _ = dispatcher.learn_probe(&name(0), paced(pace_percent), now);
+        match dispatcher.request(request(1, now + ms(10_000)), now, &mut rng) {
+            Decision::Send(_) => assert!(is_sent, "{note}: sent"),
+            Decision::Wait(_) => assert!(!is_sent, "{note}: waits"),
+            Decision::Refuse(refusal) => panic!("{note}: {refusal:?}"),
+        }
+    }
+}
+
+#[test]
+fn answers_of_a_target_that_is_slow_anyway_teach_nothing_about_the_number() {
+    let mut dispatcher = fleet_dispatcher(1, 1);
+    let mut rng = rng();
+    for round in 0..200 {
+        let now = at(round * 200);
+        // Two at a time take twice as long as one, but only because the target is slow then.
+        let (pace, count, taken) = if round % 2 == 0 { (100, 1, 50) } else { (200, 2, 100) };
+        let _ = dispatcher.tick(now);
+        let _ = dispatcher.learn_probe(&name(0), paced(pace), now);
+        let grants: Vec<_> =
+            (0..count).map(|_| sent(&mut dispatcher, at_once(now), now, &mut rng)).collect();
+        for grant in grants {
+            let others = dispatcher.in_flight(grant.target()) - 1;
+            let report = LoadReport { pace_percent: pace, ..report(others, 0) };
+            let _ = dispatcher.learn(&grant, Observation::Answered(Some(report)), now + ms(taken));
+            dispatcher.release(grant, now + ms(taken));
+        }
+    }
+    assert_eq!(dispatcher.concurrency(at(40_000)), 2, "as assumed");
+}
+
 #[test]
 fn targets_in_the_hall_of_the_request_are_preferred_up_to_the_detour() {
     let mut configuration = configuration(4, 2, "");
--- a/crates/thymeshift_dispatch/tests/waiting.rs
+++ b/crates/thymeshift_dispatch/tests/waiting.rs
@@ -58,6 +58,65 @@
     assert_eq!(served(&mut dispatcher, held, 4), [first, second, switch, archive]);
 }
 
+#[test]
+fn requests_that_can_be_in_time_go_before_those_that_cannot() {
+    struct Case {
+        note: &'static str,
+        /// Rank and end of the objective of each waiting request, oldest first.
+        waiting: &'static [(u8, u64)],
+        served: &'static [usize],
+    }
+    // An answer takes 5 ms as long as nothing is known.
+    let cases = [
+        Case { note: "all in time", waiting: &[(1, 500), (1, 400)], served: &[0, 1] },
+        Case { note: "the oldest is late", waiting: &[(1, 0), (1, 500)], served: &[1, 0] },
+        Case { note: "it would be late", waiting: &[(1, 12), (1, 500)], served: &[1, 0] },
+        Case { note: "a late one of a higher rank", waiting: &[(1, 0), (2, 500)], served: &[1, 0] },
+        Case {
+            note: "late ones by rank",
+            waiting: &[(2, 0), (1, 0), (2, 500), (1, 500)],
+            served: &[3, 2, 1, 0],
+        },
+    ];
+    for Case { note, waiting, served: expected } in cases {
+        let mut dispatcher = dispatcher(&configuration(1, 1, ""));
+        let held = sent(&mut dispatcher, request(1, at(9_000)), at(0), &mut rng());
+        let tickets: Vec<Ticket> = waiting
+            .iter()
+            .map(|(rank, until)| {
+                let wanted = Request { objective: at(*until), ..request(*rank, at(9_000)) };
+                wait(&mut dispatcher, wanted, 0)
+            })
+            .collect();
+        let expected: Vec<Ticket> = expected.iter().map(|index| tickets[*index]).collect();
+        assert_eq!(served(&mut dispatcher, held, waiting.len()), expected, "{note}");
+    }
+}
+
+#[test]
+fn late_requests_are_not_starved_by_new_ones() {
+    let mut dispatcher = dispatcher(&configuration(1, 1, ""));
+    let held = sent(&mut dispatcher, request(1, at(90_000)), at(0), &mut rng());
+    let late = wait(&mut dispatcher, Request { objective: at(0), ..request(1, at(90_000)) }, 0);
+    for _ in 0..40 {
+        wait(&mut dispatcher, request(1, at(90_000)), 0);
+    }
+    let tickets = served(&mut dispatcher, held, 20);
+    assert!(tickets.contains(&late), "served within one turn in sixteen");
+}
+
+#[test]
+fn a_waiter_that_finds_no_target_keeps_its_place() {
+    let mut dispatcher = dispatcher(&configuration(1, 1, ""));
+    let held = sent(&mut dispatcher, request(1, at(9_000)), at(0), &mut rng());
+    let first = wait(&mut dispatcher, request(1, at(9_000)), 0);
+    let second = wait(&mut dispatcher, request(1, at(9_000)), 1);
+    for step in 2..9 {
+        assert!(dispatcher.next_wake(at(step), &mut rng()).is_none(), "the target is full");
+    }
+    assert_eq!(served(&mut dispatcher, held, 2), [first, second]);
+}
+
 #[test]
 fn the_lowest_rank_is_not_starved() {
     let mut dispatcher = dispatcher(&configuration(1, 1, ""));
