--- a/crates/thymeshift_dispatch/src/model.rs
+++ b/crates/thymeshift_dispatch/src/model.rs
@@ -60,8 +60,8 @@
         if paces.is_empty() {
             return;
         }
-        let place = ((paces.len() - 1) as f64 * USUAL_PACE_QUANTILE) as usize;
-        let (_, pace, _) = paces.select_nth_unstable_by(place, f64::total_cmp);
+        let index = ((paces.len() - 1) as f64 * USUAL_PACE_QUANTILE) as usize;
+        let (_, pace, _) = paces.select_nth_unstable_by(index, f64::total_cmp);
         if now.since(self.since) >= USUAL_PACE_WINDOW / 2 {
             self.before = self.current.take();
             self.since = now;
