--- a/crates/thymeshift_dispatch/tests/patience.rs
+++ b/crates/thymeshift_dispatch/tests/patience.rs
@@ -17,10 +17,10 @@
 
 fn check(patience: &mut Patience, cases: &[Case]) {
     for Case { note, told_ms, tried_ms } in cases {
-        let tried = patience.clone().tried_for(ms(*told_ms)).as_millis() as i64;
-        let wanted = *tried_ms as i64;
+        let tried = patience.clone().tried_for(ms(*told_ms));
+        let wanted = ms(*tried_ms);
         // Usual times fade a little between two callers that say them.
-        assert!((tried - wanted).abs() <= 10, "{note}: {tried} and not {wanted} ms");
+        assert!(tried.abs_diff(wanted) <= ms(10), "{note}: {tried:?} and not {wanted:?}");
     }
 }
 
