Processes that start together find each other through seeds that start last

Change: a process counts as new until it has heard five messages, not for its first five heartbeats, and says so; it waits for one answer of a peer, and peers that are not there refuse at once.

--- a/crates/thymeshift_entry/src/caller/handler.rs
+++ b/crates/thymeshift_entry/src/caller/handler.rs
@@ -164,8 +164,7 @@
         let longest = Duration::from_millis(kind.kind.deadline_ms);
         let timeout = context.timeout.map_or(longest, |asked| asked.min(longest));
         let deadline = self.accepted_at + timeout;
-        let objective = self
-            .objective(&kind, context.timeout)
+        let objective = objective_left(&kind, context.timeout)
             .map_or(deadline, |objective| deadline.min(self.accepted_at + objective));
         let attempts_max = kind.kind.attempts_max;
         let attempts_max =
@@ -186,16 +185,6 @@
         }
     }
 
-    /// Time left in which an answer is worth most, if the kind states one: it counts from the
-    /// caller's first attempt.
-    fn objective(&self, kind: &KindRuntime, caller_waits: Option<Duration>) -> Option<Duration> {
-        let objective_ms = kind.kind.objective_ms;
-        let objective = (objective_ms > 0).then(|| Duration::from_millis(objective_ms))?;
-        let tried_for = caller_waits
-            .map_or(Duration::ZERO, |told| kind.figures.patience.lock().tried_for(told));
-        Some(objective.saturating_sub(tried_for))
-    }
-
     /// A refusal before anything was sent.
     fn refused(&self, reason: Reason, step: Step) -> Failure {
         let peer = match reason {
@@ -238,6 +227,16 @@
     }
 }
 
+/// Time left in which an answer is worth most, if the kind states one: it counts from the
+/// caller's first attempt.
+fn objective_left(kind: &KindRuntime, caller_waits: Option<Duration>) -> Option<Duration> {
+    let objective_ms = kind.kind.objective_ms;
+    let objective = (objective_ms > 0).then(|| Duration::from_millis(objective_ms))?;
+    let tried_for =
+        caller_waits.map_or(Duration::ZERO, |told| kind.figures.patience.lock().tried_for(told));
+    Some(objective.saturating_sub(tried_for))
+}
+
 fn body_limits(limits: &Limits) -> BodyLimits {
     BodyLimits {
         bytes_max: limits.body_bytes_max,
--- a/crates/thymeshift_entry/src/control_plane/bootstrap.rs
+++ b/crates/thymeshift_entry/src/control_plane/bootstrap.rs
@@ -37,11 +37,9 @@
 const ROUND_PAUSE: Duration = Duration::from_millis(200);
 /// How long peers have before the source is asked too.
 const SOURCE_DELAY: Duration = Duration::from_millis(20);
-/// How long after its start a process that knows a configuration but no other process waits
-/// for one before it serves: decisions taken alone overload targets.
-const PEERS_LIMIT: Duration = Duration::from_millis(150);
-/// Pause before they are asked again.
-const PEERS_PAUSE: Duration = Duration::from_millis(20);
+/// How long a process that knows a configuration but no other process waits for an answer of
+/// one before it serves.
+const PEERS_LIMIT: Duration = Duration::from_millis(100);
 /// Rounds in which a patient process asks peers that answer and know nothing yet.
 const PATIENT_ROUNDS: u32 = 8;
 /// Longest pause between two rounds: everybody who starts asks, and a source that is down
@@ -67,19 +65,12 @@
         _ = in_force.wait_for(|is_in_force| *is_in_force) => {}
         () = ask_by_turns::<E>(shared) => {}
     }
-    let left = PEERS_LIMIT.saturating_sub(BootClock.now().since(shared.started_at));
-    let is_alone = timeout(left, find_peers(shared)).await.is_err();
-    info!("bootstrapped", kv: { is_alone });
-}
-
-/// Asks for other processes until one is known.
-async fn find_peers(shared: &Arc<Shared>) {
-    while shared.fleet.lock().members.count_alive(BootClock.now()) == 1 {
-        let peers = ask_peers(shared).await;
-        if peers.answered == 0 {
-            sleep(PEERS_PAUSE).await;
-        }
+    // Decisions taken alone overload targets. Peers that are not there refuse at once.
+    let is_alone = || shared.fleet.lock().members.count_alive(BootClock.now()) == 1;
+    if is_alone() {
+        let _ = timeout(PEERS_LIMIT, ask_peers(shared)).await;
     }
+    info!("bootstrapped", kv: { is_alone = is_alone() });
 }
 
 /// Asks peers and source for ever.
--- a/crates/thymeshift_entry/src/control_plane/peer_link.rs
+++ b/crates/thymeshift_entry/src/control_plane/peer_link.rs
@@ -43,8 +43,7 @@
 /// counts as such.
 const EXCHANGE_EVERY_YOUNG: Duration = Duration::from_millis(200);
 const YOUNG: Duration = Duration::from_secs(4);
-/// The same until it has told and heard of all others once: whoever allocates is found by
-/// knowing them.
+/// The same while it has hardly heard of others: whoever allocates is found by knowing them.
 const EXCHANGE_EVERY_NEW: Duration = Duration::from_millis(50);
 /// Longest time to open a connection to a peer, and for one exchange.
 const CALL_LIMIT: Duration = Duration::from_millis(500);
@@ -134,11 +133,8 @@
 fn exchange_every(shared: &Shared) -> Duration {
     let now = BootClock.now();
     let fleet = shared.fleet.lock();
-    if fleet.members.own().is_young() {
-        return EXCHANGE_EVERY_NEW;
-    }
     if now.since(shared.started_at) < YOUNG {
-        return EXCHANGE_EVERY_YOUNG;
+        return if fleet.members.is_new() { EXCHANGE_EVERY_NEW } else { EXCHANGE_EVERY_YOUNG };
     }
     let members = fleet.members.count_alive(now);
     let members = u32::try_from(members).unwrap_or(u32::MAX);
--- a/crates/thymeshift_entry/src/control_plane/peer_server.rs
+++ b/crates/thymeshift_entry/src/control_plane/peer_server.rs
@@ -8,7 +8,6 @@
 use tarpc::server::Channel;
 use thymeshift_fleet::Breadth;
 use thymeshift_fleet::Head;
-use thymeshift_fleet::Member;
 use thymeshift_fleet::Transfer;
 use thymeshift_supervisor::TaskError;
 use thymeshift_types::BootClock;
@@ -56,9 +55,8 @@
             self.fetch_from(sender.peer_address);
         }
         let mut fleet = self.shared.fleet.lock();
-        let is_sender_young = summary.members.first().is_some_and(Member::is_young);
-        let breadth = if is_sender_young || summary.members.len() > 1 {
-            fleet.members.breadth(is_sender_young)
+        let breadth = if summary.is_new || summary.members.len() > 1 {
+            fleet.members.breadth(summary.is_new)
         } else {
             Breadth::News
         };
--- a/crates/thymeshift_entry/src/fleet.rs
+++ b/crates/thymeshift_entry/src/fleet.rs
@@ -102,6 +102,7 @@
         rng: &mut impl Rng,
     ) -> Exchange {
         Exchange {
+            is_new: self.members.is_new(),
             members: self.members.passed_on(breadth, now, rng),
             configuration: self.configuration.head(),
             vm_list: self.vm_list.head(),
--- a/crates/thymeshift_fleet/src/members.rs
+++ b/crates/thymeshift_fleet/src/members.rs
@@ -37,12 +37,12 @@
 /// Further ones for each so many members known, and the most.
 const MEMBERS_PER_PASSED_ON: usize = 16;
 const PASSED_ON_MOST: usize = 10;
-/// Other members passed on where the process that asks or tells has just started: it is to know
-/// at once who shares work with it. Bounded by what a small link carries in a few milliseconds.
+/// Other members passed on where the process that asks or tells is new: it is to know at once
+/// who shares work with it. Bounded by what a small link carries in a few milliseconds.
 const PASSED_ON_WIDE: usize = 64;
-/// Heartbeats that a process has counted while it counts as just started: one for each regular
-/// exchange.
-const YOUNG_HEARTBEATS: u64 = 5;
+/// Messages of peers until which a process counts as new. Those it finds first may have started
+/// together with it, and know as little.
+const NEW_UNTIL_HEARD: u32 = 5;
 /// Time without a new heartbeat after which a member is suspected, in a fleet of up to
 /// [`MEMBERS_PER_PATIENCE`]. Heartbeats take longer through a larger one, and the time grows
 /// with it: whoever needs a member that is dead finds that out by asking.
@@ -120,11 +120,6 @@
         Contender { vm: &self.vm, capacity: self.capacity }
     }
 
-    /// Whether it has just started, and knows few others.
-    pub fn is_young(&self) -> bool {
-        self.heartbeat < YOUNG_HEARTBEATS
-    }
-
     /// Whether `other`, a later word of the same process, may be given other tasks.
     fn has_another_part(&self, other: &Self) -> bool {
         (self.boot, self.phase, self.datagram_address)
@@ -141,7 +136,7 @@
 pub enum Breadth {
     /// The sender and a few others.
     Regular,
-    /// The sender and many others: one of the two has just started.
+    /// The sender and many others: one of the two is new.
     Wide,
     /// The sender alone: the message is about something that changed.
     News,
@@ -203,12 +198,14 @@
     /// Addresses from settings and the platform's list, tried while nobody is known there.
     hints: Vec<SocketAddr>,
     changes: u64,
+    /// Messages of peers so far.
+    heard: u32,
 }
 
 impl Members {
     /// Members as seen by `own`.
     pub fn new(own: Member, hints: Vec<SocketAddr>) -> Self {
-        Self { own, known: BTreeMap::new(), hints, changes: 0 }
+        Self { own, known: BTreeMap::new(), hints, changes: 0, heard: 0 }
     }
 
     fn patience(&self) -> u32 {
@@ -257,6 +254,7 @@
 
     /// A peer answered: direct evidence.
     pub fn answered(&mut self, member: &Member, now: Timestamp) {
+        self.heard = self.heard.saturating_add(1);
         self.learn(member, now);
         if let Some(known) = self.known.get_mut(&member.vm) {
             known.heard_at = now;
@@ -287,10 +285,15 @@
         self.changes
     }
 
-    /// How much to say of members in a regular message to or from a process that is young if
-    /// `is_other_young`.
-    pub fn breadth(&self, is_other_young: bool) -> Breadth {
-        if is_other_young || self.own.is_young() { Breadth::Wide } else { Breadth::Regular }
+    /// Whether this process has hardly heard of others since its start.
+    pub fn is_new(&self) -> bool {
+        self.heard < NEW_UNTIL_HEARD
+    }
+
+    /// How much to say of members in a regular message to a process that is new if
+    /// `is_other_new`.
+    pub fn breadth(&self, is_other_new: bool) -> Breadth {
+        if is_other_new || self.is_new() { Breadth::Wide } else { Breadth::Regular }
     }
 
     /// The members to pass on: this process first, then in regular messages a few others
--- a/crates/thymeshift_fleet/tests/agreement.rs
+++ b/crates/thymeshift_fleet/tests/agreement.rs
@@ -328,24 +328,29 @@
 fn a_process_that_has_just_started_is_told_of_all_others_at_once() {
     struct Case {
         note: &'static str,
-        own_heartbeats: u64,
-        is_other_young: bool,
+        /// Messages of peers that this process has had.
+        heard: usize,
+        is_other_new: bool,
         passed_on: usize,
     }
     let cases = [
-        Case { note: "both settled", own_heartbeats: 50, is_other_young: false, passed_on: 7 },
-        Case { note: "it asks", own_heartbeats: 50, is_other_young: true, passed_on: 31 },
-        Case { note: "it is asked", own_heartbeats: 1, is_other_young: false, passed_on: 31 },
+        Case { note: "both settled", heard: 30, is_other_new: false, passed_on: 7 },
+        Case { note: "a new one asks", heard: 30, is_other_new: true, passed_on: 31 },
+        Case { note: "this one is new", heard: 2, is_other_new: false, passed_on: 31 },
     ];
-    for Case { note, own_heartbeats, is_other_young, passed_on } in cases {
+    for Case { note, heard, is_other_new, passed_on } in cases {
         let mut members = Members::new(member(0), Vec::new());
         for number in 1..=30 {
             members.learn(&member(number), at(0));
         }
-        for _ in 0..own_heartbeats {
+        for number in 1..=heard {
+            members.answered(&member(number), at(0));
+        }
+        // Heartbeats while nobody answers do not make a process settled.
+        for _ in 0..50 {
             members.beat(Phase::Serving, None);
         }
-        let breadth = members.breadth(is_other_young);
+        let breadth = members.breadth(is_other_new);
         let passed = members.passed_on(breadth, at(1), &mut SmallRng::seed_from_u64(3));
         assert_eq!(passed.len(), passed_on, "{note}");
     }
--- a/crates/thymeshift_wire/src/peer.rs
+++ b/crates/thymeshift_wire/src/peer.rs
@@ -25,6 +25,9 @@
 /// one, and each takes in the other's.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Exchange {
+    /// Whether the sender has hardly heard of others since its start, and wants to be told of
+    /// many.
+    pub is_new: bool,
     /// Members, the sender first.
     pub members: Vec<Member>,
     /// The configuration in force.
