An allocator leaves room for requests that it does not count, and learns loads before it serves alone

Change: requests that a target's report tells of and that the allocator does not count take room there for 200 ms; one is tried beside them every half second. A group that is asked after a rest has its targets probed at once (up to 100 ms later before); a process that knows nobody learns the loads for 12 ms before it serves.

--- a/crates/thymeshift_dispatch/src/report.rs
+++ b/crates/thymeshift_dispatch/src/report.rs
@@ -54,6 +54,9 @@
 /// Time after which a reported pace says nothing any more: neighbours on the same machine
 /// come and go many times a second.
 const PACE_MEMORY: Duration = Duration::from_millis(150);
+/// Time for which requests that are not counted here are believed to be at a target: several
+/// times as long as a target is left without a probe.
+const UNCOUNTED_MEMORY: Duration = Duration::from_millis(200);
 /// Smallest pace counted.
 const PACE_MIN: f64 = 0.25;
 /// Weight of a new report in the long-run mean of others' load.
@@ -103,6 +106,12 @@
         self.mean + (last.others - self.mean) * faith
     }
 
+    /// Requests at the target that are not counted here, as the last report told.
+    pub(crate) fn uncounted(&self, now: Timestamp) -> u32 {
+        let last = self.last.filter(|last| now.since(last.at) <= UNCOUNTED_MEMORY);
+        last.map_or(0, |last| last.others as u32)
+    }
+
     /// Forgets reports that are older than the process's own pause.
     pub(crate) fn distrust(&mut self) {
         self.last = None;
--- a/crates/thymeshift_dispatch/src/table.rs
+++ b/crates/thymeshift_dispatch/src/table.rs
@@ -105,7 +105,7 @@
             target.is_unheard(ROOM_UNHEARD, now) || target.expected_us(now, &self.model) <= usual_us
         };
         let open = self.targets.iter().filter(|target| target.is_open(now, bound, &self.model));
-        open.filter(is_quick).map(|target| target.room(bound)).sum()
+        open.filter(is_quick).map(|target| target.room(bound, now)).sum()
     }
 
     /// What one more request costs all requests at a target, by how many it has.
--- a/crates/thymeshift_dispatch/src/target.rs
+++ b/crates/thymeshift_dispatch/src/target.rs
@@ -29,6 +29,8 @@
 const REPORT_MEMORY_REQUESTS: f64 = 2.0;
 /// A pace up to this many times the usual one counts as usual.
 const USUAL_PACE_FACTOR_MAX: f64 = 1.3;
+/// A target that is full with requests of others gets one from here after this time.
+const TRIED_BESIDE_OTHERS_EVERY: Duration = Duration::from_millis(500);
 /// Smallest share of successes counted, which bounds the cost of a failing target.
 const SUCCESS_SHARE_MIN: f64 = 0.02;
 
@@ -138,6 +140,7 @@
     pub(crate) shape: Shape,
     in_flight: u32,
     sent_at_sum_us: u64,
+    granted_at: Timestamp,
     latency: Latency,
     others: OthersLoad,
     limit: Limit,
@@ -165,6 +168,7 @@
             shape,
             in_flight: 0,
             sent_at_sum_us: 0,
+            granted_at: Timestamp::default(),
             latency: Latency::default(),
             others: OthersLoad::default(),
             limit: Limit::new(shape.slots, shape.connection_share),
@@ -190,7 +194,7 @@
             Presence::Leaving => Usability::Leaving,
             Presence::Serving if self.is_stopped => Usability::Stopped,
             Presence::Serving if self.ejection.is_ejected(now) => Usability::Ejected,
-            Presence::Serving if !self.has_room(bound) => Usability::AtLimit,
+            Presence::Serving if !self.has_room(bound, now) => Usability::AtLimit,
             Presence::Serving if self.is_slow_spell(now, model) => Usability::SlowSpell,
             Presence::Serving => Usability::Open,
         }
@@ -210,22 +214,32 @@
         self.others.told_pace(age_max, now)
     }
 
-    fn has_room(&self, bound: Bound) -> bool {
-        self.room(bound) > 0
+    fn has_room(&self, bound: Bound, now: Timestamp) -> bool {
+        self.room(bound, now) > 0
     }
 
     /// Further requests that it may get.
-    pub(crate) fn room(&self, bound: Bound) -> u32 {
+    pub(crate) fn room(&self, bound: Bound, now: Timestamp) -> u32 {
         let most = match bound {
             Bound::Learnt => self.limit.value() as u32,
             Bound::Fixed(most) => most.min(self.shape.connection_share),
             Bound::Best(best, explored) => {
-                self.explored_or(best, explored).min(self.shape.connection_share)
+                let best = self.explored_or(best, explored).min(self.shape.connection_share);
+                self.left_by_others(best, now)
             }
         };
         most.saturating_sub(self.in_flight)
     }
 
+    /// What is left of `most` requests beside those that a report tells of and that are not
+    /// counted here: another process may allocate too, or decide alone. One request is tried
+    /// now and then, however many others there are.
+    fn left_by_others(&self, most: u32, now: Timestamp) -> u32 {
+        let is_tried_long_ago = now.since(self.granted_at) >= TRIED_BESIDE_OTHERS_EVERY;
+        let least = u32::from(is_tried_long_ago);
+        most.saturating_sub(self.others.uncounted(now)).max(least.min(most))
+    }
+
     fn explored_or(&self, best: u32, explored: Explored) -> u32 {
         let explored = match self.explores {
             Explores::Nothing => None,
@@ -327,6 +341,7 @@
             is_usual_pace: self.is_usual_pace(now, model),
         };
         self.in_flight += 1;
+        self.granted_at = now;
         self.sent_at_sum_us += now.as_micros();
         grant
     }
--- a/crates/thymeshift_entry/src/control_plane/bootstrap.rs
+++ b/crates/thymeshift_entry/src/control_plane/bootstrap.rs
@@ -40,6 +40,8 @@
 /// How long a process that knows a configuration but no other process waits for an answer of
 /// one before it serves.
 const PEERS_LIMIT: Duration = Duration::from_millis(100);
+/// Time for the first probes' answers: a probe takes 6 ms and the way there and back 3 ms.
+const FIRST_REPORTS: Duration = Duration::from_millis(12);
 /// Rounds in which a patient process asks peers that answer and know nothing yet.
 const PATIENT_ROUNDS: u32 = 8;
 /// Longest pause between two rounds: everybody who starts asks, and a source that is down
@@ -70,9 +72,29 @@
     if is_alone() {
         let _ = timeout(PEERS_LIMIT, ask_peers(shared)).await;
     }
+    if is_alone() {
+        learn_loads(shared).await;
+    }
     info!("bootstrapped", kv: { is_alone = is_alone() });
 }
 
+/// Has the targets probed that this process allocates, since nobody else told of them: others
+/// may have started in the same moment, and send requests to the same targets.
+async fn learn_loads(shared: &Shared) {
+    let Some(routing) = shared.routing() else {
+        return;
+    };
+    let now = BootClock.now();
+    for service in &routing.services {
+        for group in service.divided_into() {
+            if matches!(service.allocator_order(shared, &group, now).first(), Some(None)) {
+                service.group(&group).expect_requests(now);
+            }
+        }
+    }
+    sleep(FIRST_REPORTS).await;
+}
+
 /// Asks peers and source for ever.
 async fn ask_by_turns<E: Environment>(shared: &Arc<Shared>) {
     let mut source = E::Source::new(shared.settings().platform_address);
--- a/crates/thymeshift_entry/src/service/group.rs
+++ b/crates/thymeshift_entry/src/service/group.rs
@@ -34,6 +34,9 @@
 use crate::service::ServiceLinks;
 use crate::service::SharedRooms;
 
+/// Time without a question after which a group counts as rested.
+const RESTED: Duration = Duration::from_millis(100);
+
 /// The dispatcher over the whole fleet's requests to one group, with the books of its leases.
 pub(crate) struct GroupRuntime {
     group: Group,
@@ -78,6 +81,14 @@
         self.wake_waiting(now);
     }
 
+    /// Requests come, or are about to: the targets' loads must be known.
+    pub(crate) fn expect_requests(&self, now: Timestamp) {
+        let before = self.books.lock().asked_at.replace(now);
+        if before.is_none_or(|at| now.since(at) > RESTED) {
+            self.links.allocating.notify_one();
+        }
+    }
+
     /// A process asks for a target.
     pub(crate) fn acquire(&self, holder: LeaseHolder, acquire: &Acquire) {
         let now = BootClock.now();
@@ -91,8 +102,8 @@
     }
 
     fn decide(&self, key: &LeaseKey<LeaseHolder>, acquire: &Acquire, now: Timestamp) -> Reply {
-        let Books { dispatcher, allocator, asked_at } = &mut *self.books.lock();
-        *asked_at = Some(now);
+        self.expect_requests(now);
+        let Books { dispatcher, allocator, .. } = &mut *self.books.lock();
         allocator.keep_only(&key.holder, &numbers(&acquire.held), dispatcher, now);
         if acquire.may_redirect
             && !allocator.knows(key)
--- a/crates/thymeshift_entry/src/service/mod.rs
+++ b/crates/thymeshift_entry/src/service/mod.rs
@@ -74,6 +74,8 @@
     pub(crate) allocation: Arc<AllocationClient>,
     /// Rings when a request begins to wait, so that its time limit is watched.
     pub(crate) waiting: Arc<Notify>,
+    /// Rings when a group is asked for a target after a rest, so that its targets are probed.
+    pub(crate) allocating: Arc<Notify>,
 }
 
 /// What is configured, as far as a service depends on it.
--- a/crates/thymeshift_entry/src/shared.rs
+++ b/crates/thymeshift_entry/src/shared.rs
@@ -76,6 +76,8 @@
     pub(crate) allocation: Arc<AllocationClient>,
     /// Rings when a request begins to wait.
     pub(crate) waiting: Arc<Notify>,
+    /// Rings when a group is asked for a target after a rest.
+    pub(crate) allocating: Arc<Notify>,
     /// Bounds the log lines about single requests.
     pub(crate) request_lines: LineBudget,
     /// Whether this process waits for a document from the one above it in its data hall.
@@ -104,6 +106,7 @@
                 boot,
             ),
             waiting: Arc::default(),
+            allocating: Arc::default(),
             request_lines: LineBudget::new(REQUEST_LINES_PER_S),
             is_awaiting_relay: AtomicBool::new(false),
             discovers,
@@ -124,7 +127,11 @@
     }
 
     fn service_links(&self) -> ServiceLinks {
-        ServiceLinks { allocation: self.allocation.clone(), waiting: self.waiting.clone() }
+        ServiceLinks {
+            allocation: self.allocation.clone(),
+            waiting: self.waiting.clone(),
+            allocating: self.allocating.clone(),
+        }
     }
 
     /// Whether a log line about a single request may be written now.
--- a/crates/thymeshift_entry/src/target/pace_probe.rs
+++ b/crates/thymeshift_entry/src/target/pace_probe.rs
@@ -23,7 +23,6 @@
 use thymeshift_types::BootClock;
 use thymeshift_types::Clock;
 use thymeshift_wire::Dialect;
-use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::service::Destination;
@@ -53,7 +52,8 @@
         let now = BootClock.now();
         probing.lock().retain(|_, pacing| !pacing.is_over(now));
         let is_allocating = begin_due::<D>(&shared, &probing);
-        sleep(if is_allocating { LOOK } else { IDLE_LOOK }).await;
+        let wait = if is_allocating { LOOK } else { IDLE_LOOK };
+        let _ = timeout(wait, shared.allocating.notified()).await;
     }
 }
 
