Requests earn retries, and callers that a target turned away come back soon

Half as many successes earned half as many retries, and who got none was told to come back after half to one and a half of the route's time-out (0.9 to 2.7 s), too late for the objective of 0.6 s.

--- a/crates/thymeshift_config/src/service.rs
+++ b/crates/thymeshift_config/src/service.rs
@@ -135,7 +135,7 @@
     pub ejection: Ejection,
     /// Time over which a new target is brought to its full share, in milliseconds.
     pub cold_start_ramp_ms: u64,
-    /// Retries and hedges allowed, in percent of successes.
+    /// Retries and hedges allowed, in percent of requests.
     pub retry_budget_percent: u64,
     /// Most retries that one VM may save up.
     pub retry_reserve: u64,
--- a/crates/thymeshift_dispatch/src/dispatcher.rs
+++ b/crates/thymeshift_dispatch/src/dispatcher.rs
@@ -228,6 +228,11 @@
         !self.queue.is_empty()
     }
 
+    /// Counts a request that this process received, for the retry budget.
+    pub fn received(&mut self) {
+        self.retry.requested();
+    }
+
     /// Whether the budget allows a retry.
     pub fn has_retry(&self) -> bool {
         self.retry.reserve() >= 1.0
--- a/crates/thymeshift_dispatch/src/dispatcher/learning.rs
+++ b/crates/thymeshift_dispatch/src/dispatcher/learning.rs
@@ -35,7 +35,6 @@
             Observation::Answered(report) => {
                 target.learn_pressure(report, now);
                 target.succeeded(now);
-                self.retry.succeeded();
             }
             Observation::Failed(_) | Observation::Broken => {
                 target.failed(&self.ejection, has_room, now);
--- a/crates/thymeshift_dispatch/src/retry.rs
+++ b/crates/thymeshift_dispatch/src/retry.rs
@@ -1,9 +1,11 @@
 //! Budget for attempts after the first.
 //!
-//! What it does: each success earns a share of a retry; each retry or hedge spends a
+//! What it does: each request earns a share of a retry; each retry or hedge spends a
 //! whole one. Earned retries are kept up to a small bound.
 //!
-//! Why: when everything fails, retries would multiply the load just when it must fall.
+//! Why: when everything fails, retries would multiply the load just when it must fall; this
+//! bounds them to a share of it. Requests earn and not successes, because a service whose
+//! targets turn away every other request needs its retries most.
 //!
 //! Settings: `retry_budget_percent`, `retry_reserve`.
 
@@ -21,7 +23,7 @@
 }
 
 impl RetryBudget {
-    /// A budget of `percent` retries for each hundred successes.
+    /// A budget of `percent` retries for each hundred requests.
     pub fn new(percent: u64) -> Self {
         let share = percent as f64 / 100.0;
         let reserve = if percent == 0 { 0.0 } else { RESERVE_START };
@@ -44,7 +46,7 @@
     }
 
     /// Earns a share of a retry.
-    pub fn succeeded(&mut self) {
+    pub fn requested(&mut self) {
         self.reserve = (self.reserve + self.share).min(self.reserve_max);
     }
 
--- a/crates/thymeshift_dispatch/tests/budgets.rs
+++ b/crates/thymeshift_dispatch/tests/budgets.rs
@@ -150,19 +150,19 @@
 }
 
 #[test]
-fn retries_follow_successes() {
+fn retries_follow_requests() {
     let mut budget = RetryBudget::new(10);
     assert_eq!((0..20).filter(|_| budget.try_spend()).count(), 2, "what a fresh process has");
     for _ in 0..30 {
-        budget.succeeded();
+        budget.requested();
     }
     assert_eq!((0..20).filter(|_| budget.try_spend()).count(), 3, "a tenth");
     for _ in 0..10_000 {
-        budget.succeeded();
+        budget.requested();
     }
     assert_eq!((0..20).filter(|_| budget.try_spend()).count(), 10, "bounded reserve");
     let mut none = RetryBudget::new(0);
-    none.succeeded();
+    none.requested();
     assert!(!none.try_spend());
 }
 
--- a/crates/thymeshift_entry/src/caller/forward.rs
+++ b/crates/thymeshift_entry/src/caller/forward.rs
@@ -42,6 +42,10 @@
 /// Choices that may turn out unusable before the first byte, for one request.
 const GIVEN_UP_MAX: u32 = 8;
 
+/// A caller whose request a target turned away may come back after this part of its objective,
+/// in the mean: the next target may take it, and then it still meets the objective.
+const RETRY_AFTERS_PER_OBJECTIVE: u32 = 8;
+
 /// Time to obtain a target above which a request counts as having waited.
 const WAITED_MIN: Duration = Duration::from_millis(5);
 
@@ -74,6 +78,7 @@
 impl<D: Dialect> Forward<D> {
     /// Forwards the request until there is an answer or nothing more may be tried.
     pub(crate) async fn run(&self, body: RequestBody) -> Result<Response<TargetBody>, Failure> {
+        self.service.received();
         let mut tried = Tried::default();
         let mut attempts = 0;
         let mut given_up = 0;
@@ -276,7 +281,11 @@
         if failure.retry_after.is_some() || failure.outcome != Outcome::NotRun {
             return failure;
         }
-        let base = Duration::from_millis(self.kind.kind.deadline_ms);
+        let kind = &self.kind.kind;
+        let base = match kind.objective_ms {
+            0 => Duration::from_millis(kind.deadline_ms),
+            objective => Duration::from_millis(objective) / RETRY_AFTERS_PER_OBJECTIVE,
+        };
         failure.with_retry_after(base.mul_f64(rand::rng().random_range(0.5..1.5)))
     }
 }
--- a/crates/thymeshift_entry/src/service/mod.rs
+++ b/crates/thymeshift_entry/src/service/mod.rs
@@ -247,6 +247,11 @@
         }
     }
 
+    /// Counts a request of a caller.
+    pub(crate) fn received(&self) {
+        self.own.lock().dispatcher.received();
+    }
+
     pub(crate) fn has_retry(&self) -> bool {
         self.own.lock().dispatcher.has_retry()
     }
