Targets with a connection at hand go first among equals; fresher probes; documents from peers first

Cause: on the grown site nearly every request opens a connection; a lone process that started read the source although a peer was handing over the documents; reports of targets were 55 ms old when they were renewed.

--- a/crates/thymeshift_dispatch/src/strategy/candidates.rs
+++ b/crates/thymeshift_dispatch/src/strategy/candidates.rs
@@ -3,7 +3,9 @@
 use rand::Rng;
 use thymeshift_types::Timestamp;
 
+use crate::Connected;
 use crate::HallIndex;
+use crate::Request;
 use crate::TargetIndex;
 use crate::Tried;
 use crate::View;
@@ -14,6 +16,11 @@
 use crate::target::Bound;
 use crate::target::Target;
 
+/// How much longer an answer may take to spare opening a connection, in microseconds: what
+/// opening takes on the users' networks (1 ms at the target and the way there and back), and as
+/// much again several times for the work of both sides.
+const CONNECTION_US: f64 = 10_000.0;
+
 /// One open target.
 #[derive(Debug, Clone, Copy)]
 pub struct Candidate<'a> {
@@ -45,6 +52,7 @@
     model: &'a ServiceModel,
     halls: &'a Halls,
     origin: HallIndex,
+    connected: Connected,
     now: Timestamp,
     tried: &'a Tried,
     bound: Bound,
@@ -58,13 +66,14 @@
         view: View,
         now: Timestamp,
         tried: &'a Tried,
-        origin: HallIndex,
+        request: &Request,
     ) -> Self {
         Self {
             targets: table.targets(),
             model: table.model(),
             halls: table.halls(),
-            origin,
+            origin: request.origin,
+            connected: request.connected,
             now,
             tried,
             bound: table.bound(view, now),
@@ -80,11 +89,14 @@
     }
 
     /// Time in which an answer of a candidate is expected, in microseconds, the cost of the
-    /// way to its data hall included.
+    /// way to its data hall and of opening a connection included.
     pub fn expected_us(&self, candidate: &Candidate<'_>) -> f64 {
         let way_us = self.halls.cost_us(self.origin, candidate.target.hall);
         let place = (candidate.in_flight() as usize).min(self.costs.len() - 1);
-        candidate.target.expected_us(self.now, self.model) * self.costs[place] + way_us
+        let is_connected = self.connected.has(candidate.target.mark);
+        let connection_us = if is_connected { 0.0 } else { CONNECTION_US };
+        let expected_us = candidate.target.expected_us(self.now, self.model);
+        expected_us * self.costs[place] + way_us + connection_us
     }
 
     /// The moment of the decision.
--- a/crates/thymeshift_entry/src/allocation_client.rs
+++ b/crates/thymeshift_entry/src/allocation_client.rs
@@ -11,6 +11,7 @@
 use parking_lot::Mutex;
 use spdlog::debug;
 use thymeshift_allocation::Group;
+use thymeshift_dispatch::Connected;
 use thymeshift_dispatch::Observation;
 use thymeshift_dispatch::Refusal;
 use thymeshift_fleet::Boot;
@@ -98,6 +99,7 @@
     pub(crate) objective: Duration,
     pub(crate) queue_max: u32,
     pub(crate) tried: Vec<TargetName>,
+    pub(crate) connected: Connected,
 }
 
 struct OpenLease {
@@ -183,7 +185,7 @@
             Allocating::There(place) => Some(place.vm.clone()),
         };
         let Wanted { service, group, may_redirect, priority, .. } = wanted;
-        let Wanted { deadline, wait, objective, queue_max, tried, .. } = wanted;
+        let Wanted { deadline, wait, objective, queue_max, tried, connected, .. } = wanted;
         let open = OpenLease {
             service: service.clone(),
             group: group.clone(),
@@ -213,6 +215,7 @@
             objective,
             queue_max,
             tried,
+            connected: connected.iter().collect(),
             held,
         };
         match allocating {
--- a/crates/thymeshift_entry/src/control_plane/bootstrap.rs
+++ b/crates/thymeshift_entry/src/control_plane/bootstrap.rs
@@ -38,9 +38,12 @@
 const ROUND_PAUSE: Duration = Duration::from_millis(200);
 /// How long peers have before the source is asked too.
 const SOURCE_DELAY: Duration = Duration::from_millis(20);
-/// How long a process that knows a configuration but no other process waits for an answer of
-/// one before it serves.
-const PEERS_LIMIT: Duration = Duration::from_millis(100);
+/// How long after its start a process that knows a configuration but no other process waits
+/// for an answer of one before it serves.
+const PEERS_LIMIT: Duration = Duration::from_millis(80);
+/// How long a peer that has answered may take to hand over its documents, which are long in a
+/// large fleet, before the source is asked too.
+const DOCUMENTS_DELAY: Duration = Duration::from_millis(200);
 /// Time for the first probes' answers: a probe takes 6 ms and the way there and back 3 ms.
 const FIRST_REPORTS: Duration = Duration::from_millis(12);
 /// Rounds in which a patient process asks peers that answer and know nothing yet.
@@ -70,7 +73,8 @@
     }
     // Decisions taken alone overload targets. Peers that are not there refuse at once.
     if is_alone(shared) {
-        let _ = timeout(PEERS_LIMIT, ask_peers(shared)).await;
+        let left = PEERS_LIMIT.saturating_sub(BootClock.now().since(shared.started_at));
+        let _ = timeout(left, ask_peers(shared)).await;
     }
     let is_alone = is_alone(shared);
     info!("bootstrapped", kv: { is_alone });
@@ -112,8 +116,12 @@
     let mut waits_left = if is_patient(shared) { PATIENT_ROUNDS } else { 0 };
     loop {
         let asking = shared.clone();
-        let peers = tokio::spawn(async move { ask_peers(&asking).await });
-        let answered = match timeout(SOURCE_DELAY, peers).await {
+        let mut peers = tokio::spawn(async move { ask_peers(&asking).await });
+        let mut asked = timeout(SOURCE_DELAY, &mut peers).await;
+        if asked.is_err() && !is_alone(shared) {
+            asked = timeout(DOCUMENTS_DELAY, peers).await;
+        }
+        let answered = match asked {
             Ok(Ok(peers)) => peers.answered,
             Ok(Err(_)) | Err(_) => 0,
         };
--- a/crates/thymeshift_entry/src/service/obtain.rs
+++ b/crates/thymeshift_entry/src/service/obtain.rs
@@ -177,6 +177,7 @@
             objective: now.until(request.objective),
             queue_max: request.queue_max,
             tried: self.names(&request.tried),
+            connected: request.connected,
         }
     }
 
--- a/crates/thymeshift_entry/src/target/pace_probe.rs
+++ b/crates/thymeshift_entry/src/target/pace_probe.rs
@@ -36,7 +36,7 @@
 /// Time between two looks while nothing is granted.
 const IDLE_LOOK: Duration = Duration::from_millis(100);
 /// Age of the last report from which a target is probed, if the budget allows it.
-const AGE: Duration = Duration::from_millis(55);
+const AGE: Duration = Duration::from_millis(40);
 /// Processes that may take themselves for the allocator at one time.
 const ALLOCATORS_MAX: u64 = 2;
 /// Time after the last request within which a service counts as in use.
--- a/crates/thymeshift_wire/src/datagram.rs
+++ b/crates/thymeshift_wire/src/datagram.rs
@@ -11,6 +11,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use thymeshift_allocation::Group;
+use thymeshift_dispatch::AddressMark;
 use thymeshift_dispatch::Observation;
 use thymeshift_fleet::Boot;
 use thymeshift_fleet::Head;
@@ -124,6 +125,8 @@
     pub queue_max: u32,
     /// Targets that the request was already sent to.
     pub tried: Vec<TargetName>,
+    /// Targets to which the sender has an idle connection that the request may use.
+    pub connected: Vec<AddressMark>,
     /// All leases of this group that the sender holds or asks for.
     pub held: Vec<LeaseNumber>,
 }
