--- a/crates/thymeshift_allocation/tests/books.rs
+++ b/crates/thymeshift_allocation/tests/books.rs
@@ -14,7 +14,6 @@
 use thymeshift_allocation::LeaseKey;
 use thymeshift_config::Configuration;
 use thymeshift_dispatch::AnyStrategy;
-use thymeshift_dispatch::Connected;
 use thymeshift_dispatch::Dispatcher;
 use thymeshift_dispatch::HallIndex;
 use thymeshift_dispatch::Observation;
@@ -47,7 +46,6 @@
         queue_max: 100,
         tried: Tried::default(),
         origin: HallIndex::default(),
-        connected: Connected::default(),
     }
 }
 
--- a/crates/thymeshift_dispatch/src/lib.rs
+++ b/crates/thymeshift_dispatch/src/lib.rs
@@ -17,7 +17,6 @@
 mod admission;
 mod cold_start;
 mod concurrency;
-mod connected;
 mod connections;
 mod decision;
 mod dispatcher;
@@ -41,8 +40,6 @@
 mod target;
 mod view;
 
-pub use connected::AddressMark;
-pub use connected::Connected;
 pub use connections::connection_share;
 pub use decision::Decision;
 pub use decision::Observation;
--- a/crates/thymeshift_dispatch/src/request.rs
+++ b/crates/thymeshift_dispatch/src/request.rs
@@ -2,7 +2,6 @@
 
 use thymeshift_types::Timestamp;
 
-use crate::Connected;
 use crate::HallIndex;
 use crate::TargetIndex;
 
@@ -56,6 +55,4 @@
     pub tried: Tried,
     /// The data hall it comes from.
     pub origin: HallIndex,
-    /// Targets to which its process has an idle connection that the request may use.
-    pub connected: Connected,
 }
--- a/crates/thymeshift_dispatch/src/strategy/candidates.rs
+++ b/crates/thymeshift_dispatch/src/strategy/candidates.rs
@@ -3,9 +3,7 @@
 use rand::Rng;
 use thymeshift_types::Timestamp;
 
-use crate::Connected;
 use crate::HallIndex;
-use crate::Request;
 use crate::TargetIndex;
 use crate::Tried;
 use crate::View;
@@ -16,11 +14,6 @@
 use crate::target::Bound;
 use crate::target::Target;
 
-/// How much longer an answer may take to spare opening a connection, in microseconds: what
-/// opening takes on the users' networks (1 ms at the target and the way there and back), and as
-/// much again several times for the work of both sides.
-const CONNECTION_US: f64 = 10_000.0;
-
 /// One open target.
 #[derive(Debug, Clone, Copy)]
 pub struct Candidate<'a> {
@@ -52,7 +45,6 @@
     model: &'a ServiceModel,
     halls: &'a Halls,
     origin: HallIndex,
-    connected: Connected,
     now: Timestamp,
     tried: &'a Tried,
     bound: Bound,
@@ -66,14 +58,13 @@
         view: View,
         now: Timestamp,
         tried: &'a Tried,
-        request: &Request,
+        origin: HallIndex,
     ) -> Self {
         Self {
             targets: table.targets(),
             model: table.model(),
             halls: table.halls(),
-            origin: request.origin,
-            connected: request.connected,
+            origin,
             now,
             tried,
             bound: table.bound(view, now),
@@ -89,14 +80,11 @@
     }
 
     /// Time in which an answer of a candidate is expected, in microseconds, the cost of the
-    /// way to its data hall and of opening a connection included.
+    /// way to its data hall included.
     pub fn expected_us(&self, candidate: &Candidate<'_>) -> f64 {
         let way_us = self.halls.cost_us(self.origin, candidate.target.hall);
         let place = (candidate.in_flight() as usize).min(self.costs.len() - 1);
-        let is_connected = self.connected.has(candidate.target.mark);
-        let connection_us = if is_connected { 0.0 } else { CONNECTION_US };
-        let expected_us = candidate.target.expected_us(self.now, self.model);
-        expected_us * self.costs[place] + way_us + connection_us
+        candidate.target.expected_us(self.now, self.model) * self.costs[place] + way_us
     }
 
     /// The moment of the decision.
--- a/crates/thymeshift_dispatch/src/target.rs
+++ b/crates/thymeshift_dispatch/src/target.rs
@@ -11,7 +11,6 @@
 use thymeshift_types::TargetName;
 use thymeshift_types::Timestamp;
 
-use crate::AddressMark;
 use crate::HallIndex;
 use crate::LoadReport;
 use crate::TargetDump;
@@ -132,7 +131,6 @@
 pub(crate) struct Target {
     pub(crate) name: TargetName,
     pub(crate) address: SocketAddr,
-    pub(crate) mark: AddressMark,
     pub(crate) incarnation: Incarnation,
     pub(crate) presence: Presence,
     /// An operator's order says that it gets no new work for now.
@@ -162,7 +160,6 @@
         Self {
             name,
             address,
-            mark: AddressMark::of(address),
             incarnation,
             presence: Presence::Serving,
             is_stopped: false,
--- a/crates/thymeshift_dispatch/tests/fleet_view.rs
+++ b/crates/thymeshift_dispatch/tests/fleet_view.rs
@@ -14,9 +14,7 @@
 use support::request;
 use support::rng;
 use support::sent;
-use thymeshift_dispatch::AddressMark;
 use thymeshift_dispatch::AnyStrategy;
-use thymeshift_dispatch::Connected;
 use thymeshift_dispatch::Decision;
 use thymeshift_dispatch::Dispatcher;
 use thymeshift_dispatch::Grant;
@@ -467,49 +465,6 @@
     }
 }
 
-#[test]
-fn targets_with_a_connection_at_hand_go_first_among_equals() {
-    struct Case {
-        note: &'static str,
-        /// Pace that the connected target reports, in percent.
-        pace_percent: u32,
-        in_flight: usize,
-        is_chosen: bool,
-    }
-    let cases = [
-        Case { note: "as fast as the others", pace_percent: 100, in_flight: 0, is_chosen: true },
-        Case { note: "a little slower", pace_percent: 102, in_flight: 0, is_chosen: true },
-        Case { note: "much slower", pace_percent: 125, in_flight: 0, is_chosen: false },
-        Case { note: "full", pace_percent: 100, in_flight: 2, is_chosen: false },
-    ];
-    for Case { note, pace_percent, in_flight, is_chosen } in cases {
-        let mut dispatcher = fleet_dispatcher(8, 8);
-        let mut rng = rng();
-        // A request takes 200 ms.
-        for step in 0..10 {
-            let grant = sent(&mut dispatcher, at_once(at(step * 200)), at(step * 200), &mut rng);
-            let answered = at(step * 200 + 200);
-            let _ = dispatcher.learn(&grant, Observation::Answered(None), answered);
-            dispatcher.release(grant, answered);
-        }
-        let now = at(4_000);
-        let _ = dispatcher.tick(now);
-        // The last one does not explore.
-        for index in 0..8 {
-            let pace = if index == 7 { pace_percent } else { 100 };
-            let _ = dispatcher.learn_probe(&name(index), paced(pace), now);
-        }
-        for _ in 0..in_flight {
-            assert!(dispatcher.grant_at(&name(7), now).is_some(), "{note}");
-        }
-        let address = "127.0.0.1:8".parse().expect("an address");
-        let connected = Connected::new([AddressMark::of(address)]);
-        let wanted = Request { connected, ..at_once(now) };
-        let grant = sent(&mut dispatcher, wanted, now, &mut rng);
-        assert_eq!(dispatcher.target_name(&grant) == name(7), is_chosen, "{note}");
-    }
-}
-
 #[test]
 fn a_grant_at_a_named_target_is_refused_once_it_is_leaving() {
     let mut dispatcher = fleet_dispatcher(2, 2);
--- a/crates/thymeshift_dispatch/tests/support/mod.rs
+++ b/crates/thymeshift_dispatch/tests/support/mod.rs
@@ -8,7 +8,6 @@
 use rand::rngs::SmallRng;
 use thymeshift_config::Configuration;
 use thymeshift_dispatch::AnyStrategy;
-use thymeshift_dispatch::Connected;
 use thymeshift_dispatch::Decision;
 use thymeshift_dispatch::Dispatcher;
 use thymeshift_dispatch::Grant;
@@ -82,7 +81,6 @@
         queue_max: 100,
         tried: Tried::default(),
         origin: HallIndex::default(),
-        connected: Connected::default(),
     }
 }
 
--- a/crates/thymeshift_entry/src/allocation_client.rs
+++ b/crates/thymeshift_entry/src/allocation_client.rs
@@ -11,7 +11,6 @@
 use parking_lot::Mutex;
 use spdlog::debug;
 use thymeshift_allocation::Group;
-use thymeshift_dispatch::Connected;
 use thymeshift_dispatch::Observation;
 use thymeshift_dispatch::Refusal;
 use thymeshift_fleet::Boot;
@@ -99,7 +98,6 @@
     pub(crate) objective: Duration,
     pub(crate) queue_max: u32,
     pub(crate) tried: Vec<TargetName>,
-    pub(crate) connected: Connected,
 }
 
 struct OpenLease {
@@ -185,7 +183,7 @@
             Allocating::There(place) => Some(place.vm.clone()),
         };
         let Wanted { service, group, may_redirect, priority, .. } = wanted;
-        let Wanted { deadline, wait, objective, queue_max, tried, connected, .. } = wanted;
+        let Wanted { deadline, wait, objective, queue_max, tried, .. } = wanted;
         let open = OpenLease {
             service: service.clone(),
             group: group.clone(),
@@ -215,7 +213,6 @@
             objective,
             queue_max,
             tried,
-            connected: connected.iter().collect(),
             held,
         };
         match allocating {
--- a/crates/thymeshift_entry/src/caller/forward.rs
+++ b/crates/thymeshift_entry/src/caller/forward.rs
@@ -12,7 +12,6 @@
 use rand::Rng;
 use spdlog::info;
 use thymeshift_config::Repeat;
-use thymeshift_dispatch::Connected;
 use thymeshift_dispatch::HallIndex;
 use thymeshift_dispatch::Refusal;
 use thymeshift_dispatch::Request;
@@ -175,22 +174,6 @@
             queue_max: u32::try_from(kind.queue_max).unwrap_or(u32::MAX),
             tried,
             origin: HallIndex::default(),
-            connected: self.connected(),
-        }
-    }
-
-    /// Targets to which a connection may be used again.
-    fn connected(&self) -> Connected {
-        match self.freshness() {
-            Freshness::Any => Connected::new(self.service.pool().idle_marks()),
-            Freshness::New => Connected::default(),
-        }
-    }
-
-    fn freshness(&self) -> Freshness {
-        match self.kind.kind.repeat {
-            Repeat::Safe => Freshness::Any,
-            Repeat::Unsafe => Freshness::New,
         }
     }
 
@@ -243,6 +226,10 @@
     }
 
     async fn send(&self, grant: GrantGuard, body: RequestBody, attempt: u64) -> Answered {
+        let freshness = match self.kind.kind.repeat {
+            Repeat::Safe => Freshness::Any,
+            Repeat::Unsafe => Freshness::New,
+        };
         let context = CallContext {
             timeout: None,
             attempts_left: Some(self.attempts_max.saturating_sub(attempt) + 1),
@@ -254,7 +241,7 @@
             deadline: self.deadline,
             context,
             id: attempt_id(),
-            freshness: self.freshness(),
+            freshness,
             body_stall: self.body_stall,
             request_id: self.request_id.clone(),
             answer_buffer_bytes: self.answer_buffer_bytes,
--- a/crates/thymeshift_entry/src/service/group.rs
+++ b/crates/thymeshift_entry/src/service/group.rs
@@ -12,7 +12,6 @@
 use thymeshift_config::Configuration;
 use thymeshift_config::Service;
 use thymeshift_dispatch::AnyStrategy;
-use thymeshift_dispatch::Connected;
 use thymeshift_dispatch::Dispatcher;
 use thymeshift_dispatch::LoadReport;
 use thymeshift_dispatch::Request;
@@ -241,7 +240,6 @@
         queue_max: acquire.queue_max,
         tried,
         origin: dispatcher.hall_index(&acquire.data_hall),
-        connected: Connected::new(acquire.connected.iter().copied()),
     }
 }
 
--- a/crates/thymeshift_entry/src/service/obtain.rs
+++ b/crates/thymeshift_entry/src/service/obtain.rs
@@ -177,7 +177,6 @@
             objective: now.until(request.objective),
             queue_max: request.queue_max,
             tried: self.names(&request.tried),
-            connected: request.connected,
         }
     }
 
--- a/crates/thymeshift_entry/src/target/pool.rs
+++ b/crates/thymeshift_entry/src/target/pool.rs
@@ -20,7 +20,6 @@
 use metrics::Counter;
 use metrics::counter;
 use parking_lot::Mutex;
-use thymeshift_dispatch::AddressMark;
 use thymeshift_telemetry::metric;
 use thymeshift_types::BootClock;
 use thymeshift_types::Clock;
@@ -120,13 +119,6 @@
         }
     }
 
-    /// Marks of the targets to which there is an idle connection.
-    pub(crate) fn idle_marks(&self) -> Vec<AddressMark> {
-        let targets = self.targets.lock();
-        let idle = targets.iter().filter(|(_, target)| !target.idle.is_empty());
-        idle.map(|(address, _)| AddressMark::of(*address)).collect()
-    }
-
     /// A new connection. Beyond the share an idle one is closed first.
     pub(crate) async fn connect(
         self: &Arc<Self>,
--- a/crates/thymeshift_lab/src/experiment/decision_cost.rs
+++ b/crates/thymeshift_lab/src/experiment/decision_cost.rs
@@ -12,7 +12,6 @@
 use thymeshift_config::Configuration;
 use thymeshift_config::StrategyName;
 use thymeshift_dispatch::AnyStrategy;
-use thymeshift_dispatch::Connected;
 use thymeshift_dispatch::Decision;
 use thymeshift_dispatch::Dispatcher;
 use thymeshift_dispatch::HallIndex;
@@ -106,7 +105,6 @@
         queue_max: 10,
         tried: Tried::default(),
         origin: HallIndex::default(),
-        connected: Connected::default(),
     }
 }
 
--- a/crates/thymeshift_wire/src/datagram.rs
+++ b/crates/thymeshift_wire/src/datagram.rs
@@ -11,7 +11,6 @@
 use serde::Deserialize;
 use serde::Serialize;
 use thymeshift_allocation::Group;
-use thymeshift_dispatch::AddressMark;
 use thymeshift_dispatch::Observation;
 use thymeshift_fleet::Boot;
 use thymeshift_fleet::Head;
@@ -125,8 +124,6 @@
     pub queue_max: u32,
     /// Targets that the request was already sent to.
     pub tried: Vec<TargetName>,
-    /// Targets to which the sender has an idle connection that the request may use.
-    pub connected: Vec<AddressMark>,
     /// All leases of this group that the sender holds or asks for.
     pub held: Vec<LeaseNumber>,
 }
