--- a/crates/thymeshift_lab/src/experiment/rounds.rs
+++ b/crates/thymeshift_lab/src/experiment/rounds.rs
@@ -42,6 +42,11 @@
     },
 }
 
+/// Begin of the reason of a run that switches one mechanism off; the rest names it.
+const ABLATION: &str = "ablation on the final code: ";
+/// The rest for the runs with nothing switched off.
+const NOTHING_OFF: &str = "nothing switched off";
+
 /// One entry of the journal, as far as it is shown.
 #[derive(Debug, Clone, Deserialize)]
 struct Entry {
@@ -59,6 +64,9 @@
 struct Day {
     name: String,
     score: Option<f64>,
+    /// What the day was worth, as a share of all that was owed.
+    #[serde(rename = "G")]
+    worth: Option<f64>,
     #[serde(default)]
     rules: serde_json::Value,
 }
@@ -74,12 +82,13 @@
 }
 
 /// Reads the journal in `folder`, draws each site's scores into `plot`, and returns tables of
-/// scores and hunts in Markdown.
+/// scores, hunts and ablations in Markdown.
 pub fn rounds(folder: &Path, plot: &Path) -> Result<String, RoundsError> {
     let entries = read(folder)?;
     let mut text = String::new();
     scores(&entries, &mut text);
     hunts(&entries, &mut text);
+    ablations(&entries, &mut text);
     let lines = series(&entries);
     draw(plot, "Score by round", "round", "score", &lines)
         .map_err(|source| RoundsError::Plot { source })?;
@@ -148,6 +157,34 @@
     }
 }
 
+/// Mean worth of the runs of each site with one mechanism switched off, and the difference to
+/// those with all of them.
+fn ablations(entries: &[Entry], text: &mut String) {
+    let mut worths: BTreeMap<(&str, &str), Vec<f64>> = BTreeMap::new();
+    for entry in entries.iter().filter(|entry| entry.cmd == "run") {
+        let off = entry.why.as_deref().and_then(|why| why.strip_prefix(ABLATION));
+        let worth = entry.days.first().and_then(|day| day.worth);
+        if let (Some(site), Some(off), Some(worth)) = (entry.site.as_deref(), off, worth) {
+            worths.entry((site, off)).or_default().push(worth);
+        }
+    }
+    text.push_str(
+        "\n| site | switched off | runs | mean worth | difference |\n| --- | --- | --- | --- | --- |\n",
+    );
+    for ((site, off), of_off) in &worths {
+        let worth = mean(of_off);
+        let whole = worths.get(&(*site, NOTHING_OFF)).map(|worths| mean(worths));
+        let difference = whole.map_or("–".to_owned(), |whole| format!("{:+.3}", worth - whole));
+        let runs = of_off.len();
+        add_line(text, &format!("| {site} | {off} | {runs} | {worth:.3} | {difference} |"));
+    }
+}
+
+/// The mean of values of which there is at least one.
+fn mean(values: &[f64]) -> f64 {
+    values.iter().sum::<f64>() / values.len() as f64
+}
+
 fn add_line(text: &mut String, line: &str) {
     // Writing to a string cannot fail.
     let _ = writeln!(text, "{line}");
--- a/crates/thymeshift_lab/tests/rounds.rs
+++ b/crates/thymeshift_lab/tests/rounds.rs
@@ -12,7 +12,7 @@
 }
 
 #[test]
-fn scores_and_hunts_are_listed_and_drawn() {
+fn scores_hunts_and_ablations_are_listed_and_drawn() {
     let folder = folder("good");
     let score = r#"{"at":["2026-12-02T11:31:17Z","2026-12-02T11:31:40Z"],"cmd":"score",
       "site":"one","score":0.7134,"why":"first","days":[
@@ -25,12 +25,30 @@
     let ended = r#"{"at":["2026-12-02T13:29:00Z"],"cmd":"hunt","site":null,"score":null,
       "why":null,"days":[]}"#;
     fs::write(folder.join("3.json"), ended).expect("an entry");
+    let run = |why: &str, worth: f64| {
+        format!(
+            r#"{{"at":["2026-12-02T16:00:00Z"],"cmd":"run","site":"one","score":null,
+              "why":"{why}","days":[{{"name":"scale-1","score":0.5,"G":{worth},"rules":{{}}}}]}}"#
+        )
+    };
+    let runs = [
+        run("ablation on the final code: nothing switched off", 0.70),
+        run("ablation on the final code: nothing switched off", 0.72),
+        run("ablation on the final code: no probes", 0.61),
+        run("trial: something else", 0.1),
+    ];
+    for (index, run) in runs.iter().enumerate() {
+        fs::write(folder.join(format!("4{index}.json")), run).expect("an entry");
+    }
     fs::write(folder.join("notes.txt"), "not an entry").expect("a file");
     let plot = folder.join("plot.svg");
     let text = rounds(&folder, &plot).unwrap_or_else(|error| panic!("{error}"));
     assert!(text.contains("| 11:31 | one | 0.713 | 0.56 | first |"), "{text}");
     assert!(text.contains("| 12:04 | one | 2 | mix 2 |"), "{text}");
     assert!(text.contains("| 13:29 | (ended before its end) | – | – |"), "{text}");
+    assert!(text.contains("| one | nothing switched off | 2 | 0.710 | +0.000 |"), "{text}");
+    assert!(text.contains("| one | no probes | 1 | 0.610 | -0.100 |"), "{text}");
+    assert!(!text.contains("something else"), "{text}");
     assert!(fs::read_to_string(plot).expect("a plot").contains("<svg"));
 }
 
