target.rs split: grants, room, expectation

Cause. target.rs had 434 lines with three jobs: the state of a target, whether it has room, and when it is expected to answer.

New types for the parts: they read nearly every field of the target, so child modules with their own `impl` block keep the fields private and the calls as they are.

No behaviour.

The tests of the crate pass unchanged.

--- /dev/null
+++ b/crates/thymeshift_dispatch/src/target/room.rs
@@ -0,0 +1,98 @@
+//! Whether a target may get a request now, and how many more.
+
+use std::time::Duration;
+
+use thymeshift_types::Timestamp;
+
+use crate::Usability;
+use crate::concurrency::Explored;
+use crate::model::ServiceModel;
+use crate::target::Presence;
+use crate::target::Target;
+
+/// A target that is full with requests of others gets one from here after this time.
+const TRIED_BESIDE_OTHERS_EVERY: Duration = Duration::from_millis(500);
+
+/// What bounds the requests in flight at one target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Bound {
+    /// The limit that this process has learnt for the target.
+    Learnt,
+    /// A number.
+    Fixed(u32),
+    /// The best number, but for targets that explore.
+    Best(u32, Explored),
+}
+
+/// What a target explores.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Explores {
+    Nothing,
+    /// One request more than the best number.
+    More,
+    /// One fewer.
+    Fewer,
+}
+
+impl Target {
+    pub(crate) fn usability(
+        &self,
+        now: Timestamp,
+        bound: Bound,
+        model: &ServiceModel,
+    ) -> Usability {
+        match self.presence {
+            Presence::Removed => Usability::Removed,
+            Presence::Leaving => Usability::Leaving,
+            Presence::Serving if self.is_stopped => Usability::Stopped,
+            Presence::Serving if self.ejection.is_ejected(now) => Usability::Ejected,
+            Presence::Serving if !self.has_room(bound, now) => Usability::AtLimit,
+            Presence::Serving if self.is_slow_spell(now, model) => Usability::SlowSpell,
+            Presence::Serving => Usability::Open,
+        }
+    }
+
+    pub(crate) fn is_open(&self, now: Timestamp, bound: Bound, model: &ServiceModel) -> bool {
+        self.usability(now, bound, model) == Usability::Open
+    }
+
+    fn is_slow_spell(&self, now: Timestamp, model: &ServiceModel) -> bool {
+        let service = Duration::from_micros(model.service_us() as u64);
+        self.others.is_slow_spell(now, model.usual_pace(), service)
+    }
+
+    fn has_room(&self, bound: Bound, now: Timestamp) -> bool {
+        self.room(bound, now) > 0
+    }
+
+    /// Further requests that it may get.
+    pub(crate) fn room(&self, bound: Bound, now: Timestamp) -> u32 {
+        let most = match bound {
+            Bound::Learnt => self.limit.value() as u32,
+            Bound::Fixed(most) => most.min(self.shape.connection_share),
+            Bound::Best(best, explored) => {
+                let best = self.explored_or(best, explored).min(self.shape.connection_share);
+                self.left_by_others(best, now)
+            }
+        };
+        most.saturating_sub(self.in_flight)
+    }
+
+    /// What is left of `most` requests beside those that a report tells of and that are not
+    /// counted here: another process may allocate too, or decide alone. One request is tried
+    /// now and then, however many others there are.
+    fn left_by_others(&self, most: u32, now: Timestamp) -> u32 {
+        let is_tried_long_ago = now.since(self.granted_at) >= TRIED_BESIDE_OTHERS_EVERY;
+        let least = u32::from(is_tried_long_ago);
+        most.saturating_sub(self.others.uncounted(now)).max(least.min(most))
+    }
+
+    fn explored_or(&self, best: u32, explored: Explored) -> u32 {
+        let explored = match self.explores {
+            Explores::Nothing => None,
+            Explores::More => explored.more,
+            Explores::Fewer => explored.fewer,
+        };
+        explored.unwrap_or(best)
+    }
+}
