The log goes to standard output

The sink writes to standard output and asks that stream whether it takes more.

No measurement. Tests of the platform adapter (15, one with a reader that stops reading), target_faults (12), stop_and_pause (5) and command_line (2) pass.

Mistakes in arguments and settings are still named on standard error, as the command line's users expect.

--- a/crates/thymeshift_telemetry/src/lib.rs
+++ b/crates/thymeshift_telemetry/src/lib.rs
@@ -1,6 +1,6 @@
 //! Key=value logging and the list of metrics.
 //!
-//! * [`start_logging`] sends one line for each event to standard error, and never waits for
+//! * [`start_logging`] sends one line for each event to standard output, and never waits for
 //!   its reader.
 //! * [`metric`] names every metric, and [`start_metrics`] collects them for Prometheus.
 
--- a/crates/thymeshift_telemetry/src/logging.rs
+++ b/crates/thymeshift_telemetry/src/logging.rs
@@ -19,10 +19,10 @@
 #[display("starting the log: {_0}")]
 pub struct StartError(spdlog::Error);
 
-/// Sends events of `level` and above to standard error from now on. Nobody waits for whoever
+/// Sends events of `level` and above to standard output from now on. Nobody waits for whoever
 /// reads it.
 pub fn start_logging(level: LogLevel) -> Result<(), StartError> {
-    let sink = StdStreamSink::builder().stderr().formatter(KeyValueFormatter).build()?;
+    let sink = StdStreamSink::builder().stdout().formatter(KeyValueFormatter).build()?;
     let filter = LevelFilter::MoreSevereEqual(match level {
         LogLevel::Error => Level::Error,
         LogLevel::Warn => Level::Warn,
--- a/crates/thymeshift_telemetry/src/unblocking_sink.rs
+++ b/crates/thymeshift_telemetry/src/unblocking_sink.rs
@@ -1,12 +1,12 @@
-//! Writing to standard error without ever waiting for its reader.
+//! Writing to standard output without ever waiting for its reader.
 //!
-//! What it does: before a line is written, it asks whether standard error takes more. If not,
+//! What it does: before a line is written, it asks whether standard output takes more. If not,
 //! the line is left out and counted.
 //!
 //! Why: whoever reads the log through a pipe may stop reading. A line is shorter than what a
 //! pipe that takes more takes at once, so that writing it does not wait.
 
-use std::io::stderr;
+use std::io::stdout;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
@@ -23,15 +23,15 @@
 use spdlog::sink::SinkPropAccess;
 use spdlog::sink::StdStreamSink;
 
-/// Lines left out since they were last asked for. One for the process, as standard error is.
+/// Lines left out since they were last asked for. One for the process, as standard output is.
 static LEFT_OUT: AtomicU64 = AtomicU64::new(0);
 
-/// Lines that were left out, since the last call, because standard error took no more.
+/// Lines that were left out, since the last call, because standard output took no more.
 pub fn take_unwritten_lines() -> u64 {
     LEFT_OUT.swap(0, Ordering::Relaxed)
 }
 
-/// A sink to standard error that drops what would have to wait.
+/// A sink to standard output that drops what would have to wait.
 pub(crate) struct UnblockingSink {
     stream: StdStreamSink,
 }
@@ -74,9 +74,9 @@
     }
 }
 
-/// Whether standard error takes a line now. An error is left to the write to report.
+/// Whether standard output takes a line now. An error is left to the write to report.
 fn takes_more() -> bool {
-    let stream = stderr();
+    let stream = stdout();
     let mut asked = [PollFd::new(&stream, PollFlags::OUT)];
     let at_once = Timespec { tv_sec: 0, tv_nsec: 0 };
     !matches!(poll(&mut asked, Some(&at_once)), Ok(0))
