The start and the watch share one reader of the source

After a loss of power on the grown site every process reads everything for itself at its start (one page of 291 items, 77 to 82 ms, and a watch, 10 ms), and right after that its task that takes turns began with a reader that knew nothing and read everything again. Seen in a trial with each call logged: two pages and two watches at a process that started alone.

Asking more peers while the page is read: processes know only the addresses of the settings at that moment, and those machines start 0.3 s later than the others here. No watch at the start: the page may be seconds old.

One reader for the process, behind an async lock.

--- a/crates/thymeshift_entry/src/control_plane/bootstrap.rs
+++ b/crates/thymeshift_entry/src/control_plane/bootstrap.rs
@@ -25,7 +25,7 @@
 use crate::control_plane::platform::offer;
 use crate::control_plane::source::read_once;
 use crate::environment::Environment;
-use crate::environment::Source;
+use crate::environment::SharedSource;
 use crate::environment::SourceError;
 use crate::shared::Shared;
 use crate::target::PROBED_ALONE_MAX;
@@ -53,23 +53,23 @@
 const ROUND_PAUSE_MAX: Duration = Duration::from_millis(1_600);
 
 /// Returns once a configuration is in force.
-pub(crate) async fn bootstrap<E: Environment>(shared: &Arc<Shared>) {
+pub(crate) async fn bootstrap<E: Environment>(shared: &Arc<Shared>, source: &SharedSource<E>) {
     if E::SOURCE_IS_CURRENT {
-        bootstrap_from_anybody::<E>(shared).await;
+        bootstrap_from_anybody::<E>(shared, source).await;
     } else {
-        bootstrap_from_all::<E>(shared).await;
+        bootstrap_from_all::<E>(shared, source).await;
     }
 }
 
 /// Whoever answers first is believed: the source is never stale, and what a peer tells is
 /// compared with the source in the next call, long before this process counts as one that must
 /// know. Peers are asked a little earlier, because a call of the source has its price.
-async fn bootstrap_from_anybody<E: Environment>(shared: &Arc<Shared>) {
+async fn bootstrap_from_anybody<E: Environment>(shared: &Arc<Shared>, source: &SharedSource<E>) {
     let mut in_force = shared.in_force.subscribe();
     tokio::select! {
         // An error would mean that this process is ending.
         _ = in_force.wait_for(|is_in_force| *is_in_force) => {}
-        () = ask_by_turns::<E>(shared) => {}
+        () = ask_by_turns::<E>(shared, source) => {}
     }
     // Decisions taken alone overload targets. Peers that are not there refuse at once.
     if is_alone(shared) {
@@ -110,8 +110,7 @@
 }
 
 /// Asks peers and source for ever.
-async fn ask_by_turns<E: Environment>(shared: &Arc<Shared>) {
-    let mut source = E::Source::new(shared.settings().platform_address);
+async fn ask_by_turns<E: Environment>(shared: &Arc<Shared>, source: &SharedSource<E>) {
     let mut pause = ROUND_PAUSE;
     let mut waits_left = if is_patient(shared) { PATIENT_ROUNDS } else { 0 };
     loop {
@@ -130,7 +129,7 @@
             sleep(ROUND_PAUSE.mul_f64(rand::rng().random_range(0.5..1.5))).await;
             continue;
         }
-        ask_source::<E>(shared, &mut source).await;
+        ask_source::<E>(shared, source).await;
         warn!("no_configuration_yet");
         sleep(pause).await;
         pause = (pause * 2).min(ROUND_PAUSE_MAX);
@@ -145,13 +144,12 @@
 }
 
 /// Source and peers are asked, and the largest revision counts: both may be stale.
-async fn bootstrap_from_all<E: Environment>(shared: &Arc<Shared>) {
+async fn bootstrap_from_all<E: Environment>(shared: &Arc<Shared>, source: &SharedSource<E>) {
     let mut round = 0;
-    let mut source = E::Source::new(shared.settings().platform_address);
     loop {
         round += 1;
         let (has_platform, peers) =
-            futures::future::join(ask_source::<E>(shared, &mut source), ask_peers(shared)).await;
+            futures::future::join(ask_source::<E>(shared, source), ask_peers(shared)).await;
         let is_in_force = shared.routing().is_some();
         let is_asked = peers.answered > 0 || peers.asked == 0 || round >= ROUNDS_FOR_PEERS;
         if is_in_force && is_asked {
@@ -168,12 +166,13 @@
 }
 
 /// Whether the source answered.
-async fn ask_source<E: Environment>(shared: &Arc<Shared>, source: &mut E::Source) -> bool {
+async fn ask_source<E: Environment>(shared: &Arc<Shared>, source: &SharedSource<E>) -> bool {
     if shared.allocation.socket().is_none() {
         return ask_platform(shared).await;
     }
     let is_lost = |error: &SourceError| warn!("source_call_failed", kv: { error: = error });
-    read_once(shared, source, Duration::ZERO).await.inspect_err(is_lost).is_ok()
+    let mut source = source.lock().await;
+    read_once(shared, &mut *source, Duration::ZERO).await.inspect_err(is_lost).is_ok()
 }
 
 /// Whether the platform answered.
--- a/crates/thymeshift_entry/src/control_plane/source.rs
+++ b/crates/thymeshift_entry/src/control_plane/source.rs
@@ -23,6 +23,7 @@
 use crate::control_plane::platform::offer;
 use crate::control_plane::relay::heads;
 use crate::environment::Environment;
+use crate::environment::SharedSource;
 use crate::environment::Source;
 use crate::environment::SourceError;
 use crate::shared::Shared;
@@ -36,8 +37,10 @@
 const REST_MAX: Duration = Duration::from_millis(800);
 
 /// Reads for ever, whenever it is this process's turn.
-pub(crate) async fn run_source<E: Environment>(shared: Arc<Shared>) -> Result<(), TaskError> {
-    let mut source = E::Source::new(shared.settings().platform_address);
+pub(crate) async fn run_source<E: Environment>(
+    shared: Arc<Shared>,
+    source: SharedSource<E>,
+) -> Result<(), TaskError> {
     let mut was_answered = true;
     // Until then the start of the process reads. An error would mean that it is ending.
     let _ = shared.in_force.subscribe().wait_for(|is_in_force| *is_in_force).await;
@@ -57,7 +60,7 @@
                 continue;
             }
         };
-        let read = read_once(&shared, &mut source, wait).await;
+        let read = read_once(&shared, &mut *source.lock().await, wait).await;
         log_dependency(&read, &mut was_answered);
         tell_members(&shared, read.is_ok());
         if let Ok(1..) = read {
--- a/crates/thymeshift_entry/src/environment.rs
+++ b/crates/thymeshift_entry/src/environment.rs
@@ -2,6 +2,7 @@
 //! configuration and targets.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use derive_more::Display;
@@ -11,6 +12,7 @@
 use thymeshift_fleet::Published;
 use thymeshift_wire::Dialect;
 use thymeshift_wire::Document;
+use tokio::sync::Mutex;
 
 use crate::control_plane::GetError;
 
@@ -27,7 +29,12 @@
     const DISCOVERS: bool;
 }
 
-/// Reads what is published. One reader makes one call at a time.
+/// The process's only reader of the source: what the start has read need not be read again
+/// when it is this process's turn.
+pub(crate) type SharedSource<E> = Arc<Mutex<<E as Environment>::Source>>;
+
+/// Reads what is published. One reader makes one call at a time. A call may be dropped before
+/// its end: then nothing counts as told.
 pub trait Source: Send + 'static {
     /// A reader of the source at `address` that knows nothing yet.
     fn new(address: SocketAddr) -> Self;
--- a/crates/thymeshift_entry/src/process.rs
+++ b/crates/thymeshift_entry/src/process.rs
@@ -28,6 +28,7 @@
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
+use tokio::sync::Mutex;
 use tokio::sync::watch;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -45,6 +46,8 @@
 use crate::control_plane::run_ticker;
 use crate::control_plane::say_goodbye;
 use crate::environment::Environment;
+use crate::environment::SharedSource;
+use crate::environment::Source;
 use crate::reload::run_reload;
 use crate::shared::Shared;
 use crate::target::run_pace_probes;
@@ -145,11 +148,12 @@
     });
     on_bound(&bound);
     let (closing, is_closing) = watch::channel(false);
-    let tree = tree::<E>(&shared, &listeners, &is_closing);
+    let source = Arc::new(Mutex::new(E::Source::new(shared.settings().platform_address)));
+    let tree = tree::<E>(&shared, &source, &listeners, &is_closing);
     drop(listeners);
     let mut running = tokio::spawn(tree.run());
     let serving = async {
-        bootstrap::<E>(&shared).await;
+        bootstrap::<E>(&shared, &source).await;
         set_phase(&shared, Phase::Serving);
         std::future::pending::<()>().await;
     };
@@ -224,6 +228,7 @@
 
 fn tree<E: Environment>(
     shared: &Arc<Shared>,
+    source: &SharedSource<E>,
     listeners: &Listeners,
     is_closing: &watch::Receiver<bool>,
 ) -> Supervisor {
@@ -246,7 +251,10 @@
         .with_task(prober);
     // Turns are taken by heartbeats of readers where there are datagrams, else by leases.
     let reader = if shared.allocation.socket().is_some() {
-        with_shared("source", shared, run_source::<E>)
+        let (shared, source) = (shared.clone(), source.clone());
+        Task::new("source", Restart::always(), move || {
+            run_source::<E>(shared.clone(), source.clone())
+        })
     } else {
         with_shared("platform", shared, run_platform)
     };
