--- a/crates/thymeshift_entry/src/control_plane/source.rs
+++ b/crates/thymeshift_entry/src/control_plane/source.rs
@@ -42,6 +42,7 @@
     source: SharedSource<E>,
 ) -> Result<(), TaskError> {
     let mut was_answered = true;
+    let mut address = shared.settings().platform_address;
     // Until then the start of the process reads. An error would mean that it is ending.
     let _ = shared.in_force.subscribe().wait_for(|is_in_force| *is_in_force).await;
     loop {
@@ -60,7 +61,14 @@
                 continue;
             }
         };
-        let read = read_once(&shared, &mut *source.lock().await, wait).await;
+        let mut reader = source.lock().await;
+        if shared.settings().platform_address != address {
+            address = shared.settings().platform_address;
+            *reader = E::Source::new(address);
+            info!("source_moved", kv: { address: = address });
+        }
+        let read = read_once(&shared, &mut *reader, wait).await;
+        drop(reader);
         log_dependency(&read, &mut was_answered);
         tell_members(&shared, read.is_ok());
         if let Ok(1..) = read {
