--- a/crates/thymeshift_lab/src/experiment/rounds.rs
+++ b/crates/thymeshift_lab/src/experiment/rounds.rs
@@ -46,6 +46,8 @@
 const ABLATION: &str = "ablation on the final code: ";
 /// The rest for the runs with nothing switched off.
 const NOTHING_OFF: &str = "nothing switched off";
+/// Digits of a commit that are shown.
+const COMMIT_SHOWN: usize = 7;
 
 /// One entry of the journal, as far as it is shown.
 #[derive(Debug, Clone, Deserialize)]
@@ -53,6 +55,9 @@
     /// When it began and ended.
     at: Vec<String>,
     cmd: String,
+    /// The commit that the copy played was made from.
+    #[serde(default)]
+    head: String,
     site: Option<String>,
     score: Option<f64>,
     why: Option<String>,
@@ -63,6 +68,7 @@
 #[derive(Debug, Clone, Deserialize)]
 struct Day {
     name: String,
+    seed: Option<u64>,
     score: Option<f64>,
     /// What the day was worth, as a share of all that was owed.
     #[serde(rename = "G")]
@@ -157,29 +163,60 @@
     }
 }
 
-/// Mean worth of the runs of each site with one mechanism switched off, and the difference to
-/// those with all of them.
+/// Runs with one mechanism switched off, of copies of one commit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Ablation<'a> {
+    site: &'a str,
+    commit: &'a str,
+    off: &'a str,
+}
+
+/// One day with one seed.
+type Played<'a> = (&'a str, Option<u64>);
+
+/// Mean worth of the runs of each site with one mechanism switched off, and the mean difference
+/// to the runs of the same commit, day and seed with all of them.
 fn ablations(entries: &[Entry], text: &mut String) {
-    let mut worths: BTreeMap<(&str, &str), Vec<f64>> = BTreeMap::new();
+    let mut worths: BTreeMap<Ablation<'_>, BTreeMap<Played<'_>, Vec<f64>>> = BTreeMap::new();
     for entry in entries.iter().filter(|entry| entry.cmd == "run") {
         let off = entry.why.as_deref().and_then(|why| why.strip_prefix(ABLATION));
-        let worth = entry.days.first().and_then(|day| day.worth);
-        if let (Some(site), Some(off), Some(worth)) = (entry.site.as_deref(), off, worth) {
-            worths.entry((site, off)).or_default().push(worth);
+        let (Some(site), Some(off)) = (entry.site.as_deref(), off) else {
+            continue;
+        };
+        let commit = entry.head.get(..COMMIT_SHOWN).unwrap_or(&entry.head);
+        let played = worths.entry(Ablation { site, commit, off }).or_default();
+        for day in &entry.days {
+            if let Some(worth) = day.worth {
+                played.entry((&day.name, day.seed)).or_default().push(worth);
+            }
         }
     }
     text.push_str(
-        "\n| site | switched off | runs | mean worth | difference |\n| --- | --- | --- | --- | --- |\n",
+        "\n| commit | site | switched off | runs | mean worth | difference |\n\
+         | --- | --- | --- | --- | --- | --- |\n",
     );
-    for ((site, off), of_off) in &worths {
-        let worth = mean(of_off);
-        let whole = worths.get(&(*site, NOTHING_OFF)).map(|worths| mean(worths));
-        let difference = whole.map_or("–".to_owned(), |whole| format!("{:+.3}", worth - whole));
-        let runs = of_off.len();
-        add_line(text, &format!("| {site} | {off} | {runs} | {worth:.3} | {difference} |"));
+    for (ablation, played) in &worths {
+        let Ablation { site, commit, off } = ablation;
+        let whole = worths.get(&Ablation { off: NOTHING_OFF, ..*ablation });
+        let difference = whole.and_then(|whole| difference(played, whole));
+        let difference = difference.map_or("–".to_owned(), |worth| format!("{worth:+.3}"));
+        let all: Vec<f64> = played.values().flatten().copied().collect();
+        let (runs, worth) = (all.len(), mean(&all));
+        let line = format!("| {commit} | {site} | {off} | {runs} | {worth:.3} | {difference} |");
+        add_line(text, &line);
     }
 }
 
+/// The mean difference over the days and seeds that both have played; none if there is none.
+fn difference(
+    off: &BTreeMap<Played<'_>, Vec<f64>>,
+    whole: &BTreeMap<Played<'_>, Vec<f64>>,
+) -> Option<f64> {
+    let pairs = off.iter().filter_map(|(played, worths)| Some((worths, whole.get(played)?)));
+    let differences: Vec<f64> = pairs.map(|(off, whole)| mean(off) - mean(whole)).collect();
+    (!differences.is_empty()).then(|| mean(&differences))
+}
+
 /// The mean of values of which there is at least one.
 fn mean(values: &[f64]) -> f64 {
     values.iter().sum::<f64>() / values.len() as f64
--- a/crates/thymeshift_lab/tests/rounds.rs
+++ b/crates/thymeshift_lab/tests/rounds.rs
@@ -25,17 +25,23 @@
     let ended = r#"{"at":["2026-12-02T13:29:00Z"],"cmd":"hunt","site":null,"score":null,
       "why":null,"days":[]}"#;
     fs::write(folder.join("3.json"), ended).expect("an entry");
-    let run = |why: &str, worth: f64| {
+    let run = |head: &str, why: &str, seed: u64, worth: f64| {
         format!(
             r#"{{"at":["2026-12-02T16:00:00Z"],"cmd":"run","site":"one","score":null,
-              "why":"{why}","days":[{{"name":"scale-1","score":0.5,"G":{worth},"rules":{{}}}}]}}"#
+              "head":"{head}","why":"{why}","days":[
+                {{"name":"scale-1","seed":{seed},"score":0.5,"G":{worth},"rules":{{}}}}]}}"#
         )
     };
+    let nothing_off = "ablation on the final code: nothing switched off";
+    let no_probes = "ablation on the final code: no probes";
     let runs = [
-        run("ablation on the final code: nothing switched off", 0.70),
-        run("ablation on the final code: nothing switched off", 0.72),
-        run("ablation on the final code: no probes", 0.61),
-        run("trial: something else", 0.1),
+        run("1234567890", nothing_off, 1, 0.70),
+        run("1234567890", nothing_off, 1, 0.72),
+        run("1234567890", nothing_off, 2, 0.40),
+        run("1234567890", no_probes, 1, 0.61),
+        run("1234567890", no_probes, 3, 0.90),
+        run("abc", no_probes, 1, 0.50),
+        run("abc", "trial: something else", 1, 0.1),
     ];
     for (index, run) in runs.iter().enumerate() {
         fs::write(folder.join(format!("4{index}.json")), run).expect("an entry");
@@ -46,8 +52,15 @@
     assert!(text.contains("| 11:31 | one | 0.713 | 0.56 | first |"), "{text}");
     assert!(text.contains("| 12:04 | one | 2 | mix 2 |"), "{text}");
     assert!(text.contains("| 13:29 | (ended before its end) | – | – |"), "{text}");
-    assert!(text.contains("| one | nothing switched off | 2 | 0.710 | +0.000 |"), "{text}");
-    assert!(text.contains("| one | no probes | 1 | 0.610 | -0.100 |"), "{text}");
+    for line in [
+        "| 1234567 | one | nothing switched off | 3 | 0.607 | +0.000 |",
+        // Only day and seed that both played are compared.
+        "| 1234567 | one | no probes | 2 | 0.755 | -0.100 |",
+        // Another commit's runs are none to compare with.
+        "| abc | one | no probes | 1 | 0.500 | – |",
+    ] {
+        assert!(text.contains(line), "{line}\n{text}");
+    }
     assert!(!text.contains("something else"), "{text}");
     assert!(fs::read_to_string(plot).expect("a plot").contains("<svg"));
 }
