Lines of the targets' list that did not change are not read again

Another format for the list: the product's documents are YAML, and a mistake must name its place.

DiscoveryReader keeps the target of each line of the last list and reads only other lines. A list with anything but one good target a line is read whole, so that mistakes have the same text and place.

Any sequence of lists, good and broken, means the same as each read alone (quickcheck).

The reader is kept: it is what a list of 2,300 needs.

--- a/crates/thymeshift_config/src/discovery.rs
+++ b/crates/thymeshift_config/src/discovery.rs
@@ -1,5 +1,7 @@
 //! Targets that are discovered apart from the configuration.
 
+use std::collections::HashMap;
+
 use serde::Serialize;
 use thymeshift_types::ServiceName;
 
@@ -55,6 +57,52 @@
     }
 }
 
+/// Reads one revision of the list after the other. From one to the next few targets change, and
+/// a large fleet reads a long list in many processes: lines that were there before are not read
+/// again.
+#[derive(Debug, Default)]
+pub struct DiscoveryReader {
+    /// The target of each line of the last list; none if targets did not stand in a line each.
+    lines: HashMap<String, Discovered>,
+}
+
+impl DiscoveryReader {
+    /// The same as [`Discovery::parse`].
+    pub fn parse(&mut self, text: &str) -> Result<Discovery, Mistakes> {
+        if let Some(targets) = self.parse_lines(text) {
+            return Ok(Discovery { targets });
+        }
+        self.lines.clear();
+        Discovery::parse(text)
+    }
+
+    /// The targets, if each stands in a line of its own without mistakes.
+    fn parse_lines(&mut self, text: &str) -> Option<Vec<Discovered>> {
+        let mut lines = HashMap::with_capacity(self.lines.len());
+        let mut targets = Vec::new();
+        for line in text.lines() {
+            let target = match self.lines.remove(line).or_else(|| lines.get(line).cloned()) {
+                Some(known) => known,
+                None => parse_line(line)?,
+            };
+            targets.push(target.clone());
+            lines.insert(line.to_owned(), target);
+        }
+        self.lines = lines;
+        (!targets.is_empty()).then_some(targets)
+    }
+}
+
+/// The target of a line that reads `- {…}` and means the same in any list.
+fn parse_line(line: &str) -> Option<Discovered> {
+    if !(line.starts_with("- {") && line.ends_with('}')) {
+        return None;
+    }
+    let mut targets = Discovery::parse(line).ok()?.targets;
+    let target = targets.pop();
+    target.filter(|_| targets.is_empty())
+}
+
 impl Decode for Discovered {
     fn decode(node: &Node, path: &str, mistakes: &mut Mistakes) -> Option<Self> {
         let mut map = MapReader::new(node, path, mistakes)?;
--- a/crates/thymeshift_config/src/lib.rs
+++ b/crates/thymeshift_config/src/lib.rs
@@ -22,6 +22,7 @@
 pub use configuration::Configuration;
 pub use discovery::Discovered;
 pub use discovery::Discovery;
+pub use discovery::DiscoveryReader;
 pub use kind::HeaderRule;
 pub use kind::Kind;
 pub use kind::KindMatch;
--- a/crates/thymeshift_config/tests/discovery.rs
+++ b/crates/thymeshift_config/tests/discovery.rs
@@ -1,6 +1,9 @@
-//! Targets that the source lists no longer after an outage.
+//! Lists of discovered targets: read one after the other, and what is no longer listed after an
+//! outage.
 
+use quickcheck::QuickCheck;
 use thymeshift_config::Discovery;
+use thymeshift_config::DiscoveryReader;
 
 fn discovery(lines: &[(&str, u16, &str)]) -> Discovery {
     let line = |(name, port, state): &(&str, u16, &str)| {
@@ -69,3 +72,49 @@
         assert_eq!(joined.targets[..listed.targets.len()], listed.targets[..], "{note}");
     }
 }
+
+/// A line that may stand in a list, a good one or not.
+fn line(seed: u8) -> &'static str {
+    let lines = [
+        "- {service: s, name: a, address: '10.0.0.1:1', data_hall: h, state: serving}",
+        "- {service: s, name: b, address: '10.0.0.1:2', data_hall: h, state: serving}",
+        "- {service: s, name: b, address: '10.0.0.1:2', data_hall: h, state: leaving}",
+        r#"- {"service":"t","slots":6,"name":"c","address":"10.0.0.2:3","data_hall":"h","state":"serving"}"#,
+        "- {service: s, name: d, address: nowhere, data_hall: h, state: serving}",
+        "- service: s",
+        "  name: e",
+        "  address: '10.0.0.1:5'",
+        "  data_hall: h",
+        "- {service: s, name: f,",
+        "  address: '10.0.0.1:6', data_hall: h}",
+        "# a remark }",
+        "",
+        "- [1, 2}",
+    ];
+    lines[seed as usize % lines.len()]
+}
+
+/// Also of lists with mistakes: they are told with the same places.
+#[test]
+fn lists_read_one_after_the_other_mean_the_same_as_each_read_alone() {
+    fn property(lists: Vec<Vec<u8>>) -> bool {
+        let mut reader = DiscoveryReader::default();
+        lists.into_iter().all(|seeds| {
+            let lines: Vec<&str> = seeds.iter().map(|seed| line(*seed)).collect();
+            let text = lines.join("\n");
+            reader.parse(&text) == Discovery::parse(&text)
+        })
+    }
+    QuickCheck::new().tests(300).quickcheck(property as fn(Vec<Vec<u8>>) -> bool);
+}
+
+#[test]
+fn a_list_that_was_refused_leaves_nothing_behind() {
+    let good = format!("{}\n{}\n", line(0), line(1));
+    let changed = format!("{}\n{}\n{}\n", line(0), line(2), line(3));
+    let bad = format!("{}\n{}\n", line(0), line(4));
+    let mut reader = DiscoveryReader::default();
+    for text in [&good, &bad, &changed, &good, &bad, &good] {
+        assert_eq!(reader.parse(text), Discovery::parse(text), "{text}");
+    }
+}
--- a/crates/thymeshift_entry/src/fleet.rs
+++ b/crates/thymeshift_entry/src/fleet.rs
@@ -6,6 +6,7 @@
 use rand::Rng;
 use thymeshift_config::Configuration;
 use thymeshift_config::Discovery;
+use thymeshift_config::DiscoveryReader;
 use thymeshift_config::Settings;
 use thymeshift_config::Target;
 use thymeshift_fleet::Adoption;
@@ -15,8 +16,10 @@
 use thymeshift_fleet::LeavingRegister;
 use thymeshift_fleet::Member;
 use thymeshift_fleet::Members;
+use thymeshift_fleet::Offer;
 use thymeshift_fleet::Orders;
 use thymeshift_fleet::Phase;
+use thymeshift_fleet::Published;
 use thymeshift_fleet::Readers;
 use thymeshift_fleet::WatchElection;
 use thymeshift_types::LeavingMark;
@@ -35,6 +38,7 @@
     pub(crate) vm_list: Adoption,
     /// Targets that are discovered apart from the configuration.
     pub(crate) targets: Adoption,
+    discovery_reader: DiscoveryReader,
     pub(crate) readers: Readers,
     /// The configuration in force, without discovered targets.
     pub(crate) base: Option<Configuration>,
@@ -81,6 +85,7 @@
             configuration: Adoption::default(),
             vm_list: Adoption::default(),
             targets: Adoption::default(),
+            discovery_reader: DiscoveryReader::default(),
             readers: Readers::new(settings.vm.clone(), settings.processor_share, now),
             base: None,
             discovery: None,
@@ -124,6 +129,16 @@
         recent.cloned().chain(repeated.iter().cloned()).collect()
     }
 
+    /// Offers a list of discovered targets; returns it if it is to be put in force.
+    pub(crate) fn offer_targets(
+        &mut self,
+        published: &Published,
+        now: Timestamp,
+    ) -> (Offer, Option<Discovery>) {
+        let reader = &mut self.discovery_reader;
+        self.targets.offer(published, now, |text| reader.parse(text))
+    }
+
     /// Takes in discovered targets. While the source has just returned from an outage,
     /// targets that served before are kept although it does not list them: it may have
     /// forgotten them meanwhile, and those that live are listed again soon. Returns how many
--- a/crates/thymeshift_entry/src/shared.rs
+++ b/crates/thymeshift_entry/src/shared.rs
@@ -12,7 +12,6 @@
 use spdlog::info;
 use thymeshift_allocation::Group;
 use thymeshift_config::Configuration;
-use thymeshift_config::Discovery;
 use thymeshift_config::Settings;
 use thymeshift_config::TargetState;
 use thymeshift_fleet::Boot;
@@ -221,7 +220,7 @@
     pub(crate) fn offer_targets(&self, published: &Published, source: &str) -> Offer {
         let now = BootClock.now();
         let mut fleet = self.fleet.lock();
-        let (offer, adopted) = fleet.targets.offer(published, now, Discovery::parse);
+        let (offer, adopted) = fleet.offer_targets(published, now);
         if let Some(discovery) = adopted {
             let kept = fleet.take_discovery(discovery, now);
             if kept > 0 {
