No source folder is called target

Change. thymeshift_entry::target is target_client (connections, attempts and probes at targets), thymeshift_dispatch::target is target_state. No behaviour.

--- a/crates/thymeshift_dispatch/src/dispatcher.rs
+++ b/crates/thymeshift_dispatch/src/dispatcher.rs
@@ -39,7 +39,7 @@
 use crate::queue::Queue;
 use crate::table::Surroundings;
 use crate::table::Table;
-use crate::target::Target;
+use crate::target_state::Target;
 
 /// A gap in the process's own time above this is a pause. The entry process calls
 /// [`Dispatcher::tick`] ten times as often.
--- a/crates/thymeshift_dispatch/src/lib.rs
+++ b/crates/thymeshift_dispatch/src/lib.rs
@@ -38,7 +38,7 @@
 mod slowness;
 mod strategy;
 mod table;
-mod target;
+mod target_state;
 mod view;
 
 pub use connections::connection_share;
--- a/crates/thymeshift_dispatch/src/strategy/candidates.rs
+++ b/crates/thymeshift_dispatch/src/strategy/candidates.rs
@@ -11,8 +11,8 @@
 use crate::model::ServiceModel;
 use crate::table::MarginalCosts;
 use crate::table::Table;
-use crate::target::Bound;
-use crate::target::Target;
+use crate::target_state::Bound;
+use crate::target_state::Target;
 
 /// One open target.
 #[derive(Debug, Clone, Copy)]
--- a/crates/thymeshift_dispatch/src/strategy/expected_time.rs
+++ b/crates/thymeshift_dispatch/src/strategy/expected_time.rs
@@ -3,7 +3,7 @@
 //! The expected time joins the last report and its age, this VM's own requests in
 //! flight and how long they have been out, the latency seen, recent failures, the
 //! distance between data halls and the cold start of a new target (see
-//! `target::Target::expected_us`).
+//! `target_state::Target::expected_us`).
 //!
 //! Only a few targets drawn at random are compared. All VMs hold similar, stale reports;
 //! if each took the best of all targets, they would all take the same one.
--- a/crates/thymeshift_dispatch/src/table.rs
+++ b/crates/thymeshift_dispatch/src/table.rs
@@ -21,11 +21,11 @@
 use crate::connections::connection_share;
 use crate::halls::Halls;
 use crate::model::ServiceModel;
-use crate::target::Bound;
-use crate::target::Explores;
-use crate::target::Presence;
-use crate::target::Shape;
-use crate::target::Target;
+use crate::target_state::Bound;
+use crate::target_state::Explores;
+use crate::target_state::Presence;
+use crate::target_state::Shape;
+use crate::target_state::Target;
 
 /// What of the configuration beside the service itself the table depends on.
 #[derive(Debug, Clone)]
--- a/crates/thymeshift_dispatch/src/target.rs
+++ b/crates/thymeshift_dispatch/src/target_state.rs
@@ -25,8 +25,8 @@
 use crate::model::ServiceModel;
 use crate::report::OthersLoad;
 use crate::slowness::Slowness;
-pub(crate) use crate::target::room::Bound;
-pub(crate) use crate::target::room::Explores;
+pub(crate) use crate::target_state::room::Bound;
+pub(crate) use crate::target_state::room::Explores;
 
 /// Figures of a target's service that its own state depends on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/thymeshift_dispatch/src/target/expectation.rs
+++ b/crates/thymeshift_dispatch/src/target_state/expectation.rs
@@ -5,7 +5,7 @@
 use thymeshift_types::Timestamp;
 
 use crate::model::ServiceModel;
-use crate::target::Target;
+use crate::target_state::Target;
 
 /// Requests over which a target's load changes: the memory of a report.
 const REPORT_MEMORY_REQUESTS: f64 = 2.0;
--- a/crates/thymeshift_dispatch/src/target/room.rs
+++ b/crates/thymeshift_dispatch/src/target_state/room.rs
@@ -7,8 +7,8 @@
 use crate::Usability;
 use crate::concurrency::Explored;
 use crate::model::ServiceModel;
-use crate::target::Presence;
-use crate::target::Target;
+use crate::target_state::Presence;
+use crate::target_state::Target;
 
 /// A target that is full with requests of others gets one from here after this time.
 const TRIED_BESIDE_OTHERS_EVERY: Duration = Duration::from_millis(500);
--- a/crates/thymeshift_entry/src/caller/answer.rs
+++ b/crates/thymeshift_entry/src/caller/answer.rs
@@ -14,8 +14,8 @@
 use thymeshift_types::Failure;
 use thymeshift_wire::Dialect;
 
-use crate::target::BodyError;
-use crate::target::TargetBody;
+use crate::target_client::BodyError;
+use crate::target_client::TargetBody;
 
 /// Body of an answer.
 pub(crate) enum AnswerBody {
--- a/crates/thymeshift_entry/src/caller/forward.rs
+++ b/crates/thymeshift_entry/src/caller/forward.rs
@@ -32,12 +32,12 @@
 use crate::service::GrantGuard;
 use crate::service::ServiceRuntime;
 use crate::shared::Shared;
-use crate::target::Attempt;
-use crate::target::AttemptFailure;
-use crate::target::AttemptPlan;
-use crate::target::Freshness;
-use crate::target::RequestBody;
-use crate::target::TargetBody;
+use crate::target_client::Attempt;
+use crate::target_client::AttemptFailure;
+use crate::target_client::AttemptPlan;
+use crate::target_client::Freshness;
+use crate::target_client::RequestBody;
+use crate::target_client::TargetBody;
 
 /// Choices that may turn out unusable before the first byte, for one request.
 const GIVEN_UP_MAX: u32 = 8;
--- a/crates/thymeshift_entry/src/caller/handler.rs
+++ b/crates/thymeshift_entry/src/caller/handler.rs
@@ -40,7 +40,7 @@
 use crate::caller::read_body::read_body;
 use crate::routing::KindRuntime;
 use crate::shared::Shared;
-use crate::target::BodyLimits;
+use crate::target_client::BodyLimits;
 
 /// Longest request id taken from a caller, in bytes.
 const REQUEST_ID_BYTES_MAX: usize = 64;
--- a/crates/thymeshift_entry/src/caller/read_body.rs
+++ b/crates/thymeshift_entry/src/caller/read_body.rs
@@ -17,8 +17,8 @@
 use thymeshift_types::Step;
 use tokio::time::timeout;
 
-use crate::target::BodyLimits;
-use crate::target::RequestBody;
+use crate::target_client::BodyLimits;
+use crate::target_client::RequestBody;
 
 /// Longest body that is read before a target is chosen.
 const WHOLE_BYTES_MAX: u64 = 64 * 1_024;
--- a/crates/thymeshift_entry/src/caller/write_stall.rs
+++ b/crates/thymeshift_entry/src/caller/write_stall.rs
@@ -17,7 +17,7 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
-use crate::target::Stall;
+use crate::target_client::Stall;
 
 pub(crate) struct WriteStall {
     stream: Arc<TcpStream>,
--- a/crates/thymeshift_entry/src/control_plane/bootstrap.rs
+++ b/crates/thymeshift_entry/src/control_plane/bootstrap.rs
@@ -28,7 +28,7 @@
 use crate::environment::SharedSource;
 use crate::environment::SourceError;
 use crate::shared::Shared;
-use crate::target::PROBED_ALONE_MAX;
+use crate::target_client::PROBED_ALONE_MAX;
 
 /// Peers asked in one round.
 const PEERS_ASKED: usize = 3;
--- a/crates/thymeshift_entry/src/lib.rs
+++ b/crates/thymeshift_entry/src/lib.rs
@@ -21,7 +21,7 @@
 mod routing;
 mod service;
 mod shared;
-mod target;
+mod target_client;
 
 pub use control_plane::GetError;
 pub use control_plane::http_get;
--- a/crates/thymeshift_entry/src/process.rs
+++ b/crates/thymeshift_entry/src/process.rs
@@ -50,8 +50,8 @@
 use crate::environment::Source;
 use crate::reload::run_reload;
 use crate::shared::Shared;
-use crate::target::run_pace_probes;
-use crate::target::run_probes;
+use crate::target_client::run_pace_probes;
+use crate::target_client::run_probes;
 
 /// Time between two looks at whether all work is done.
 const DRAIN_LOOK: Duration = Duration::from_millis(20);
--- a/crates/thymeshift_entry/src/service/mod.rs
+++ b/crates/thymeshift_entry/src/service/mod.rs
@@ -46,7 +46,7 @@
 
 use crate::allocation_client::AllocationClient;
 use crate::service::obtain::Allocators;
-use crate::target::Pool;
+use crate::target_client::Pool;
 
 pub(crate) use group::GroupRuntime;
 pub(crate) use guards::GrantGuard;
--- a/crates/thymeshift_entry/src/target/answer.rs
+++ b/crates/thymeshift_entry/src/target_client/answer.rs
@@ -9,9 +9,9 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
-use crate::target::BodyError;
-use crate::target::Lease;
-use crate::target::TargetBody;
+use crate::target_client::BodyError;
+use crate::target_client::Lease;
+use crate::target_client::TargetBody;
 
 pub(crate) struct Answer {
     pub(crate) parts: Parts,
--- a/crates/thymeshift_entry/src/target/attempt.rs
+++ b/crates/thymeshift_entry/src/target_client/attempt.rs
@@ -29,13 +29,13 @@
 use crate::service::Destination;
 use crate::service::GrantGuard;
 use crate::shared::Shared;
-use crate::target::Answer;
-use crate::target::BodyError;
-use crate::target::Lease;
-use crate::target::RequestBody;
-use crate::target::TargetBody;
-use crate::target::pool::ConnectError;
-use crate::target::pool::Connection;
+use crate::target_client::Answer;
+use crate::target_client::BodyError;
+use crate::target_client::Lease;
+use crate::target_client::RequestBody;
+use crate::target_client::TargetBody;
+use crate::target_client::pool::ConnectError;
+use crate::target_client::pool::Connection;
 
 /// Whether a connection that served before may be used.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/thymeshift_entry/src/target/body.rs
+++ b/crates/thymeshift_entry/src/target_client/body.rs
@@ -15,8 +15,8 @@
 use hyper::body::Incoming;
 
 use crate::service::GrantGuard;
-use crate::target::Stall;
-use crate::target::pool::Connection;
+use crate::target_client::Stall;
+use crate::target_client::pool::Connection;
 
 /// Why a body broke off.
 #[derive(Debug, Display, Error)]
--- a/crates/thymeshift_entry/src/target/pace_probe.rs
+++ b/crates/thymeshift_entry/src/target_client/pace_probe.rs
@@ -29,7 +29,7 @@
 use crate::service::GroupRuntime;
 use crate::service::ServiceRuntime;
 use crate::shared::Shared;
-use crate::target::probe::ask;
+use crate::target_client::probe::ask;
 
 /// Time between two looks.
 const LOOK: Duration = Duration::from_millis(15);
--- a/crates/thymeshift_entry/src/target/pool.rs
+++ b/crates/thymeshift_entry/src/target_client/pool.rs
@@ -29,7 +29,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
-use crate::target::RequestBody;
+use crate::target_client::RequestBody;
 
 /// Longest wait for an idle connection to finish what it was doing.
 const READY_LIMIT: Duration = Duration::from_millis(5);
--- a/crates/thymeshift_entry/src/target/probe.rs
+++ b/crates/thymeshift_entry/src/target_client/probe.rs
@@ -29,7 +29,7 @@
 use crate::service::Destination;
 use crate::service::ServiceRuntime;
 use crate::shared::Shared;
-use crate::target::RequestBody;
+use crate::target_client::RequestBody;
 
 /// Time between two looks at what is due.
 const LOOK: Duration = Duration::from_millis(20);
