A moved source is followed from the start on; OPERATIONS

The task that reads the source kept the address that it began with beside the reader: after a failure of the task, or while no configuration was in force yet, a changed `platform_address` was not followed.

A reload that replaces the reader: a call that is under way would go on with the old one.

--- a/crates/thymeshift_entry/src/control_plane/source.rs
+++ b/crates/thymeshift_entry/src/control_plane/source.rs
@@ -42,7 +42,6 @@
     source: SharedSource<E>,
 ) -> Result<(), TaskError> {
     let mut was_answered = true;
-    let mut address = shared.settings().platform_address;
     // Until then the start of the process reads. An error would mean that it is ending.
     let _ = shared.in_force.subscribe().wait_for(|is_in_force| *is_in_force).await;
     loop {
@@ -61,14 +60,7 @@
                 continue;
             }
         };
-        let mut reader = source.lock().await;
-        if shared.settings().platform_address != address {
-            address = shared.settings().platform_address;
-            *reader = E::Source::new(address);
-            info!("source_moved", kv: { address: = address });
-        }
-        let read = read_once(&shared, &mut *reader, wait).await;
-        drop(reader);
+        let read = read_once(&shared, &mut *source.lock().await, wait).await;
         log_dependency(&read, &mut was_answered);
         tell_members(&shared, read.is_ok());
         if let Ok(1..) = read {
@@ -83,6 +75,11 @@
     source: &mut S,
     wait: Duration,
 ) -> Result<usize, SourceError> {
+    let address = shared.settings().platform_address;
+    if source.address() != address {
+        *source = S::new(address);
+        info!("source_moved", kv: { address: = address });
+    }
     shared.figures.platform_calls.fetch_add(1, Ordering::Relaxed);
     let answered = source.changes(wait).await;
     let now = BootClock.now();
--- a/crates/thymeshift_entry/src/environment.rs
+++ b/crates/thymeshift_entry/src/environment.rs
@@ -39,6 +39,9 @@
     /// A reader of the source at `address` that knows nothing yet.
     fn new(address: SocketAddr) -> Self;
 
+    /// Where it reads.
+    fn address(&self) -> SocketAddr;
+
     /// The documents that changed since the last answered call, all of them at the first. The
     /// source may hold the call for up to `wait` until something changes.
     fn changes(
--- a/crates/thymeshift_entry/src/native.rs
+++ b/crates/thymeshift_entry/src/native.rs
@@ -47,6 +47,10 @@
         Self { address, configuration: 0 }
     }
 
+    fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     async fn changes(&mut self, wait: Duration) -> Result<Vec<(Document, Published)>, SourceError> {
         let after = self.configuration;
         let Some(published) = ask(self.address, "configuration", after, wait).await? else {
--- a/crates/thymeshift_lab/src/experiment/rounds.rs
+++ b/crates/thymeshift_lab/src/experiment/rounds.rs
@@ -184,9 +184,10 @@
             continue;
         };
         let commit = entry.head.get(..COMMIT_SHOWN).unwrap_or(&entry.head);
-        let played = worths.entry(Ablation { site, commit, off }).or_default();
+        let ablation = Ablation { site, commit, off };
         for day in &entry.days {
             if let Some(worth) = day.worth {
+                let played = worths.entry(ablation).or_default();
                 played.entry((&day.name, day.seed)).or_default().push(worth);
             }
         }
--- a/crates/thymeshift_telemetry/src/metric.rs
+++ b/crates/thymeshift_telemetry/src/metric.rs
@@ -1,4 +1,4 @@
-//! Every metric, with its labels and meaning. `docs/OPERATING.md` lists the same.
+//! Every metric, with its labels and meaning. `docs/OPERATIONS.md` lists the same.
 
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
