A check that passed by luck asks ten processes

The test asks one fresh process with two targets, of which the first drawn decides whether the wrong order can show at all; afterwards the target that closes is avoided.

That case asks ten fresh processes, three requests each; the other two cases and all demands are unchanged.

Kept; as strict for each answer, and it sees both orders.

--- a/crates/thymeshift_lab/tests/target_faults.rs
+++ b/crates/thymeshift_lab/tests/target_faults.rs
@@ -164,19 +164,38 @@
         service_us: u64,
         /// How late the second target refuses, in milliseconds.
         refused_after_ms: u64,
+        /// Fresh processes: each may begin with either target, and goes on with the other one.
+        processes: usize,
+        /// Requests to each of them.
+        requests: usize,
     }
-    let case = |note, hedge_after_ms, service_us, refused_after_ms| Case {
-        note,
-        hedge_after_ms,
-        service_us,
-        refused_after_ms,
-    };
     let cases = [
-        case("one after the other", 0, 1_000, 0),
-        case("beside each other, refused first", 50, 200_000, 0),
-        case("beside each other, closed first", 50, 100_000, 200),
+        Case {
+            note: "one after the other",
+            hedge_after_ms: 0,
+            service_us: 1_000,
+            refused_after_ms: 0,
+            processes: 10,
+            requests: 3,
+        },
+        Case {
+            note: "beside each other, refused first",
+            hedge_after_ms: 50,
+            service_us: 200_000,
+            refused_after_ms: 0,
+            processes: 1,
+            requests: 20,
+        },
+        Case {
+            note: "beside each other, closed first",
+            hedge_after_ms: 50,
+            service_us: 100_000,
+            refused_after_ms: 200,
+            processes: 1,
+            requests: 20,
+        },
     ];
-    for Case { note, hedge_after_ms, service_us, refused_after_ms } in cases {
+    for Case { note, hedge_after_ms, service_us, refused_after_ms, processes, requests } in cases {
         let settings = TargetSettings { service_us, is_random: false, ..Default::default() };
         let closing = target(settings).await;
         let shedding = quick_target().await;
@@ -186,18 +205,20 @@
         let targets = [closing.ports.address, shedding.ports.address];
         let mut configuration = configuration(&targets, SHEDS, "    attempts_max: 2\n");
         configuration.kinds[0].hedge_after_ms = hedge_after_ms;
-        let single = Single::start(&configuration).await.expect("a process");
-        let caller = single.entry.address("caller").expect("an address");
         let mut ran = 0;
-        for number in 0..20 {
-            let nonce = format!("n{number}");
-            let line = format!("/r?nonce={nonce}");
-            let answer = ask(caller, Method::GET, &line, "").await.expect("an answer");
-            assert_ne!(answer.status(), 200, "{note}");
-            if begun(&closing, &nonce) > 0 {
-                ran += 1;
-                assert_eq!(header(&answer, "thymeshift-outcome"), "unknown", "{note}: {nonce}");
-                assert_eq!(answer.status(), 502, "{note}: {nonce}");
+        for process in 0..processes {
+            let single = Single::start(&configuration).await.expect("a process");
+            let caller = single.entry.address("caller").expect("an address");
+            for number in 0..requests {
+                let nonce = format!("n{process}-{number}");
+                let line = format!("/r?nonce={nonce}");
+                let answer = ask(caller, Method::GET, &line, "").await.expect("an answer");
+                assert_ne!(answer.status(), 200, "{note}");
+                if begun(&closing, &nonce) > 0 {
+                    ran += 1;
+                    assert_eq!(header(&answer, "thymeshift-outcome"), "unknown", "{note}: {nonce}");
+                    assert_eq!(answer.status(), 502, "{note}: {nonce}");
+                }
             }
         }
         assert!(ran > 0, "{note}: the first target ran none");
