--- a/crates/thymeshift_allocation/src/group.rs
+++ b/crates/thymeshift_allocation/src/group.rs
@@ -32,6 +32,11 @@
 }
 
 impl Group {
+    /// Whether it holds the targets of this data hall alone.
+    pub fn is_of_hall(&self, hall: &DataHallName) -> bool {
+        matches!(self, Self::Hall(own) if own == hall)
+    }
+
     /// Whether a target belongs to it.
     pub fn has(&self, target: &Target) -> bool {
         match self {
@@ -66,8 +71,7 @@
     /// The group to which requests from `hall` go first. From a hall without targets they
     /// are spread over all groups by their sizes; `draw` decides.
     pub fn first_for(&self, hall: &DataHallName, draw: u64) -> &Group {
-        let is_own = |group: &Group| matches!(group, Group::Hall(own) if own == hall);
-        let own = self.groups.iter().find(|(group, _)| is_own(group));
+        let own = self.groups.iter().find(|(group, _)| group.is_of_hall(hall));
         let (group, _) = own.unwrap_or_else(|| self.drawn(draw));
         group
     }
--- a/crates/thymeshift_config/src/configuration.rs
+++ b/crates/thymeshift_config/src/configuration.rs
@@ -10,11 +10,16 @@
 use crate::Mistakes;
 use crate::RequestHead;
 use crate::Service;
+use crate::Settings;
 use crate::check;
 use crate::decode::Decode;
 use crate::decode::MapReader;
 use crate::tree::Node;
 
+/// Part of the retries that the platform bears, in tenths, which processes use together: each
+/// counts its own requests, and their windows differ.
+const RETRY_CAP_TENTHS: u64 = 9;
+
 /// Largest published text, in bytes: the platform holds values up to a megabyte.
 pub(crate) const TEXT_BYTES_MAX: usize = 1_024 * 1_024;
 
@@ -81,6 +86,20 @@
         joined
     }
 
+    /// The configuration within the limits that a process's settings state.
+    #[must_use]
+    pub fn capped(mut self, settings: &Settings) -> Self {
+        let retry_percent_max = settings.retry_percent_max * RETRY_CAP_TENTHS / 10;
+        for service in &mut self.services {
+            service.retry_budget_percent = service.retry_budget_percent.min(retry_percent_max);
+            if let Some(probe) = &service.probe {
+                let most = settings.probes_per_target_s_max.saturating_mul(probe.cost_us);
+                service.measuring_budget_us_per_s = service.measuring_budget_us_per_s.min(most);
+            }
+        }
+        self
+    }
+
     /// Index in `kinds` of the kind of a request.
     pub fn kind_of(&self, head: &impl RequestHead) -> Option<usize> {
         self.kinds.iter().position(|kind| kind.rules.is_match(head))
--- a/crates/thymeshift_config/src/decode.rs
+++ b/crates/thymeshift_config/src/decode.rs
@@ -68,6 +68,22 @@
     mistakes.add(Mistake { line, column, field: path.to_owned(), found, expected });
 }
 
+/// A number that may have a fraction.
+struct Decimal(f64);
+
+impl Decode for Decimal {
+    fn decode(node: &Node, path: &str, mistakes: &mut Mistakes) -> Option<Self> {
+        let text = match &node.content {
+            Content::Scalar { text, is_quoted: false } => text.as_str(),
+            _ => "",
+        };
+        match text.parse::<f64>() {
+            Ok(number) if number.is_finite() => Some(Self(number)),
+            _ => refuse(node, path, "a number", mistakes),
+        }
+    }
+}
+
 /// Reads the fields of one map and at the end reports those nobody asked for.
 pub(crate) struct MapReader<'n, 'm> {
     entries: &'n [Entry],
@@ -135,6 +151,27 @@
         self.within(name, value, range)
     }
 
+    /// A number within `range` that may be missing, as whole parts of which `parts` make one; as
+    /// [`Self::optional`].
+    #[expect(clippy::option_option, reason = "the two options answer different questions")]
+    pub(crate) fn optional_decimal(
+        &mut self,
+        name: &'static str,
+        range: RangeInclusive<f64>,
+        parts: f64,
+    ) -> Option<Option<u64>> {
+        let Some(Decimal(value)) = self.optional(name)? else {
+            return Some(None);
+        };
+        if range.contains(&value) {
+            return Some(Some((value * parts).round() as u64));
+        }
+        let expected = format!("a number from {} to {}", range.start(), range.end());
+        let place = self.find(name).map_or(self.place, |node| node.place);
+        add(place, &self.path_of(name), format!("'{value}'"), expected, self.mistakes);
+        None
+    }
+
     /// Reports unknown fields.
     pub(crate) fn finish(self) {
         for entry in self.entries {
--- a/crates/thymeshift_config/src/settings.rs
+++ b/crates/thymeshift_config/src/settings.rs
@@ -1,6 +1,7 @@
 //! What one VM knows about itself, from a local YAML file.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::Serialize;
 use thymeshift_types::Capacity;
@@ -16,6 +17,13 @@
 
 /// Longest time a planned stop may be given, in milliseconds.
 const STOP_MS_MAX: u64 = 3_600_000;
+/// The same for the time until the platform kills a process, in seconds.
+const STOP_S_MAX: f64 = 3_600.0;
+/// Time between the end of the wait for work in flight and the moment at which the platform kills
+/// the process, in milliseconds: for telling peers, and for a VM that is slow.
+const STOP_MARGIN_MS: u64 = 700;
+/// Probes of one target a second that may be allowed at most.
+const PROBES_PER_S_MAX: u64 = 10_000;
 
 /// How much is logged.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
@@ -73,6 +81,14 @@
     pub stop_readiness_lag_ms: u64,
     /// How long a stopping process waits for work in flight, in milliseconds.
     pub stop_bound_ms: u64,
+    /// How long the platform waits between asking a process to stop and killing it, in
+    /// milliseconds: the wait for work in flight ends before. None if it waits for ever.
+    pub stop_grace_ms: Option<u64>,
+    /// Most retries in 100 requests that the platform bears, whatever the configuration says.
+    pub retry_percent_max: u64,
+    /// Most probes of one target a second that the platform bears, whatever the configuration
+    /// says.
+    pub probes_per_target_s_max: u64,
     /// How much is logged.
     pub log_level: LogLevel,
 }
@@ -82,6 +98,15 @@
     pub fn parse(text: &str) -> Result<Self, Mistakes> {
         parse(text, "")
     }
+
+    /// How long a stopping process waits for work in flight once it no longer accepts callers.
+    pub fn stop_wait(&self) -> Duration {
+        let before_kill = self.stop_grace_ms.map(|grace_ms| {
+            grace_ms.saturating_sub(self.stop_readiness_lag_ms).saturating_sub(STOP_MARGIN_MS)
+        });
+        let wait_ms = before_kill.map_or(self.stop_bound_ms, |ms| ms.min(self.stop_bound_ms));
+        Duration::from_millis(wait_ms)
+    }
 }
 
 impl Decode for Settings {
@@ -101,6 +126,10 @@
         let worker_threads = map.number_or("worker_threads", 0..=1_024, 0);
         let stop_readiness_lag_ms = map.number_or("stop_readiness_lag_ms", 0..=STOP_MS_MAX, 3_000);
         let stop_bound_ms = map.number_or("stop_bound_ms", 0..=STOP_MS_MAX, 60_000);
+        let stop_grace_ms = map.optional_decimal("stop_grace_s", 0.0..=STOP_S_MAX, 1_000.0);
+        let retry_percent_max = map.optional_decimal("retry_ratio_max", 0.0..=1.0, 100.0);
+        let probes_per_target_s_max =
+            map.number_or("probes_per_target_s_max", 0..=PROBES_PER_S_MAX, PROBES_PER_S_MAX);
         let log_level = map.or("log_level", LogLevel::Info);
         map.finish();
         Some(Self {
@@ -118,6 +147,9 @@
             worker_threads: worker_threads?,
             stop_readiness_lag_ms: stop_readiness_lag_ms?,
             stop_bound_ms: stop_bound_ms?,
+            stop_grace_ms: stop_grace_ms?,
+            retry_percent_max: retry_percent_max?.unwrap_or(100),
+            probes_per_target_s_max: probes_per_target_s_max?,
             log_level: log_level?,
         })
     }
--- a/crates/thymeshift_config/tests/mistakes.rs
+++ b/crates/thymeshift_config/tests/mistakes.rs
@@ -49,7 +49,7 @@
     }
 }
 
-const SETTINGS_CASES: [Case; 12] = [
+const SETTINGS_CASES: [Case; 14] = [
     Case {
         name: "missing field",
         replace: "vm: entry-01\n",
@@ -106,6 +106,18 @@
         with: "data_hall: a\nstop_bound_ms: -1",
         mistake: "found '-1', expected a whole number",
     },
+    Case {
+        name: "fraction out of range",
+        replace: "data_hall: a",
+        with: "data_hall: a\nretry_ratio_max: 1.5",
+        mistake: "retry_ratio_max: found '1.5', expected a number from 0 to 1",
+    },
+    Case {
+        name: "text in place of a fraction",
+        replace: "data_hall: a",
+        with: "data_hall: a\nstop_grace_s: soon",
+        mistake: "stop_grace_s: found 'soon', expected a number",
+    },
     Case {
         name: "text in place of a list",
         replace: "data_hall: a",
--- a/crates/thymeshift_entry/src/allocation_client.rs
+++ b/crates/thymeshift_entry/src/allocation_client.rs
@@ -14,6 +14,7 @@
 use thymeshift_dispatch::Observation;
 use thymeshift_dispatch::Refusal;
 use thymeshift_fleet::Boot;
+use thymeshift_fleet::Member;
 use thymeshift_telemetry::metric;
 use thymeshift_types::DataHallName;
 use thymeshift_types::ServiceName;
@@ -21,6 +22,7 @@
 use thymeshift_types::Timestamp;
 use thymeshift_types::VmName;
 use thymeshift_wire::Acquire;
+use thymeshift_wire::AllocatorAddress;
 use thymeshift_wire::DATAGRAM_BYTES_MAX;
 use thymeshift_wire::Datagram;
 use thymeshift_wire::LeaseNumber;
@@ -38,20 +40,13 @@
 /// Leases named in one message at most; the rest is named by the next.
 const HELD_MAX: usize = 128;
 
-/// A process that allocates, and where it is reached.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct AllocatorPlace {
-    pub(crate) vm: VmName,
-    pub(crate) address: SocketAddr,
-}
-
 /// The allocator that is asked.
 #[derive(Clone)]
 pub(crate) enum Allocating {
     /// This process.
     Here(Arc<GroupRuntime>),
     /// Another one.
-    There(AllocatorPlace),
+    There(AllocatorAddress),
 }
 
 /// Who holds a lease. A new start of a process is another holder.
@@ -71,8 +66,10 @@
     Granted(TargetName, u32),
     Refused(Refusal),
     Declined,
-    /// To be asked for in another group.
-    Redirected(Group),
+    /// To be asked for in another group, and of whom.
+    Redirected(Group, AllocatorAddress),
+    /// This member ranks before the one that was asked.
+    AskInstead(Member),
 }
 
 impl Reply {
@@ -82,7 +79,8 @@
             Self::Granted(target, concurrency) => Message::Granted(number, target, concurrency),
             Self::Refused(refusal) => Message::Refused(number, refusal.reason, refusal.retry_after),
             Self::Declined => Message::Declined(number),
-            Self::Redirected(group) => Message::Redirected(number, group),
+            Self::Redirected(group, allocator) => Message::Redirected(number, group, allocator),
+            Self::AskInstead(member) => Message::AskInstead(number, member),
         }
     }
 }
@@ -92,6 +90,7 @@
     pub(crate) service: ServiceName,
     pub(crate) group: Group,
     pub(crate) may_redirect: bool,
+    pub(crate) is_first_choice: bool,
     pub(crate) priority: u8,
     pub(crate) deadline: Duration,
     pub(crate) wait: Duration,
@@ -182,7 +181,7 @@
             Allocating::Here(_) => None,
             Allocating::There(place) => Some(place.vm.clone()),
         };
-        let Wanted { service, group, may_redirect, priority, .. } = wanted;
+        let Wanted { service, group, may_redirect, is_first_choice, priority, .. } = wanted;
         let Wanted { deadline, wait, objective, queue_max, tried, .. } = wanted;
         let open = OpenLease {
             service: service.clone(),
@@ -206,6 +205,7 @@
             service,
             group,
             may_redirect,
+            is_first_choice,
             data_hall: self.data_hall.clone(),
             priority,
             deadline,
@@ -257,6 +257,11 @@
         held.map(|(number, _)| *number).take(HELD_MAX).collect()
     }
 
+    /// This process's VM.
+    pub(crate) fn vm(&self) -> &VmName {
+        &self.vm
+    }
+
     /// An allocator did not answer, or does not allocate.
     pub(crate) fn pass_over(&self, allocator: &VmName, now: Timestamp) {
         debug!("allocator_passed_over", kv: { allocator: = allocator });
--- a/crates/thymeshift_entry/src/control_plane/bootstrap.rs
+++ b/crates/thymeshift_entry/src/control_plane/bootstrap.rs
@@ -7,6 +7,7 @@
 //! exchange with anybody who knows more ends it.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures::future::join_all;
@@ -17,6 +18,7 @@
 use thymeshift_types::BootClock;
 use thymeshift_types::Clock;
 use thymeshift_wire::Document;
+use tokio::task::JoinHandle;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -24,14 +26,18 @@
 use crate::control_plane::platform::fetch;
 use crate::control_plane::platform::offer;
 use crate::control_plane::source::read_once;
+use crate::environment::Beginning;
 use crate::environment::Environment;
 use crate::environment::SharedSource;
+use crate::environment::Source;
 use crate::environment::SourceError;
 use crate::shared::Shared;
 use crate::target_client::PROBED_ALONE_MAX;
 
 /// Peers asked in one round.
 const PEERS_ASKED: usize = 3;
+/// Those among them that are known to hold documents, at most.
+const INFORMED_ASKED: usize = 2;
 /// Rounds in which a reachable peer is waited for although the platform has answered.
 const ROUNDS_FOR_PEERS: u32 = 2;
 /// Pause between two rounds.
@@ -41,13 +47,16 @@
 /// How long after its start a process that knows a configuration but no other process waits
 /// for an answer of one before it serves.
 const PEERS_LIMIT: Duration = Duration::from_millis(80);
-/// How long a peer that has answered may take to hand over its documents, which are long in a
-/// large fleet, before the source is asked too.
-const DOCUMENTS_DELAY: Duration = Duration::from_millis(200);
+/// Pause between two rounds in which peers are asked, before the spread.
+const PEERS_PAUSE: Duration = Duration::from_millis(40);
+/// How long peers have, before the spread of once more as much, where the first page of the
+/// source's list is not all of it: then the fleet is large as well, and would read each page as
+/// often as it has processes. Named peers may come up 300 ms after the others.
+const LONG_LIST_DELAY: Duration = Duration::from_millis(450);
 /// Time for the first probes' answers: a probe takes 6 ms and the way there and back 3 ms.
 const FIRST_REPORTS: Duration = Duration::from_millis(12);
-/// Rounds in which a patient process asks peers that answer and know nothing yet.
-const PATIENT_ROUNDS: u32 = 8;
+/// Rounds for which a process leaves the source to others at the first start of the fleet.
+const PATIENT_ROUNDS: u32 = 12;
 /// Longest pause between two rounds: everybody who starts asks, and a source that is down
 /// must not be asked ever more.
 const ROUND_PAUSE_MAX: Duration = Duration::from_millis(1_600);
@@ -71,6 +80,7 @@
         _ = in_force.wait_for(|is_in_force| *is_in_force) => {}
         () = ask_by_turns::<E>(shared, source) => {}
     }
+    source.lock().await.forget_beginning();
     // Decisions taken alone overload targets. Peers that are not there refuse at once.
     if is_alone(shared) {
         let left = PEERS_LIMIT.saturating_sub(BootClock.now().since(shared.started_at));
@@ -109,26 +119,22 @@
     }
 }
 
-/// Asks peers and source for ever.
+/// Asks peers, and the source where it is this process's turn, for ever.
 async fn ask_by_turns<E: Environment>(shared: &Arc<Shared>, source: &SharedSource<E>) {
+    let asking = shared.clone();
+    let peers = tokio::spawn(async move { ask_peers_again(&asking).await });
+    // Ends with this future, which is dropped once a configuration is in force.
+    let _peers = AbortOnDrop(peers);
+    if !is_named(shared) {
+        sleep(SOURCE_DELAY).await;
+        wait_for_peers(shared).await;
+        if is_list_long::<E>(shared, source).await {
+            let spread = rand::rng().random_range(1.0..2.0);
+            sleep(LONG_LIST_DELAY.mul_f64(spread)).await;
+        }
+    }
     let mut pause = ROUND_PAUSE;
-    let mut waits_left = if is_patient(shared) { PATIENT_ROUNDS } else { 0 };
     loop {
-        let asking = shared.clone();
-        let mut peers = tokio::spawn(async move { ask_peers(&asking).await });
-        let mut asked = timeout(SOURCE_DELAY, &mut peers).await;
-        if asked.is_err() && !is_alone(shared) {
-            asked = timeout(DOCUMENTS_DELAY, peers).await;
-        }
-        let answered = match asked {
-            Ok(Ok(peers)) => peers.answered,
-            Ok(Err(_)) | Err(_) => 0,
-        };
-        if waits_left > 0 && answered > 0 {
-            waits_left -= 1;
-            sleep(ROUND_PAUSE.mul_f64(rand::rng().random_range(0.5..1.5))).await;
-            continue;
-        }
         ask_source::<E>(shared, source).await;
         warn!("no_configuration_yet");
         sleep(pause).await;
@@ -136,11 +142,53 @@
     }
 }
 
-/// Whether this process leaves it to others to read the source: to those that all processes
-/// ask first.
-fn is_patient(shared: &Shared) -> bool {
+/// Whether the first page of the source's list is not all of it.
+async fn is_list_long<E: Environment>(shared: &Shared, source: &SharedSource<E>) -> bool {
+    shared.figures.platform_calls.fetch_add(1, Ordering::Relaxed);
+    match source.lock().await.begin().await {
+        Ok(beginning) => beginning == Beginning::Long,
+        Err(error) => {
+            warn!("source_call_failed", kv: { error: = error });
+            false
+        }
+    }
+}
+
+struct AbortOnDrop(JoinHandle<()>);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Asks peers in short rounds for ever: one that was asked too much names others.
+async fn ask_peers_again(shared: &Arc<Shared>) {
+    loop {
+        ask_peers(shared).await;
+        let spread = rand::rng().random_range(0.5..1.5);
+        sleep(PEERS_PAUSE.mul_f64(spread)).await;
+    }
+}
+
+/// At the first start of the fleet nobody is served yet: the source is left to those processes
+/// that all ask first, while there are any.
+async fn wait_for_peers(shared: &Shared) {
+    if !shared.settings().is_first_start {
+        return;
+    }
+    for _ in 0..PATIENT_ROUNDS {
+        sleep(ROUND_PAUSE.mul_f64(rand::rng().random_range(0.5..1.5))).await;
+        if is_alone(shared) {
+            return;
+        }
+    }
+}
+
+/// Whether the settings of other processes name this one as a peer.
+fn is_named(shared: &Shared) -> bool {
     let settings = shared.settings();
-    settings.is_first_start && !settings.peers.contains(&settings.peer_address)
+    settings.peers.contains(&settings.peer_address)
 }
 
 /// Source and peers are asked, and the largest revision counts: both may be stale.
@@ -198,9 +246,19 @@
 
 async fn ask_peers(shared: &Arc<Shared>) -> Peers {
     let now = BootClock.now();
-    let picked = shared.fleet.lock().members.pick(PEERS_ASKED, now, &mut rand::rng());
+    let picked = {
+        let members = &shared.fleet.lock().members;
+        let rng = &mut rand::rng();
+        let mut picked = members.pick_informed(INFORMED_ASKED, rng);
+        let mut others = members.pick(PEERS_ASKED, now, rng);
+        others.retain(|address| !picked.contains(address));
+        picked.extend(others);
+        picked.truncate(PEERS_ASKED);
+        picked
+    };
     let asked = picked.len();
-    let exchanges = picked.into_iter().map(|address| exchange_once(shared, address, Breadth::Wide));
+    let exchanges =
+        picked.into_iter().map(|address| exchange_once(shared, address, Breadth::Regular));
     let answered = join_all(exchanges).await.into_iter().flatten().count();
     Peers { asked, answered }
 }
--- a/crates/thymeshift_entry/src/control_plane/datagrams.rs
+++ b/crates/thymeshift_entry/src/control_plane/datagrams.rs
@@ -9,6 +9,7 @@
 use thymeshift_types::BootClock;
 use thymeshift_types::Clock;
 use thymeshift_types::ServiceName;
+use thymeshift_wire::Acquire;
 use thymeshift_wire::DATAGRAM_BYTES_MAX;
 use thymeshift_wire::Datagram;
 use thymeshift_wire::Message;
@@ -16,7 +17,8 @@
 use crate::allocation_client::LeaseHolder;
 use crate::allocation_client::Reply;
 use crate::control_plane::relay::take_news;
-use crate::control_plane::relay::take_reader_heads;
+use crate::control_plane::rooms::take_room;
+use crate::control_plane::source::take_heartbeat;
 use crate::service::ServiceRuntime;
 use crate::shared::Shared;
 
@@ -43,36 +45,34 @@
     let client = &shared.allocation;
     shared.fleet.lock().members.heard(&sender, boot, BootClock.now());
     match message {
-        Message::SourceHeartbeat(heartbeat) => {
-            let is_answered = heartbeat.is_answered;
-            shared.fleet.lock().readers.heard(&sender, is_answered, BootClock.now());
-            take_reader_heads(shared, &sender, heartbeat.heads);
+        Message::SourceHeartbeat(heartbeat) => take_heartbeat(shared, &heartbeat),
+        Message::Phase(member) => {
+            shared.fleet.lock().members.introduced(&member, BootClock.now());
         }
         Message::News(heads) => take_news(shared, &sender, heads),
-        Message::Acquire(acquire) => match allocating_service(shared, &acquire.service) {
-            Some(service) => {
-                let holder = LeaseHolder { vm: sender, boot, address: Some(from) };
-                service.group(&acquire.group).acquire(holder, &acquire);
-            }
-            None => client.send(from, Message::Declined(acquire.number)),
-        },
+        Message::Acquire(acquire) => {
+            let holder = LeaseHolder { vm: sender, boot, address: Some(from) };
+            take_acquire(shared, holder, from, &acquire);
+        }
         Message::Release(release) => {
             if let Some(service) = service(shared, &release.service) {
                 let holder = LeaseHolder { vm: sender, boot, address: Some(from) };
                 service.group(&release.group).release(holder, &release);
             }
         }
-        Message::Room(told) => {
-            if let Some(service) = service(shared, &told.service) {
-                service.learn_room(told.group, told.room);
-            }
-        }
+        Message::Room(told) => take_room(shared, &sender, &told),
         Message::Waiting(number) => client.replied(number, Reply::Waiting),
         Message::Granted(number, target, concurrency) => {
             client.replied(number, Reply::Granted(target, concurrency));
         }
         Message::Declined(number) => client.replied(number, Reply::Declined),
-        Message::Redirected(number, group) => client.replied(number, Reply::Redirected(group)),
+        Message::Redirected(number, group, allocator) => {
+            client.replied(number, Reply::Redirected(group, allocator));
+        }
+        Message::AskInstead(number, member) => {
+            shared.fleet.lock().members.introduced(&member, BootClock.now());
+            client.replied(number, Reply::AskInstead(member));
+        }
         Message::Refused(number, reason, retry_after) => {
             let refusal = Refusal { reason, retry_after };
             client.replied(number, Reply::Refused(refusal));
@@ -80,6 +80,21 @@
     }
 }
 
+fn take_acquire(shared: &Shared, holder: LeaseHolder, from: SocketAddr, acquire: &Acquire) {
+    let client = &shared.allocation;
+    let Some(service) = allocating_service(shared, &acquire.service) else {
+        client.send(from, Message::Declined(acquire.number));
+        return;
+    };
+    if acquire.is_first_choice
+        && let Some(member) = service.better_allocator(shared, &acquire.group)
+    {
+        client.reply(&holder, acquire.number, Reply::AskInstead(member));
+        return;
+    }
+    service.group(&acquire.group).acquire(holder, acquire);
+}
+
 fn service(shared: &Shared, name: &ServiceName) -> Option<Arc<ServiceRuntime>> {
     shared.routing()?.service(name.as_str()).cloned()
 }
--- a/crates/thymeshift_entry/src/control_plane/peer_link.rs
+++ b/crates/thymeshift_entry/src/control_plane/peer_link.rs
@@ -45,7 +45,10 @@
 const YOUNG: Duration = Duration::from_secs(4);
 /// The same while it has hardly heard of others: whoever allocates is found by knowing them.
 const EXCHANGE_EVERY_NEW: Duration = Duration::from_millis(50);
-/// Longest time to open a connection to a peer, and for one exchange.
+/// Longest time to open a connection to a peer. A VM that has no power yet says nothing, and
+/// what was sent to it is sent again only after a second.
+const CONNECT_LIMIT: Duration = Duration::from_millis(150);
+/// Longest time for one exchange.
 const CALL_LIMIT: Duration = Duration::from_millis(500);
 /// Longest time to fetch a document: it may be long, and the link of a small VM busy.
 const FETCH_LIMIT: Duration = Duration::from_secs(2);
@@ -54,6 +57,11 @@
 /// Time after which a document is fetched from another peer although the answer of the first
 /// has not come.
 const FETCH_AGAIN: Duration = Duration::from_millis(400);
+/// Whole documents that one process hands out within [`SERVING_WINDOW`]. Who is refused asks
+/// one that was served: so documents reach a young fleet as along a tree, and not over the link
+/// of the few processes that everybody knows. At 20 kB a document this is 1.3 Mbit in 50 ms.
+const SERVED_AT_ONCE_MAX: u32 = 8;
+const SERVING_WINDOW: Duration = Duration::from_millis(50);
 /// Connections to peers kept open.
 const LINKS_MAX: usize = 32;
 
@@ -72,15 +80,23 @@
     open: Mutex<HashMap<SocketAddr, PeerLinkClient>>,
     /// Documents that are being fetched, and since when.
     fetching: Mutex<HashMap<Document, Timestamp>>,
+    serving: Mutex<Serving>,
     bytes: Arc<LinkBytes>,
 }
 
+/// Whole documents handed out lately.
+#[derive(Default)]
+struct Serving {
+    since: Timestamp,
+    count: u32,
+}
+
 impl Links {
     async fn get(&self, address: SocketAddr) -> Result<PeerLinkClient, LinkError> {
         if let Some(client) = self.open.lock().get(&address) {
             return Ok(client.clone());
         }
-        let client = connect_peer(address, CALL_LIMIT, &self.bytes).await?;
+        let client = connect_peer(address, CONNECT_LIMIT, &self.bytes).await?;
         let mut links = self.open.lock();
         if links.len() >= LINKS_MAX {
             links.clear();
@@ -105,6 +121,16 @@
         self.fetching.lock().remove(&document);
     }
 
+    /// Whether a whole document may be handed out now; it counts if so.
+    pub(crate) fn begin_serving(&self, now: Timestamp) -> bool {
+        let mut serving = self.serving.lock();
+        if now.since(serving.since) >= SERVING_WINDOW {
+            *serving = Serving { since: now, count: 0 };
+        }
+        serving.count += 1;
+        serving.count <= SERVED_AT_ONCE_MAX
+    }
+
     fn forget(&self, address: SocketAddr) {
         self.open.lock().remove(&address);
     }
@@ -124,8 +150,7 @@
         if is_news {
             exchange_with(&shared, TOLD_AT_ONCE, Breadth::News).await;
         } else {
-            let breadth = shared.fleet.lock().members.breadth(false);
-            exchange_with(&shared, 1, breadth).await;
+            exchange_with(&shared, 1, Breadth::Regular).await;
         }
     }
 }
@@ -146,7 +171,7 @@
     exchange_with(shared, TOLD_AT_ONCE, Breadth::News).await;
 }
 
-async fn exchange_with(shared: &Arc<Shared>, count: usize, breadth: Breadth) {
+async fn exchange_with(shared: &Arc<Shared>, count: usize, breadth: Breadth<'static>) {
     let picked = {
         let now = BootClock.now();
         let mut fleet = shared.fleet.lock();
@@ -162,7 +187,7 @@
 pub(crate) async fn exchange_once(
     shared: &Arc<Shared>,
     address: SocketAddr,
-    breadth: Breadth,
+    breadth: Breadth<'_>,
 ) -> Result<(), ExchangeError> {
     let answered = call(shared, address, breadth).await;
     let result = if answered.is_ok() { "answered" } else { "failed" };
@@ -179,7 +204,7 @@
 async fn call(
     shared: &Arc<Shared>,
     address: SocketAddr,
-    breadth: Breadth,
+    breadth: Breadth<'_>,
 ) -> Result<(), ExchangeError> {
     let client = shared.links.get(address).await?;
     let summary = shared.fleet.lock().summary(breadth, BootClock.now(), &mut rand::rng());
--- a/crates/thymeshift_entry/src/control_plane/peer_server.rs
+++ b/crates/thymeshift_entry/src/control_plane/peer_server.rs
@@ -52,19 +52,19 @@
         if !wanted.is_empty()
             && let Some(sender) = summary.members.first()
         {
-            self.fetch_from(sender.peer_address);
+            self.fetch_from(sender.member.peer_address);
         }
-        let mut fleet = self.shared.fleet.lock();
-        let breadth = if summary.is_new || summary.members.len() > 1 {
-            fleet.members.breadth(summary.is_new)
-        } else {
-            Breadth::News
-        };
-        fleet.summary(breadth, BootClock.now(), &mut rand::rng())
+        self.shared.fleet.lock().answer(&summary, BootClock.now(), &mut rand::rng())
     }
 
     async fn fetch(self, _: Context, document: Document, have: Option<Head>) -> Transfer {
-        self.shared.fleet.lock().document(document).transfer(have)
+        let transfer = self.shared.fleet.lock().document(document).transfer(have);
+        match transfer {
+            Transfer::Whole(_) if !self.shared.links.begin_serving(BootClock.now()) => {
+                Transfer::Busy
+            }
+            transfer => transfer,
+        }
     }
 }
 
--- a/crates/thymeshift_entry/src/control_plane/relay.rs
+++ b/crates/thymeshift_entry/src/control_plane/relay.rs
@@ -10,7 +10,6 @@
 use thymeshift_fleet::Breadth;
 use thymeshift_fleet::Head;
 use thymeshift_fleet::Member;
-use thymeshift_fleet::RELAY_PATIENCE;
 use thymeshift_fleet::RelayPlace;
 use thymeshift_fleet::relay_place;
 use thymeshift_types::BootClock;
@@ -18,6 +17,7 @@
 use thymeshift_types::VmName;
 use thymeshift_wire::Heads;
 use thymeshift_wire::Message;
+use thymeshift_wire::SourceHeartbeat;
 use tokio::time::sleep;
 
 use crate::control_plane::peer_link::exchange_once;
@@ -48,29 +48,36 @@
 
 /// The process above this one has taken in documents.
 pub(crate) fn take_news(shared: &Arc<Shared>, sender: &VmName, theirs: Heads) {
-    if let Some(address) = newer_at(shared, sender, theirs) {
+    if !has_newer(shared, theirs) {
+        return;
+    }
+    let address = shared.fleet.lock().members.find(sender).map(|member| member.peer_address);
+    if let Some(address) = address {
         fetch(shared, address);
     }
 }
 
-/// A reader of the source told what is in force there.
-pub(crate) fn take_reader_heads(shared: &Arc<Shared>, reader: &VmName, theirs: Heads) {
-    let Some(address) = newer_at(shared, reader, theirs) else {
+/// A reader of the source told what is in force there. The first of the data hall that hears of
+/// it fetches from whoever told; the others wait for the one above them.
+pub(crate) fn take_reader_heads(shared: &Arc<Shared>, heartbeat: &SourceHeartbeat) {
+    let theirs = heartbeat.heads;
+    if !has_newer(shared, theirs) {
         return;
-    };
-    if place(&shared.fleet.lock()).is_first {
-        fetch(shared, address);
+    }
+    let patience = place(&shared.fleet.lock()).patience();
+    if patience.is_zero() {
+        fetch(shared, heartbeat.peer_address);
         return;
     }
     if shared.is_awaiting_relay.swap(true, Ordering::Relaxed) {
         return;
     }
-    let (shared, reader) = (shared.clone(), reader.clone());
+    let (shared, address) = (shared.clone(), heartbeat.peer_address);
     tokio::spawn(async move {
         let spread = rand::rng().random_range(1.0..1.0 + PATIENCE_SPREAD);
-        sleep(RELAY_PATIENCE.mul_f64(spread)).await;
+        sleep(patience.mul_f64(spread)).await;
         shared.is_awaiting_relay.store(false, Ordering::Relaxed);
-        if let Some(address) = newer_at(&shared, &reader, theirs) {
+        if has_newer(&shared, theirs) {
             fetch(&shared, address);
         }
     });
@@ -84,14 +91,10 @@
     });
 }
 
-/// Where `sender` is reached, if it has anything newer.
-fn newer_at(shared: &Shared, sender: &VmName, theirs: Heads) -> Option<SocketAddr> {
-    let fleet = shared.fleet.lock();
-    let ours = heads(&fleet);
-    let is_news = is_newer(theirs.configuration, ours.configuration)
-        || is_newer(theirs.targets, ours.targets);
-    let member = fleet.members.find(sender).filter(|_| is_news)?;
-    Some(member.peer_address)
+/// Whether anything is newer there than here.
+fn has_newer(shared: &Shared, theirs: Heads) -> bool {
+    let ours = heads(&shared.fleet.lock());
+    is_newer(theirs.configuration, ours.configuration) || is_newer(theirs.targets, ours.targets)
 }
 
 fn is_newer(theirs: Option<Head>, ours: Option<Head>) -> bool {
@@ -101,7 +104,6 @@
 /// This process's place among those of its data hall.
 fn place(fleet: &Fleet) -> RelayPlace {
     let own = fleet.members.own();
-    let near = fleet.members.serving(BootClock.now()).chain([own]);
-    let near = near.filter(|member| member.data_hall == own.data_hall);
-    relay_place(&own.vm, near.map(Member::contender))
+    let near = fleet.members.serving_in(&own.data_hall, BootClock.now());
+    relay_place(&own.vm, near.into_iter().map(Member::contender))
 }
--- a/crates/thymeshift_entry/src/control_plane/rooms.rs
+++ b/crates/thymeshift_entry/src/control_plane/rooms.rs
@@ -1,5 +1,8 @@
 //! Telling the other allocators of a service how much room there is in the groups that are
 //! allocated here.
+//!
+//! A process knows a few contacts of each other data hall, and they know who allocates there: a
+//! contact passes the message on.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -10,6 +13,8 @@
 use thymeshift_types::BootClock;
 use thymeshift_types::Clock;
 use thymeshift_types::Timestamp;
+use thymeshift_types::VmName;
+use thymeshift_wire::AllocatorAddress;
 use thymeshift_wire::GroupRoom;
 use thymeshift_wire::Message;
 use tokio::time::sleep;
@@ -41,21 +46,56 @@
     if groups.len() < 2 {
         return;
     }
+    let Some(allocator) = own_address(shared) else {
+        return;
+    };
     for group in &groups {
         if !is_allocated_here(shared, service, group, now) {
             continue;
         }
-        let room = service.group(group).room(now);
-        service.learn_room(group.clone(), room);
-        let told = GroupRoom { service: service.name().clone(), group: group.clone(), room };
+        let told = GroupRoom {
+            service: service.name().clone(),
+            group: group.clone(),
+            allocator: allocator.clone(),
+            room: service.group(group).room(now),
+        };
+        service.learn_room(&told);
         for other in groups.iter().filter(|other| *other != group) {
-            if let Some(address) = allocator_address(shared, service, other, now) {
+            if let Some(address) = address_for(shared, service, other, now) {
                 shared.allocation.send(address, Message::Room(told.clone()));
             }
         }
     }
 }
 
+fn own_address(shared: &Shared) -> Option<AllocatorAddress> {
+    let fleet = shared.fleet.lock();
+    let own = fleet.members.own();
+    Some(AllocatorAddress { vm: own.vm.clone(), address: own.datagram_address? })
+}
+
+/// Another group told its room. A process that allocates none of the service's groups passes it on
+/// to who does in its own data hall.
+pub(crate) fn take_room(shared: &Shared, sender: &VmName, told: &GroupRoom) {
+    let routing = shared.routing();
+    let Some(service) = routing.as_ref().and_then(|all| all.service(told.service.as_str())) else {
+        return;
+    };
+    service.learn_room(told);
+    let is_first_hand = *sender == told.allocator.vm;
+    if !is_first_hand {
+        return;
+    }
+    let own_hall = shared.settings().data_hall.clone();
+    let group = service.divided_into().into_iter().find(|group| group.is_of_hall(&own_hall));
+    let Some(group) = group else {
+        return;
+    };
+    if let Some(address) = address_for(shared, service, &group, BootClock.now()) {
+        shared.allocation.send(address, Message::Room(told.clone()));
+    }
+}
+
 fn is_allocated_here(
     shared: &Shared,
     service: &ServiceRuntime,
@@ -65,8 +105,9 @@
     matches!(service.allocator_order(shared, group, now).first(), Some(None))
 }
 
-/// Where the first allocator of a group that answers is reached; none if it is this process.
-fn allocator_address(
+/// Where the first allocator of a group that answers is reached, as known here; none if it is
+/// this process.
+fn address_for(
     shared: &Shared,
     service: &ServiceRuntime,
     group: &Group,
--- a/crates/thymeshift_entry/src/control_plane/source.rs
+++ b/crates/thymeshift_entry/src/control_plane/source.rs
@@ -10,22 +10,25 @@
 use spdlog::info;
 use spdlog::warn;
 use thymeshift_fleet::Contender;
-use thymeshift_fleet::Member;
+use thymeshift_fleet::HallPlace;
 use thymeshift_fleet::Turn;
 use thymeshift_supervisor::TaskError;
 use thymeshift_telemetry::metric;
 use thymeshift_types::BootClock;
 use thymeshift_types::Clock;
+use thymeshift_types::Timestamp;
 use thymeshift_wire::Message;
 use thymeshift_wire::SourceHeartbeat;
 use tokio::time::sleep;
 
 use crate::control_plane::platform::offer;
 use crate::control_plane::relay::heads;
+use crate::control_plane::relay::take_reader_heads;
 use crate::environment::Environment;
 use crate::environment::SharedSource;
 use crate::environment::Source;
 use crate::environment::SourceError;
+use crate::fleet::Fleet;
 use crate::shared::Shared;
 
 /// How long the source may hold a call. Short, so that a source that falls silent is noticed
@@ -47,10 +50,7 @@
     loop {
         let turn = {
             let now = BootClock.now();
-            let fleet = shared.fleet.lock();
-            let alive: Vec<Contender<'_>> =
-                fleet.members.serving(now).map(Member::contender).collect();
-            fleet.readers.turn(&alive, now)
+            turn(&shared.fleet.lock(), now)
         };
         let wait = match turn {
             Turn::Watch => WATCH_WAIT,
@@ -62,13 +62,25 @@
         };
         let read = read_once(&shared, &mut *source.lock().await, wait).await;
         log_dependency(&read, &mut was_answered);
-        tell_members(&shared, read.is_ok());
+        tell_fleet(&shared, read.is_ok());
         if let Ok(1..) = read {
             sleep(GATHER).await;
         }
     }
 }
 
+fn turn(fleet: &Fleet, now: Timestamp) -> Turn {
+    let own = &fleet.members.own().vm;
+    let contacts = fleet.members.contacts(now);
+    let others = contacts.iter().filter(|member| member.vm != *own);
+    let others: Vec<Contender<'_>> = others.map(|member| member.contender()).collect();
+    let place = HallPlace {
+        before: fleet.members.place_in_hall(now),
+        is_contact: fleet.members.is_contact(now),
+    };
+    fleet.readers.turn(&others, place, now)
+}
+
 /// Makes one call and puts in force what it brought. Returns how many documents changed.
 pub(crate) async fn read_once<S: Source>(
     shared: &Arc<Shared>,
@@ -122,16 +134,53 @@
     *was_answered = read.is_ok();
 }
 
-/// Tells all members how the call ended.
-fn tell_members(shared: &Shared, is_answered: bool) {
+/// Tells the own data hall, and some processes of every other, how the call ended.
+fn tell_fleet(shared: &Shared, is_answered: bool) {
     let (heartbeat, addresses) = {
         let fleet = shared.fleet.lock();
-        let heartbeat = SourceHeartbeat { is_answered, heads: heads(&fleet) };
-        let members = fleet.members.present(BootClock.now());
-        let addresses = members.filter_map(|member| member.datagram_address);
+        let now = BootClock.now();
+        let own = fleet.members.own();
+        let heartbeat = SourceHeartbeat {
+            reader: own.vm.clone(),
+            is_answered,
+            heads: heads(&fleet),
+            data_hall: own.data_hall.clone(),
+            peer_address: own.peer_address,
+        };
+        let told = fleet.members.neighbours(now).chain(fleet.members.hubs(now));
+        let addresses = told.filter_map(|member| member.datagram_address);
         (heartbeat, addresses.collect::<Vec<SocketAddr>>())
     };
+    send_to_all(shared, &addresses, &Message::SourceHeartbeat(heartbeat));
+}
+
+/// A reader's news arrived. What comes from another data hall is passed on in the own one.
+pub(crate) fn take_heartbeat(shared: &Arc<Shared>, heartbeat: &SourceHeartbeat) {
+    let now = BootClock.now();
+    let passed_on = {
+        let mut fleet = shared.fleet.lock();
+        let SourceHeartbeat { reader, is_answered, heads, .. } = heartbeat;
+        let is_due = fleet.passing_on.is_due(*is_answered, *heads, now);
+        fleet.readers.heard(reader, *is_answered, now);
+        let own = fleet.members.own();
+        (heartbeat.data_hall != own.data_hall && is_due).then(|| {
+            let passed_on = SourceHeartbeat {
+                data_hall: own.data_hall.clone(),
+                peer_address: own.peer_address,
+                ..heartbeat.clone()
+            };
+            let near = fleet.members.neighbours(now).filter_map(|member| member.datagram_address);
+            (passed_on, near.collect::<Vec<SocketAddr>>())
+        })
+    };
+    if let Some((heartbeat, addresses)) = passed_on {
+        send_to_all(shared, &addresses, &Message::SourceHeartbeat(heartbeat));
+    }
+    take_reader_heads(shared, heartbeat);
+}
+
+fn send_to_all(shared: &Shared, addresses: &[SocketAddr], message: &Message) {
     for address in addresses {
-        shared.allocation.send(address, Message::SourceHeartbeat(heartbeat.clone()));
+        shared.allocation.send(*address, message.clone());
     }
 }
--- a/crates/thymeshift_entry/src/environment.rs
+++ b/crates/thymeshift_entry/src/environment.rs
@@ -42,6 +42,15 @@
     /// Where it reads.
     fn address(&self) -> SocketAddr;
 
+    /// Reads the first part of what is published, before the first call of `changes`, which goes
+    /// on from there.
+    fn begin(&mut self) -> impl Future<Output = Result<Beginning, SourceError>> + Send {
+        std::future::ready(Ok(Beginning::Whole))
+    }
+
+    /// Forgets what `begin` read, if no call has used it: it grows old.
+    fn forget_beginning(&mut self) {}
+
     /// The documents that changed since the last answered call, all of them at the first. The
     /// source may hold the call for up to `wait` until something changes.
     fn changes(
@@ -50,6 +59,15 @@
     ) -> impl Future<Output = Result<Vec<(Document, Published)>, SourceError>> + Send;
 }
 
+/// What the first part of what is published shows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Beginning {
+    /// There is no more, or the source is not read in parts.
+    Whole,
+    /// There is more.
+    Long,
+}
+
 /// A call to the source that brought nothing.
 #[derive(Debug, Display, Error, From)]
 pub enum SourceError {
--- a/crates/thymeshift_entry/src/fleet.rs
+++ b/crates/thymeshift_entry/src/fleet.rs
@@ -10,6 +10,7 @@
 use thymeshift_config::Settings;
 use thymeshift_config::Target;
 use thymeshift_fleet::Adoption;
+use thymeshift_fleet::Asked;
 use thymeshift_fleet::Boot;
 use thymeshift_fleet::Breadth;
 use thymeshift_fleet::Head;
@@ -18,6 +19,7 @@
 use thymeshift_fleet::Members;
 use thymeshift_fleet::Offer;
 use thymeshift_fleet::Orders;
+use thymeshift_fleet::PassingOn;
 use thymeshift_fleet::Phase;
 use thymeshift_fleet::Published;
 use thymeshift_fleet::Readers;
@@ -26,6 +28,7 @@
 use thymeshift_types::Timestamp;
 use thymeshift_wire::Document;
 use thymeshift_wire::Exchange;
+use thymeshift_wire::Heads;
 
 /// Leaving marks in one message that are repeated in turn, for processes that missed them.
 const MARKS_REPEATED: usize = 4;
@@ -40,6 +43,8 @@
     pub(crate) targets: Adoption,
     discovery_reader: DiscoveryReader,
     pub(crate) readers: Readers,
+    /// News of readers that was passed on within the data hall.
+    pub(crate) passing_on: PassingOn<Heads>,
     /// The configuration in force, without discovered targets.
     pub(crate) base: Option<Configuration>,
     /// The discovered targets in force: those listed, and those kept for a moment.
@@ -87,6 +92,7 @@
             targets: Adoption::default(),
             discovery_reader: DiscoveryReader::default(),
             readers: Readers::new(settings.vm.clone(), settings.processor_share, now),
+            passing_on: PassingOn::default(),
             base: None,
             discovery: None,
             listed: None,
@@ -102,13 +108,14 @@
     /// The summary to send.
     pub(crate) fn summary(
         &mut self,
-        breadth: Breadth,
+        breadth: Breadth<'_>,
         now: Timestamp,
         rng: &mut impl Rng,
     ) -> Exchange {
         Exchange {
             is_new: self.members.is_new(),
             members: self.members.passed_on(breadth, now, rng),
+            digest: self.members.digest(now),
             configuration: self.configuration.head(),
             vm_list: self.vm_list.head(),
             targets: self.targets.head(),
@@ -118,6 +125,25 @@
         }
     }
 
+    /// The summary that answers `theirs`.
+    pub(crate) fn answer(
+        &mut self,
+        theirs: &Exchange,
+        now: Timestamp,
+        rng: &mut impl Rng,
+    ) -> Exchange {
+        let breadth = theirs.members.first().map_or(Breadth::News, |sender| {
+            let asked = Asked {
+                sender: &sender.member,
+                digest: theirs.digest,
+                is_new: theirs.is_new,
+                is_regular: theirs.members.len() > 1,
+            };
+            self.members.answer_breadth(&asked, now)
+        });
+        self.summary(breadth, now, rng)
+    }
+
     /// The newest marks, and a few of all the others in turn.
     fn marks_to_send(&mut self) -> Vec<LeavingMark> {
         let mut repeated = self.leaving.page(self.repeated_to.as_ref(), MARKS_REPEATED);
@@ -181,9 +207,9 @@
     /// Takes in a summary.
     pub(crate) fn take(&mut self, exchange: &Exchange, now: Timestamp) -> Taken {
         if let Some((sender, others)) = exchange.members.split_first() {
-            self.members.answered(sender, now);
-            for member in others {
-                self.members.learn(member, now);
+            self.members.answered(&sender.member, now);
+            for told in others {
+                self.members.learn(told, now);
             }
         }
         for watcher in &exchange.watchers {
--- a/crates/thymeshift_entry/src/process.rs
+++ b/crates/thymeshift_entry/src/process.rs
@@ -193,7 +193,7 @@
 ) -> Exit {
     set_phase(shared, Phase::Stopping);
     let lag = Duration::from_millis(shared.settings().stop_readiness_lag_ms);
-    let bound = Duration::from_millis(shared.settings().stop_bound_ms);
+    let bound = shared.settings().stop_wait();
     tokio::select! {
         () = sleep(lag) => {}
         () = stops.next() => warn!("stop_lag_skipped"),
@@ -223,6 +223,7 @@
 fn set_phase(shared: &Shared, phase: Phase) {
     shared.phase.send_replace(phase);
     info!("phase", kv: { phase: = phase });
+    shared.tell_phase();
     shared.news.notify_one();
 }
 
--- a/crates/thymeshift_entry/src/service/group.rs
+++ b/crates/thymeshift_entry/src/service/group.rs
@@ -32,7 +32,7 @@
 use crate::allocation_client::LeaseHolder;
 use crate::allocation_client::Reply;
 use crate::service::ServiceLinks;
-use crate::service::SharedRooms;
+use crate::service::SharedGroups;
 
 /// Time without a question after which a group counts as rested.
 const RESTED: Duration = Duration::from_millis(100);
@@ -41,7 +41,7 @@
 pub(crate) struct GroupRuntime {
     group: Group,
     books: Mutex<Books>,
-    rooms: SharedRooms,
+    told: SharedGroups,
     links: ServiceLinks,
 }
 
@@ -58,7 +58,7 @@
         configuration: &Configuration,
         service: &Service,
         own_data_hall: &DataHallName,
-        rooms: SharedRooms,
+        told: SharedGroups,
         links: ServiceLinks,
     ) -> Arc<Self> {
         let now = BootClock.now();
@@ -66,7 +66,7 @@
         let mut dispatcher = Dispatcher::configured(configuration, &part, own_data_hall, now);
         dispatcher.set_view(View::Fleet);
         let books = Books { dispatcher, allocator: Allocator::default(), asked_at: None };
-        Arc::new(Self { group, books: Mutex::new(books), rooms, links })
+        Arc::new(Self { group, books: Mutex::new(books), told, links })
     }
 
     pub(super) fn update(
@@ -108,9 +108,9 @@
         if acquire.may_redirect
             && !allocator.knows(key)
             && dispatcher.room(now) == 0
-            && let Some(other) = self.rooms.lock().take(&self.group, now, &mut rand::rng())
+            && let Some((other, by)) = self.told.lock().take(&self.group, now)
         {
-            return Reply::Redirected(other);
+            return Reply::Redirected(other, by);
         }
         let request = request_of(acquire, dispatcher, now);
         let allocation = allocator.acquire(key.clone(), request, dispatcher, now, &mut rand::rng());
--- a/crates/thymeshift_entry/src/service/mod.rs
+++ b/crates/thymeshift_entry/src/service/mod.rs
@@ -41,6 +41,8 @@
 use thymeshift_types::ServiceName;
 use thymeshift_types::TargetName;
 use thymeshift_types::Timestamp;
+use thymeshift_wire::AllocatorAddress;
+use thymeshift_wire::GroupRoom;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
@@ -58,8 +60,24 @@
 
 /// What a waiting request hears.
 pub(super) type Woken = Result<Grant, Refusal>;
-/// The room of all groups of a service, shared by those that are allocated here.
-type SharedRooms = Arc<Mutex<Rooms>>;
+/// What the groups of a service told of themselves, shared by those that are allocated here.
+type SharedGroups = Arc<Mutex<GroupsTold>>;
+
+/// What the groups of a service told of themselves.
+#[derive(Default)]
+struct GroupsTold {
+    rooms: Rooms,
+    allocators: BTreeMap<Group, AllocatorAddress>,
+}
+
+impl GroupsTold {
+    /// Takes a place in another group than `own`; also returns who allocates it.
+    fn take(&mut self, own: &Group, now: Timestamp) -> Option<(Group, AllocatorAddress)> {
+        let other = self.rooms.take(own, now, &mut rand::rng())?;
+        let allocator = self.allocators.get(&other)?.clone();
+        Some((other, allocator))
+    }
+}
 
 /// The dispatcher over this process's own requests, with those who wait for its decisions;
 /// under one lock, so that a decision cannot come before its request waits for it.
@@ -93,7 +111,7 @@
     own: Mutex<OwnRequests>,
     /// Groups that are, or were, allocated here.
     groups: Mutex<BTreeMap<Group, Arc<GroupRuntime>>>,
-    rooms: SharedRooms,
+    told: SharedGroups,
     pool: Arc<Pool>,
     links: ServiceLinks,
     allocators: Mutex<Allocators>,
@@ -147,7 +165,7 @@
             configured: RwLock::new(configured),
             own: Mutex::new(OwnRequests { dispatcher, waiting: HashMap::new() }),
             groups: Mutex::default(),
-            rooms: SharedRooms::default(),
+            told: SharedGroups::default(),
             links: links.clone(),
             allocators: Mutex::default(),
         })
@@ -206,7 +224,7 @@
             &configured.configuration,
             &configured.service,
             &self.own_data_hall,
-            self.rooms.clone(),
+            self.told.clone(),
             self.links.clone(),
         );
         if let Some(number) = told {
@@ -221,9 +239,11 @@
         self.configured().grouping.iter().cloned().collect()
     }
 
-    /// Another group told its room.
-    pub(crate) fn learn_room(&self, group: Group, room: u32) {
-        self.rooms.lock().learn(group, room, BootClock.now());
+    /// A group told its room.
+    pub(crate) fn learn_room(&self, told: &GroupRoom) {
+        let mut groups = self.told.lock();
+        groups.rooms.learn(told.group.clone(), told.room, BootClock.now());
+        groups.allocators.insert(told.group.clone(), told.allocator.clone());
     }
 
     /// Asks this process's own dispatcher for a target.
--- a/crates/thymeshift_entry/src/service/obtain.rs
+++ b/crates/thymeshift_entry/src/service/obtain.rs
@@ -12,16 +12,17 @@
 use thymeshift_dispatch::Request;
 use thymeshift_dispatch::Tried;
 use thymeshift_dispatch::View;
+use thymeshift_fleet::Member;
 use thymeshift_telemetry::metric;
 use thymeshift_types::BootClock;
 use thymeshift_types::Clock;
 use thymeshift_types::TargetName;
 use thymeshift_types::Timestamp;
+use thymeshift_wire::AllocatorAddress;
 use tokio::time::timeout;
 
 use crate::allocation_client::Acquisition;
 use crate::allocation_client::Allocating;
-use crate::allocation_client::AllocatorPlace;
 use crate::allocation_client::Reply;
 use crate::allocation_client::Wanted;
 use crate::service::Admitted;
@@ -40,7 +41,7 @@
 const ORDER_KEPT: Duration = Duration::from_secs(1);
 
 /// Processes in the order in which they allocate a group; None is this process.
-pub(crate) type AllocatorOrder = Arc<[Option<AllocatorPlace>]>;
+pub(crate) type AllocatorOrder = Arc<[Option<AllocatorAddress>]>;
 
 /// What is known of the allocators of each group.
 #[derive(Default)]
@@ -81,7 +82,9 @@
 enum Asked {
     Granted(GrantGuard),
     Refused(Refusal),
-    Redirected(Group),
+    Redirected(Group, AllocatorAddress),
+    /// Another process, which is known now, ranks before the one that was asked.
+    AskInstead,
     /// None answered or allocates, or a target was granted that may not be used.
     Useless,
 }
@@ -98,7 +101,7 @@
             match self.ask_groups(shared, &request).await {
                 Asked::Granted(grant) => return Ok(grant),
                 Asked::Refused(refusal) => return Err(Some(refusal)),
-                Asked::Redirected(_) | Asked::Useless => {}
+                Asked::Redirected(..) | Asked::AskInstead | Asked::Useless => {}
             }
         }
         let (view, by) =
@@ -123,12 +126,17 @@
         let configured = self.configured();
         let grouping = &configured.grouping;
         let first = grouping.first_for(&self.own_data_hall, rand::rng().random());
-        let other = match self.ask_group(shared, first, grouping.is_divided(), request).await {
-            Asked::Redirected(other) => other,
+        let (other, by) = match self.ask_group(shared, first, grouping.is_divided(), request).await
+        {
+            Asked::Redirected(other, by) => (other, by),
             asked => return asked,
         };
-        match self.ask_group(shared, &other, false, request).await {
-            Asked::Useless => self.ask_group(shared, first, false, request).await,
+        let wanted = self.wanted(&other, request);
+        let allocating = self.allocating(&other, Some(by));
+        match self.ask(&allocating, wanted, request).await {
+            Asked::Useless | Asked::AskInstead => {
+                self.ask_group(shared, first, false, request).await
+            }
             asked => asked,
         }
     }
@@ -139,38 +147,60 @@
         group: &Group,
         may_redirect: bool,
         request: &Request,
+    ) -> Asked {
+        let asked = self.ask_in_order(shared, group, may_redirect, true, request).await;
+        match asked {
+            // The process named is known now; whoever is asked then is not to name others.
+            Asked::AskInstead => {
+                self.ask_in_order(shared, group, may_redirect, false, request).await
+            }
+            asked => asked,
+        }
+    }
+
+    async fn ask_in_order(
+        self: &Arc<Self>,
+        shared: &Shared,
+        group: &Group,
+        may_redirect: bool,
+        may_be_corrected: bool,
+        request: &Request,
     ) -> Asked {
         let now = BootClock.now();
         let order = self.allocator_order(shared, group, now);
-        let usable = order.iter().filter(|place| match place {
+        let is_usable = |place: &&Option<AllocatorAddress>| match place {
             Some(place) => !self.links.allocation.is_passed_over(&place.vm, now),
             None => !shared.is_stopping(),
-        });
-        for place in usable.take(ALLOCATORS_ASKED_MAX) {
-            let (allocating, by) = match place {
-                Some(place) => (Allocating::There(place.clone()), "allocator"),
-                None => (Allocating::Here(self.group(group)), "here"),
-            };
-            let wanted = self.wanted(group, may_redirect, request);
+        };
+        let first = order.first().filter(is_usable);
+        for place in order.iter().filter(is_usable).take(ALLOCATORS_ASKED_MAX) {
+            let allocating = self.allocating(group, place.clone());
+            let mut wanted = self.wanted(group, request);
+            wanted.may_redirect = may_redirect;
+            wanted.is_first_choice = may_be_corrected && Some(place) == first;
             match self.ask(&allocating, wanted, request).await {
                 Asked::Useless => {}
-                asked => {
-                    if matches!(asked, Asked::Granted(_)) {
-                        counter!(metric::OBTAINED, "by" => by).increment(1);
-                    }
-                    return asked;
-                }
+                asked => return asked,
             }
         }
         Asked::Useless
     }
 
-    fn wanted(&self, group: &Group, may_redirect: bool, request: &Request) -> Wanted {
+    /// How the allocator of a group is asked; None is this process.
+    fn allocating(self: &Arc<Self>, group: &Group, place: Option<AllocatorAddress>) -> Allocating {
+        match place {
+            Some(place) if place.vm != *self.links.allocation.vm() => Allocating::There(place),
+            Some(_) | None => Allocating::Here(self.group(group)),
+        }
+    }
+
+    fn wanted(&self, group: &Group, request: &Request) -> Wanted {
         let now = BootClock.now();
         Wanted {
             service: self.name().clone(),
             group: group.clone(),
-            may_redirect,
+            may_redirect: false,
+            is_first_choice: false,
             priority: request.priority,
             deadline: now.until(request.deadline),
             wait: now.until(request.wait_until),
@@ -180,6 +210,17 @@
         }
     }
 
+    /// The member that ranks before this process as the allocator of a group, and answers as far
+    /// as this process knows: whoever asks here knows less of the fleet.
+    pub(crate) fn better_allocator(&self, shared: &Shared, group: &Group) -> Option<Member> {
+        let now = BootClock.now();
+        let order = self.allocator_order(shared, group, now);
+        let is_usable =
+            |place: &&AllocatorAddress| !self.links.allocation.is_passed_over(&place.vm, now);
+        let first = order.first()?.as_ref().filter(is_usable)?;
+        shared.fleet.lock().members.find(&first.vm).cloned()
+    }
+
     /// The processes that allocate a group, first choice first; None is this process.
     pub(crate) fn allocator_order(
         &self,
@@ -212,15 +253,24 @@
                     limit = BootClock.now().until(request.wait_until) + LAST_WORD_SLACK;
                 }
                 Ok(Some(Reply::Granted(target, concurrency))) => {
+                    let by = match allocating {
+                        Allocating::Here(_) => "here",
+                        Allocating::There(_) => "allocator",
+                    };
+                    counter!(metric::OBTAINED, "by" => by).increment(1);
                     return self.take_lease(acquisition, &group, &target, concurrency);
                 }
                 Ok(Some(Reply::Refused(refusal))) => {
                     acquisition.lease.closed_by_allocator();
                     return Asked::Refused(refusal);
                 }
-                Ok(Some(Reply::Redirected(group))) => {
+                Ok(Some(Reply::Redirected(group, by))) => {
+                    acquisition.lease.closed_by_allocator();
+                    return Asked::Redirected(group, by);
+                }
+                Ok(Some(Reply::AskInstead(_))) => {
                     acquisition.lease.closed_by_allocator();
-                    return Asked::Redirected(group);
+                    return Asked::AskInstead;
                 }
                 Ok(Some(Reply::Declined)) => {
                     acquisition.lease.closed_by_allocator();
--- a/crates/thymeshift_entry/src/shared.rs
+++ b/crates/thymeshift_entry/src/shared.rs
@@ -31,12 +31,13 @@
 use thymeshift_types::ServiceName;
 use thymeshift_types::Timestamp;
 use thymeshift_types::VmName;
+use thymeshift_wire::AllocatorAddress;
+use thymeshift_wire::Message;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
 use crate::allocation_client::AllocationClient;
-use crate::allocation_client::AllocatorPlace;
 use crate::control_plane::Links;
 use crate::control_plane::tell_below;
 use crate::fleet::Fleet;
@@ -150,29 +151,28 @@
     }
 
     /// The processes in the order in which they allocate a group of `service`'s targets; None
-    /// is this process. A data hall's group is allocated within the hall, if it has processes.
+    /// is this process. A data hall's group is allocated within the hall, if it has processes,
+    /// another group by the contacts of all halls.
     pub(crate) fn allocator_order(
         &self,
         service: &ServiceName,
         group: &Group,
         now: Timestamp,
-    ) -> Vec<Option<AllocatorPlace>> {
+    ) -> Vec<Option<AllocatorAddress>> {
         let fleet = self.fleet.lock();
         let own = fleet.members.own();
-        let is_near = |member: &&Member| match group {
-            Group::All => true,
-            Group::Hall(hall) => member.data_hall == *hall,
+        let mut eligible = match group {
+            Group::All => Vec::new(),
+            Group::Hall(hall) => fleet.members.serving_in(hall, now),
         };
-        let all: Vec<&Member> = fleet.members.serving(now).chain([own]).collect();
-        let mut near: Vec<&Member> = all.iter().copied().filter(is_near).collect();
-        if near.is_empty() {
-            near = all;
+        if eligible.is_empty() {
+            eligible = fleet.members.contacts(now);
         }
         let task = format!("allocate {service}/{group}");
-        let order = ranked(&task, near.into_iter().map(Member::contender));
+        let order = ranked(&task, eligible.into_iter().map(Member::contender));
         let place = |vm: &VmName| {
             let address = fleet.members.find(vm)?.datagram_address?;
-            Some(AllocatorPlace { vm: vm.clone(), address })
+            Some(AllocatorAddress { vm: vm.clone(), address })
         };
         order
             .into_iter()
@@ -197,6 +197,23 @@
         self.phase() == Phase::Stopping
     }
 
+    /// Tells the own data hall what this process says of itself now. (Where it was left to regular
+    /// exchanges, a start or a stop took seconds to reach all, and as long two processes
+    /// allocated the same targets.)
+    pub(crate) fn tell_phase(&self) {
+        let (member, addresses) = {
+            let mut fleet = self.fleet.lock();
+            let revision = fleet.configuration.head().map(|head| head.revision);
+            fleet.members.beat(self.phase(), revision);
+            let near = fleet.members.neighbours(BootClock.now());
+            let addresses: Vec<_> = near.filter_map(|member| member.datagram_address).collect();
+            (fleet.members.own().clone(), addresses)
+        };
+        for address in addresses {
+            self.allocation.send(address, Message::Phase(member.clone()));
+        }
+    }
+
     /// Offers a configuration from any source.
     pub(crate) fn offer_configuration(&self, published: &Published, source: &str) -> Offer {
         let now = BootClock.now();
@@ -265,6 +282,7 @@
             (Some(base), None) => base.clone(),
             (Some(base), Some(discovery)) => base.with_discovered(discovery),
         };
+        let configuration = configuration.capped(&self.settings());
         for service in &configuration.services {
             for target in &service.targets {
                 if target.state == TargetState::Leaving {
--- a/crates/thymeshift_fleet/src/history.rs
+++ b/crates/thymeshift_fleet/src/history.rs
@@ -19,6 +19,8 @@
 pub enum Transfer {
     /// It is not behind.
     UpToDate,
+    /// The sender serves too many others already: ask another one, or again.
+    Busy,
     /// Differences to apply one after the other.
     Deltas(Vec<Delta>),
     /// The whole document: the receiver has none, or one too old or unknown here.
@@ -63,7 +65,7 @@
     /// The document that the receiver of this transfer ends up with, if any.
     pub fn receive(self, have: Option<&Published>) -> Option<Published> {
         match self {
-            Self::UpToDate => None,
+            Self::UpToDate | Self::Busy => None,
             Self::Whole(published) => Some(published),
             Self::Deltas(deltas) => {
                 let mut deltas = deltas.into_iter();
--- a/crates/thymeshift_fleet/src/lib.rs
+++ b/crates/thymeshift_fleet/src/lib.rs
@@ -5,7 +5,8 @@
 //! * [`History`] and [`Delta`]: what is sent to a process that runs an older revision.
 //! * [`WatchElection`]: who reads the platform, a few at a time, without an election.
 //! * [`LeavingRegister`]: targets that get no new work, sticky for each incarnation.
-//! * [`Members`]: who else is there, from direct evidence and passed-on heartbeats.
+//! * [`Members`]: who else is there, from direct evidence and passed-on heartbeats; all of the
+//!   own data hall, a few of every other.
 //! * [`Readers`]: who reads the source, a few at a time, by rank.
 //! * [`relay_place`]: how a document reaches all processes of a data hall.
 //! * [`Orders`]: operators' temporary orders, the same everywhere in any order of arrival.
@@ -17,10 +18,13 @@
 
 mod adoption;
 mod delta;
+mod digest;
 mod history;
 mod leaving;
+mod member;
 mod members;
 mod orders;
+mod passing_on;
 mod published;
 mod rank;
 mod readers;
@@ -33,26 +37,32 @@
 pub use adoption::Rejection;
 pub use delta::Delta;
 pub use delta::DeltaError;
+pub use digest::FleetDigest;
+pub use digest::MembersDigest;
 pub use history::History;
 pub use history::Transfer;
 pub use leaving::LeavingRegister;
-pub use members::Boot;
+pub use member::Boot;
+pub use member::Liveness;
+pub use member::Member;
+pub use member::MemberDump;
+pub use member::Phase;
+pub use members::Asked;
 pub use members::Breadth;
-pub use members::Liveness;
-pub use members::Member;
-pub use members::MemberDump;
 pub use members::Members;
-pub use members::Phase;
+pub use members::Told;
 pub use orders::Order;
 pub use orders::OrderChange;
 pub use orders::OrderDraft;
 pub use orders::OrderStamp;
 pub use orders::OrderSubject;
 pub use orders::Orders;
+pub use passing_on::PassingOn;
 pub use published::Head;
 pub use published::Published;
 pub use rank::Contender;
 pub use rank::ranked;
+pub use readers::HallPlace;
 pub use readers::Readers;
 pub use readers::Turn;
 pub use relay::FAN_OUT;
--- a/crates/thymeshift_fleet/src/rank.rs
+++ b/crates/thymeshift_fleet/src/rank.rs
@@ -11,6 +11,9 @@
 
 /// Power of the capacity that a process is weighted by.
 const CAPACITY_POWER: i32 = 3;
+/// Name of the task in which the contacts of a data hall are ranked: they stand for their hall,
+/// and new documents go from the first of them to the others.
+pub(crate) const CONTACT_TASK: &str = "contact of a data hall";
 /// Number of hashes there are.
 const HASHES: f64 = 18_446_744_073_709_551_616.0;
 
@@ -25,7 +28,7 @@
 
 /// `contenders` in the order in which they are asked to do `task`.
 pub fn ranked<'a>(task: &str, contenders: impl Iterator<Item = Contender<'a>>) -> Vec<&'a VmName> {
-    let seed = xxh3_64_with_seed(task.as_bytes(), 0);
+    let seed = seed_of(task);
     let scored = contenders.map(|contender| (score(contender, seed), contender.vm));
     let mut scored: Vec<(f64, &VmName)> = scored.collect();
     scored.sort_unstable_by(|(left, left_vm), (right, right_vm)| {
@@ -34,6 +37,16 @@
     scored.into_iter().map(|(_, vm)| vm).collect()
 }
 
+/// A process's place among the contacts of its data hall; the smaller, the earlier.
+pub(crate) fn contact_score(contender: Contender<'_>) -> f64 {
+    score(contender, seed_of(CONTACT_TASK))
+}
+
+/// What makes the order of one task differ from that of another.
+fn seed_of(task: &str) -> u64 {
+    xxh3_64_with_seed(task.as_bytes(), 0)
+}
+
 /// The smaller, the earlier: an exponential variable whose rate is the weight.
 fn score(contender: Contender<'_>, seed: u64) -> f64 {
     let hash = xxh3_64_with_seed(contender.vm.as_str().as_bytes(), seed);
--- a/crates/thymeshift_fleet/src/readers.rs
+++ b/crates/thymeshift_fleet/src/readers.rs
@@ -1,10 +1,11 @@
 //! Who reads the source of configuration and targets: a few processes at a time, without an
 //! election.
 //!
-//! The members are ranked by a hash; the first [`READERS`] of them read all the time. After
-//! each call a reader tells all others whether the source answered. A process that has not
-//! heard of an answer for [`SILENCE_MAX`] reads itself, the lower ranks a little later. A
-//! reader whose calls fail is passed over for a while, so that the next rank takes its place.
+//! The contacts of all data halls, whom everybody knows, are ranked by a hash; the first
+//! [`READERS`] of them read all the time. After each call a reader tells all others whether the
+//! source answered. A process that has not heard of an answer for [`SILENCE_MAX`] reads itself,
+//! those that come later in their hall a little later. A reader whose calls fail is passed over
+//! for a while, so that the next rank takes its place.
 //!
 //! Nothing has to be agreed on: if two processes rank differently, a few more calls are
 //! made. Failed calls are repeated after a pause that grows with failures and with the
@@ -24,9 +25,10 @@
 const READERS: usize = 2;
 /// Time without news of an answer after which anybody reads.
 const SILENCE_MAX: Duration = Duration::from_millis(1_200);
-/// Added to that for each rank, up to [`RANK_DELAY_MAX`], so that not all read at once.
-const RANK_DELAY: Duration = Duration::from_millis(40);
-const RANK_DELAY_MAX: Duration = Duration::from_millis(400);
+/// Added to that for each process that comes before in the data hall, up to
+/// [`PLACE_DELAY_MAX`], so that not all read at once: the first tells the hall.
+const PLACE_DELAY: Duration = Duration::from_millis(40);
+const PLACE_DELAY_MAX: Duration = Duration::from_millis(1_600);
 /// How long a reader whose call failed is passed over by others.
 const PASSED_OVER: Duration = Duration::from_secs(3);
 /// Pause after the first failed call; it doubles with each further one.
@@ -63,6 +65,15 @@
     Rest(Duration),
 }
 
+/// A process's place among those of its data hall.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HallPlace {
+    /// How many come before it.
+    pub before: usize,
+    /// Whether it is a contact, and so may read all the time.
+    pub is_contact: bool,
+}
+
 /// What one process knows of the readers.
 #[derive(Debug, Clone)]
 pub struct Readers {
@@ -92,17 +103,19 @@
         }
     }
 
-    /// What to do now; `alive` are the other processes.
-    pub fn turn(&self, alive: &[Contender<'_>], now: Timestamp) -> Turn {
+    /// What to do now; `contacts` are the other processes that may read all the time, `place`
+    /// is this process's own.
+    pub fn turn(&self, contacts: &[Contender<'_>], place: HallPlace, now: Timestamp) -> Turn {
         if now < self.not_before {
             return Turn::Rest(now.until(self.not_before));
         }
-        let rank = self.rank(alive, now);
-        let is_young = !alive.is_empty() && now.since(self.started_at) < YOUNG;
-        if rank < READERS && self.failures == 0 && !is_young {
+        let is_young = !contacts.is_empty() && now.since(self.started_at) < YOUNG;
+        let is_rested = self.failures == 0 && !is_young;
+        if place.is_contact && is_rested && self.rank(contacts, now) < READERS {
             return Turn::Watch;
         }
-        let delay = (RANK_DELAY * rank as u32).min(RANK_DELAY_MAX);
+        let before = u32::try_from(place.before).unwrap_or(u32::MAX);
+        let delay = PLACE_DELAY.saturating_mul(before).min(PLACE_DELAY_MAX);
         let due = self.confirmed_at.unwrap_or(self.started_at) + SILENCE_MAX + delay;
         if now >= due { Turn::Read } else { Turn::Rest(now.until(due)) }
     }
--- a/crates/thymeshift_fleet/src/relay.rs
+++ b/crates/thymeshift_fleet/src/relay.rs
@@ -14,30 +14,40 @@
 use thymeshift_types::VmName;
 
 use crate::Contender;
+use crate::rank::CONTACT_TASK;
 use crate::ranked;
 
 /// Processes that one process tells.
 pub const FAN_OUT: usize = 4;
 /// How long a process waits for the one above it, after it heard that there is something new.
 pub const RELAY_PATIENCE: Duration = Duration::from_millis(400);
-
-/// Name of the task in the ranking.
-const TASK: &str = "relay documents";
+/// The same for the first of a hall, for each that comes before.
+const STEP_PATIENCE: Duration = Duration::from_millis(80);
 
 /// A process's place among those of its data hall.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RelayPlace {
-    /// Whether it fetches from the reader itself.
-    pub is_first: bool,
+    /// How many of them come before it; the first fetches from the reader itself.
+    pub before: usize,
     /// The processes to tell of something new.
     pub below: Vec<VmName>,
 }
 
+impl RelayPlace {
+    /// How long to wait for the process above this one, before a document is fetched from
+    /// whoever told of it. The first of a hall follow each other soon: until one of them has a
+    /// document nobody else in the hall has it.
+    pub fn patience(&self) -> Duration {
+        let before = u32::try_from(self.before).unwrap_or(u32::MAX);
+        if before <= FAN_OUT as u32 { STEP_PATIENCE * before } else { RELAY_PATIENCE }
+    }
+}
+
 /// The place of `own`, which is among `hall`, the processes of its data hall.
 pub fn relay_place<'a>(own: &VmName, hall: impl Iterator<Item = Contender<'a>>) -> RelayPlace {
-    let order = ranked(TASK, hall);
+    let order = ranked(CONTACT_TASK, hall);
     let place = order.iter().position(|vm| *vm == own).unwrap_or(0);
     let first_below = place * FAN_OUT + 1;
     let below = order.iter().skip(first_below).take(FAN_OUT);
-    RelayPlace { is_first: place == 0, below: below.map(|vm| (*vm).clone()).collect() }
+    RelayPlace { before: place, below: below.map(|vm| (*vm).clone()).collect() }
 }
--- a/crates/thymeshift_fleet/tests/agreement.rs
+++ b/crates/thymeshift_fleet/tests/agreement.rs
@@ -11,11 +11,14 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use thymeshift_fleet::Asked;
 use thymeshift_fleet::Boot;
+use thymeshift_fleet::FleetDigest;
 use thymeshift_fleet::LeavingRegister;
 use thymeshift_fleet::Liveness;
 use thymeshift_fleet::Member;
 use thymeshift_fleet::Members;
+use thymeshift_fleet::MembersDigest;
 use thymeshift_fleet::Order;
 use thymeshift_fleet::OrderChange;
 use thymeshift_fleet::OrderDraft;
@@ -207,7 +210,7 @@
 fn a_member_lives_as_long_as_its_heartbeat_goes_on() {
     let mut members = Members::new(member(0), Vec::new());
     let beat = |members: &mut Members, heartbeat: u64, now| {
-        members.learn(&Member { heartbeat, ..member(1) }, now);
+        members.introduced(&Member { heartbeat, ..member(1) }, now);
     };
     beat(&mut members, 5, at(0));
     assert_eq!(liveness(&members, 1, at(4_000)), Some(Liveness::Alive));
@@ -227,7 +230,7 @@
 #[test]
 fn a_process_that_was_paused_does_not_blame_the_others() {
     let mut members = Members::new(member(0), Vec::new());
-    members.learn(&Member { heartbeat: 1, ..member(1) }, at(0));
+    members.introduced(&Member { heartbeat: 1, ..member(1) }, at(0));
     members.paused(Duration::from_mins(1));
     assert_eq!(liveness(&members, 1, at(61_000)), Some(Liveness::Alive));
 }
@@ -237,7 +240,7 @@
     let mut rng = SmallRng::seed_from_u64(1);
     let mut members = Members::new(member(0), vec![member(0).peer_address, member(1).peer_address]);
     assert_eq!(members.pick(5, at(0), &mut rng), [member(1).peer_address], "not itself");
-    members.learn(&member(1), at(0));
+    members.introduced(&member(1), at(0));
     assert_eq!(members.pick(5, at(0), &mut rng), [member(1).peer_address], "once");
     assert_eq!(members.pick(5, at(60_000), &mut rng), [], "gone");
 }
@@ -331,17 +334,19 @@
         /// Messages of peers that this process has had.
         heard: usize,
         is_other_new: bool,
+        /// Whether the other one knows the same members.
+        is_same: bool,
         passed_on: usize,
     }
     let cases = [
-        Case { note: "both settled", heard: 30, is_other_new: false, passed_on: 7 },
-        Case { note: "a new one asks", heard: 30, is_other_new: true, passed_on: 31 },
-        Case { note: "this one is new", heard: 2, is_other_new: false, passed_on: 31 },
+        Case { note: "both settled", heard: 30, is_other_new: false, is_same: true, passed_on: 7 },
+        Case { note: "a new one", heard: 30, is_other_new: true, is_same: true, passed_on: 31 },
+        Case { note: "this is new", heard: 2, is_other_new: false, is_same: false, passed_on: 31 },
     ];
-    for Case { note, heard, is_other_new, passed_on } in cases {
+    for Case { note, heard, is_other_new, is_same, passed_on } in cases {
         let mut members = Members::new(member(0), Vec::new());
         for number in 1..=30 {
-            members.learn(&member(number), at(0));
+            members.introduced(&member(number), at(0));
         }
         for number in 1..=heard {
             members.answered(&member(number), at(0));
@@ -350,7 +355,15 @@
         for _ in 0..50 {
             members.beat(Phase::Serving, None);
         }
-        let breadth = members.breadth(is_other_new);
+        let alone = MembersDigest::of([member(1)].iter());
+        let other = FleetDigest { hall: alone, contacts: alone };
+        let asked = Asked {
+            sender: &member(1),
+            digest: if is_same { members.digest(at(1)) } else { other },
+            is_new: is_other_new,
+            is_regular: true,
+        };
+        let breadth = members.answer_breadth(&asked, at(1));
         let passed = members.passed_on(breadth, at(1), &mut SmallRng::seed_from_u64(3));
         assert_eq!(passed.len(), passed_on, "{note}");
     }
@@ -384,7 +397,7 @@
     let mut members = Members::new(member(0), Vec::new());
     for Case { note, told, is_change } in cases {
         let before = members.changes();
-        members.learn(&told, at(0));
+        members.introduced(&told, at(0));
         assert_eq!(members.changes() > before, is_change, "{note}");
     }
 }
--- a/crates/thymeshift_fleet/tests/documents.rs
+++ b/crates/thymeshift_fleet/tests/documents.rs
@@ -81,6 +81,7 @@
         let transfer = history.transfer(theirs, last);
         let kind = match &transfer {
             Transfer::UpToDate => "nothing",
+            Transfer::Busy => "busy",
             Transfer::Deltas(_) => "differences",
             Transfer::Whole(_) => "whole",
         };
--- /dev/null
+++ b/crates/thymeshift_fleet/tests/membership.rs
@@ -0,0 +1,289 @@
+//! Who knows whom in fleets of all sizes, played in virtual time: every process starts at once and
+//! knows three addresses, one of which is dead.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use thymeshift_fleet::Asked;
+use thymeshift_fleet::Boot;
+use thymeshift_fleet::Breadth;
+use thymeshift_fleet::Member;
+use thymeshift_fleet::Members;
+use thymeshift_fleet::Phase;
+use thymeshift_fleet::Told;
+use thymeshift_fleet::ranked;
+use thymeshift_types::Capacity;
+use thymeshift_types::DataHallName;
+use thymeshift_types::Timestamp;
+use thymeshift_types::VmName;
+
+/// Time between two exchanges of a process that is new, of a young one, and later.
+const NEW_MS: u64 = 50;
+const YOUNG_MS: u64 = 200;
+const SETTLED_MS: u64 = 2_300;
+const YOUNG_FOR_MS: u64 = 4_000;
+/// One step of the play.
+const STEP_MS: u64 = 10;
+/// Large VMs of a hall.
+const LARGE_PER_HALL: usize = 3;
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(1_000_000 + millis)
+}
+
+fn vm(number: usize) -> VmName {
+    VmName::new(&format!("front-{number}")).expect("a name")
+}
+
+fn address(number: usize) -> SocketAddr {
+    let [high, low] = u16::try_from(number).expect("few processes").to_be_bytes();
+    SocketAddr::from(([10, 1, high, low], 7_000))
+}
+
+fn number_at(address: SocketAddr) -> usize {
+    let SocketAddr::V4(address) = address else { panic!("IPv4 only") };
+    let [_, _, high, low] = address.ip().octets();
+    usize::from(u16::from_be_bytes([high, low]))
+}
+
+fn hall(number: usize, halls: usize) -> DataHallName {
+    DataHallName::new(&format!("hall-{}", number % halls)).expect("a name")
+}
+
+fn member(number: usize, halls: usize, boot: u64) -> Member {
+    let is_large = number / halls < LARGE_PER_HALL;
+    let processors = if is_large { 0.5 } else { 0.1 };
+    Member {
+        vm: vm(number),
+        boot: Boot::new(boot),
+        heartbeat: 0,
+        peer_address: address(number),
+        control_address: address(number),
+        datagram_address: Some(address(number)),
+        data_hall: hall(number, halls),
+        capacity: Capacity::of_processors(processors).expect("a capacity"),
+        phase: Phase::Serving,
+        revision: None,
+    }
+}
+
+struct Process {
+    members: Members,
+    is_up: bool,
+    started_ms: u64,
+    next_ms: u64,
+}
+
+struct Fleet {
+    halls: usize,
+    processes: Vec<Process>,
+    /// Members told in all messages.
+    told: u64,
+    rng: SmallRng,
+}
+
+impl Fleet {
+    fn new(count: usize, halls: usize) -> Self {
+        // The last address belongs to nobody.
+        let hints = vec![address(1), address(count / 2), address(60_000)];
+        let new = |number| Process {
+            members: Members::new(member(number, halls, 1), hints.clone()),
+            is_up: true,
+            started_ms: 0,
+            next_ms: 0,
+        };
+        let processes = (0..count).map(new).collect();
+        Self { halls, processes, told: 0, rng: SmallRng::seed_from_u64(11) }
+    }
+
+    fn run(&mut self, from_ms: u64, to_ms: u64) {
+        for now_ms in (from_ms..to_ms).step_by(STEP_MS as usize) {
+            for number in 0..self.processes.len() {
+                let process = &self.processes[number];
+                if process.is_up && process.next_ms <= now_ms {
+                    self.exchange(number, now_ms);
+                }
+            }
+        }
+    }
+
+    fn exchange(&mut self, number: usize, now_ms: u64) {
+        let now = at(now_ms);
+        let process = &mut self.processes[number];
+        process.members.beat(Phase::Serving, None);
+        let every = if process.members.is_new() {
+            NEW_MS
+        } else if now_ms - process.started_ms < YOUNG_FOR_MS {
+            YOUNG_MS
+        } else {
+            SETTLED_MS
+        };
+        process.next_ms = now_ms + self.rng.random_range(every * 4 / 5..every * 6 / 5);
+        let picked = process.members.pick(1, now, &mut self.rng);
+        let summary = process.members.passed_on(Breadth::Regular, now, &mut self.rng);
+        let (digest, is_new) = (process.members.digest(now), process.members.is_new());
+        for address in picked {
+            let other = number_at(address);
+            let Some(other) = self.processes.get(other).filter(|other| other.is_up).map(|_| other)
+            else {
+                self.processes[number].members.unanswered(address);
+                continue;
+            };
+            let asked =
+                Asked { sender: &summary[0].member, digest, is_new, is_regular: summary.len() > 1 };
+            let members = &mut self.processes[other].members;
+            take(members, &summary, now);
+            let breadth = members.answer_breadth(&asked, now);
+            let answer = members.passed_on(breadth, now, &mut self.rng);
+            self.told += (summary.len() + answer.len()) as u64;
+            take(&mut self.processes[number].members, &answer, now);
+        }
+    }
+
+    fn set_up(&mut self, number: usize, is_up: bool) {
+        self.processes[number].is_up = is_up;
+    }
+
+    /// A process starts anew and knows nothing.
+    fn restart(&mut self, number: usize, now_ms: u64) {
+        let hints = vec![address(1), address(self.processes.len() / 2)];
+        let own = member(number, self.halls, 2);
+        let members = Members::new(own, hints);
+        self.processes[number] =
+            Process { members, is_up: true, started_ms: now_ms, next_ms: now_ms };
+    }
+
+    /// A process tells its hall by datagrams that it serves.
+    fn tell_phase(&mut self, number: usize, now_ms: u64) {
+        let members = &self.processes[number].members;
+        let near = members.neighbours(at(now_ms)).map(|member| number_at(member.peer_address));
+        let near: Vec<usize> = near.collect();
+        let own = members.own().clone();
+        for other in near {
+            self.processes[other].members.introduced(&own, at(now_ms));
+        }
+    }
+
+    /// How many different opinions there are in each hall about who allocates there.
+    fn opinions(&self, now_ms: u64) -> usize {
+        let mut opinions: BTreeMap<DataHallName, BTreeSet<VmName>> = BTreeMap::new();
+        for process in self.processes.iter().filter(|process| process.is_up) {
+            let hall = &process.members.own().data_hall;
+            let serving = process.members.serving_in(hall, at(now_ms));
+            let first = ranked("a group", serving.into_iter().map(Member::contender))[0];
+            opinions.entry(hall.clone()).or_default().insert(first.clone());
+        }
+        opinions.values().map(BTreeSet::len).max().unwrap_or_default()
+    }
+
+    /// How many different opinions there are about the first of all contacts.
+    fn opinions_of_contacts(&self, now_ms: u64) -> usize {
+        let up = self.processes.iter().filter(|process| process.is_up);
+        let first = |process: &Process| {
+            let contacts = process.members.contacts(at(now_ms));
+            ranked("read", contacts.into_iter().map(Member::contender))[0].clone()
+        };
+        up.map(first).collect::<BTreeSet<VmName>>().len()
+    }
+
+    fn known_max(&self) -> usize {
+        let known = |process: &Process| process.members.dump(at(0)).len();
+        self.processes.iter().map(known).max().unwrap_or_default()
+    }
+}
+
+fn take(members: &mut Members, message: &[Told], now: Timestamp) {
+    let (sender, others) = message.split_first().expect("a sender");
+    members.answered(&sender.member, now);
+    for other in others {
+        members.learn(other, now);
+    }
+}
+
+struct Size {
+    count: usize,
+    halls: usize,
+    /// Within this time of the start a hall has one opinion.
+    agreed_within_ms: u64,
+}
+
+const SIZES: [Size; 5] = [
+    Size { count: 30, halls: 6, agreed_within_ms: 1_000 },
+    Size { count: 100, halls: 6, agreed_within_ms: 1_500 },
+    Size { count: 300, halls: 6, agreed_within_ms: 1_500 },
+    Size { count: 473, halls: 6, agreed_within_ms: 2_000 },
+    Size { count: 2_300, halls: 20, agreed_within_ms: 2_500 },
+];
+
+#[test]
+fn a_young_fleet_agrees_who_allocates_and_who_reads() {
+    for Size { count, halls, agreed_within_ms } in SIZES {
+        let mut fleet = Fleet::new(count, halls);
+        fleet.run(0, agreed_within_ms);
+        assert_eq!(fleet.opinions(agreed_within_ms), 1, "{count}: who allocates");
+        assert_eq!(fleet.opinions_of_contacts(agreed_within_ms), 1, "{count}: who reads");
+    }
+}
+
+#[test]
+fn what_a_process_keeps_grows_with_its_hall_and_not_with_the_fleet() {
+    let mut fleet = Fleet::new(2_300, 20);
+    fleet.run(0, 5_000);
+    let most = 2_300 / 20 + 19 * 8;
+    assert!(fleet.known_max() <= most, "{} members known", fleet.known_max());
+    let before = fleet.told;
+    fleet.run(5_000, 15_000);
+    let told_per_s = (fleet.told - before) as f64 / 10.0 / 2_300.0;
+    // A member takes about 70 bytes before compression: 2 KB a second.
+    assert!(told_per_s <= 28.0, "{told_per_s} members told a second and process");
+}
+
+#[test]
+fn processes_that_start_anew_are_known_to_their_hall_soon() {
+    let mut fleet = Fleet::new(473, 6);
+    fleet.run(0, 5_000);
+    let first = first_of_hall(&fleet, 5_000);
+    fleet.restart(first, 5_000);
+    fleet.run(5_000, 5_300);
+    fleet.tell_phase(first, 5_300);
+    fleet.run(5_300, 6_500);
+    assert_eq!(fleet.opinions(6_500), 1);
+    let boots: BTreeSet<u64> = fleet
+        .processes
+        .iter()
+        .filter(|process| process.members.own().data_hall == hall(first, 6))
+        .filter_map(|process| process.members.find(&vm(first)))
+        .map(|member| member.boot.as_u64())
+        .collect();
+    assert_eq!(boots, BTreeSet::from([2]), "the new start alone is known");
+}
+
+#[test]
+fn a_hall_whose_first_members_are_dead_is_still_known_to_the_others() {
+    let mut fleet = Fleet::new(300, 6);
+    fleet.run(0, 5_000);
+    // Beyond the contacts of the hall that others know.
+    let dead: Vec<usize> = (0..300).step_by(6).take(30).collect();
+    for number in dead {
+        fleet.set_up(number, false);
+    }
+    fleet.run(5_000, 150_000);
+    let other = &fleet.processes[1].members;
+    let alive = other.serving_in(&hall(0, 6), at(150_000));
+    assert!(!alive.is_empty(), "contacts that live are known");
+    let is_up = |member: &&Member| {
+        fleet.processes.iter().any(|process| process.is_up && process.members.own().vm == member.vm)
+    };
+    assert!(alive.iter().all(is_up), "none of the dead is taken for alive");
+}
+
+fn first_of_hall(fleet: &Fleet, now_ms: u64) -> usize {
+    let members = &fleet.processes[0].members;
+    let serving = members.serving_in(&hall(0, 6), at(now_ms));
+    let first = ranked("a group", serving.into_iter().map(Member::contender))[0].clone();
+    (0..fleet.processes.len()).find(|number| vm(*number) == first).expect("a member")
+}
--- a/crates/thymeshift_fleet/tests/readers.rs
+++ b/crates/thymeshift_fleet/tests/readers.rs
@@ -8,6 +8,8 @@
 use rand::rngs::SmallRng;
 use thymeshift_fleet::Contender;
 use thymeshift_fleet::FAN_OUT;
+use thymeshift_fleet::HallPlace;
+use thymeshift_fleet::PassingOn;
 use thymeshift_fleet::Readers;
 use thymeshift_fleet::Turn;
 use thymeshift_fleet::ranked;
@@ -36,6 +38,10 @@
     Contender { vm, capacity: Capacity::default() }
 }
 
+/// Contacts of a data hall.
+const CONTACTS: usize = 8;
+const FIRST: HallPlace = HallPlace { before: 0, is_contact: true };
+
 struct Process {
     readers: Readers,
     /// When its call ends, and how.
@@ -54,6 +60,15 @@
     Silent,
 }
 
+/// All processes in the order in which they are contacts of the only data hall.
+fn contact_order(count: usize) -> Vec<usize> {
+    let members: Vec<VmName> = (0..count).map(vm).collect();
+    let before = |index: &usize| relay_place(&vm(*index), members.iter().map(contender)).before;
+    let mut order: Vec<usize> = (0..count).collect();
+    order.sort_by_cached_key(before);
+    order
+}
+
 struct Played {
     calls: u64,
     /// Longest time between two answered calls.
@@ -66,6 +81,7 @@
     let readers = |index| Readers::new(vm(index), Capacity::default(), at(0));
     let new = |index| Process { readers: readers(index), call: None, next_look: 0 };
     let mut processes: Vec<Process> = (0..count).map(new).collect();
+    let order = contact_order(count);
     let mut played = Played { calls: 0, silence_max_ms: 0 };
     let mut answered_ms = 0;
     for now_ms in (0..for_ms).step_by(STEP_MS as usize) {
@@ -96,12 +112,14 @@
             if now_ms < processes[index].next_look {
                 continue;
             }
-            let alive: Vec<VmName> = (0..count)
-                .filter(|other| *other != index && is_up(*other, now_ms))
-                .map(vm)
-                .collect();
-            let alive: Vec<Contender<'_>> = alive.iter().map(contender).collect();
-            let hold_ms = match processes[index].readers.turn(&alive, at(now_ms)) {
+            let alive: Vec<usize> =
+                order.iter().copied().filter(|other| is_up(*other, now_ms)).collect();
+            let before = alive.iter().position(|other| *other == index).unwrap_or(0);
+            let place = HallPlace { before, is_contact: before < CONTACTS };
+            let others = alive.iter().take(CONTACTS).filter(|other| **other != index);
+            let others: Vec<VmName> = others.copied().map(vm).collect();
+            let contacts: Vec<Contender<'_>> = others.iter().map(contender).collect();
+            let hold_ms = match processes[index].readers.turn(&contacts, place, at(now_ms)) {
                 Turn::Watch => HOLD_MS,
                 Turn::Read => 4,
                 Turn::Rest(rest) => {
@@ -222,7 +240,7 @@
         let members: Vec<VmName> = (0..count).map(vm).collect();
         let place = |own: &VmName| relay_place(own, members.iter().map(contender));
         let mut reached: Vec<VmName> =
-            members.iter().filter(|vm| place(vm).is_first).cloned().collect();
+            members.iter().filter(|vm| place(vm).before == 0).cloned().collect();
         assert_eq!(reached.len(), 1, "one fetches from the reader");
         let mut next = 0;
         while let Some(vm) = reached.get(next).cloned() {
@@ -280,7 +298,7 @@
     let mut now = at(0);
     for _ in 0..6 {
         readers.failed(18, 0.5, now);
-        let Turn::Rest(rest) = readers.turn(&[], now) else {
+        let Turn::Rest(rest) = readers.turn(&[], FIRST, now) else {
             panic!("no pause after a failure");
         };
         rests.push(rest);
@@ -289,5 +307,42 @@
     assert!(rests.is_sorted(), "{rests:?}");
     assert!(rests[5] <= Duration::from_millis(2_500), "{rests:?}");
     readers.succeeded(now);
-    assert_eq!(readers.turn(&[], now), Turn::Watch);
+    assert_eq!(readers.turn(&[], FIRST, now), Turn::Watch);
+}
+
+#[test]
+fn news_of_readers_is_passed_on_at_once_if_it_says_something_new() {
+    struct Case {
+        note: &'static str,
+        at_ms: u64,
+        is_answered: bool,
+        heads: u32,
+        is_due: bool,
+    }
+    let cases = [
+        Case { note: "the first", at_ms: 0, is_answered: true, heads: 1, is_due: true },
+        Case { note: "the other reader", at_ms: 200, is_answered: true, heads: 1, is_due: false },
+        Case { note: "a new document", at_ms: 300, is_answered: true, heads: 2, is_due: true },
+        Case { note: "a first failure", at_ms: 350, is_answered: false, heads: 2, is_due: true },
+        Case { note: "another failure", at_ms: 700, is_answered: false, heads: 2, is_due: false },
+        Case { note: "again after a while", at_ms: 901, is_answered: true, heads: 2, is_due: true },
+        Case { note: "a later failure", at_ms: 951, is_answered: false, heads: 2, is_due: true },
+    ];
+    let mut passing_on = PassingOn::default();
+    for Case { note, at_ms, is_answered, heads, is_due } in cases {
+        assert_eq!(passing_on.is_due(is_answered, heads, at(at_ms)), is_due, "{note}");
+    }
+}
+
+#[test]
+fn the_first_of_a_hall_do_not_wait_long_for_each_other() {
+    let members: Vec<VmName> = (0..80).map(vm).collect();
+    let place = |own: &VmName| relay_place(own, members.iter().map(contender));
+    let mut waits: Vec<(usize, Duration)> =
+        members.iter().map(|vm| (place(vm).before, place(vm).patience())).collect();
+    waits.sort();
+    assert_eq!(waits[0].1, Duration::ZERO, "the first does not wait");
+    assert!(waits.windows(2).all(|pair| pair[0].1 <= pair[1].1), "{waits:?}");
+    // The second fetches if the first is dead, before the others give up on the tree.
+    assert!(waits[1].1 * 3 < waits[79].1, "{waits:?}");
 }
--- a/crates/thymeshift_lab/tests/strangers.rs
+++ b/crates/thymeshift_lab/tests/strangers.rs
@@ -13,13 +13,19 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
+use thymeshift_allocation::Group;
 use thymeshift_config::Configuration;
 use thymeshift_config::Discovery;
 use thymeshift_config::Settings;
 use thymeshift_fleet::Boot;
+use thymeshift_fleet::Member;
+use thymeshift_fleet::Phase;
+use thymeshift_types::Capacity;
+use thymeshift_types::DataHallName;
 use thymeshift_types::Reason;
 use thymeshift_types::TargetName;
 use thymeshift_types::VmName;
+use thymeshift_wire::AllocatorAddress;
 use thymeshift_wire::Datagram;
 use thymeshift_wire::Heads;
 use thymeshift_wire::LeaseNumber;
@@ -146,12 +152,34 @@
 fn datagrams_of_peers() {
     let target = TargetName::new("t-1").expect("a name");
     let heads = Heads { configuration: None, targets: None };
+    let address = "10.0.0.1:7000".parse().expect("an address");
+    let vm = VmName::new("vm-2").expect("a name");
+    let data_hall = DataHallName::new("hall-1").expect("a name");
+    let group = Group::Hall(data_hall.clone());
+    let allocator = AllocatorAddress { vm: vm.clone(), address };
+    let member = Member {
+        vm: vm.clone(),
+        boot: Boot::new(3),
+        heartbeat: 9,
+        peer_address: address,
+        control_address: address,
+        datagram_address: Some(address),
+        data_hall: data_hall.clone(),
+        capacity: Capacity::default(),
+        phase: Phase::Serving,
+        revision: None,
+    };
+    let heartbeat =
+        SourceHeartbeat { reader: vm, is_answered: true, heads, data_hall, peer_address: address };
     let messages = [
         Message::Waiting(LeaseNumber(7)),
         Message::Granted(LeaseNumber(7), target, 3),
         Message::Refused(LeaseNumber(8), Reason::QueueFull, Duration::from_millis(40)),
-        Message::SourceHeartbeat(SourceHeartbeat { is_answered: true, heads }),
+        Message::SourceHeartbeat(heartbeat),
         Message::News(heads),
+        Message::Redirected(LeaseNumber(9), group, allocator),
+        Message::AskInstead(LeaseNumber(10), member.clone()),
+        Message::Phase(member),
     ];
     let samples = messages.map(|message| {
         let sender = VmName::new("vm-1").expect("a name");
--- a/crates/thymeshift_wire/src/datagram.rs
+++ b/crates/thymeshift_wire/src/datagram.rs
@@ -3,6 +3,7 @@
 //! A datagram may be lost, late or doubled. Each message stands for itself, and nothing that
 //! must hold depends on its arrival.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use derive_more::Display;
@@ -14,6 +15,7 @@
 use thymeshift_dispatch::Observation;
 use thymeshift_fleet::Boot;
 use thymeshift_fleet::Head;
+use thymeshift_fleet::Member;
 use thymeshift_types::DataHallName;
 use thymeshift_types::Reason;
 use thymeshift_types::ServiceName;
@@ -60,23 +62,43 @@
     Refused(LeaseNumber, Reason, Duration),
     /// The receiver does not allocate: it is stopping, or does not know the service.
     Declined(LeaseNumber),
-    /// The group has no room; another one has.
-    Redirected(LeaseNumber, Group),
+    /// The group has no room; another one has, which is allocated there.
+    Redirected(LeaseNumber, Group, AllocatorAddress),
+    /// This member ranks before the receiver as the group's allocator.
+    AskInstead(LeaseNumber, Member),
     /// A target is given back.
     Release(Release),
     /// How many more requests a group would take.
     Room(GroupRoom),
     /// The sender has taken in documents.
     News(Heads),
+    /// The sender has started, begins to serve, or stops.
+    Phase(Member),
 }
 
-/// News of a reader.
+/// News of a reader. It is told to its own data hall and to some processes of every other,
+/// which pass it on in theirs.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SourceHeartbeat {
+    /// The process that called the source.
+    pub reader: VmName,
     /// Whether the source answered.
     pub is_answered: bool,
     /// What is in force at the reader.
     pub heads: Heads,
+    /// The data hall of the sender of this message.
+    pub data_hall: DataHallName,
+    /// Where the sender of this message answers peers.
+    pub peer_address: SocketAddr,
+}
+
+/// Who allocates a group, and where it is reached.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AllocatorAddress {
+    /// Its VM.
+    pub vm: VmName,
+    /// Where its datagrams arrive.
+    pub address: SocketAddr,
 }
 
 /// What a process has in force.
@@ -95,6 +117,8 @@
     pub service: ServiceName,
     /// The group.
     pub group: Group,
+    /// Who allocates it.
+    pub allocator: AllocatorAddress,
     /// Further requests that its targets would serve at nearly their usual pace.
     pub room: u32,
 }
@@ -110,6 +134,9 @@
     pub group: Group,
     /// Whether the request may be sent to another group.
     pub may_redirect: bool,
+    /// Whether nobody who ranks before the receiver was passed over: then the receiver may name
+    /// one that it knows.
+    pub is_first_choice: bool,
     /// The data hall of the sender.
     pub data_hall: DataHallName,
     /// Rank of the request's kind; 1 goes first.
--- a/crates/thymeshift_wire/src/lib.rs
+++ b/crates/thymeshift_wire/src/lib.rs
@@ -37,6 +37,7 @@
 pub use counted::CountedStream;
 pub use counted::LinkBytes;
 pub use datagram::Acquire;
+pub use datagram::AllocatorAddress;
 pub use datagram::DATAGRAM_BYTES_MAX;
 pub use datagram::Datagram;
 pub use datagram::DatagramError;
--- a/crates/thymeshift_wire/src/peer.rs
+++ b/crates/thymeshift_wire/src/peer.rs
@@ -2,9 +2,10 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use thymeshift_fleet::FleetDigest;
 use thymeshift_fleet::Head;
-use thymeshift_fleet::Member;
 use thymeshift_fleet::Order;
+use thymeshift_fleet::Told;
 use thymeshift_fleet::Transfer;
 use thymeshift_fleet::Watcher;
 use thymeshift_types::LeavingMark;
@@ -29,7 +30,9 @@
     /// many.
     pub is_new: bool,
     /// Members, the sender first.
-    pub members: Vec<Member>,
+    pub members: Vec<Told>,
+    /// The fleet as the sender knows it.
+    pub digest: FleetDigest,
     /// The configuration in force.
     pub configuration: Option<Head>,
     /// The VM list known.
