--- a/crates/thymeshift_fleet/src/readers.rs
+++ b/crates/thymeshift_fleet/src/readers.rs
@@ -46,6 +46,9 @@
 /// For so long after its start a process hardly knows who else is there, and does not take
 /// itself for one of the first.
 const YOUNG: Duration = Duration::from_millis(1_500);
+/// Others whose calls have just failed from which on the source counts as down for all, and is
+/// left to the contacts, who try on.
+const FAILED_OTHERS_MIN: usize = 6;
 /// Time without an answer to anybody from which on the source counts as having been away.
 const OUTAGE_MIN: Duration = Duration::from_millis(2_200);
 /// Time after its return within which the source lists again what it forgot meanwhile, if it
@@ -84,6 +87,8 @@
     /// When the source was back after an outage.
     returned_at: Option<Timestamp>,
     passed_over: BTreeMap<VmName, Timestamp>,
+    /// When another process last told that its call failed.
+    failure_heard_at: Option<Timestamp>,
     failures: u32,
     not_before: Timestamp,
 }
@@ -98,6 +103,7 @@
             confirmed_at: None,
             returned_at: None,
             passed_over: BTreeMap::new(),
+            failure_heard_at: None,
             failures: 0,
             not_before: Timestamp::default(),
         }
@@ -116,7 +122,13 @@
         }
         let before = u32::try_from(place.before).unwrap_or(u32::MAX);
         let delay = PLACE_DELAY.saturating_mul(before).min(PLACE_DELAY_MAX);
-        let due = self.confirmed_at.unwrap_or(self.started_at) + SILENCE_MAX + delay;
+        let mut heard_at = self.confirmed_at.unwrap_or(self.started_at);
+        if !place.is_contact && self.passed_over.len() >= FAILED_OTHERS_MIN {
+            // Somebody tries on, and would tell. Where all of a hall tried, an outage of 8 s cost
+            // 473 processes about 1,400 calls.
+            heard_at = heard_at.max(self.failure_heard_at.unwrap_or(heard_at));
+        }
+        let due = heard_at + SILENCE_MAX + delay;
         if now >= due { Turn::Read } else { Turn::Rest(now.until(due)) }
     }
 
@@ -175,6 +187,7 @@
         } else {
             self.passed_over.retain(|_, until| *until > now);
             self.passed_over.insert(vm.clone(), now + PASSED_OVER);
+            self.failure_heard_at = Some(now);
         }
     }
 
--- a/crates/thymeshift_fleet/tests/readers.rs
+++ b/crates/thymeshift_fleet/tests/readers.rs
@@ -190,7 +190,7 @@
         let down = play(count, 20_000, source, |_, _| true).calls;
         let before = play(count, 10_000, source, |_, _| true).calls;
         let calls_per_s = (down - before) / 10;
-        assert!(calls_per_s <= 10 + count as u64 / 3, "{count}: {calls_per_s} a second");
+        assert!(calls_per_s <= 10 + count.min(30) as u64 / 3, "{count}: {calls_per_s} a second");
         let whole = play(count, 40_000, source, |_, _| true);
         assert!(whole.silence_max_ms <= 10_000 + 2_800, "{count}: {}", whole.silence_max_ms);
     }
