--- a/crates/thymeshift_fleet/src/members.rs
+++ b/crates/thymeshift_fleet/src/members.rs
@@ -18,14 +18,16 @@
 //!
 //! The platform's list is a hint: it names addresses to try, and it ends nothing.
 
+mod contacts;
+mod known;
+mod telling;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use rand::Rng;
 use rand::seq::IteratorRandom;
-use serde::Deserialize;
-use serde::Serialize;
 use thymeshift_types::DataHallName;
 use thymeshift_types::Revision;
 use thymeshift_types::Timestamp;
@@ -36,107 +38,24 @@
 use crate::Member;
 use crate::MemberDump;
 use crate::Phase;
-use crate::digest::FleetDigest;
-use crate::digest::MembersDigest;
-use crate::rank::contact_score;
+use crate::members::known::Known;
+use crate::members::known::MEMBERS_PER_PATIENCE;
+
+pub use telling::Asked;
+pub use telling::Breadth;
+pub use telling::Told;
 
 /// Members kept at most.
 const MEMBERS_MAX: usize = 4_096;
-/// Members of one data hall that others know: enough for some of them to be dead, and all of a
-/// small hall.
-const CONTACTS_PER_HALL: usize = 8;
-/// Contacts of a hall that are told of what concerns the whole hall, and pass it on there.
-const HUBS_PER_HALL: usize = 2;
-/// Other members passed on in one regular message. With two exchanges a second it keeps the
-/// members of a small fleet fresh; a larger hall is heard of more slowly, and the message
-/// stays as long as it is.
-const PASSED_ON_MAX: usize = 5;
-/// Further ones for each so many members known, and the most.
-const MEMBERS_PER_PASSED_ON: usize = 16;
-const PASSED_ON_MOST: usize = 10;
 /// Messages of peers until which a process counts as new. Those it finds first may have started
 /// together with it, and know as little.
 const NEW_UNTIL_HEARD: u32 = 5;
-/// Time without a new heartbeat after which a member is suspected, while up to
-/// [`MEMBERS_PER_PATIENCE`] are known. Heartbeats take longer among more of them, and the time
-/// grows with it: whoever needs a member that is dead finds that out by asking.
-const SUSPECT_AFTER: Duration = Duration::from_secs(5);
-const MEMBERS_PER_PATIENCE: usize = 24;
-/// Time without a new heartbeat after which a member is taken as gone, grown alike.
-const GONE_AFTER: Duration = Duration::from_secs(20);
 /// Time after which a member that is gone is forgotten.
 const FORGET_AFTER: Duration = Duration::from_mins(10);
 
 /// One in so many picks of peers goes beyond the own data hall.
 const PICKS_PER_OTHER_HALL: u32 = 4;
 
-/// How much a message says of members.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Breadth<'a> {
-    /// The sender and a few others.
-    Regular,
-    /// The sender, the contacts of all data halls, and all known members of this one, if one is
-    /// named: the receiver is new, or knows others than the sender.
-    Wide(Option<&'a DataHallName>),
-    /// The sender alone: the message is about something that changed.
-    News,
-}
-
-/// What a peer's message shows of the sender.
-#[derive(Debug, Clone, Copy)]
-pub struct Asked<'a> {
-    /// The sender.
-    pub sender: &'a Member,
-    /// The fleet as it knows it.
-    pub digest: FleetDigest,
-    /// Whether it has hardly heard of others since its start.
-    pub is_new: bool,
-    /// Whether the message tells of others, too.
-    pub is_regular: bool,
-}
-
-/// A member as it is passed on.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Told {
-    /// What it said of itself.
-    pub member: Member,
-    /// How long ago that was news to the sender, in milliseconds.
-    pub silent_ms: u32,
-}
-
-#[derive(Debug, Clone)]
-struct Known {
-    member: Member,
-    heard_at: Timestamp,
-    unanswered: u32,
-    /// Place among the contacts of its hall; the smaller, the earlier.
-    contact_score: f64,
-}
-
-impl Known {
-    fn new(member: &Member, now: Timestamp) -> Self {
-        let contact_score = contact_score(member.contender());
-        Self { member: member.clone(), heard_at: now, unanswered: 0, contact_score }
-    }
-
-    /// `patience` is how many times as long as in a small fleet heartbeats take.
-    fn liveness(&self, patience: u32, now: Timestamp) -> Liveness {
-        let silent = now.since(self.heard_at);
-        let has_stopped = self.member.phase == Phase::Stopping && silent > SUSPECT_AFTER;
-        if silent > GONE_AFTER * patience || has_stopped {
-            Liveness::Gone
-        } else if silent > SUSPECT_AFTER * patience || self.unanswered > 0 {
-            Liveness::Suspect
-        } else {
-            Liveness::Alive
-        }
-    }
-
-    fn is_serving(&self, patience: u32, now: Timestamp) -> bool {
-        self.member.phase == Phase::Serving && self.liveness(patience, now) == Liveness::Alive
-    }
-}
-
 /// All processes known to this one.
 #[derive(Debug)]
 pub struct Members {
@@ -199,34 +118,6 @@
         }
     }
 
-    /// Whether a member that is not known yet is to be kept. Of another data hall only the
-    /// contacts are: one that ranks later is dropped for it. One that is gone stays known as
-    /// such, or whoever has not noticed yet would bring it back.
-    fn makes_room(&mut self, member: &Member, now: Timestamp) -> bool {
-        if member.data_hall == self.own.data_hall {
-            return true;
-        }
-        let patience = self.patience();
-        let is_rival = |known: &&Known| {
-            known.member.data_hall == member.data_hall
-                && known.liveness(patience, now) != Liveness::Gone
-        };
-        let rivals = self.known.values().filter(is_rival);
-        if rivals.clone().count() < CONTACTS_PER_HALL {
-            return true;
-        }
-        let last = rivals.max_by(|left, right| left.contact_score.total_cmp(&right.contact_score));
-        let Some(last) = last else {
-            return true;
-        };
-        if last.contact_score <= contact_score(member.contender()) {
-            return false;
-        }
-        let vm = last.member.vm.clone();
-        self.known.remove(&vm);
-        true
-    }
-
     /// A peer answered: direct evidence.
     pub fn answered(&mut self, member: &Member, now: Timestamp) {
         self.heard = self.heard.saturating_add(1);
@@ -270,72 +161,10 @@
         self.heard < NEW_UNTIL_HEARD
     }
 
-    /// How much to answer to a peer's message. One that is new, or knows other members of its
-    /// data hall than this process does, is told of all.
-    pub fn answer_breadth<'a>(&self, asked: &Asked<'a>, now: Timestamp) -> Breadth<'a> {
-        let hall = &asked.sender.data_hall;
-        let is_near = *hall == self.own.data_hall;
-        if asked.is_new {
-            return Breadth::Wide(Some(hall));
-        }
-        if !asked.is_regular {
-            return Breadth::News;
-        }
-        let own = self.digest(now);
-        if is_near && asked.digest.hall != own.hall {
-            Breadth::Wide(Some(hall))
-        } else if asked.digest.contacts != own.contacts {
-            Breadth::Wide(None)
-        } else {
-            Breadth::Regular
-        }
-    }
-
-    /// The fleet as known here.
-    pub fn digest(&self, now: Timestamp) -> FleetDigest {
-        let neighbours = self.neighbours(now).chain([&self.own]);
-        let patience = self.patience();
-        let contacts = self.contacts_of(|known| known.liveness(patience, now) != Liveness::Gone);
-        FleetDigest {
-            hall: MembersDigest::of(neighbours),
-            contacts: MembersDigest::of(contacts.into_iter()),
-        }
-    }
-
     fn is_near(&self, known: &Known) -> bool {
         known.member.data_hall == self.own.data_hall
     }
 
-    /// The members to pass on: this process first, then others as `breadth` says.
-    pub fn passed_on(&self, breadth: Breadth<'_>, now: Timestamp, rng: &mut impl Rng) -> Vec<Told> {
-        let patience = self.patience();
-        let heard = || {
-            self.known.values().filter(move |known| known.liveness(patience, now) != Liveness::Gone)
-        };
-        let others: Vec<&Known> = match breadth {
-            Breadth::News => Vec::new(),
-            Breadth::Regular => {
-                let most = PASSED_ON_MAX + self.known.len() / MEMBERS_PER_PASSED_ON;
-                heard().choose_multiple(rng, most.min(PASSED_ON_MOST))
-            }
-            Breadth::Wide(hall) => {
-                let is_of_hall = |known: &Known| Some(&known.member.data_hall) == hall;
-                let of_hall = heard().filter(|known| is_of_hall(known));
-                let contacts = self.contacts_where(|known| {
-                    !is_of_hall(known) && known.liveness(patience, now) != Liveness::Gone
-                });
-                of_hall.chain(contacts).collect()
-            }
-        };
-        let own = Told { member: self.own.clone(), silent_ms: 0 };
-        let others = others.into_iter().map(|known| {
-            let silent_ms = now.since(known.heard_at).as_millis();
-            let silent_ms = u32::try_from(silent_ms).unwrap_or(u32::MAX);
-            Told { member: known.member.clone(), silent_ms }
-        });
-        [own].into_iter().chain(others).collect()
-    }
-
     /// Up to `count` addresses to talk to next. Suspects are tried now and then; an
     /// address from settings or the platform's list that belongs to no known member is
     /// tried like a member. In a large fleet most talk stays within the data hall: the ways
@@ -386,74 +215,6 @@
         serving.chain(own).collect()
     }
 
-    /// The contacts of all halls that serve, this process included if it is one: the part of
-    /// the fleet that all processes know.
-    pub fn contacts(&self, now: Timestamp) -> Vec<&Member> {
-        let patience = self.patience();
-        self.contacts_of(|known| known.is_serving(patience, now))
-    }
-
-    /// The contacts of all halls among those that are `wanted`, this process included if it is
-    /// one.
-    fn contacts_of(&self, is_wanted: impl Fn(&Known) -> bool) -> Vec<&Member> {
-        let own = contact_score(self.own.contender());
-        let near = self.known.values().filter(|known| self.is_near(known) && is_wanted(known));
-        let before = near.filter(|known| known.contact_score < own).count();
-        let is_contact = before < CONTACTS_PER_HALL;
-        let mut near = 0;
-        let others = self.contacts_where(&is_wanted).into_iter().filter(|known| {
-            near += usize::from(self.is_near(known));
-            // The last one of a full hall makes room for this process.
-            !is_contact || !self.is_near(known) || near < CONTACTS_PER_HALL
-        });
-        let others = others.map(|known| &known.member);
-        others.chain(is_contact.then_some(&self.own)).collect()
-    }
-
-    /// The first of each hall among those that `is_wanted`, best first within a hall.
-    fn contacts_where(&self, is_wanted: impl Fn(&Known) -> bool) -> Vec<&Known> {
-        let mut halls: BTreeMap<&DataHallName, Vec<&Known>> = BTreeMap::new();
-        for known in self.known.values().filter(|known| is_wanted(known)) {
-            halls.entry(&known.member.data_hall).or_default().push(known);
-        }
-        for hall in halls.values_mut() {
-            hall.sort_by(|left, right| left.contact_score.total_cmp(&right.contact_score));
-            hall.truncate(CONTACTS_PER_HALL);
-        }
-        halls.into_values().flatten().collect()
-    }
-
-    /// How many serving processes of the own data hall rank before this one as contacts.
-    pub fn place_in_hall(&self, now: Timestamp) -> usize {
-        let patience = self.patience();
-        let own = contact_score(self.own.contender());
-        let is_before = |known: &&Known| {
-            self.is_near(known) && known.is_serving(patience, now) && known.contact_score < own
-        };
-        self.known.values().filter(is_before).count()
-    }
-
-    /// Whether other processes know this one as a contact of its data hall.
-    pub fn is_contact(&self, now: Timestamp) -> bool {
-        self.place_in_hall(now) < CONTACTS_PER_HALL
-    }
-
-    /// Of each other data hall the contacts that pass on what concerns all there.
-    pub fn hubs(&self, now: Timestamp) -> Vec<&Member> {
-        let patience = self.patience();
-        let contacts = self.contacts_where(|known| {
-            !self.is_near(known) && known.liveness(patience, now) != Liveness::Gone
-        });
-        let mut told: BTreeMap<&DataHallName, usize> = BTreeMap::new();
-        let contacts = contacts.into_iter().filter(|known| {
-            let told = told.entry(&known.member.data_hall).or_default();
-            // One that may be dead is told beside those that are surely there.
-            *told += usize::from(known.is_serving(patience, now));
-            *told <= HUBS_PER_HALL
-        });
-        contacts.map(|known| &known.member).collect()
-    }
-
     /// The other processes of the own data hall that are not known to be gone: news is worth
     /// telling them, also those that have not answered for a moment.
     pub fn neighbours(&self, now: Timestamp) -> impl Iterator<Item = &Member> {
