A start does not wait for the watch that follows it; connections are held 0.4 s again

Cause: forgetting what was read of the source waited for the lock on it, which the watch that begins as soon as a configuration is in force holds for 950 ms: whoever lost the race served that much later. "No configuration yet" is logged only if there is none.

--- a/crates/thymeshift_entry/src/caller/listener.rs
+++ b/crates/thymeshift_entry/src/caller/listener.rs
@@ -23,10 +23,8 @@
 /// Pause after a failed accept: mostly too many open files, which only time mends.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Longest time for which connections to a process without a configuration are not accepted:
-/// after a loss of power of the whole fleet the named peers come up 300 ms later than the others,
-/// and hand out what they have read 0.3 s after that.
-const START_WAIT: Duration = Duration::from_secs(1);
+/// Longest time for which connections to a process without a configuration are not accepted.
+const START_WAIT: Duration = Duration::from_millis(400);
 
 /// Accepts until `closing` turns true.
 pub(crate) async fn run_listener<D: Dialect>(
--- a/crates/thymeshift_entry/src/control_plane/bootstrap.rs
+++ b/crates/thymeshift_entry/src/control_plane/bootstrap.rs
@@ -80,7 +80,11 @@
         _ = in_force.wait_for(|is_in_force| *is_in_force) => {}
         () = ask_by_turns::<E>(shared, source) => {}
     }
-    source.lock().await.forget_beginning();
+    // Who holds the source now reads on from there. To wait for that would keep this process from
+    // serving for as long as a watch lasts.
+    if let Ok(mut source) = source.try_lock() {
+        source.forget_beginning();
+    }
     // Decisions taken alone overload targets. Peers that are not there refuse at once.
     if is_alone(shared) {
         let left = PEERS_LIMIT.saturating_sub(BootClock.now().since(shared.started_at));
@@ -125,8 +129,8 @@
     let peers = tokio::spawn(async move { ask_peers_again(&asking).await });
     // Ends with this future, which is dropped once a configuration is in force.
     let _peers = AbortOnDrop(peers);
+    sleep(SOURCE_DELAY).await;
     if !is_named(shared) {
-        sleep(SOURCE_DELAY).await;
         wait_for_peers(shared).await;
         if is_list_long::<E>(shared, source).await {
             let spread = rand::rng().random_range(1.0..2.0);
@@ -136,7 +140,9 @@
     let mut pause = ROUND_PAUSE;
     loop {
         ask_source::<E>(shared, source).await;
-        warn!("no_configuration_yet");
+        if shared.routing().is_none() {
+            warn!("no_configuration_yet");
+        }
         sleep(pause).await;
         pause = (pause * 2).min(ROUND_PAUSE_MAX);
     }
