--- a/crates/thymeshift_lab/src/experiment/mod.rs
+++ b/crates/thymeshift_lab/src/experiment/mod.rs
@@ -1,6 +1,7 @@
 //! Real processes put together.
 
 mod children;
+mod closing_load;
 mod control_cost;
 mod decision_cost;
 mod demo;
@@ -8,6 +9,7 @@
 mod ideal;
 mod judge;
 mod path_cost;
+mod pressure;
 mod recovery;
 mod rounds;
 mod scenario;
@@ -21,6 +23,7 @@
 pub use children::Child;
 pub use children::ChildError;
 pub use children::sibling_program;
+pub use closing_load::ClosingLoad;
 pub use control_cost::ConfigurationSize;
 pub use control_cost::ControlCost;
 pub use control_cost::control_cost;
@@ -42,6 +45,7 @@
 pub use judge::judge;
 pub use path_cost::PathCost;
 pub use path_cost::path_cost;
+pub use pressure::ProcessorTime;
 pub use recovery::Recovery;
 pub use recovery::recovery;
 pub use rounds::RoundsError;
--- a/crates/thymeshift_lab/src/load/result.rs
+++ b/crates/thymeshift_lab/src/load/result.rs
@@ -61,7 +61,8 @@
 }
 
 impl KindResult {
-    pub(crate) fn new(name: &str) -> Self {
+    /// Nothing sent yet.
+    pub fn new(name: &str) -> Self {
         Self {
             name: name.to_owned(),
             sent: 0,
@@ -79,7 +80,8 @@
         }
     }
 
-    pub(crate) fn record(&mut self, nonce: String, told: Told, taken: Duration, in_time_ms: u64) {
+    /// Takes in what became of the request with this nonce.
+    pub fn record(&mut self, nonce: String, told: Told, taken: Duration, in_time_ms: u64) {
         self.sent += 1;
         let taken_us = (taken.as_micros() as u64).clamp(1, LATENCY_US_MAX);
         match told {
--- a/crates/thymeshift_lab/tests/soak.rs
+++ b/crates/thymeshift_lab/tests/soak.rs
@@ -4,12 +4,19 @@
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use thymeshift_lab::experiment::ClosingLoad;
+use thymeshift_lab::experiment::ProcessorTime;
 use thymeshift_lab::experiment::SoakPlan;
 use thymeshift_lab::experiment::TempFolder;
 use thymeshift_lab::experiment::draw_faults;
 use thymeshift_lab::experiment::soak;
+use thymeshift_lab::experiment::tariff_configuration;
+use thymeshift_lab::load::KindResult;
+use thymeshift_lab::load::LoadResult;
+use thymeshift_lab::load::Told;
 use thymeshift_lab::standin::Proxy;
 use thymeshift_lab::standin::ProxyMode;
+use thymeshift_types::Outcome;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -52,6 +59,87 @@
     }
 }
 
+/// A kind's results: so many answered, told that they did not run, and told that nobody knows.
+fn results(name: &str, answered: usize, not_run: usize, unknown: usize) -> KindResult {
+    let mut kind = KindResult::new(name);
+    let told = [
+        (Told::Answered, answered),
+        (Told::Outcome(Outcome::NotRun), not_run),
+        (Told::Outcome(Outcome::Unknown), unknown),
+    ];
+    for (told, count) in told {
+        for _ in 0..count {
+            kind.record(format!("{name}-{}", kind.sent), told, Duration::from_millis(9), 100);
+        }
+    }
+    kind
+}
+
+#[test]
+fn a_starved_machine_excuses_refused_look_ups_and_nothing_else() {
+    struct Case {
+        note: &'static str,
+        pressure: f64,
+        /// Answered, not run, unknown.
+        look_ups: (usize, usize, usize),
+        price_sheets: (usize, usize, usize),
+        is_served: bool,
+    }
+    const ALL: (usize, usize, usize) = (100, 0, 0);
+    const REFUSED: (usize, usize, usize) = (70, 30, 0);
+    let case = |note, pressure, look_ups, price_sheets, is_served| Case {
+        note,
+        pressure,
+        look_ups,
+        price_sheets,
+        is_served,
+    };
+    let cases = [
+        case("all answered", 0.1, ALL, ALL, true),
+        case("all answered, starved", 0.9, ALL, ALL, true),
+        case("refused with processors to spare", 0.5, REFUSED, ALL, false),
+        case("refused, starved", 0.8, REFUSED, ALL, true),
+        case("price sheets refused, starved", 0.8, REFUSED, (90, 10, 0), false),
+        case("price sheets alone refused, starved", 0.8, ALL, REFUSED, false),
+        case("look-ups lost, starved", 0.8, (70, 29, 1), ALL, false),
+    ];
+    let configuration = tariff_configuration().expect("the example");
+    for Case { note, pressure, look_ups, price_sheets, is_served } in cases {
+        let (answered, not_run, unknown) = look_ups;
+        let look_ups = results("tariff-lookup", answered, not_run, unknown);
+        let (answered, not_run, unknown) = price_sheets;
+        let price_sheets = results("price-sheet", answered, not_run, unknown);
+        let result =
+            LoadResult { kinds: vec![look_ups, price_sheets], elapsed: Duration::from_secs(2) };
+        let closing = ClosingLoad::new(result, &configuration.kinds, pressure);
+        assert_eq!(closing.is_served(), is_served, "{note}");
+    }
+}
+
+#[test]
+fn what_a_process_waited_for_a_processor_is_a_part_of_what_it_could_have_run() {
+    let time = |ran_ms, waited_ms| ProcessorTime {
+        ran: Duration::from_millis(ran_ms),
+        waited: Duration::from_millis(waited_ms),
+    };
+    let cases = [
+        ("nothing to do", time(5, 5), time(5, 5), 0.0),
+        ("never waited", time(5, 5), time(25, 5), 0.0),
+        ("waited as long as it ran", time(5, 5), time(25, 25), 0.5),
+        ("never ran", time(5, 5), time(5, 25), 1.0),
+    ];
+    for (note, before, after, pressure) in cases {
+        assert!((after.pressure_since(before) - pressure).abs() < 1e-9, "{note}");
+    }
+    let before = ProcessorTime::of([std::process::id()].into_iter()).expect("own time");
+    let until = std::time::Instant::now() + Duration::from_millis(30);
+    while std::time::Instant::now() < until {
+        std::hint::spin_loop();
+    }
+    let after = ProcessorTime::of([std::process::id()].into_iter()).expect("own time");
+    assert!(after.ran + after.waited > before.ran + before.waited, "{before:?} {after:?}");
+}
+
 #[test]
 fn a_seed_draws_the_same_faults_again_and_a_gentle_one_planned_work_alone() {
     let draw = |seed, is_gentle| {
