--- a/crates/thymeshift_allocation/src/group.rs
+++ b/crates/thymeshift_allocation/src/group.rs
@@ -54,10 +54,14 @@
 }
 
 impl Grouping {
-    /// How `targets`, all of one service, are divided.
-    pub fn of(targets: &[Target]) -> Self {
+    /// How `targets`, all of one service, are divided. Those of drained data halls are in no
+    /// group: their callers' requests go to the other halls.
+    pub fn of(targets: &[Target], is_drained: impl Fn(&DataHallName) -> bool) -> Self {
         let mut halls: BTreeMap<&DataHallName, usize> = BTreeMap::new();
-        for target in targets.iter().filter(|target| target.state == TargetState::Serving) {
+        let is_used = |target: &&Target| {
+            target.state == TargetState::Serving && !is_drained(&target.data_hall)
+        };
+        for target in targets.iter().filter(is_used) {
             *halls.entry(&target.data_hall).or_default() += 1;
         }
         let count: usize = halls.values().sum();
@@ -76,6 +80,17 @@
         group
     }
 
+    /// A group other than `group`, spread by their sizes; none if there is no other.
+    pub fn other_than(&self, group: &Group, draw: u64) -> Option<&Group> {
+        let others = self.groups.iter().filter(|(other, _)| other != group).cloned().collect();
+        let others = Self { groups: others };
+        if others.groups.is_empty() {
+            return None;
+        }
+        let (drawn, _) = others.drawn(draw);
+        self.iter().find(|group| *group == drawn)
+    }
+
     fn drawn(&self, draw: u64) -> &(Group, usize) {
         let total: usize = self.groups.iter().map(|(_, count)| count).sum();
         let mut left = draw % (total.max(1) as u64);
--- a/crates/thymeshift_allocation/tests/groups.rs
+++ b/crates/thymeshift_allocation/tests/groups.rs
@@ -31,6 +31,7 @@
         data_hall: hall(hall_name),
         incarnation: Incarnation::default(),
         state,
+        cold_for_ms: None,
     };
     let mut all = Vec::new();
     for (hall_name, count) in ["a", "b", "c", "d"].iter().zip(counts) {
@@ -60,7 +61,7 @@
     ];
     for Case { note, counts, leaving, groups } in cases {
         let targets = targets(counts, leaving);
-        let grouping = Grouping::of(&targets);
+        let grouping = Grouping::of(&targets, |_| false);
         assert_eq!(grouping.iter().count(), groups, "{note}");
         assert_eq!(grouping.is_divided(), groups > 1, "{note}");
         for target in targets.iter().filter(|target| target.state == TargetState::Serving) {
@@ -72,7 +73,7 @@
 
 #[test]
 fn a_request_goes_to_its_own_hall_or_is_spread_by_size() {
-    let grouping = Grouping::of(&targets(&[10, 30], 0));
+    let grouping = Grouping::of(&targets(&[10, 30], 0), |_| false);
     for draw in 0..40 {
         assert_eq!(*grouping.first_for(&hall("b"), draw), group("b"));
     }
@@ -101,3 +102,41 @@
     let late = now + Duration::from_secs(3);
     assert_eq!(rooms.take(&group("a"), late, &mut rng), None, "what was told has aged");
 }
+
+#[test]
+fn a_drained_hall_is_in_no_group_and_its_callers_go_to_the_others() {
+    struct Case {
+        note: &'static str,
+        drained: &'static [&'static str],
+        groups: &'static [&'static str],
+    }
+    let cases = [
+        Case { note: "none", drained: &[], groups: &["a", "b", "c"] },
+        Case { note: "one", drained: &["b"], groups: &["a", "c"] },
+        Case { note: "all but one", drained: &["a", "b"], groups: &["all"] },
+        Case { note: "one that has no targets", drained: &["z"], groups: &["a", "b", "c"] },
+    ];
+    let targets = targets(&[10, 10, 10], 0);
+    for Case { note, drained, groups } in cases {
+        let grouping = Grouping::of(&targets, |hall| drained.contains(&hall.as_str()));
+        let found: Vec<String> = grouping.iter().map(ToString::to_string).collect();
+        assert_eq!(found, groups, "{note}");
+        for draw in 0..100 {
+            let first = grouping.first_for(&hall("b"), draw);
+            assert!(groups.contains(&first.to_string().as_str()), "{note}: {first}");
+        }
+    }
+}
+
+#[test]
+fn another_group_is_drawn_by_size_and_never_the_same() {
+    let grouping = Grouping::of(&targets(&[10, 10, 30], 0), |_| false);
+    let mut drawn: BTreeMap<Group, u32> = BTreeMap::new();
+    for draw in 0..4_000 {
+        let other = grouping.other_than(&group("a"), draw).expect("there are two others");
+        *drawn.entry(other.clone()).or_default() += 1;
+    }
+    assert_eq!(drawn, BTreeMap::from([(group("b"), 1_000), (group("c"), 3_000)]));
+    let single = Grouping::of(&targets(&[9], 0), |_| false);
+    assert_eq!(single.other_than(&Group::All, 1), None);
+}
--- a/crates/thymeshift_config/src/check.rs
+++ b/crates/thymeshift_config/src/check.rs
@@ -40,6 +40,7 @@
     let mut checker = Checker { node, mistakes };
     let halls = configuration.data_halls.iter().map(DataHallName::as_str);
     checker.unique("data_halls", "", halls);
+    check_drained_halls(configuration, &mut checker);
     let services = configuration.services.iter().map(|service| service.name.as_str());
     checker.unique("services", ".name", services);
     let kinds = configuration.kinds.iter().map(|kind| kind.name.as_str());
@@ -53,6 +54,17 @@
     check_reachable(configuration, &mut checker);
 }
 
+fn check_drained_halls(configuration: &Configuration, checker: &mut Checker<'_>) {
+    let names = configuration.drained_halls.iter().map(DataHallName::as_str);
+    checker.unique("drained_halls", "", names);
+    for (index, hall) in configuration.drained_halls.iter().enumerate() {
+        if !configuration.data_halls.contains(hall) {
+            let path = format!("drained_halls[{index}]");
+            checker.refuse(&path, format!("'{hall}'"), "a name from data_halls");
+        }
+    }
+}
+
 fn check_service(
     configuration: &Configuration,
     service: &Service,
--- a/crates/thymeshift_config/src/configuration.rs
+++ b/crates/thymeshift_config/src/configuration.rs
@@ -9,6 +9,7 @@
 use crate::Limits;
 use crate::Mistakes;
 use crate::RequestHead;
+use crate::RequestRate;
 use crate::Service;
 use crate::Settings;
 use crate::check;
@@ -32,6 +33,8 @@
     pub entry_vms_max: u64,
     /// All data halls.
     pub data_halls: Vec<DataHallName>,
+    /// Data halls whose targets get no new work until they are taken off this list.
+    pub drained_halls: Vec<DataHallName>,
     /// Time of one way between two data halls, in microseconds.
     pub data_hall_one_way_us: u64,
     /// How much longer an answer may take, in microseconds, to spare the way between two data
@@ -70,8 +73,8 @@
         }
     }
 
-    /// The configuration with targets that were discovered apart from it. Discovered targets
-    /// of services that it does not name are left out.
+    /// The configuration with what was discovered apart from it. Discovered targets of services
+    /// that it does not name are left out.
     #[must_use]
     pub fn with_discovered(&self, discovery: &Discovery) -> Self {
         let mut joined = self.clone();
@@ -83,7 +86,23 @@
             }
             service.targets.extend(found.into_iter().map(|found| found.target.clone()));
         }
-        joined
+        joined.with_drained(&discovery.drained_halls)
+    }
+
+    /// The configuration with further data halls drained.
+    #[must_use]
+    pub fn with_drained(mut self, halls: &[DataHallName]) -> Self {
+        for hall in halls {
+            if !self.drained_halls.contains(hall) {
+                self.drained_halls.push(hall.clone());
+            }
+        }
+        self
+    }
+
+    /// Whether the targets of a data hall get no new work.
+    pub fn is_drained(&self, hall: &DataHallName) -> bool {
+        self.drained_halls.contains(hall)
     }
 
     /// The configuration within the limits that a process's settings state.
@@ -91,6 +110,7 @@
     pub fn capped(mut self, settings: &Settings) -> Self {
         let retry_percent_max = settings.retry_percent_max * RETRY_CAP_TENTHS / 10;
         for service in &mut self.services {
+            service.cold_bound_per_s = cold_bound(service, settings);
             service.retry_budget_percent = service.retry_budget_percent.min(retry_percent_max);
             if let Some(probe) = &service.probe {
                 let most = settings.probes_per_target_s_max.saturating_mul(probe.cost_us);
@@ -111,11 +131,19 @@
     }
 }
 
+/// Requests a second that the platform bears at a cold target.
+fn cold_bound(service: &Service, settings: &Settings) -> RequestRate {
+    let rate = service.cold_requests_per_s.unwrap_or_default().in_1000_s();
+    let most = rate * settings.cold_overshoot_percent / 100 + settings.cold_slack_requests * 1_000;
+    RequestRate::per_1000_s(most)
+}
+
 impl Decode for Configuration {
     fn decode(node: &Node, path: &str, mistakes: &mut Mistakes) -> Option<Self> {
         let mut map = MapReader::new(node, path, mistakes)?;
         let entry_vms_max = map.number("entry_vms_max", 1..=100_000);
         let data_halls = map.or("data_halls", Vec::new());
+        let drained_halls = map.or("drained_halls", Vec::new());
         let data_hall_one_way_us = map.number_or("data_hall_one_way_us", 0..=1_000_000, 1_500);
         let data_hall_detour_us = map.number_or("data_hall_detour_us", 0..=1_000_000, 0);
         let limits = map.or("limits", Limits::default());
@@ -125,6 +153,7 @@
         Some(Self {
             entry_vms_max: entry_vms_max?,
             data_halls: data_halls?,
+            drained_halls: drained_halls?,
             data_hall_one_way_us: data_hall_one_way_us?,
             data_hall_detour_us: data_hall_detour_us?,
             limits: limits?,
--- a/crates/thymeshift_config/src/decode.rs
+++ b/crates/thymeshift_config/src/decode.rs
@@ -151,6 +151,19 @@
         self.within(name, value, range)
     }
 
+    /// A whole number within `range` that may be missing; as [`Self::optional`].
+    #[expect(clippy::option_option, reason = "the two options answer different questions")]
+    pub(crate) fn optional_number(
+        &mut self,
+        name: &'static str,
+        range: RangeInclusive<u64>,
+    ) -> Option<Option<u64>> {
+        match self.optional(name)? {
+            Some(value) => self.within(name, value, range).map(Some),
+            None => Some(None),
+        }
+    }
+
     /// A number within `range` that may be missing, as whole parts of which `parts` make one; as
     /// [`Self::optional`].
     #[expect(clippy::option_option, reason = "the two options answer different questions")]
--- a/crates/thymeshift_config/src/discovery.rs
+++ b/crates/thymeshift_config/src/discovery.rs
@@ -1,8 +1,13 @@
-//! Targets that are discovered apart from the configuration.
+//! What is discovered apart from the configuration: targets, and data halls that an operator has
+//! drained.
+//!
+//! Both stand in one list, so that processes learn of them in one order and by one way: a target
+//! that appears in a drained hall is never known without the drain.
 
 use std::collections::HashMap;
 
 use serde::Serialize;
+use thymeshift_types::DataHallName;
 use thymeshift_types::ServiceName;
 
 use crate::Mistakes;
@@ -24,18 +29,27 @@
     pub target: Target,
 }
 
-/// All discovered targets at one revision.
+/// All that is discovered at one revision.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize)]
 pub struct Discovery {
     /// The targets, of all services.
     pub targets: Vec<Discovered>,
+    /// Data halls whose targets get no new work.
+    pub drained_halls: Vec<DataHallName>,
+}
+
+/// One item of the list.
+#[derive(Debug, Clone)]
+enum Item {
+    Target(Discovered),
+    DrainedHall(DataHallName),
 }
 
 impl Discovery {
     /// Reads and checks a list of discovered targets from YAML.
     pub fn parse(text: &str) -> Result<Self, Mistakes> {
-        let targets = parse(text, "targets")?;
-        Ok(Self { targets })
+        let items: Vec<Item> = parse(text, "targets")?;
+        Ok(items.into_iter().collect())
     }
 
     /// These targets, and those that served `before` and are missing here, unless their
@@ -53,7 +67,20 @@
         let kept: Vec<Discovered> = served.filter(|known| !is_listed(known)).cloned().collect();
         let count = kept.len();
         let targets = self.targets.iter().cloned().chain(kept).collect();
-        (Self { targets }, count)
+        (Self { targets, drained_halls: self.drained_halls.clone() }, count)
+    }
+}
+
+impl FromIterator<Item> for Discovery {
+    fn from_iter<I: IntoIterator<Item = Item>>(items: I) -> Self {
+        let mut discovery = Self::default();
+        for item in items {
+            match item {
+                Item::Target(target) => discovery.targets.push(target),
+                Item::DrainedHall(hall) => discovery.drained_halls.push(hall),
+            }
+        }
+        discovery
     }
 }
 
@@ -62,50 +89,60 @@
 /// again.
 #[derive(Debug, Default)]
 pub struct DiscoveryReader {
-    /// The target of each line of the last list; none if targets did not stand in a line each.
-    lines: HashMap<String, Discovered>,
+    /// The item of each line of the last list; none if items did not stand in a line each.
+    lines: HashMap<String, Item>,
 }
 
 impl DiscoveryReader {
     /// The same as [`Discovery::parse`].
     pub fn parse(&mut self, text: &str) -> Result<Discovery, Mistakes> {
-        if let Some(targets) = self.parse_lines(text) {
-            return Ok(Discovery { targets });
+        if let Some(items) = self.parse_lines(text) {
+            return Ok(items.into_iter().collect());
         }
         self.lines.clear();
         Discovery::parse(text)
     }
 
-    /// The targets, if each stands in a line of its own without mistakes.
-    fn parse_lines(&mut self, text: &str) -> Option<Vec<Discovered>> {
+    /// The items, if each stands in a line of its own without mistakes.
+    fn parse_lines(&mut self, text: &str) -> Option<Vec<Item>> {
         let mut lines = HashMap::with_capacity(self.lines.len());
-        let mut targets = Vec::new();
+        let mut items = Vec::new();
         for line in text.lines() {
-            let target = match self.lines.remove(line).or_else(|| lines.get(line).cloned()) {
+            let item = match self.lines.remove(line).or_else(|| lines.get(line).cloned()) {
                 Some(known) => known,
                 None => parse_line(line)?,
             };
-            targets.push(target.clone());
-            lines.insert(line.to_owned(), target);
+            items.push(item.clone());
+            lines.insert(line.to_owned(), item);
         }
         self.lines = lines;
-        (!targets.is_empty()).then_some(targets)
+        (!items.is_empty()).then_some(items)
     }
 }
 
-/// The target of a line that reads `- {…}` and means the same in any list.
-fn parse_line(line: &str) -> Option<Discovered> {
+/// The item of a line that reads `- {…}` and means the same in any list.
+fn parse_line(line: &str) -> Option<Item> {
     if !(line.starts_with("- {") && line.ends_with('}')) {
         return None;
     }
-    let mut targets = Discovery::parse(line).ok()?.targets;
-    let target = targets.pop();
-    target.filter(|_| targets.is_empty())
+    let mut items: Vec<Item> = parse(line, "targets").ok()?;
+    let item = items.pop();
+    item.filter(|_| items.is_empty())
 }
 
-impl Decode for Discovered {
+impl Decode for Item {
     fn decode(node: &Node, path: &str, mistakes: &mut Mistakes) -> Option<Self> {
         let mut map = MapReader::new(node, path, mistakes)?;
+        if let Some(hall) = map.optional("drained_hall")? {
+            map.finish();
+            return Some(Self::DrainedHall(hall));
+        }
+        Discovered::read(map).map(Self::Target)
+    }
+}
+
+impl Discovered {
+    fn read(mut map: MapReader<'_, '_>) -> Option<Self> {
         let service = map.required("service");
         let slots = map.number_or("slots", 1..=100_000, 1);
         let target = Target::read(&mut map);
--- a/crates/thymeshift_config/src/lib.rs
+++ b/crates/thymeshift_config/src/lib.rs
@@ -34,6 +34,7 @@
 pub use mistake::Mistakes;
 pub use service::Ejection;
 pub use service::Probe;
+pub use service::RequestRate;
 pub use service::Service;
 pub use service::StrategyName;
 pub use service::Target;
--- a/crates/thymeshift_config/src/service.rs
+++ b/crates/thymeshift_config/src/service.rs
@@ -4,6 +4,7 @@
 
 use derive_more::Display;
 use serde::Serialize;
+use serde::Serializer;
 use thymeshift_types::DataHallName;
 use thymeshift_types::Incarnation;
 use thymeshift_types::ServiceName;
@@ -18,6 +19,11 @@
 /// One second in microseconds: a budget above this would be more than a target's slot.
 const SECOND_US: u64 = 1_000_000;
 
+/// Longest time for which a target may be cold, in milliseconds.
+const COLD_FOR_MS_MAX: u64 = 600_000;
+/// Largest rate of requests that a cold target may be said to bear, a second.
+const COLD_PER_S_MAX: f64 = 1_000_000.0;
+
 /// How a target is chosen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -79,6 +85,9 @@
     pub incarnation: Incarnation,
     /// Whether it may receive new work.
     pub state: TargetState,
+    /// How long it works slower than usual after it was listed, in milliseconds; none if that is
+    /// not told.
+    pub cold_for_ms: Option<u64>,
 }
 
 /// How a service's targets may be probed.
@@ -109,6 +118,30 @@
     }
 }
 
+/// A rate of requests, exact to a thousandth of one a second. Written as requests a second.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+pub struct RequestRate {
+    per_1000_s: u64,
+}
+
+impl RequestRate {
+    /// A rate of so many requests in 1,000 seconds.
+    pub fn per_1000_s(requests: u64) -> Self {
+        Self { per_1000_s: requests }
+    }
+
+    /// Requests in 1,000 seconds.
+    pub fn in_1000_s(self) -> u64 {
+        self.per_1000_s
+    }
+}
+
+impl Serialize for RequestRate {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_f64(self.per_1000_s as f64 / 1_000.0)
+    }
+}
+
 /// A group of targets that do the same work.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Service {
@@ -135,6 +168,13 @@
     pub ejection: Ejection,
     /// Time over which a new target is brought to its full share, in milliseconds.
     pub cold_start_ramp_ms: u64,
+    /// Requests a second that a cold target bears, from all VMs together; none if that is not
+    /// limited.
+    pub cold_requests_per_s: Option<RequestRate>,
+    /// The rate that must not be exceeded in any second, from all VMs together; worked out from
+    /// the rate above and the settings, see [`crate::Configuration::capped`].
+    #[serde(skip)]
+    pub cold_bound_per_s: RequestRate,
     /// Retries and hedges allowed, in percent of requests.
     pub retry_budget_percent: u64,
     /// Most retries that one VM may save up.
@@ -151,12 +191,14 @@
         let data_hall = map.required("data_hall");
         let incarnation = map.or("incarnation", Incarnation::new(1));
         let state = map.or("state", TargetState::Serving);
+        let cold_for_ms = map.optional_number("cold_for_ms", 0..=COLD_FOR_MS_MAX);
         Some(Self {
             name: name?,
             address: address?,
             data_hall: data_hall?,
             incarnation: incarnation?,
             state: state?,
+            cold_for_ms: cold_for_ms?,
         })
     }
 }
@@ -208,6 +250,8 @@
         let probe = map.optional("probe");
         let ejection = map.or("ejection", Ejection::default());
         let cold_start_ramp_ms = map.number_or("cold_start_ramp_ms", 0..=600_000, 2_000);
+        let cold_requests_per_s =
+            map.optional_decimal("cold_requests_per_s", 0.0..=COLD_PER_S_MAX, 1_000.0);
         let retry_budget_percent = map.number_or("retry_budget_percent", 0..=100, 10);
         let retry_reserve = map.number_or("retry_reserve", 1..=1_000, 10);
         let targets = map.or("targets", Vec::new());
@@ -224,6 +268,8 @@
             probe: probe?,
             ejection: ejection?,
             cold_start_ramp_ms: cold_start_ramp_ms?,
+            cold_requests_per_s: cold_requests_per_s?.map(RequestRate::per_1000_s),
+            cold_bound_per_s: RequestRate::per_1000_s(cold_requests_per_s?.unwrap_or(0)),
             retry_budget_percent: retry_budget_percent?,
             retry_reserve: retry_reserve?,
             targets: targets?,
--- a/crates/thymeshift_config/src/settings.rs
+++ b/crates/thymeshift_config/src/settings.rs
@@ -25,6 +25,11 @@
 /// Probes of one target a second that may be allowed at most.
 const PROBES_PER_S_MAX: u64 = 10_000;
 
+/// Largest overshoot of a cold target's rate that may be allowed.
+const COLD_OVERSHOOT_MAX: f64 = 100.0;
+/// Most requests beyond it that may be allowed.
+const COLD_SLACK_REQUESTS_MAX: u64 = 1_000_000;
+
 /// How much is logged.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -89,6 +94,12 @@
     /// Most probes of one target a second that the platform bears, whatever the configuration
     /// says.
     pub probes_per_target_s_max: u64,
+    /// By how much requests to a cold target may exceed the rate that it bears: in any second the
+    /// platform bears that rate times this many percent, and
+    /// [`Settings::cold_slack_requests`] more.
+    pub cold_overshoot_percent: u64,
+    /// As [`Settings::cold_overshoot_percent`], in requests.
+    pub cold_slack_requests: u64,
     /// How much is logged.
     pub log_level: LogLevel,
 }
@@ -130,6 +141,10 @@
         let retry_percent_max = map.optional_decimal("retry_ratio_max", 0.0..=1.0, 100.0);
         let probes_per_target_s_max =
             map.number_or("probes_per_target_s_max", 0..=PROBES_PER_S_MAX, PROBES_PER_S_MAX);
+        let cold_overshoot_percent =
+            map.optional_decimal("cold_overshoot_ratio", 1.0..=COLD_OVERSHOOT_MAX, 100.0);
+        let cold_slack_requests =
+            map.number_or("cold_slack_requests", 0..=COLD_SLACK_REQUESTS_MAX, 0);
         let log_level = map.or("log_level", LogLevel::Info);
         map.finish();
         Some(Self {
@@ -150,6 +165,8 @@
             stop_grace_ms: stop_grace_ms?,
             retry_percent_max: retry_percent_max?.unwrap_or(100),
             probes_per_target_s_max: probes_per_target_s_max?,
+            cold_overshoot_percent: cold_overshoot_percent?.unwrap_or(100),
+            cold_slack_requests: cold_slack_requests?,
             log_level: log_level?,
         })
     }
--- a/crates/thymeshift_dispatch/src/dispatcher.rs
+++ b/crates/thymeshift_dispatch/src/dispatcher.rs
@@ -183,6 +183,7 @@
             one_way: Duration::from_micros(configuration.data_hall_one_way_us),
             detour: Duration::from_micros(configuration.data_hall_detour_us),
             entry_vms_max: configuration.entry_vms_max,
+            drained_halls: configuration.drained_halls.clone(),
         };
         self.table.update(service, &surroundings, now);
         self.ejection = service.ejection.clone();
--- a/crates/thymeshift_dispatch/src/dump.rs
+++ b/crates/thymeshift_dispatch/src/dump.rs
@@ -30,9 +30,15 @@
     /// It failed several times in a row and is set aside for a while.
     #[display("ejected")]
     Ejected,
+    /// It is cold, and bears no further request for the moment.
+    #[display("cold")]
+    Cold,
     /// An operator's order stops it for a while.
     #[display("stopped")]
     Stopped,
+    /// Its data hall is drained.
+    #[display("hall_drained")]
+    HallDrained,
     /// It is leaving.
     #[display("leaving")]
     Leaving,
--- a/crates/thymeshift_dispatch/src/report.rs
+++ b/crates/thymeshift_dispatch/src/report.rs
@@ -34,6 +34,8 @@
     pub state: ReportedState,
     /// How long work takes there now, in percent of the usual.
     pub pace_percent: u32,
+    /// For how much longer it is cold, in milliseconds, 0 if it is warm; none if it does not tell.
+    pub cold_for_ms: Option<u32>,
 }
 
 /// The pace of a target that says nothing about it.
--- a/crates/thymeshift_dispatch/src/table.rs
+++ b/crates/thymeshift_dispatch/src/table.rs
@@ -16,6 +16,7 @@
 use crate::TargetDump;
 use crate::TargetIndex;
 use crate::View;
+use crate::cold_start::ColdPaces;
 use crate::cold_start::ColdStart;
 use crate::concurrency::Concurrency;
 use crate::connections::connection_share;
@@ -34,6 +35,7 @@
     pub(crate) one_way: Duration,
     pub(crate) detour: Duration,
     pub(crate) entry_vms_max: u64,
+    pub(crate) drained_halls: Vec<DataHallName>,
 }
 
 /// Requests in flight from this process at one target while it decides alone for lack of
@@ -232,14 +234,18 @@
         let shape = Shape {
             slots: u32::try_from(service.slots_per_target).unwrap_or(u32::MAX),
             connection_share: share_for_requests(service, surroundings.entry_vms_max),
+            cold_paces: ColdPaces::of(service, surroundings.entry_vms_max),
+            cold_ramp: Duration::from_millis(service.cold_start_ramp_ms),
         };
-        let ramp = Duration::from_millis(service.cold_start_ramp_ms);
         for listed in &service.targets {
-            let index = self.place_of(listed, shape, ramp, now);
+            let index = self.place_of(listed, shape, now);
             let hall = self.halls.index(&listed.data_hall);
+            let is_hall_drained = surroundings.drained_halls.contains(&listed.data_hall);
             let target = self.get_mut(index);
             target.set_shape(shape);
             target.hall = hall;
+            target.set_hall_drained(is_hall_drained, now);
+            target.listed_cold_for(listed.cold_for_ms, now);
             let is_stale = listed.incarnation < target.incarnation;
             if listed.state == TargetState::Leaving && !is_stale {
                 target.presence = Presence::Leaving;
@@ -263,13 +269,7 @@
 
     /// The place of a listed target; a new incarnation or address gets a new place, so
     /// that requests in flight to the old one keep theirs.
-    fn place_of(
-        &mut self,
-        listed: &TargetSettings,
-        shape: Shape,
-        ramp: Duration,
-        now: Timestamp,
-    ) -> TargetIndex {
+    fn place_of(&mut self, listed: &TargetSettings, shape: Shape, now: Timestamp) -> TargetIndex {
         if let Some(index) = self.find(&listed.name) {
             let known = self.get_mut(index);
             let is_same =
@@ -280,7 +280,11 @@
             known.presence = Presence::Removed;
         }
         // Targets of the first configuration were there before this process.
-        let cold_start = if self.is_filled { ColdStart::new(now, ramp) } else { ColdStart::warm() };
+        let cold_start = if self.is_filled && listed.cold_for_ms.is_none() {
+            ColdStart::new(now, shape.cold_ramp, shape.cold_ramp)
+        } else {
+            ColdStart::warm()
+        };
         let name = listed.name.clone();
         let target = Target::new(name, listed.address, listed.incarnation, shape, cold_start);
         self.insert(target)
--- a/crates/thymeshift_dispatch/src/target_state.rs
+++ b/crates/thymeshift_dispatch/src/target_state.rs
@@ -15,6 +15,7 @@
 use crate::LoadReport;
 use crate::TargetDump;
 use crate::Usability;
+use crate::cold_start::ColdPaces;
 use crate::cold_start::ColdStart;
 use crate::ejection::Ejection;
 use crate::grant::Grant;
@@ -33,6 +34,10 @@
 pub(crate) struct Shape {
     pub(crate) slots: u32,
     pub(crate) connection_share: u32,
+    /// None if a cold target gets as many requests as a warm one.
+    pub(crate) cold_paces: Option<ColdPaces>,
+    /// How long a target is taken to be cold that does not tell.
+    pub(crate) cold_ramp: Duration,
 }
 
 /// Whether the target is still in the configuration and may get new work.
@@ -52,6 +57,10 @@
     pub(crate) presence: Presence,
     /// An operator's order says that it gets no new work for now.
     pub(crate) is_stopped: bool,
+    /// Its data hall is drained: it gets no new work until the hall is taken back.
+    is_hall_drained: bool,
+    /// For how long it was last listed to be cold, in milliseconds.
+    listed_cold_for_ms: Option<u64>,
     pub(crate) hall: HallIndex,
     pub(crate) explores: Explores,
     pub(crate) shape: Shape,
@@ -80,6 +89,8 @@
             incarnation,
             presence: Presence::Serving,
             is_stopped: false,
+            is_hall_drained: false,
+            listed_cold_for_ms: None,
             hall: HallIndex::default(),
             explores: Explores::Nothing,
             shape,
@@ -107,7 +118,28 @@
 
     /// Whether it may be open again without a change of configuration.
     pub(crate) fn is_serving(&self) -> bool {
-        self.presence == Presence::Serving && !self.is_stopped
+        self.presence == Presence::Serving && !self.is_stopped && !self.is_hall_drained
+    }
+
+    /// Its data hall is drained, or is not. A hall that is taken back may have become cold
+    /// meanwhile: its targets count as cold until they tell otherwise.
+    pub(crate) fn set_hall_drained(&mut self, is_drained: bool, now: Timestamp) {
+        if self.is_hall_drained && !is_drained {
+            let ramp = self.shape.cold_ramp;
+            self.cold_start.told(ramp, ramp, now);
+        }
+        self.is_hall_drained = is_drained;
+    }
+
+    /// It is listed to be cold for so long; the same listing again is no news.
+    pub(crate) fn listed_cold_for(&mut self, cold_for_ms: Option<u64>, now: Timestamp) {
+        if self.listed_cold_for_ms == cold_for_ms {
+            return;
+        }
+        self.listed_cold_for_ms = cold_for_ms;
+        if let Some(cold_for_ms) = cold_for_ms.filter(|cold_for_ms| *cold_for_ms > 0) {
+            self.cold_start.told(Duration::from_millis(cold_for_ms), self.shape.cold_ramp, now);
+        }
     }
 
     pub(crate) fn in_flight(&self) -> u32 {
@@ -139,7 +171,7 @@
             expected: Duration::from_micros(expected_us as u64),
             way_us,
             in_flight: self.in_flight + 1,
-            is_usual_pace: self.is_usual_pace(now, model),
+            is_usual_pace: self.is_usual_pace(now, model) && !self.cold_start.is_cold(now),
         };
         self.in_flight += 1;
         self.granted_at = now;
@@ -164,6 +196,10 @@
 
     /// A probe's report: the probe itself is not among this VM's requests in flight.
     pub(crate) fn learn_probe(&mut self, report: LoadReport, now: Timestamp) -> f64 {
+        if let Some(cold_for_ms) = report.cold_for_ms {
+            let left = Duration::from_millis(u64::from(cold_for_ms));
+            self.cold_start.told(left, self.shape.cold_ramp, now);
+        }
         self.others.learn(report, self.in_flight, now)
     }
 
--- a/crates/thymeshift_dispatch/src/target_state/room.rs
+++ b/crates/thymeshift_dispatch/src/target_state/room.rs
@@ -45,8 +45,10 @@
             Presence::Removed => Usability::Removed,
             Presence::Leaving => Usability::Leaving,
             Presence::Serving if self.is_stopped => Usability::Stopped,
+            Presence::Serving if self.is_hall_drained => Usability::HallDrained,
             Presence::Serving if self.ejection.is_ejected(now) => Usability::Ejected,
             Presence::Serving if !self.has_room(bound, now) => Usability::AtLimit,
+            Presence::Serving if self.is_held_cold(now, bound) => Usability::Cold,
             Presence::Serving if self.is_slow_spell(now, model) => Usability::SlowSpell,
             Presence::Serving => Usability::Open,
         }
@@ -61,6 +63,19 @@
         self.others.is_slow_spell(now, model.usual_pace(), service)
     }
 
+    /// Whether it is cold and got its last request too recently for another one.
+    fn is_held_cold(&self, now: Timestamp, bound: Bound) -> bool {
+        let Some(paces) = self.shape.cold_paces.filter(|_| self.cold_start.is_cold(now)) else {
+            return false;
+        };
+        let waited = now.since(self.granted_at);
+        match bound {
+            Bound::Best(..) => waited < paces.allocating,
+            Bound::Learnt => waited.min(now.since(self.cold_start.since())) < paces.own,
+            Bound::Fixed(_) => waited.min(now.since(self.cold_start.since())) < paces.alone,
+        }
+    }
+
     fn has_room(&self, bound: Bound, now: Timestamp) -> bool {
         self.room(bound, now) > 0
     }
--- /dev/null
+++ b/crates/thymeshift_dispatch/tests/drained_halls.rs
@@ -0,0 +1,104 @@
+//! Targets of a drained data hall get nothing new, whoever chose them and when.
+
+mod support;
+
+use support::at;
+use support::configuration;
+use support::dispatcher;
+use support::hall;
+use support::name;
+use support::request;
+use support::rng;
+use support::sent;
+use thymeshift_config::Configuration;
+use thymeshift_dispatch::Decision;
+use thymeshift_dispatch::Usability;
+use thymeshift_dispatch::View;
+use thymeshift_types::DataHallName;
+use thymeshift_types::Reason;
+
+/// Two targets in hall `a` and two in hall `b`, with some halls drained.
+fn halls(drained: &[&str]) -> Configuration {
+    let drained: Vec<DataHallName> =
+        drained.iter().map(|name| DataHallName::new(name).expect("a name")).collect();
+    configuration(4, 2, "    cold_start_ramp_ms: 3000\n").with_drained(&drained)
+}
+
+#[test]
+fn no_view_chooses_a_target_of_a_drained_hall() {
+    for view in [View::Own, View::Fleet, View::Fallback] {
+        let mut dispatcher = dispatcher(&halls(&["a"]));
+        dispatcher.set_view(view);
+        let mut rng = rng();
+        for step in 0..100 {
+            let grant = sent(&mut dispatcher, request(1, at(1_000)), at(step), &mut rng);
+            let chosen = dispatcher.target_name(&grant);
+            assert!(chosen == name(2) || chosen == name(3), "{view}: {chosen}");
+            dispatcher.release(grant, at(step));
+        }
+        assert!(dispatcher.grant_at(&name(0), at(200)).is_none(), "{view}: another's choice");
+        assert!(dispatcher.grant_at(&name(2), at(200)).is_some(), "{view}");
+        let probed: Vec<_> = dispatcher.probe_targets().map(|(name, _)| name).collect();
+        assert_eq!(probed, [name(2), name(3)], "{view}");
+    }
+}
+
+#[test]
+fn what_was_granted_before_is_not_sent_after() {
+    let open = halls(&[]);
+    let drained = halls(&["a", "b"]);
+    let mut dispatcher = dispatcher(&open);
+    let mut rng = rng();
+    let grant = sent(&mut dispatcher, request(1, at(1_000)), at(0), &mut rng);
+    assert!(dispatcher.may_send(&grant, at(1_000), at(1)));
+    dispatcher.update(&drained, &drained.services[0], &hall(), at(2));
+    assert!(!dispatcher.may_send(&grant, at(1_000), at(3)));
+    dispatcher.release(grant, at(3));
+    // Nobody is left to serve: known at once, not at the deadline.
+    let decision = dispatcher.request(request(1, at(1_000)), at(4), &mut rng);
+    assert!(
+        matches!(&decision, Decision::Refuse(refusal) if refusal.reason == Reason::NoTarget),
+        "{decision:?}"
+    );
+    let dump = dispatcher.dump(at(5));
+    assert!(dump.targets.iter().all(|target| target.usability == Usability::HallDrained));
+}
+
+#[test]
+fn waiting_requests_are_refused_once_all_halls_are_drained() {
+    let open = halls(&[]);
+    let drained = halls(&["a", "b"]);
+    let mut dispatcher = dispatcher(&open);
+    dispatcher.set_view(View::Fallback);
+    let mut rng = rng();
+    let held: Vec<_> =
+        (0..4).map(|_| sent(&mut dispatcher, request(1, at(1_000)), at(0), &mut rng)).collect();
+    let waits = dispatcher.request(request(1, at(1_000)), at(0), &mut rng);
+    assert!(matches!(waits, Decision::Wait(_)), "{waits:?}");
+    dispatcher.update(&drained, &drained.services[0], &hall(), at(2));
+    let woken = dispatcher.next_wake(at(3), &mut rng);
+    assert!(
+        matches!(&woken, Some(thymeshift_dispatch::Wake::Refuse(_, refusal)) if refusal.reason == Reason::NoTarget),
+        "{woken:?}"
+    );
+    for grant in held {
+        dispatcher.release(grant, at(4));
+    }
+}
+
+#[test]
+fn targets_of_a_hall_that_is_taken_back_count_as_cold_until_they_tell() {
+    let open = halls(&[]);
+    let drained = halls(&["a"]);
+    let mut dispatcher = dispatcher(&open);
+    dispatcher.set_view(View::Fleet);
+    dispatcher.update(&drained, &drained.services[0], &hall(), at(0));
+    dispatcher.update(&open, &open.services[0], &hall(), at(5_000));
+    let expected = |dispatcher: &support::TestDispatcher, index: usize, now| {
+        dispatcher.dump(at(now)).targets[index].expected_us
+    };
+    assert!(expected(&dispatcher, 0, 5_001) > 3 * expected(&dispatcher, 2, 5_001), "cold");
+    assert!(expected(&dispatcher, 0, 8_001) <= expected(&dispatcher, 2, 8_001), "ramp over");
+    let _ = dispatcher.learn_probe(&name(1), support::told_cold(0), at(5_002));
+    assert!(expected(&dispatcher, 1, 5_003) <= expected(&dispatcher, 2, 5_003), "tells it is warm");
+}
--- a/crates/thymeshift_dispatch/tests/support/mod.rs
+++ b/crates/thymeshift_dispatch/tests/support/mod.rs
@@ -22,6 +22,8 @@
 use thymeshift_types::TargetName;
 use thymeshift_types::Timestamp;
 
+pub(crate) type TestDispatcher = Dispatcher<AnyStrategy>;
+
 /// A moment well after the start of the clock.
 pub(crate) const START: Timestamp = Timestamp::from_millis(1_000_000);
 
@@ -92,9 +94,15 @@
         incarnation,
         state: ReportedState::Serving,
         pace_percent: USUAL_PACE_PERCENT,
+        cold_for_ms: None,
     }
 }
 
+/// A report of an idle target that is cold for so much longer.
+pub(crate) fn told_cold(left_ms: u32) -> LoadReport {
+    LoadReport { cold_for_ms: Some(left_ms), ..report(0, 0) }
+}
+
 /// The grant of a request that must be sent at once.
 pub(crate) fn sent(
     dispatcher: &mut Dispatcher<AnyStrategy>,
--- a/crates/thymeshift_entry/src/control_plane/dump.rs
+++ b/crates/thymeshift_entry/src/control_plane/dump.rs
@@ -1,10 +1,13 @@
 //! The dump of the whole state.
 
+use std::collections::BTreeMap;
 use std::sync::atomic::Ordering;
 
 use thymeshift_types::BootClock;
 use thymeshift_types::Clock;
+use thymeshift_types::DataHallName;
 use thymeshift_wire::ConfigurationDump;
+use thymeshift_wire::HallDump;
 use thymeshift_wire::PlatformDump;
 use thymeshift_wire::StateDump;
 use thymeshift_wire::TaskDump;
@@ -23,6 +26,7 @@
         routing.services.iter().map(|service| service.dump(now)).collect()
     });
     let kinds = routing.as_ref().map_or_else(Vec::new, |routing| routing.dump_kinds());
+    let halls = halls(shared);
     let answered_at = *shared.platform_answered_at.lock();
     let fleet = shared.fleet.lock();
     let adoption = &fleet.configuration;
@@ -49,6 +53,7 @@
             last_answer_ms: answered_at.map(|at| now.since(at).as_millis() as u64),
             watchers: fleet.election.watchers(now),
         },
+        halls,
         services,
         kinds,
         members: fleet.members.dump(now),
@@ -58,6 +63,35 @@
     }
 }
 
+/// The data halls in which targets or processes are known, with what is known of each.
+pub(crate) fn halls(shared: &Shared) -> Vec<HallDump> {
+    let mut halls: BTreeMap<DataHallName, HallDump> = BTreeMap::new();
+    let Some(routing) = shared.routing() else {
+        return Vec::new();
+    };
+    let configuration = &routing.configuration;
+    let empty = |name: &DataHallName| HallDump {
+        name: name.clone(),
+        is_drained: configuration.is_drained(name),
+        targets: 0,
+        members: 0,
+    };
+    let targets = configuration.services.iter().flat_map(|service| &service.targets);
+    for target in targets {
+        let hall = &target.data_hall;
+        halls.entry(hall.clone()).or_insert_with(|| empty(hall)).targets += 1;
+    }
+    let members = shared.fleet.lock().members.dump(BootClock.now());
+    for known in members {
+        let hall = &known.member.data_hall;
+        halls.entry(hall.clone()).or_insert_with(|| empty(hall)).members += 1;
+    }
+    for hall in &configuration.drained_halls {
+        halls.entry(hall.clone()).or_insert_with(|| empty(hall));
+    }
+    halls.into_values().collect()
+}
+
 fn tasks(shared: &Shared) -> Vec<TaskDump> {
     let statuses = shared.statuses.list().into_iter();
     let dump = statuses.map(|status| TaskDump {
--- a/crates/thymeshift_entry/src/control_plane/operators.rs
+++ b/crates/thymeshift_entry/src/control_plane/operators.rs
@@ -16,6 +16,7 @@
 use thymeshift_supervisor::TaskError;
 use thymeshift_types::BootClock;
 use thymeshift_types::Clock;
+use thymeshift_types::DataHallName;
 use thymeshift_wire::CALLS_PER_CONNECTION_MAX;
 use thymeshift_wire::Control;
 use thymeshift_wire::ExplainRequest;
@@ -28,6 +29,7 @@
 
 use crate::control_plane::accept::accept;
 use crate::control_plane::dump::dump;
+use crate::control_plane::dump::halls;
 use crate::control_plane::explain::explain;
 use crate::control_plane::peer_link::exchange_once;
 use crate::shared::Shared;
@@ -110,11 +112,18 @@
     }
 }
 
+/// Words for a data hall in which neither a target nor a process is known.
+fn unknown_hall(shared: &Shared, hall: &DataHallName) -> Option<String> {
+    let is_known = halls(shared).iter().any(|known| known.name == *hall);
+    (!is_known).then(|| format!("no data hall is called {hall}"))
+}
+
 /// Words for a subject that the configuration in force does not have.
 fn unknown_subject(shared: &Shared, subject: &OrderSubject) -> Option<String> {
     let routing = shared.routing();
     let service_name = match subject {
         OrderSubject::Target(service, _) | OrderSubject::Probing(service) => service,
+        OrderSubject::DataHall(hall) => return unknown_hall(shared, hall),
     };
     let service = routing.as_ref().and_then(|routing| routing.service(service_name.as_str()));
     let Some(service) = service else {
--- a/crates/thymeshift_entry/src/service/mod.rs
+++ b/crates/thymeshift_entry/src/service/mod.rs
@@ -127,6 +127,7 @@
 }
 
 /// What the own dispatcher decides on a request.
+#[expect(clippy::large_enum_variant, reason = "taken apart where it is made")]
 pub(crate) enum Admitted {
     Send(GrantGuard),
     Wait(WaitGuard),
@@ -138,7 +139,7 @@
         Arc::new(Self {
             configuration: configuration.clone(),
             service: Arc::new(service.clone()),
-            grouping: Grouping::of(&service.targets),
+            grouping: Grouping::of(&service.targets, |hall| configuration.is_drained(hall)),
         })
     }
 
--- a/crates/thymeshift_entry/src/service/obtain.rs
+++ b/crates/thymeshift_entry/src/service/obtain.rs
@@ -16,6 +16,7 @@
 use thymeshift_telemetry::metric;
 use thymeshift_types::BootClock;
 use thymeshift_types::Clock;
+use thymeshift_types::Reason;
 use thymeshift_types::TargetName;
 use thymeshift_types::Timestamp;
 use thymeshift_wire::AllocatorAddress;
@@ -125,10 +126,18 @@
     async fn ask_groups(self: &Arc<Self>, shared: &Shared, request: &Request) -> Asked {
         let configured = self.configured();
         let grouping = &configured.grouping;
-        let first = grouping.first_for(&self.own_data_hall, rand::rng().random());
+        let draw = rand::rng().random();
+        let first = grouping.first_for(&self.own_data_hall, draw);
         let (other, by) = match self.ask_group(shared, first, grouping.is_divided(), request).await
         {
             Asked::Redirected(other, by) => (other, by),
+            // Whoever allocates the group knows of no target that may be used: its data hall was
+            // drained, and the news has reached it before this process.
+            Asked::Refused(Refusal { reason: Reason::NoTarget, .. })
+                if let Some(other) = grouping.other_than(first, draw) =>
+            {
+                return self.ask_group(shared, other, true, request).await;
+            }
             asked => return asked,
         };
         let wanted = self.wanted(&other, request);
--- a/crates/thymeshift_entry/src/shared.rs
+++ b/crates/thymeshift_entry/src/shared.rs
@@ -27,6 +27,7 @@
 use thymeshift_telemetry::metric;
 use thymeshift_types::BootClock;
 use thymeshift_types::Clock;
+use thymeshift_types::DataHallName;
 use thymeshift_types::LeavingMark;
 use thymeshift_types::ServiceName;
 use thymeshift_types::Timestamp;
@@ -86,6 +87,8 @@
     discovers: bool,
     pub(crate) metrics_text: MetricsText,
     routing: RwLock<Option<Arc<Routing>>>,
+    /// Data halls that are drained by orders, as far as the routing takes them into account.
+    drained_by_order: Mutex<Vec<DataHallName>>,
 }
 
 impl Shared {
@@ -123,6 +126,7 @@
             links: Links::default(),
             metrics_text,
             routing: RwLock::new(None),
+            drained_by_order: Mutex::default(),
         })
     }
 
@@ -281,7 +285,9 @@
             (Some(base), None) => base.clone(),
             (Some(base), Some(discovery)) => base.with_discovered(discovery),
         };
-        let configuration = configuration.capped(&self.settings());
+        let by_order = fleet.orders.drained_halls(now);
+        self.drained_by_order.lock().clone_from(&by_order);
+        let configuration = configuration.with_drained(&by_order).capped(&self.settings());
         for service in &configuration.services {
             for target in &service.targets {
                 if target.state == TargetState::Leaving {
@@ -295,6 +301,7 @@
         }
         fleet.leaving.retain(|mark| is_mark_needed(&configuration, mark));
         let before = self.routing();
+        log_halls(before.as_deref().map(|before| &*before.configuration), &configuration);
         let own_data_hall = &self.settings().data_hall;
         let routing =
             Routing::new(configuration, before.as_deref(), own_data_hall, &self.service_links());
@@ -335,7 +342,11 @@
             return;
         };
         let now = BootClock.now();
-        let fleet = self.fleet.lock();
+        let mut fleet = self.fleet.lock();
+        if fleet.orders.drained_halls(now) != *self.drained_by_order.lock() {
+            self.put_in_force(&mut fleet, now);
+            return;
+        }
         for service in &routing.services {
             apply_orders(service, &fleet, now);
         }
@@ -363,6 +374,18 @@
     });
 }
 
+/// One line for each data hall that is drained or taken back, and the number of drained ones.
+fn log_halls(before: Option<&Configuration>, now: &Configuration) {
+    let before = before.map_or(&[][..], |before| &before.drained_halls);
+    for hall in now.drained_halls.iter().filter(|hall| !before.contains(hall)) {
+        info!("data_hall_drained", kv: { hall: = hall });
+    }
+    for hall in before.iter().filter(|hall| !now.drained_halls.contains(hall)) {
+        info!("data_hall_taken_back", kv: { hall: = hall });
+    }
+    gauge!(metric::DRAINED_HALLS).set(now.drained_halls.len() as f64);
+}
+
 fn log_offer(
     document: &str,
     offer: Offer,
--- a/crates/thymeshift_fleet/src/orders.rs
+++ b/crates/thymeshift_fleet/src/orders.rs
@@ -13,6 +13,7 @@
 use derive_more::Display;
 use serde::Deserialize;
 use serde::Serialize;
+use thymeshift_types::DataHallName;
 use thymeshift_types::Revision;
 use thymeshift_types::ServiceName;
 use thymeshift_types::TargetName;
@@ -34,6 +35,9 @@
     /// Whether a service's targets are probed.
     #[display("probing {_0}")]
     Probing(ServiceName),
+    /// Whether the targets of a data hall get new work.
+    #[display("hall {_0}")]
+    DataHall(DataHallName),
 }
 
 /// What an order says about its subject.
@@ -150,6 +154,16 @@
         held.is_some_and(|held| held.order.change == OrderChange::Stop)
     }
 
+    /// Data halls that orders which hold say to drain.
+    pub fn drained_halls(&self, now: Timestamp) -> Vec<DataHallName> {
+        let stopped = self.held.keys().filter(|subject| self.is_stopped(subject, now));
+        let hall = |subject: &OrderSubject| match subject {
+            OrderSubject::DataHall(hall) => Some(hall.clone()),
+            OrderSubject::Target(..) | OrderSubject::Probing(_) => None,
+        };
+        stopped.filter_map(hall).collect()
+    }
+
     /// The orders that hold, with the time they have left.
     pub fn list(&self, now: Timestamp) -> Vec<Order> {
         let holding = self.held.values().filter(|held| now < held.expires_at);
--- a/crates/thymeshift_lab/src/experiment/decision_cost.rs
+++ b/crates/thymeshift_lab/src/experiment/decision_cost.rs
@@ -116,6 +116,7 @@
         incarnation: None,
         state,
         pace_percent: USUAL_PACE_PERCENT,
+        cold_for_ms: None,
     }
 }
 
--- a/crates/thymeshift_lab/src/standin/slots.rs
+++ b/crates/thymeshift_lab/src/standin/slots.rs
@@ -77,6 +77,7 @@
             incarnation: None,
             state: ReportedState::Serving,
             pace_percent: USUAL_PACE_PERCENT,
+            cold_for_ms: None,
         }
     }
 
--- a/crates/thymeshift_lab/src/standin/target.rs
+++ b/crates/thymeshift_lab/src/standin/target.rs
@@ -279,6 +279,7 @@
                 incarnation: None,
                 state: ReportedState::Serving,
                 pace_percent: USUAL_PACE_PERCENT,
+                cold_for_ms: None,
             },
         };
         let state =
--- a/crates/thymeshift_lab/tests/fleet.rs
+++ b/crates/thymeshift_lab/tests/fleet.rs
@@ -241,6 +241,16 @@
         ("show targets usability", "stopped"),
         ("undrain target s/t0", "not confirmed by 0:"),
         ("drain target s/zz", "refused: service s has no target zz"),
+        (
+            "show halls hall, drained, targets, members where drained = no",
+            "a     no             1        1",
+        ),
+        ("drain hall a for 1m", "hall a stop: taken for 60 s"),
+        ("show halls hall where drained = yes", "a"),
+        ("show targets usability", "hall_drained"),
+        ("undrain hall a", "not confirmed by 0:"),
+        ("show targets usability", "open"),
+        ("drain hall zz", "refused: no data hall is called zz"),
     ];
     for (line, says) in asked {
         let (code, text) = run(vec![line]);
--- a/crates/thymeshift_query/src/parser.rs
+++ b/crates/thymeshift_query/src/parser.rs
@@ -4,6 +4,7 @@
 
 use thymeshift_fleet::OrderChange;
 use thymeshift_fleet::OrderSubject;
+use thymeshift_types::DataHallName;
 use thymeshift_types::ServiceName;
 use thymeshift_types::TargetName;
 use thymeshift_wire::ExplainHeader;
@@ -24,6 +25,8 @@
 
 /// First words of commands.
 const VERBS: [&str; 7] = ["show", "explain", "drain", "undrain", "pause", "resume", "tables"];
+/// What may be drained.
+const DRAIN_SUBJECTS: [&str; 2] = ["target", "hall"];
 /// Words that may follow the columns of a query.
 const CLAUSES: [&str; 3] = ["where", "sort", "limit"];
 /// Relations between a column and a value.
@@ -59,8 +62,8 @@
         match verb.text.as_str() {
             "show" => self.show(),
             "explain" => self.explain(),
-            "drain" => self.target_order(OrderChange::Stop),
-            "undrain" => self.target_order(OrderChange::Resume),
+            "drain" => self.drain_order(OrderChange::Stop),
+            "undrain" => self.drain_order(OrderChange::Resume),
             "pause" => self.probing_order(OrderChange::Stop),
             "resume" => self.probing_order(OrderChange::Resume),
             "tables" => Ok(Command::Tables),
@@ -193,8 +196,25 @@
         Ok(Command::Explain(request))
     }
 
+    fn drain_order(&mut self, change: OrderChange) -> Parsed<Command> {
+        if self.take_if("hall") {
+            return self.hall_order(change);
+        }
+        if self.take_if("target") {
+            return self.target_order(change);
+        }
+        let word = self.word("'target' or 'hall'")?;
+        Err(QueryMistake::unknown(word.column, &word.text, "a subject", &DRAIN_SUBJECTS))
+    }
+
+    fn hall_order(&mut self, change: OrderChange) -> Parsed<Command> {
+        let word = self.word("a data hall")?;
+        let mistake = |_| QueryMistake::new(word.column, &word.text, "a data hall's name");
+        let hall = DataHallName::new(&word.text).map_err(mistake)?;
+        self.order(OrderSubject::DataHall(hall), change)
+    }
+
     fn target_order(&mut self, change: OrderChange) -> Parsed<Command> {
-        self.keyword("target")?;
         let word = self.word("SERVICE/TARGET")?;
         let subject = || {
             let (service, target) = word.text.split_once('/')?;
--- a/crates/thymeshift_query/src/table.rs
+++ b/crates/thymeshift_query/src/table.rs
@@ -71,6 +71,9 @@
     /// The configuration in force, one row.
     #[display("configuration")]
     Configuration,
+    /// Data halls.
+    #[display("halls")]
+    Halls,
     /// Services.
     #[display("services")]
     Services,
@@ -102,9 +105,10 @@
 
 impl TableName {
     /// All tables.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 12] = [
         Self::Process,
         Self::Configuration,
+        Self::Halls,
         Self::Services,
         Self::Targets,
         Self::Queues,
@@ -136,6 +140,7 @@
             Self::Configuration => {
                 &["vm", "revision", "digest", "in_force_ms", "conflict", "rejected", "mistakes"]
             }
+            Self::Halls => &["vm", "hall", "drained", "targets", "members"],
             Self::Services => &[
                 "vm",
                 "service",
--- a/crates/thymeshift_query/src/tables.rs
+++ b/crates/thymeshift_query/src/tables.rs
@@ -23,6 +23,7 @@
     match name {
         TableName::Process => vec![process(dump)],
         TableName::Configuration => vec![configuration(dump)],
+        TableName::Halls => halls(dump),
         TableName::Services => dump.services.iter().map(service).collect(),
         TableName::Targets => {
             let each = |service: &ServiceDump| {
@@ -75,6 +76,18 @@
     ]
 }
 
+fn halls(dump: &StateDump) -> Vec<Vec<Cell>> {
+    let row = |hall: &thymeshift_wire::HallDump| {
+        vec![
+            Cell::text(&hall.name),
+            Cell::Flag(hall.is_drained),
+            number(hall.targets),
+            number(hall.members),
+        ]
+    };
+    dump.halls.iter().map(row).collect()
+}
+
 fn service(service: &ServiceDump) -> Vec<Cell> {
     let is_open = |target: &&TargetDump| target.usability == Usability::Open;
     vec![
--- a/crates/thymeshift_query/tests/mistakes.rs
+++ b/crates/thymeshift_query/tests/mistakes.rs
@@ -9,7 +9,7 @@
     message: &'static str,
 }
 
-const CASES: [Case; 20] = [
+const CASES: [Case; 24] = [
     Case { line: "", column: 1, message: "found the end, expected a command" },
     Case { line: "shwo targets", column: 1, message: "a command (did you mean 'show'?)" },
     Case { line: "show", column: 5, message: "found the end, expected a table" },
@@ -27,6 +27,10 @@
     Case { line: "show targets limit 3 4", column: 22, message: "expected the end of the line" },
     Case { line: "show targets where target = 'x", column: 29, message: "a closing '" },
     Case { line: "explain GET tariffs", column: 13, message: "a path that starts with /" },
+    Case { line: "drain", column: 6, message: "expected 'target' or 'hall'" },
+    Case { line: "drain hal a", column: 7, message: "a subject (did you mean 'hall'?)" },
+    Case { line: "drain hall", column: 11, message: "expected a data hall" },
+    Case { line: "undrain hall A!", column: 14, message: "a data hall's name" },
     Case { line: "drain target calc", column: 14, message: "expected SERVICE/TARGET" },
     Case { line: "drain target calc/c1 for 3d", column: 26, message: "a time from 1s to 24h" },
     Case { line: "pause probing Calc!", column: 15, message: "a service's name" },
--- a/crates/thymeshift_telemetry/src/metric.rs
+++ b/crates/thymeshift_telemetry/src/metric.rs
@@ -25,6 +25,8 @@
 pub const MEASURING_US: &str = "thymeshift_measuring_us_total";
 /// Revision of the configuration in force.
 pub const REVISION: &str = "thymeshift_configuration_revision";
+/// Data halls whose targets get no new work.
+pub const DRAINED_HALLS: &str = "thymeshift_drained_halls";
 /// Documents refused, by `offer` (`conflicting`, `rejected`).
 pub const DOCUMENTS_REFUSED: &str = "thymeshift_documents_refused_total";
 /// Calls to the platform, by `result` (`changed`, `unchanged`, `failed`).
--- a/crates/thymeshift_wire/src/dump.rs
+++ b/crates/thymeshift_wire/src/dump.rs
@@ -69,6 +69,19 @@
     pub waited: u64,
 }
 
+/// One data hall.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HallDump {
+    /// Its name.
+    pub name: DataHallName,
+    /// Whether its targets get no new work.
+    pub is_drained: bool,
+    /// Targets listed there, of all services.
+    pub targets: u64,
+    /// Entry processes known there.
+    pub members: u64,
+}
+
 /// One task of the supervisor tree.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TaskDump {
@@ -107,6 +120,8 @@
     pub configuration: ConfigurationDump,
     /// The platform.
     pub platform: PlatformDump,
+    /// The data halls.
+    pub halls: Vec<HallDump>,
     /// The services.
     pub services: Vec<ServiceDump>,
     /// The kinds.
--- a/crates/thymeshift_wire/src/lib.rs
+++ b/crates/thymeshift_wire/src/lib.rs
@@ -51,6 +51,7 @@
 pub use dialect::Dialect;
 pub use dialect::Meaning;
 pub use dump::ConfigurationDump;
+pub use dump::HallDump;
 pub use dump::KindDump;
 pub use dump::PlatformDump;
 pub use dump::StateDump;
--- a/crates/thymeshift_wire/src/load_header.rs
+++ b/crates/thymeshift_wire/src/load_header.rs
@@ -1,8 +1,9 @@
 //! Load reports as targets put them on answers, in the text form of the ORCA
 //! specification: `TEXT named_metrics.running=2, named_metrics.queued=0`.
 //!
-//! Fields: `running`, `queued`, `incarnation`, `draining` (0 or 1) and `pace_percent` (how
-//! long work takes now, in percent of the usual). A report with
+//! Fields: `running`, `queued`, `incarnation`, `draining` (0 or 1), `pace_percent` (how
+//! long work takes now, in percent of the usual) and `cold_for_ms` (for how much longer the target
+//! is cold, in milliseconds). A report with
 //! neither `running` nor `queued` is not a report. Unknown fields are passed over.
 
 use http::HeaderMap;
@@ -27,6 +28,7 @@
     let mut incarnation = None;
     let mut state = ReportedState::Serving;
     let mut pace_percent = None;
+    let mut cold_for_ms = None;
     for field in fields.split(',') {
         let (name, value) = field.split_once('=')?;
         let name = name.trim();
@@ -39,6 +41,7 @@
             "queued" => queued = Some(value as u32),
             "incarnation" => incarnation = Some(Incarnation::new(value as u64)),
             "pace_percent" => pace_percent = Some(value as u32),
+            "cold_for_ms" => cold_for_ms = Some(value as u32),
             "draining" if value > 0.0 => state = ReportedState::Draining,
             _ => {}
         }
@@ -48,18 +51,19 @@
     }
     let (running, queued) = (running.unwrap_or(0), queued.unwrap_or(0));
     let pace_percent = pace_percent.unwrap_or(USUAL_PACE_PERCENT);
-    Some(LoadReport { running, queued, incarnation, state, pace_percent })
+    Some(LoadReport { running, queued, incarnation, state, pace_percent, cold_for_ms })
 }
 
 /// The report as a header's value.
 pub fn write(report: &LoadReport) -> HeaderValue {
-    let LoadReport { running, queued, incarnation, state, pace_percent } = report;
+    let LoadReport { running, queued, incarnation, state, pace_percent, cold_for_ms } = report;
     let draining = u8::from(*state == ReportedState::Draining);
     let incarnation = incarnation
         .map_or(String::new(), |incarnation| format!(", {NAMED}incarnation={incarnation}"));
+    let cold = cold_for_ms.map_or(String::new(), |left| format!(", {NAMED}cold_for_ms={left}"));
     let text = format!(
         "{FORMAT}{NAMED}running={running}, {NAMED}queued={queued}, \
-         {NAMED}draining={draining}, {NAMED}pace_percent={pace_percent}{incarnation}"
+         {NAMED}draining={draining}, {NAMED}pace_percent={pace_percent}{incarnation}{cold}"
     );
     // Digits and fixed ASCII text always make a valid value.
     HeaderValue::try_from(text).unwrap_or_else(|_| HeaderValue::from_static(""))
--- a/crates/thymeshift_wire/tests/headers.rs
+++ b/crates/thymeshift_wire/tests/headers.rs
@@ -50,11 +50,19 @@
 fn a_load_report_is_read_as_it_was_written() {
     for state in [ReportedState::Serving, ReportedState::Draining] {
         for incarnation in [None, Some(Incarnation::new(7))] {
-            let written =
-                LoadReport { running: 3, queued: 12, incarnation, state, pace_percent: 250 };
-            let mut map = HeaderMap::new();
-            map.insert(headers::LOAD, load_header::write(&written));
-            assert_eq!(load_header::read(&map), Some(written));
+            for cold_for_ms in [None, Some(0), Some(2_500)] {
+                let written = LoadReport {
+                    running: 3,
+                    queued: 12,
+                    incarnation,
+                    state,
+                    pace_percent: 250,
+                    cold_for_ms,
+                };
+                let mut map = HeaderMap::new();
+                map.insert(headers::LOAD, load_header::write(&written));
+                assert_eq!(load_header::read(&map), Some(written));
+            }
         }
     }
 }
