--- a/crates/thymeshift_allocation/src/rooms.rs
+++ b/crates/thymeshift_allocation/src/rooms.rs
@@ -33,6 +33,13 @@
         self.told.insert(group, Told { room, at: now });
     }
 
+    /// Whether another group than `own` has room.
+    pub fn is_elsewhere(&self, own: &Group, now: Timestamp) -> bool {
+        self.told
+            .iter()
+            .any(|(group, told)| group != own && told.room > 0 && now.since(told.at) < WORTH)
+    }
+
     /// Takes a place in another group than `own`, drawn by room.
     pub fn take<R: Rng>(&mut self, own: &Group, now: Timestamp, rng: &mut R) -> Option<Group> {
         let is_usable = |group: &Group, told: &Told| group != own && now.since(told.at) < WORTH;
--- a/crates/thymeshift_dispatch/src/decision.rs
+++ b/crates/thymeshift_dispatch/src/decision.rs
@@ -51,10 +51,12 @@
     Failed(Option<LoadReport>),
     /// The target shed the request.
     Shed(Option<LoadReport>),
-    /// No connection could be opened, or it broke.
+    /// The connection broke, or what came on it is no answer.
     Broken,
     /// No answer came in time.
     TimedOut,
+    /// No connection could be opened.
+    Unreachable,
 }
 
 impl Observation {
@@ -62,7 +64,7 @@
     pub fn report(&self) -> Option<LoadReport> {
         match *self {
             Self::Answered(report) | Self::Failed(report) | Self::Shed(report) => report,
-            Self::Broken | Self::TimedOut => None,
+            Self::Broken | Self::TimedOut | Self::Unreachable => None,
         }
     }
 }
--- a/crates/thymeshift_dispatch/src/dispatcher.rs
+++ b/crates/thymeshift_dispatch/src/dispatcher.rs
@@ -59,6 +59,8 @@
     ejection: Ejection,
     pause: PauseDetector,
     view: View,
+    /// Whether others have room for what finds no target here.
+    is_backed: bool,
 }
 
 impl Dispatcher<AnyStrategy> {
@@ -121,9 +123,16 @@
             ejection: Ejection::default(),
             pause: PauseDetector::new(now, PAUSE_GAP_MAX),
             view: View::Own,
+            is_backed: false,
         }
     }
 
+    /// Says whether requests that find no target here may go elsewhere: then any number of
+    /// targets may be set aside.
+    pub fn set_backed(&mut self, is_backed: bool) {
+        self.is_backed = is_backed;
+    }
+
     /// Says whose requests the counts hold from now on.
     pub fn set_view(&mut self, view: View) {
         self.view = view;
--- a/crates/thymeshift_dispatch/src/dispatcher/learning.rs
+++ b/crates/thymeshift_dispatch/src/dispatcher/learning.rs
@@ -26,7 +26,8 @@
         now: Timestamp,
     ) -> Option<LeavingMark> {
         let mark = observation.report().and_then(|report| self.learn_report(grant, report, now));
-        let has_room = self.table.has_room_to_eject(self.ejection.share_max_percent, now);
+        let has_room =
+            self.is_backed || self.table.has_room_to_eject(self.ejection.share_max_percent, now);
         if let Observation::Answered(report) = observation {
             self.table.learn_latency(grant, report, now);
         }
@@ -39,6 +40,7 @@
             Observation::Failed(_) | Observation::Broken => {
                 target.failed(&self.ejection, has_room, now);
             }
+            Observation::Unreachable => target.unreachable(&self.ejection, has_room, now),
             Observation::Shed(_) => target.learn_overload(now),
             Observation::TimedOut => {
                 target.learn_latency(grant, now);
--- a/crates/thymeshift_dispatch/src/ejection.rs
+++ b/crates/thymeshift_dispatch/src/ejection.rs
@@ -1,13 +1,18 @@
 //! Setting a failing target aside for a while.
 //!
-//! What it does: after a number of failures in a row a target is set aside; the time
-//! doubles with each ejection that follows on another. A success ends the row.
+//! What it does: after a number of failures in a row, or one connection that cannot be opened, a
+//! target is set aside; the time doubles with each ejection that follows on another. A success
+//! ends the row.
 //!
-//! Why: a target that fails fast looks idle and would attract work.
+//! Why: a target that fails fast looks idle and would attract work. A connection that cannot be
+//! opened leaves no doubt: while a data hall is without power, each of its targets is tried
+//! once and not five times.
 //!
 //! Settings: `ejection.failures`, `ejection.base_ms`, `ejection.share_max_percent`. The
 //! last is the panic bound: beyond it nobody more is set aside, because a fault that
-//! hits most targets is not a target's fault, and the rest could not carry the load.
+//! hits most targets is not a target's fault, and the rest could not carry the load. It does not
+//! bind where other groups of the service have room: what is lost together is then a data hall,
+//! and the rest carries its load.
 
 use std::time::Duration;
 
@@ -59,7 +64,22 @@
         self.failures_in_row += 1;
         self.move_rate(1.0, now);
         let is_due = self.failures_in_row >= settings.failures;
-        if !is_due || !has_room || self.is_ejected(now) {
+        is_due && self.eject(settings, has_room, now)
+    }
+
+    /// No connection could be opened: as [`Self::failed`], but at once.
+    pub(crate) fn unreachable(
+        &mut self,
+        settings: &Settings,
+        has_room: bool,
+        now: Timestamp,
+    ) -> bool {
+        self.move_rate(1.0, now);
+        self.eject(settings, has_room, now)
+    }
+
+    fn eject(&mut self, settings: &Settings, has_room: bool, now: Timestamp) -> bool {
+        if !has_room || self.is_ejected(now) {
             return false;
         }
         let factor = 1 << self.ejections_in_row.min(DOUBLINGS_MAX);
--- a/crates/thymeshift_dispatch/src/target_state.rs
+++ b/crates/thymeshift_dispatch/src/target_state.rs
@@ -241,6 +241,15 @@
         self.ejection.failed(settings, has_room, now);
     }
 
+    pub(crate) fn unreachable(
+        &mut self,
+        settings: &EjectionSettings,
+        has_room: bool,
+        now: Timestamp,
+    ) {
+        self.ejection.unreachable(settings, has_room, now);
+    }
+
     pub(crate) fn distrust(&mut self) {
         self.others.distrust();
     }
--- a/crates/thymeshift_entry/src/caller/forward.rs
+++ b/crates/thymeshift_entry/src/caller/forward.rs
@@ -95,8 +95,11 @@
                 Ok(response) => return Ok(response),
                 Err(failed) => failed,
             };
-            let Some(target) = failed.target else {
-                // Nothing was sent: choose again without counting an attempt.
+            if let Some(target) = failed.target {
+                tried.add(target);
+            }
+            if !failed.is_sent {
+                // Choose again without counting an attempt, or spending a retry.
                 attempts -= 1;
                 given_up += 1;
                 match failed.body {
@@ -104,8 +107,7 @@
                     _ => return self.ended(failed.failure, None, begun),
                 }
                 continue;
-            };
-            tried.add(target);
+            }
             let AttemptFailure { failure, body: unused, answer, .. } = *failed;
             self.log_attempt(&failure, attempts);
             let Some(again) = unused.or(copy).filter(|_| self.may_retry(&failure, attempts)) else {
--- a/crates/thymeshift_entry/src/service/group.rs
+++ b/crates/thymeshift_entry/src/service/group.rs
@@ -104,6 +104,7 @@
     fn decide(&self, key: &LeaseKey<LeaseHolder>, acquire: &Acquire, now: Timestamp) -> Reply {
         self.expect_requests(now);
         let Books { dispatcher, allocator, .. } = &mut *self.books.lock();
+        dispatcher.set_backed(self.told.lock().rooms.is_elsewhere(&self.group, now));
         allocator.keep_only(&key.holder, &numbers(&acquire.held), dispatcher, now);
         if acquire.may_redirect
             && !allocator.knows(key)
--- a/crates/thymeshift_entry/src/target_client/attempt.rs
+++ b/crates/thymeshift_entry/src/target_client/attempt.rs
@@ -67,9 +67,10 @@
 /// An attempt that brought no answer.
 pub(crate) struct AttemptFailure {
     pub(crate) failure: Failure,
-    /// The target that was tried; none if nothing was sent because it may not be used
-    /// any more.
+    /// The target that was tried; none if it may not be used any more.
     pub(crate) target: Option<TargetIndex>,
+    /// Whether anything was sent, so that it counts as an attempt.
+    pub(crate) is_sent: bool,
     /// The body, if it was not used.
     pub(crate) body: Option<RequestBody>,
     /// The target's own failure, to be passed on if nothing more is tried.
@@ -97,8 +98,9 @@
         let Some(destination) = self.grant.destination() else {
             return Err(self.given_up(plan.body).into());
         };
-        let Some(connection) = self.connection(&plan, &destination).await else {
-            return Err(self.unreachable(plan.body, &destination).into());
+        let connection = match self.connection(&plan, &destination).await {
+            Ok(connection) => connection,
+            Err(error) => return Err(self.unconnected(plan.body, &destination, &error).into()),
         };
         // The last look before the first byte: the target may have begun to leave, the
         // process may have slept.
@@ -113,12 +115,12 @@
         &self,
         plan: &AttemptPlan,
         destination: &Destination,
-    ) -> Option<Connection> {
+    ) -> Result<Connection, ConnectError> {
         let service = self.grant.service();
         if plan.freshness == Freshness::Any
             && let Some(connection) = service.pool().idle(destination.address).await
         {
-            return Some(connection);
+            return Ok(connection);
         }
         let left = BootClock.now().until(plan.deadline);
         let limit = Duration::from_millis(service.settings().connect_timeout_ms).min(left);
@@ -128,7 +130,7 @@
                 service: = service.name(), target: = destination.name, error: = error
             });
         };
-        connected.inspect_err(log).ok()
+        connected.inspect_err(log)
     }
 
     async fn send(
@@ -181,6 +183,7 @@
                 return Err(Box::new(AttemptFailure {
                     failure,
                     target: destination.index,
+                    is_sent: true,
                     body: None,
                     answer: Some(response),
                 }));
@@ -192,7 +195,7 @@
             Err(_) => Failure::new(Outcome::Unknown, Reason::Deadline, Step::AnswerBody, peer),
         };
         let target = destination.index;
-        Err(Box::new(AttemptFailure { failure, target, body: None, answer: None }))
+        Err(Box::new(AttemptFailure { failure, target, is_sent: true, body: None, answer: None }))
     }
 
     /// The failure that an answer's meaning amounts to, if it is not to be passed on.
@@ -221,21 +224,31 @@
     }
 
     fn failure(&self, failure: Failure, body: Option<RequestBody>) -> AttemptFailure {
-        AttemptFailure { failure, target: self.grant.target(), body, answer: None }
+        let target = self.grant.target();
+        AttemptFailure { failure, target, is_sent: true, body, answer: None }
     }
 
     /// Nothing was sent because the target may not be used any more.
     fn given_up(self, body: RequestBody) -> AttemptFailure {
         let peer = Peer::Service(self.grant.service().name().clone());
         let failure = Failure::new(Outcome::NotRun, Reason::Deadline, Step::Send, peer);
-        AttemptFailure { failure, target: None, body: Some(body), answer: None }
+        AttemptFailure { failure, target: None, is_sent: false, body: Some(body), answer: None }
     }
 
-    fn unreachable(mut self, body: RequestBody, destination: &Destination) -> AttemptFailure {
-        self.learn(Observation::Broken);
+    /// There is no connection, so that nothing was sent. That all connections of this process
+    /// to the target are in use tells nothing of the target.
+    fn unconnected(
+        mut self,
+        body: RequestBody,
+        destination: &Destination,
+        error: &ConnectError,
+    ) -> AttemptFailure {
+        if !matches!(error, ConnectError::ShareInUse { .. }) {
+            self.learn(Observation::Unreachable);
+        }
         let peer = self.peer(destination);
         let failure = Failure::new(Outcome::NotRun, Reason::ConnectFailed, Step::Connect, peer);
-        self.failure(failure, Some(body))
+        AttemptFailure { is_sent: false, ..self.failure(failure, Some(body)) }
     }
 
     fn timed_out(mut self, destination: &Destination) -> AttemptFailure {
