--- a/crates/thymeshift_dispatch/src/dispatcher.rs
+++ b/crates/thymeshift_dispatch/src/dispatcher.rs
@@ -19,6 +19,7 @@
 use thymeshift_types::Timestamp;
 
 use crate::AnyStrategy;
+use crate::Candidate;
 use crate::Candidates;
 use crate::Decision;
 use crate::Grant;
@@ -362,6 +363,33 @@
         serving.map(|target| (target.name.clone(), target.address))
     }
 
+    /// The targets that a request would most likely be sent to, and of which nothing was heard for
+    /// `age`: up to `count`, and none if the first of them was heard of.
+    pub fn worth_asking(
+        &self,
+        request: &Request,
+        age: Duration,
+        count: usize,
+        now: Timestamp,
+    ) -> Vec<(TargetName, SocketAddr)> {
+        let candidates =
+            Candidates::new(&self.table, self.view, now, &request.tried, request.origin);
+        let mut best: Vec<(f64, Candidate<'_>)> = candidates
+            .iter()
+            .map(|candidate| (candidates.expected_us(&candidate), candidate))
+            .collect();
+        best.sort_by(|(one, _), (other, _)| one.total_cmp(other));
+        best.truncate(count);
+        let is_unheard = |candidate: &Candidate<'_>| candidate.target.is_unheard(age, now);
+        if !best.first().is_some_and(|(_, first)| is_unheard(first)) {
+            return Vec::new();
+        }
+        let unheard = best.into_iter().filter(|(_, candidate)| is_unheard(candidate));
+        unheard
+            .map(|(_, candidate)| (candidate.target.name.clone(), candidate.target.address))
+            .collect()
+    }
+
     /// Names and addresses of the targets that may be probed and of which nothing was heard
     /// for `age`.
     pub fn unheard_targets(&self, age: Duration, now: Timestamp) -> Vec<(TargetName, SocketAddr)> {
--- a/crates/thymeshift_dispatch/tests/budgets.rs
+++ b/crates/thymeshift_dispatch/tests/budgets.rs
@@ -219,3 +219,49 @@
         assert!((least..=most).contains(&begun), "{note}: {begun} probes in 10 s");
     }
 }
+
+/// Probes that are made just before grants come in bursts; the rate holds all the same.
+#[test]
+fn early_probes_are_few_at_a_time_and_paid_for_by_later_ones() {
+    fn holds(wants: Vec<u8>) -> bool {
+        let interval = ms(48);
+        let mut pacing = ProbePacing::default();
+        let mut begun = Vec::new();
+        for (step, want) in wants.iter().cycle().take(4_000).enumerate() {
+            let now = START + ms(step as u64);
+            let may_begin = match want % 3 {
+                0 => pacing.try_begin(interval, now),
+                1 => pacing.try_begin_early(interval, now),
+                _ => false,
+            };
+            if may_begin {
+                pacing.ended(true);
+                begun.push(step);
+            }
+        }
+        // One every 48 ms, and eight more within any time however short.
+        begun.iter().enumerate().all(|(first, from)| {
+            begun
+                .iter()
+                .enumerate()
+                .skip(first)
+                .all(|(last, to)| last - first <= (to - from) / 48 + 8)
+        })
+    }
+    QuickCheck::new()
+        .tests(50)
+        .rng(Gen::from_size_and_seed(50, 3))
+        .quickcheck(holds as fn(Vec<u8>) -> bool);
+}
+
+#[test]
+fn a_target_that_does_not_answer_is_not_probed_early() {
+    let mut pacing = ProbePacing::default();
+    assert!(pacing.try_begin_early(ms(48), START));
+    assert!(!pacing.try_begin_early(ms(48), START), "one at a time");
+    pacing.ended(false);
+    assert!(!pacing.try_begin_early(ms(48), START + ms(500)));
+    assert!(pacing.try_begin(ms(48), START + ms(500)));
+    pacing.ended(true);
+    assert!(pacing.try_begin_early(ms(48), START + ms(501)));
+}
--- a/crates/thymeshift_entry/src/allocation_client.rs
+++ b/crates/thymeshift_entry/src/allocation_client.rs
@@ -216,7 +216,7 @@
             held,
         };
         match allocating {
-            Allocating::Here(runtime) => runtime.acquire(self.own_holder(), &acquire),
+            Allocating::Here(runtime) => runtime.acquire(self.own_holder(), acquire),
             Allocating::There(place) => self.send(place.address, Message::Acquire(acquire)),
         }
         Acquisition { lease, replies: receiver }
--- a/crates/thymeshift_entry/src/control_plane/datagrams.rs
+++ b/crates/thymeshift_entry/src/control_plane/datagrams.rs
@@ -52,7 +52,7 @@
         Message::News(heads) => take_news(shared, &sender, heads),
         Message::Acquire(acquire) => {
             let holder = LeaseHolder { vm: sender, boot, address: Some(from) };
-            take_acquire(shared, holder, from, &acquire);
+            take_acquire(shared, holder, from, acquire);
         }
         Message::Release(release) => {
             if let Some(service) = service(shared, &release.service) {
@@ -80,7 +80,7 @@
     }
 }
 
-fn take_acquire(shared: &Shared, holder: LeaseHolder, from: SocketAddr, acquire: &Acquire) {
+fn take_acquire(shared: &Shared, holder: LeaseHolder, from: SocketAddr, acquire: Acquire) {
     let client = &shared.allocation;
     let Some(service) = allocating_service(shared, &acquire.service) else {
         client.send(from, Message::Declined(acquire.number));
--- a/crates/thymeshift_entry/src/service/group.rs
+++ b/crates/thymeshift_entry/src/service/group.rs
@@ -37,6 +37,28 @@
 /// Time without a question after which a group counts as rested.
 const RESTED: Duration = Duration::from_millis(100);
 
+/// Age from which on what was heard of a target is too old to grant it: work keeps the pace at which
+/// it starts, and how long it takes changes several times a second.
+const FRESH: Duration = Duration::from_millis(10);
+/// Targets probed before one of them is granted.
+const LOOKED_AT: usize = 3;
+
+/// A request for a target that waits until the best targets have been probed.
+pub(crate) struct FreshLook {
+    pub(crate) group: Arc<GroupRuntime>,
+    pub(crate) targets: Vec<(TargetName, SocketAddr)>,
+    pub(crate) acquire: Acquire,
+    holder: LeaseHolder,
+    asked_at: Timestamp,
+}
+
+impl FreshLook {
+    /// Decides with what has been heard by now.
+    pub(crate) fn decide(self) {
+        self.group.answer(self.holder, &self.acquire, self.asked_at);
+    }
+}
+
 /// The dispatcher over the whole fleet's requests to one group, with the books of its leases.
 pub(crate) struct GroupRuntime {
     group: Group,
@@ -50,6 +72,8 @@
     allocator: Allocator<LeaseHolder>,
     /// When a target was last asked for.
     asked_at: Option<Timestamp>,
+    /// Whether the targets may be probed.
+    is_probed: bool,
 }
 
 impl GroupRuntime {
@@ -65,7 +89,12 @@
         let part = part_of(service, &group);
         let mut dispatcher = Dispatcher::configured(configuration, &part, own_data_hall, now);
         dispatcher.set_view(View::Fleet);
-        let books = Books { dispatcher, allocator: Allocator::default(), asked_at: None };
+        let books = Books {
+            dispatcher,
+            allocator: Allocator::default(),
+            asked_at: None,
+            is_probed: is_probed(service),
+        };
         Arc::new(Self { group, books: Mutex::new(books), told, links })
     }
 
@@ -77,7 +106,11 @@
         now: Timestamp,
     ) {
         let part = part_of(service, &self.group);
-        self.books.lock().dispatcher.reconfigure(configuration, &part, own_data_hall, now);
+        {
+            let mut books = self.books.lock();
+            books.dispatcher.reconfigure(configuration, &part, own_data_hall, now);
+            books.is_probed = is_probed(service);
+        }
         self.wake_waiting(now);
     }
 
@@ -90,10 +123,34 @@
     }
 
     /// A process asks for a target.
-    pub(crate) fn acquire(&self, holder: LeaseHolder, acquire: &Acquire) {
+    pub(crate) fn acquire(self: &Arc<Self>, holder: LeaseHolder, acquire: Acquire) {
+        let now = BootClock.now();
+        let targets = self.worth_asking(&acquire, now);
+        if targets.is_empty() {
+            self.answer(holder, &acquire, now);
+            return;
+        }
+        let look = FreshLook { group: self.clone(), targets, acquire, holder, asked_at: now };
+        // The probing task is gone only when the process ends.
+        if let Err(unsent) = self.links.fresh_looks.send(look) {
+            unsent.0.decide();
+        }
+    }
+
+    fn worth_asking(&self, acquire: &Acquire, now: Timestamp) -> Vec<(TargetName, SocketAddr)> {
+        let books = &mut *self.books.lock();
+        if !books.is_probed {
+            return Vec::new();
+        }
+        let request = request_of(acquire, &mut books.dispatcher, now);
+        books.dispatcher.worth_asking(&request, FRESH, LOOKED_AT, now)
+    }
+
+    /// Answers a process that asked for a target at `asked_at`.
+    fn answer(&self, holder: LeaseHolder, acquire: &Acquire, asked_at: Timestamp) {
         let now = BootClock.now();
         let key = LeaseKey { holder, number: acquire.number.0 };
-        let reply = self.decide(&key, acquire, now);
+        let reply = self.decide(&key, acquire, asked_at, now);
         if reply == Reply::Waiting {
             self.links.waiting.notify_one();
         }
@@ -101,7 +158,13 @@
         self.wake_waiting(now);
     }
 
-    fn decide(&self, key: &LeaseKey<LeaseHolder>, acquire: &Acquire, now: Timestamp) -> Reply {
+    fn decide(
+        &self,
+        key: &LeaseKey<LeaseHolder>,
+        acquire: &Acquire,
+        asked_at: Timestamp,
+        now: Timestamp,
+    ) -> Reply {
         self.expect_requests(now);
         let Books { dispatcher, allocator, .. } = &mut *self.books.lock();
         dispatcher.set_backed(self.told.lock().rooms.is_elsewhere(&self.group, now));
@@ -113,7 +176,7 @@
         {
             return Reply::Redirected(other, by);
         }
-        let request = request_of(acquire, dispatcher, now);
+        let request = request_of(acquire, dispatcher, asked_at);
         let allocation = allocator.acquire(key.clone(), request, dispatcher, now, &mut rand::rng());
         reply_of(allocation)
     }
@@ -215,6 +278,10 @@
     }
 }
 
+fn is_probed(service: &Service) -> bool {
+    service.probe.is_some() && service.measuring_budget_us_per_s > 0
+}
+
 /// The service with the targets of the group alone.
 fn part_of(service: &Service, group: &Group) -> Service {
     let targets = service.targets.iter().filter(|target| group.has(target)).cloned().collect();
--- a/crates/thymeshift_entry/src/service/mod.rs
+++ b/crates/thymeshift_entry/src/service/mod.rs
@@ -44,12 +44,14 @@
 use thymeshift_wire::AllocatorAddress;
 use thymeshift_wire::GroupRoom;
 use tokio::sync::Notify;
+use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
 use crate::allocation_client::AllocationClient;
 use crate::service::obtain::Allocators;
 use crate::target_client::Pool;
 
+pub(crate) use group::FreshLook;
 pub(crate) use group::GroupRuntime;
 pub(crate) use guards::GrantGuard;
 pub(crate) use guards::WaitGuard;
@@ -94,6 +96,8 @@
     pub(crate) waiting: Arc<Notify>,
     /// Rings when a group is asked for a target after a rest, so that its targets are probed.
     pub(crate) allocating: Arc<Notify>,
+    /// Takes requests for a target that wait until the best targets have been probed.
+    pub(crate) fresh_looks: mpsc::UnboundedSender<FreshLook>,
 }
 
 /// What is configured, as far as a service depends on it.
--- a/crates/thymeshift_entry/src/shared.rs
+++ b/crates/thymeshift_entry/src/shared.rs
@@ -35,7 +35,9 @@
 use thymeshift_wire::AllocatorAddress;
 use thymeshift_wire::Message;
 use tokio::net::UdpSocket;
+use tokio::sync::Mutex as AsyncMutex;
 use tokio::sync::Notify;
+use tokio::sync::mpsc;
 use tokio::sync::watch;
 
 use crate::allocation_client::AllocationClient;
@@ -43,6 +45,7 @@
 use crate::control_plane::tell_below;
 use crate::fleet::Fleet;
 use crate::routing::Routing;
+use crate::service::FreshLook;
 use crate::service::ServiceLinks;
 use crate::service::ServiceRuntime;
 
@@ -79,6 +82,9 @@
     pub(crate) waiting: Arc<Notify>,
     /// Rings when a group is asked for a target after a rest.
     pub(crate) allocating: Arc<Notify>,
+    fresh_looks: mpsc::UnboundedSender<FreshLook>,
+    /// Requests for a target that wait until the best targets have been probed.
+    pub(crate) looks_wanted: AsyncMutex<mpsc::UnboundedReceiver<FreshLook>>,
     /// Bounds the log lines about single requests.
     pub(crate) request_lines: LineBudget,
     /// Whether this process waits for a document from the one above it in its data hall.
@@ -100,7 +106,10 @@
         discovers: bool,
         metrics_text: MetricsText,
     ) -> Arc<Self> {
+        let (fresh_looks, looks_wanted) = mpsc::unbounded_channel();
         Arc::new(Self {
+            fresh_looks,
+            looks_wanted: AsyncMutex::new(looks_wanted),
             fleet: Mutex::new(Fleet::new(&settings, boot, BootClock.now())),
             allocation: AllocationClient::new(
                 socket,
@@ -135,6 +144,7 @@
             allocation: self.allocation.clone(),
             waiting: self.waiting.clone(),
             allocating: self.allocating.clone(),
+            fresh_looks: self.fresh_looks.clone(),
         }
     }
 
--- a/crates/thymeshift_entry/src/target_client/pace_probe.rs
+++ b/crates/thymeshift_entry/src/target_client/pace_probe.rs
@@ -13,6 +13,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::future::join_all;
 use metrics::counter;
 use parking_lot::Mutex;
 use thymeshift_config::Probe;
@@ -23,9 +24,12 @@
 use thymeshift_types::BootClock;
 use thymeshift_types::Clock;
 use thymeshift_wire::Dialect;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::service::Destination;
+use crate::service::FreshLook;
 use crate::service::GroupRuntime;
 use crate::service::ServiceRuntime;
 use crate::shared::Shared;
@@ -42,6 +46,10 @@
 /// Time after the last request within which a service counts as in use.
 const IN_USE: Duration = Duration::from_millis(250);
 
+/// Longest time for which a request for a target waits for probes: one takes 6 ms and the way
+/// there and back 1 to 3 ms.
+const FRESH_LOOK_LIMIT: Duration = Duration::from_millis(12);
+
 /// Targets of a group that a process probes while it knows no other one: in a large fleet
 /// many may be starting, and together they would swamp the targets and their own processors.
 pub(crate) const PROBED_ALONE_MAX: usize = 16;
@@ -52,15 +60,65 @@
 /// Probes for ever.
 pub(crate) async fn run_pace_probes<D: Dialect>(shared: Arc<Shared>) -> Result<(), TaskError> {
     let probing = Probing::default();
+    let mut wanted = shared.looks_wanted.lock().await;
     loop {
         let now = BootClock.now();
         probing.lock().retain(|_, pacing| !pacing.is_over(now));
         let is_allocating = begin_due::<D>(&shared, &probing);
         let wait = if is_allocating { LOOK } else { IDLE_LOOK };
-        let _ = timeout(wait, shared.allocating.notified()).await;
+        let until = sleep(wait);
+        tokio::pin!(until);
+        loop {
+            tokio::select! {
+                () = &mut until => break,
+                () = shared.allocating.notified() => break,
+                Some(look) = wanted.recv() => begin_look::<D>(&shared, &probing, look),
+            }
+        }
     }
 }
 
+/// Probes the targets that a request would be sent to, and decides on it then.
+fn begin_look<D: Dialect>(shared: &Arc<Shared>, probing: &Probing, look: FreshLook) {
+    let routing = shared.routing();
+    let service = routing.as_ref().and_then(|all| all.service(look.acquire.service.as_str()));
+    let Some(service) = service else {
+        look.decide();
+        return;
+    };
+    let settings = service.settings();
+    let terms = settings.probe.as_ref().and_then(|probe| {
+        let interval = age_allowed(&settings, probe)?;
+        Some((probe, interval))
+    });
+    let Some((probe, interval)) = terms else {
+        look.decide();
+        return;
+    };
+    let now = BootClock.now();
+    let mut probes = Vec::new();
+    for (name, address) in &look.targets {
+        let destination = service.destination(name.clone(), *address);
+        let may_begin = {
+            let mut probing = probing.lock();
+            probing.entry(destination.clone()).or_default().try_begin_early(interval, now)
+        };
+        if may_begin {
+            let subject = Subject { service: service.clone(), group: look.group.clone() };
+            probes.push(begin::<D>(shared, subject, destination, probe.clone(), probing.clone()));
+        }
+    }
+    if probes.is_empty() {
+        look.decide();
+        return;
+    }
+    tokio::spawn(async move {
+        // A probe that takes longer goes on, and tells what it finds to later decisions.
+        let _ = timeout(FRESH_LOOK_LIMIT, join_all(probes)).await;
+        look.decide();
+    });
+}
+
 /// Returns whether targets of any service are granted here.
 fn begin_due<D: Dialect>(shared: &Arc<Shared>, probing: &Probing) -> bool {
     let Some(routing) = shared.routing() else {
@@ -111,14 +169,14 @@
     destination: Destination,
     probe: Probe,
     probing: Probing,
-) {
+) -> JoinHandle<()> {
     let shared = shared.clone();
     tokio::spawn(async move {
         let is_answered = run_probe::<D>(&shared, &subject, &destination, &probe).await;
         if let Some(pacing) = probing.lock().get_mut(&destination) {
             pacing.ended(is_answered);
         }
-    });
+    })
 }
 
 /// Shortest time between two probes of a target that the budget allows an allocator.
