--- a/crates/thymeshift_entry/src/control_plane/accept.rs
+++ b/crates/thymeshift_entry/src/control_plane/accept.rs
@@ -3,8 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use spdlog::debug;
 use spdlog::warn;
 use thymeshift_supervisor::TaskError;
+use thymeshift_wire::end_if_silent;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
@@ -35,6 +37,10 @@
                 continue;
             }
         };
+        if let Err(error) = end_if_silent(&stream) {
+            // It went away in this very moment, or is served without.
+            debug!("silence_unbounded", kv: { error: = error });
+        }
         let serving = serve(stream);
         tokio::spawn(async move {
             let _place = place;
--- a/crates/thymeshift_entry/src/target_client/pool.rs
+++ b/crates/thymeshift_entry/src/target_client/pool.rs
@@ -25,6 +25,7 @@
 use thymeshift_types::Clock;
 use thymeshift_types::ServiceName;
 use thymeshift_types::Timestamp;
+use thymeshift_wire::end_if_silent;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
@@ -129,6 +130,7 @@
         let opening = async {
             let stream = TcpStream::connect(address).await?;
             stream.set_nodelay(true)?;
+            end_if_silent(&stream)?;
             io::Result::Ok(stream)
         };
         let Ok(opened) = timeout(limit, opening).await else {
--- a/crates/thymeshift_wire/src/lib.rs
+++ b/crates/thymeshift_wire/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod load_header;
 mod native;
 mod peer;
+mod silence;
 mod transport;
 
 pub use call_context::CallContext;
@@ -62,6 +63,10 @@
 pub use peer::Exchange;
 pub use peer::PeerLink;
 pub use peer::PeerLinkClient;
+pub use silence::ASKED_AFTER;
+pub use silence::UNANSWERED_MAX;
+pub use silence::UNCONFIRMED_MAX;
+pub use silence::end_if_silent;
 pub use transport::CALLS_PER_CONNECTION_MAX;
 pub use transport::ControlChannel;
 pub use transport::LinkError;
--- /dev/null
+++ b/crates/thymeshift_wire/tests/silence.rs
@@ -0,0 +1,33 @@
+//! What the kernel is told about connections whose other side falls silent. Loopback cannot fall
+//! silent, so that the effect itself is not shown here.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rustix::net::sockopt::socket_keepalive;
+use rustix::net::sockopt::tcp_keepcnt;
+use rustix::net::sockopt::tcp_keepidle;
+use rustix::net::sockopt::tcp_keepintvl;
+use rustix::net::sockopt::tcp_user_timeout;
+use thymeshift_wire::UNANSWERED_MAX;
+use thymeshift_wire::UNCONFIRMED_MAX;
+use thymeshift_wire::end_if_silent;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+#[tokio::test]
+async fn a_silent_connection_ends_within_seconds() {
+    let listener = Arc::new(TcpListener::bind("127.0.0.1:0").await.expect("a listener"));
+    let address = listener.local_addr().expect("an address");
+    let stream = TcpStream::connect(address).await.expect("a connection");
+    assert!(!socket_keepalive(&stream).expect("an option"), "as the kernel makes it");
+    end_if_silent(&stream).expect("options");
+    assert!(socket_keepalive(&stream).expect("an option"));
+    let idle = tcp_keepidle(&stream).expect("an option");
+    let between = tcp_keepintvl(&stream).expect("an option");
+    let count = tcp_keepcnt(&stream).expect("an option");
+    assert_eq!(count, UNANSWERED_MAX);
+    assert!(idle + between * count <= Duration::from_secs(3), "while it is idle");
+    let unconfirmed_ms = tcp_user_timeout(&stream).expect("an option");
+    assert_eq!(u128::from(unconfirmed_ms), UNCONFIRMED_MAX.as_millis(), "while it is in use");
+}
