--- a/crates/thymeshift_entry/src/service/group.rs
+++ b/crates/thymeshift_entry/src/service/group.rs
@@ -41,7 +41,7 @@
 /// it starts, and how long it takes changes several times a second.
 const FRESH: Duration = Duration::from_millis(10);
 /// Targets probed before one of them is granted.
-const LOOKED_AT: usize = 3;
+const LOOKED_AT: usize = 5;
 
 /// A request for a target that waits until the best targets have been probed.
 pub(crate) struct FreshLook {
