--- a/crates/thymeshift_dispatch/src/dispatcher.rs
+++ b/crates/thymeshift_dispatch/src/dispatcher.rs
@@ -1,16 +1,17 @@
 //! All decisions of one service at one VM.
 //!
+//! * [`configuring`]: taking in a configuration.
 //! * [`learning`]: what attempts and probes teach.
+//! * [`probing`]: which targets are worth a probe.
 
+mod configuring;
 mod learning;
+mod probing;
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use rand::Rng;
-use thymeshift_config::Configuration;
 use thymeshift_config::Ejection;
-use thymeshift_config::Service;
 use thymeshift_types::DataHallName;
 use thymeshift_types::Incarnation;
 use thymeshift_types::Reason;
@@ -19,7 +20,6 @@
 use thymeshift_types::Timestamp;
 
 use crate::AnyStrategy;
-use crate::Candidate;
 use crate::Candidates;
 use crate::Decision;
 use crate::Grant;
@@ -38,7 +38,6 @@
 use crate::Wake;
 use crate::admission::Admission;
 use crate::queue::Queue;
-use crate::table::Surroundings;
 use crate::table::Table;
 use crate::target_state::Target;
 
@@ -65,33 +64,6 @@
 }
 
 impl Dispatcher<AnyStrategy> {
-    /// A dispatcher for a configured service, with the strategy it names.
-    pub fn configured(
-        configuration: &Configuration,
-        service: &Service,
-        own_data_hall: &DataHallName,
-        now: Timestamp,
-    ) -> Self {
-        let strategy = AnyStrategy::new(service.strategy);
-        let mut dispatcher = Self::new(service.name.clone(), strategy, now);
-        dispatcher.update(configuration, service, own_data_hall, now);
-        dispatcher
-    }
-
-    /// Takes in a new configuration of the service, the strategy included.
-    pub fn reconfigure(
-        &mut self,
-        configuration: &Configuration,
-        service: &Service,
-        own_data_hall: &DataHallName,
-        now: Timestamp,
-    ) {
-        if self.strategy.name() != service.strategy {
-            self.strategy = AnyStrategy::new(service.strategy);
-        }
-        self.update(configuration, service, own_data_hall, now);
-    }
-
     /// What this dispatcher believes.
     pub fn dump(&self, now: Timestamp) -> ServiceDump {
         let queues = PRIORITIES
@@ -180,27 +152,6 @@
         self.table.get(index).name.clone()
     }
 
-    /// Takes in a new configuration of the service.
-    pub fn update(
-        &mut self,
-        configuration: &Configuration,
-        service: &Service,
-        own_data_hall: &DataHallName,
-        now: Timestamp,
-    ) {
-        let surroundings = Surroundings {
-            own_data_hall: own_data_hall.clone(),
-            one_way: Duration::from_micros(configuration.data_hall_one_way_us),
-            detour: Duration::from_micros(configuration.data_hall_detour_us),
-            entry_vms_max: configuration.entry_vms_max,
-            drained_halls: configuration.drained_halls.clone(),
-        };
-        self.table.update(service, &surroundings, now);
-        self.ejection = service.ejection.clone();
-        self.retry.set_percent(service.retry_budget_percent);
-        self.retry.set_reserve_max(service.retry_reserve);
-    }
-
     /// Must be called several times in [`PAUSE_GAP_MAX`]: it notices pauses of the process.
     /// Returns the pause, if there was one.
     pub fn tick(&mut self, now: Timestamp) -> Option<Duration> {
@@ -357,47 +308,6 @@
         now + Duration::from_micros(self.table.model().service_us() as u64)
     }
 
-    /// Names and indices of the targets that may be probed.
-    pub fn probe_targets(&self) -> impl Iterator<Item = (TargetName, std::net::SocketAddr)> + '_ {
-        let serving = self.table.targets().iter().filter(|target| target.is_serving());
-        serving.map(|target| (target.name.clone(), target.address))
-    }
-
-    /// The targets that a request would most likely be sent to, and of which nothing was heard for
-    /// `age`: up to `count`, and none if the first of them was heard of.
-    pub fn worth_asking(
-        &self,
-        request: &Request,
-        age: Duration,
-        count: usize,
-        now: Timestamp,
-    ) -> Vec<(TargetName, SocketAddr)> {
-        let candidates =
-            Candidates::new(&self.table, self.view, now, &request.tried, request.origin);
-        let mut best: Vec<(f64, Candidate<'_>)> = candidates
-            .iter()
-            .map(|candidate| (candidates.expected_us(&candidate), candidate))
-            .collect();
-        best.sort_by(|(one, _), (other, _)| one.total_cmp(other));
-        best.truncate(count);
-        let is_unheard = |candidate: &Candidate<'_>| candidate.target.is_unheard(age, now);
-        if !best.first().is_some_and(|(_, first)| is_unheard(first)) {
-            return Vec::new();
-        }
-        let unheard = best.into_iter().filter(|(_, candidate)| is_unheard(candidate));
-        unheard
-            .map(|(_, candidate)| (candidate.target.name.clone(), candidate.target.address))
-            .collect()
-    }
-
-    /// Names and addresses of the targets that may be probed and of which nothing was heard
-    /// for `age`.
-    pub fn unheard_targets(&self, age: Duration, now: Timestamp) -> Vec<(TargetName, SocketAddr)> {
-        let is_unheard = |target: &&Target| target.is_serving() && target.is_unheard(age, now);
-        let unheard = self.table.targets().iter().filter(is_unheard);
-        unheard.map(|target| (target.name.clone(), target.address)).collect()
-    }
-
     /// Further requests that targets would serve at nearly their usual pace.
     pub fn room(&self, now: Timestamp) -> u32 {
         self.table.room(self.view, now)
--- /dev/null
+++ b/crates/thymeshift_dispatch/src/dispatcher/probing.rs
@@ -0,0 +1,57 @@
+//! Which targets are worth a probe.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use thymeshift_types::TargetName;
+use thymeshift_types::Timestamp;
+
+use crate::Candidate;
+use crate::Candidates;
+use crate::Dispatcher;
+use crate::Request;
+use crate::Strategy;
+use crate::target_state::Target;
+
+impl<S: Strategy> Dispatcher<S> {
+    /// Names and addresses of the targets that may be probed.
+    pub fn probe_targets(&self) -> impl Iterator<Item = (TargetName, SocketAddr)> + '_ {
+        let serving = self.table.targets().iter().filter(|target| target.is_serving());
+        serving.map(|target| (target.name.clone(), target.address))
+    }
+
+    /// The targets that a request would most likely be sent to, and of which nothing was heard for
+    /// `age`: up to `count`, and none if the first of them was heard of.
+    pub fn worth_asking(
+        &self,
+        request: &Request,
+        age: Duration,
+        count: usize,
+        now: Timestamp,
+    ) -> Vec<(TargetName, SocketAddr)> {
+        let candidates =
+            Candidates::new(&self.table, self.view, now, &request.tried, request.origin);
+        let mut best: Vec<(f64, Candidate<'_>)> = candidates
+            .iter()
+            .map(|candidate| (candidates.expected_us(&candidate), candidate))
+            .collect();
+        best.sort_by(|(one, _), (other, _)| one.total_cmp(other));
+        best.truncate(count);
+        let is_unheard = |candidate: &Candidate<'_>| candidate.target.is_unheard(age, now);
+        if !best.first().is_some_and(|(_, first)| is_unheard(first)) {
+            return Vec::new();
+        }
+        let unheard = best.into_iter().filter(|(_, candidate)| is_unheard(candidate));
+        unheard
+            .map(|(_, candidate)| (candidate.target.name.clone(), candidate.target.address))
+            .collect()
+    }
+
+    /// Names and addresses of the targets that may be probed and of which nothing was heard
+    /// for `age`.
+    pub fn unheard_targets(&self, age: Duration, now: Timestamp) -> Vec<(TargetName, SocketAddr)> {
+        let is_unheard = |target: &&Target| target.is_serving() && target.is_unheard(age, now);
+        let unheard = self.table.targets().iter().filter(is_unheard);
+        unheard.map(|target| (target.name.clone(), target.address)).collect()
+    }
+}
