--- /dev/null
+++ b/crates/thymeshift_allocation/tests/drained_order.rs
@@ -0,0 +1,315 @@
+//! Data halls are drained and taken back while documents, leases and grants are on their way, in
+//! every order that is drawn: late, lost, doubled, from peers that know less, with two processes
+//! that allocate, and with processes that start anew.
+//!
+//! What must hold at every process: from the moment at which a list that drains a hall is in force
+//! there, it sends nothing to that hall, whoever granted it and when, until a later list that takes
+//! the hall back is in force there. An older list never ends that.
+
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::time::Duration;
+use thymeshift_allocation::Allocation;
+use thymeshift_allocation::Allocator;
+use thymeshift_allocation::LeaseKey;
+use thymeshift_config::Configuration;
+use thymeshift_config::Discovery;
+use thymeshift_dispatch::AnyStrategy;
+use thymeshift_dispatch::Dispatcher;
+use thymeshift_dispatch::Grant;
+use thymeshift_dispatch::HallIndex;
+use thymeshift_dispatch::Request;
+use thymeshift_dispatch::Tried;
+use thymeshift_dispatch::View;
+use thymeshift_fleet::Adoption;
+use thymeshift_fleet::Offer;
+use thymeshift_fleet::Published;
+use thymeshift_types::DataHallName;
+use thymeshift_types::Revision;
+use thymeshift_types::TargetName;
+use thymeshift_types::Timestamp;
+
+const PROCESSES: usize = 3;
+/// The first processes also allocate, each for all: two may do so at the same time.
+const ALLOCATORS: usize = 2;
+const HALLS: [&str; 2] = ["a", "b"];
+const TARGETS_PER_HALL: usize = 2;
+
+/// What happens next.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    /// The source drains a hall or takes it back.
+    Change { hall: usize },
+    /// A process reads the source as it was so many changes ago.
+    Read { process: usize, changes_ago: usize },
+    /// A process takes the list that another one has in force.
+    Fetch { process: usize, from: usize },
+    /// A process asks an allocator; the answer is on its way.
+    Ask { process: usize, allocator: usize },
+    /// An answer arrives, the oldest or a later one, and may arrive again.
+    Answered { place: usize, is_doubled: bool },
+    /// A process decides alone.
+    DecideAlone { process: usize },
+    /// A process sends what it was granted longest ago.
+    Send { process: usize },
+    /// A process starts anew and knows nothing.
+    Restart { process: usize },
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let any = |g: &mut Gen, count: usize| usize::from(u8::arbitrary(g)) % count;
+        let process = any(g, PROCESSES);
+        match u8::arbitrary(g) % 16 {
+            0 | 1 => Self::Change { hall: any(g, HALLS.len()) },
+            2 | 3 => Self::Read { process, changes_ago: any(g, 3) },
+            4 => Self::Fetch { process, from: any(g, PROCESSES) },
+            5..=7 => Self::Ask { process, allocator: any(g, ALLOCATORS) },
+            8..=10 => Self::Answered { place: any(g, 4), is_doubled: bool::arbitrary(g) },
+            11 => Self::DecideAlone { process },
+            12..=14 => Self::Send { process },
+            _ => Self::Restart { process },
+        }
+    }
+}
+
+fn hall(index: usize) -> DataHallName {
+    DataHallName::new(HALLS[index]).expect("a name")
+}
+
+fn hall_of(target: &TargetName) -> DataHallName {
+    DataHallName::new(&target.as_str()[..1]).expect("a name")
+}
+
+fn base() -> Configuration {
+    let text = "entry_vms_max: 4\ndata_halls: [a, b]\nkinds: []\nservices:\n- name: s\n  \
+                slots_per_target: 2\n  connections_per_target: 40\n  cold_start_ramp_ms: 0\n";
+    Configuration::parse(text).expect("a configuration")
+}
+
+/// The list of discovered targets with these halls drained.
+fn list(drained: &[usize]) -> String {
+    let mut text = String::new();
+    for hall in drained {
+        text.push_str(&format!("- {{drained_hall: {}}}\n", HALLS[*hall]));
+    }
+    for (place, hall) in HALLS.iter().enumerate() {
+        for number in 0..TARGETS_PER_HALL {
+            let port = 1 + place * TARGETS_PER_HALL + number;
+            text.push_str(&format!(
+                "- {{service: s, slots: 2, name: {hall}{number}, address: '127.0.0.1:{port}', data_hall: {hall}}}\n"
+            ));
+        }
+    }
+    text
+}
+
+struct Process {
+    lists: Adoption,
+    drained: Vec<DataHallName>,
+    dispatcher: Dispatcher<AnyStrategy>,
+    /// The dispatcher over the fleet's requests, and its books.
+    counting: Dispatcher<AnyStrategy>,
+    allocator: Allocator<usize>,
+    /// Grants that wait to be sent.
+    granted: Vec<Grant>,
+}
+
+impl Process {
+    fn new(now: Timestamp) -> Self {
+        let base = base();
+        let dispatcher = || Dispatcher::configured(&base, &base.services[0], &hall(0), now);
+        let mut counting = dispatcher();
+        counting.set_view(View::Fleet);
+        Self {
+            lists: Adoption::default(),
+            drained: Vec::new(),
+            dispatcher: dispatcher(),
+            counting,
+            allocator: Allocator::default(),
+            granted: Vec::new(),
+        }
+    }
+
+    fn offer(&mut self, published: &Published, now: Timestamp) {
+        let (offer, read) = self.lists.offer(published, now, Discovery::parse);
+        if offer != Offer::Adopted {
+            return;
+        }
+        let joined = base().with_discovered(&read.expect("an adopted list"));
+        self.drained.clone_from(&joined.drained_halls);
+        for dispatcher in [&mut self.dispatcher, &mut self.counting] {
+            dispatcher.update(&joined, &joined.services[0], &hall(0), now);
+        }
+    }
+}
+
+/// An answer of an allocator on its way to a process.
+#[derive(Debug, Clone)]
+struct Answer {
+    process: usize,
+    target: TargetName,
+}
+
+struct World {
+    now: Timestamp,
+    published: Vec<Published>,
+    drained: Vec<usize>,
+    processes: Vec<Process>,
+    answers: Vec<Answer>,
+    leases: u64,
+    rng: SmallRng,
+    sent: usize,
+}
+
+impl World {
+    fn new() -> Self {
+        let now = Timestamp::from_millis(1_000_000);
+        let first = Published::new(Revision::new(1), &list(&[]));
+        let mut processes: Vec<Process> = (0..PROCESSES).map(|_| Process::new(now)).collect();
+        for process in &mut processes {
+            process.offer(&first, now);
+        }
+        Self {
+            now,
+            published: vec![first],
+            drained: Vec::new(),
+            processes,
+            answers: Vec::new(),
+            leases: 0,
+            rng: SmallRng::seed_from_u64(9),
+            sent: 0,
+        }
+    }
+
+    fn request(&self) -> Request {
+        let deadline = self.now + Duration::from_secs(60);
+        Request {
+            priority: 1,
+            deadline,
+            wait_until: deadline,
+            objective: deadline,
+            queue_max: 0,
+            tried: Tried::default(),
+            origin: HallIndex::default(),
+        }
+    }
+
+    /// Returns whether what must hold holds.
+    fn play(&mut self, step: Step) -> bool {
+        self.now = self.now + Duration::from_millis(3);
+        match step {
+            Step::Change { hall } => self.change(hall),
+            Step::Read { process, changes_ago } => {
+                let place = self.published.len().saturating_sub(1 + changes_ago);
+                let published = self.published[place].clone();
+                self.processes[process].offer(&published, self.now);
+            }
+            Step::Fetch { process, from } => {
+                if let Some(published) = self.processes[from].lists.in_force().cloned() {
+                    self.processes[process].offer(&published, self.now);
+                }
+            }
+            Step::Ask { process, allocator } => self.ask(process, allocator),
+            Step::Answered { place, is_doubled } => self.answered(place, is_doubled),
+            Step::DecideAlone { process } => self.decide_alone(process),
+            Step::Send { process } => return self.send(process),
+            Step::Restart { process } => self.processes[process] = Process::new(self.now),
+        }
+        true
+    }
+
+    fn change(&mut self, hall: usize) {
+        match self.drained.iter().position(|drained| *drained == hall) {
+            Some(place) => {
+                self.drained.remove(place);
+            }
+            None => self.drained.push(hall),
+        }
+        let revision = Revision::new(self.published.len() as u64 + 1);
+        self.published.push(Published::new(revision, &list(&self.drained)));
+    }
+
+    fn ask(&mut self, process: usize, allocator: usize) {
+        self.leases += 1;
+        let key = LeaseKey { holder: process, number: self.leases };
+        let request = self.request();
+        let Process { counting, allocator: books, .. } = &mut self.processes[allocator];
+        // Earlier leases are given back, so that there is room for new ones.
+        books.keep_only(&process, &[], counting, self.now + Duration::from_secs(1));
+        let allocation = books.acquire(key, request, counting, self.now, &mut self.rng);
+        if let Allocation::Granted(target, _) = allocation {
+            self.answers.push(Answer { process, target });
+        }
+    }
+
+    fn answered(&mut self, place: usize, is_doubled: bool) {
+        if self.answers.is_empty() {
+            return;
+        }
+        let place = place % self.answers.len();
+        let answer = self.answers[place].clone();
+        if !is_doubled {
+            self.answers.remove(place);
+        }
+        let process = &mut self.processes[answer.process];
+        let granted = process.dispatcher.grant_at(&answer.target, self.now);
+        process.granted.extend(granted);
+    }
+
+    fn decide_alone(&mut self, process: usize) {
+        let request = self.request();
+        let process = &mut self.processes[process];
+        process.dispatcher.set_view(View::Fallback);
+        let decision = process.dispatcher.request(request, self.now, &mut self.rng);
+        if let thymeshift_dispatch::Decision::Send(grant) = decision {
+            process.granted.push(grant);
+        }
+    }
+
+    fn send(&mut self, process: usize) -> bool {
+        let process = &mut self.processes[process];
+        if process.granted.is_empty() {
+            return true;
+        }
+        let grant = process.granted.remove(0);
+        let deadline = self.now + Duration::from_secs(60);
+        let may_send = process.dispatcher.may_send(&grant, deadline, self.now);
+        let is_drained =
+            process.drained.contains(&hall_of(&process.dispatcher.target_name(&grant)));
+        process.dispatcher.release(grant, self.now);
+        self.sent += usize::from(may_send);
+        !(may_send && is_drained)
+    }
+}
+
+#[test]
+fn no_order_of_messages_sends_anything_to_a_hall_that_is_known_to_be_drained() {
+    fn holds(steps: Vec<Step>) -> bool {
+        let mut world = World::new();
+        steps.into_iter().all(|step| world.play(step))
+    }
+    QuickCheck::new()
+        .tests(600)
+        .rng(Gen::from_size_and_seed(120, 17))
+        .quickcheck(holds as fn(Vec<Step>) -> bool);
+}
+
+/// The property above would hold for processes that never send.
+#[test]
+fn the_orders_drawn_send_and_drain() {
+    let mut gen_steps = Gen::from_size_and_seed(400, 17);
+    let (mut sent, mut drained) = (0, 0);
+    for _ in 0..50 {
+        let mut world = World::new();
+        for step in Vec::<Step>::arbitrary(&mut gen_steps) {
+            assert!(world.play(step));
+            drained += usize::from(world.processes.iter().any(|known| !known.drained.is_empty()));
+        }
+        sent += world.sent;
+    }
+    assert!(sent > 300 && drained > 1_000, "{sent} sent, {drained} steps with a drained hall");
+}
