--- a/crates/thymeshift_config/src/check.rs
+++ b/crates/thymeshift_config/src/check.rs
@@ -1,12 +1,14 @@
 //! Checks that need more than one field: names that must be unique or must exist, and
 //! figures that must fit each other.
 
+use std::collections::HashMap;
 use std::collections::HashSet;
 
 use thymeshift_types::DataHallName;
 
 use crate::Configuration;
 use crate::Kind;
+use crate::KindMatch;
 use crate::Mistake;
 use crate::Mistakes;
 use crate::Repeat;
@@ -126,9 +128,10 @@
 
 /// A kind behind another with the same rules would never be found.
 fn check_reachable(configuration: &Configuration, checker: &mut Checker<'_>) {
+    let mut earlier: HashMap<&KindMatch, &Kind> = HashMap::new();
     for (index, kind) in configuration.kinds.iter().enumerate() {
-        let earlier = &configuration.kinds[..index];
-        if let Some(same) = earlier.iter().find(|earlier| earlier.rules == kind.rules) {
+        let same = *earlier.entry(&kind.rules).or_insert(kind);
+        if same.name != kind.name {
             let found = format!("the rules of '{}' again", same.name);
             checker.refuse(&format!("kinds[{index}].match"), found, "rules of its own");
         }
--- a/crates/thymeshift_config/src/configuration.rs
+++ b/crates/thymeshift_config/src/configuration.rs
@@ -16,6 +16,7 @@
 use crate::decode::Decode;
 use crate::decode::MapReader;
 use crate::tree::Node;
+use crate::tree::json_lines;
 
 /// Part of the retries that the platform bears, in tenths, which processes use together: each
 /// counts its own requests, and their windows differ.
@@ -56,16 +57,25 @@
             mistakes.add(check::too_long(text.len()));
             return Err(mistakes);
         }
-        let node = match Node::parse(text) {
-            Ok(node) => node,
+        // With a mistake in it the text is read again: the general reader tells the place.
+        let quick = json_lines::parse(text).map(|node| Self::checked(&node));
+        if let Some(Ok(configuration)) = quick {
+            return Ok(configuration);
+        }
+        match Node::parse(text) {
+            Ok(node) => Self::checked(&node),
             Err(mistake) => {
                 mistakes.add(mistake);
-                return Err(mistakes);
+                Err(mistakes)
             }
-        };
-        let decoded = Self::decode(&node, "", &mut mistakes);
+        }
+    }
+
+    fn checked(node: &Node) -> Result<Self, Mistakes> {
+        let mut mistakes = Mistakes::default();
+        let decoded = Self::decode(node, "", &mut mistakes);
         if let Some(configuration) = &decoded {
-            check::check(configuration, &node, &mut mistakes);
+            check::check(configuration, node, &mut mistakes);
         }
         match decoded {
             Some(configuration) if mistakes.is_empty() => Ok(configuration),
--- a/crates/thymeshift_config/src/kind.rs
+++ b/crates/thymeshift_config/src/kind.rs
@@ -49,7 +49,7 @@
 }
 
 /// A header that a request must carry with this value.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Hash)]
 pub struct HeaderRule {
     /// Header name in lower case.
     pub name: String,
@@ -58,7 +58,7 @@
 }
 
 /// All rules of one kind; a request must satisfy each that is given.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Hash)]
 pub struct KindMatch {
     /// Methods allowed; empty allows all.
     pub methods: Vec<String>,
--- a/crates/thymeshift_config/src/tree.rs
+++ b/crates/thymeshift_config/src/tree.rs
@@ -3,6 +3,8 @@
 //! Aliases and tags are refused: a published text has a bounded size and means the same
 //! to every reader. A repeated key is a mistake and not silently the last one.
 
+pub(crate) mod json_lines;
+
 use std::borrow::Cow;
 use std::fmt;
 
