--- a/crates/thymeshift_allocation/tests/drained_order.rs
+++ b/crates/thymeshift_allocation/tests/drained_order.rs
@@ -6,12 +6,13 @@
 //! there, it sends nothing to that hall, whoever granted it and when, until a later list that takes
 //! the hall back is in force there. An older list never ends that.
 
+use std::time::Duration;
+
 use quickcheck::Arbitrary;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use std::time::Duration;
 use thymeshift_allocation::Allocation;
 use thymeshift_allocation::Allocator;
 use thymeshift_allocation::LeaseKey;
--- a/crates/thymeshift_config/tests/quick_reader.rs
+++ b/crates/thymeshift_config/tests/quick_reader.rs
@@ -40,15 +40,15 @@
     }
     let case = Case { note: "", replace: "", with: "", is_good: false };
     let cases = [
-        Case { note: "as it is", is_good: true, ..case },
+        Case { note: "as it is", is_good: true },
         Case { note: "a fraction", replace: "820,\"cold", with: "820.0,\"cold", ..case },
-        Case { note: "an exponent", replace: ":2.5", with: ":25e-1", is_good: true, ..case },
+        Case { note: "an exponent", replace: ":2.5", with: ":25e-1", is_good: true },
         Case { note: "minus nothing", replace: "136", with: "-0", ..case },
-        Case { note: "a leading zero", replace: "136", with: "0136", is_good: true, ..case },
+        Case { note: "a leading zero", replace: "136", with: "0136", is_good: true },
         Case { note: "a quoted number", replace: "136", with: "\"136\"", ..case },
         Case { note: "too large", replace: "136", with: "99999999999999999999", ..case },
-        Case { note: "a word", replace: "true", with: "true", is_good: true, ..case },
-        Case { note: "an unquoted word", replace: "\"safe\"", with: "safe", is_good: true, ..case },
+        Case { note: "a word", replace: "true", with: "true", is_good: true },
+        Case { note: "an unquoted word", replace: "\"safe\"", with: "safe", is_good: true },
         Case { note: "an unknown field", replace: "\"split\"", with: "\"splits\"", ..case },
         Case {
             note: "a repeated field",
