--- a/crates/thymeshift_config/tests/quick_reader.rs
+++ b/crates/thymeshift_config/tests/quick_reader.rs
@@ -40,7 +40,7 @@
     }
     let case = Case { note: "", replace: "", with: "", is_good: false };
     let cases = [
-        Case { note: "as it is", is_good: true },
+        Case { note: "as it is", is_good: true, ..case },
         Case { note: "a fraction", replace: "820,\"cold", with: "820.0,\"cold", ..case },
         Case { note: "an exponent", replace: ":2.5", with: ":25e-1", is_good: true },
         Case { note: "minus nothing", replace: "136", with: "-0", ..case },
