--- a/crates/thymeshift_allocation/tests/drained_order.rs
+++ b/crates/thymeshift_allocation/tests/drained_order.rs
@@ -6,6 +6,7 @@
 //! there, it sends nothing to that hall, whoever granted it and when, until a later list that takes
 //! the hall back is in force there. An older list never ends that.
 
+use std::fmt::Write;
 use std::time::Duration;
 
 use quickcheck::Arbitrary;
@@ -95,14 +96,16 @@
 fn list(drained: &[usize]) -> String {
     let mut text = String::new();
     for hall in drained {
-        text.push_str(&format!("- {{drained_hall: {}}}\n", HALLS[*hall]));
+        writeln!(text, "- {{drained_hall: {}}}", HALLS[*hall]).expect("a string takes it");
     }
     for (place, hall) in HALLS.iter().enumerate() {
         for number in 0..TARGETS_PER_HALL {
             let port = 1 + place * TARGETS_PER_HALL + number;
-            text.push_str(&format!(
-                "- {{service: s, slots: 2, name: {hall}{number}, address: '127.0.0.1:{port}', data_hall: {hall}}}\n"
-            ));
+            writeln!(
+                text,
+                "- {{service: s, slots: 2, name: {hall}{number}, address: '127.0.0.1:{port}', data_hall: {hall}}}"
+            )
+            .expect("a string takes it");
         }
     }
     text
@@ -187,7 +190,7 @@
     }
 
     fn request(&self) -> Request {
-        let deadline = self.now + Duration::from_secs(60);
+        let deadline = self.now + Duration::from_mins(1);
         Request {
             priority: 1,
             deadline,
@@ -277,7 +280,7 @@
             return true;
         }
         let grant = process.granted.remove(0);
-        let deadline = self.now + Duration::from_secs(60);
+        let deadline = self.now + Duration::from_mins(1);
         let may_send = process.dispatcher.may_send(&grant, deadline, self.now);
         let is_drained =
             process.drained.contains(&hall_of(&process.dispatcher.target_name(&grant)));
--- a/crates/thymeshift_config/tests/quick_reader.rs
+++ b/crates/thymeshift_config/tests/quick_reader.rs
@@ -58,26 +58,13 @@
         },
         Case { note: "a repeated list", replace: "kinds:", with: "services:", ..case },
         Case { note: "an empty list", replace: "kinds:\n", with: "kinds:\nlimits:\n", ..case },
-        Case {
-            note: "an escape",
-            replace: "/health",
-            with: "/heal\\u0074h",
-            is_good: true,
-            ..case
-        },
-        Case {
-            note: "a letter beyond ASCII",
-            replace: "/health",
-            with: "/hälth",
-            is_good: true,
-            ..case
-        },
+        Case { note: "an escape", replace: "/health", with: "/heal\\u0074h", is_good: true },
+        Case { note: "a letter beyond ASCII", replace: "/health", with: "/hälth", is_good: true },
         Case {
             note: "a comment",
             replace: "\"a\",\"b\"]",
             with: "\"a\",\"b\"] # two",
             is_good: true,
-            ..case
         },
         Case { note: "an alias", replace: "\"split\":[]", with: "\"split\":*x", ..case },
         Case { note: "a tag", replace: "\"split\":[]", with: "\"split\":!x []", ..case },
