--- /dev/null
+++ b/crates/thymeshift_entry/src/caller/fingerprint.rs
@@ -0,0 +1,48 @@
+//! The fingerprint of a caller's request.
+
+use std::net::IpAddr;
+
+use blake3::Hasher;
+use http::HeaderValue;
+use http::header;
+use http::request::Parts;
+use thymeshift_types::Fingerprint;
+
+use crate::target_client::RequestBody;
+
+/// Marks the place of a body whose bytes are not known before it is passed on.
+const STREAMED: u8 = 1;
+const WHOLE: u8 = 0;
+
+/// The fingerprint of a request: its method, host, path with query, body, and the caller's
+/// address without the port. Other headers are left out, because callers change some of them with
+/// each try. A body that is streamed is left out as well: such requests are told apart by their
+/// heads alone.
+pub(crate) fn fingerprint_of(parts: &Parts, caller: IpAddr, body: &RequestBody) -> Fingerprint {
+    let mut hasher = Hasher::new();
+    let host = parts.headers.get(header::HOST).map(HeaderValue::as_bytes);
+    let authority = parts.uri.authority().map(|authority| authority.as_str().as_bytes());
+    let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
+    add(&mut hasher, caller.to_string().as_bytes());
+    add(&mut hasher, parts.method.as_str().as_bytes());
+    add(&mut hasher, host.or(authority).unwrap_or_default());
+    add(&mut hasher, path.as_bytes());
+    match body {
+        RequestBody::Whole(bytes) => {
+            hasher.update(&[WHOLE]);
+            hasher.update(bytes);
+        }
+        RequestBody::Streaming(_) => {
+            hasher.update(&[STREAMED]);
+        }
+    }
+    let mut bytes = [0; 16];
+    hasher.finalize_xof().fill(&mut bytes);
+    Fingerprint::from_bytes(bytes)
+}
+
+/// Adds a field with its length, so that the bytes of two fields cannot be shifted between them.
+fn add(hasher: &mut Hasher, field: &[u8]) {
+    hasher.update(&(field.len() as u64).to_be_bytes());
+    hasher.update(field);
+}
--- a/crates/thymeshift_entry/src/caller/forward.rs
+++ b/crates/thymeshift_entry/src/caller/forward.rs
@@ -19,6 +19,7 @@
 use thymeshift_types::BootClock;
 use thymeshift_types::Clock;
 use thymeshift_types::Failure;
+use thymeshift_types::Fingerprint;
 use thymeshift_types::Outcome;
 use thymeshift_types::Peer;
 use thymeshift_types::Reason;
@@ -56,6 +57,8 @@
     pub(crate) kind: Arc<KindRuntime>,
     pub(crate) service: Arc<ServiceRuntime>,
     pub(crate) request_id: HeaderValue,
+    /// The same for each arrival of the request.
+    pub(crate) fingerprint: Fingerprint,
     /// Answers up to this length are complete before any of it goes to the caller.
     pub(crate) answer_buffer_bytes: u64,
     pub(crate) head: Parts,
@@ -145,7 +148,8 @@
         let request_id = self.request_id.to_str().unwrap_or_default();
         let left_ms = BootClock.now().until(self.deadline).as_millis() as u64;
         info!("attempt_failed", kv: {
-            request_id, attempt, attempts_max = self.attempts_max, left_ms,
+            request_id, fingerprint: = self.fingerprint,
+            attempt, attempts_max = self.attempts_max, left_ms,
             outcome: = failure.outcome, reason: = failure.reason,
             step: = failure.step, peer: = failure.peer,
             has_retry = self.service.has_retry()
--- a/crates/thymeshift_entry/src/caller/handler.rs
+++ b/crates/thymeshift_entry/src/caller/handler.rs
@@ -23,6 +23,7 @@
 use thymeshift_types::BootClock;
 use thymeshift_types::Clock;
 use thymeshift_types::Failure;
+use thymeshift_types::Fingerprint;
 use thymeshift_types::Outcome;
 use thymeshift_types::Peer;
 use thymeshift_types::Reason;
@@ -34,6 +35,7 @@
 
 use crate::caller::answer::AnswerBody;
 use crate::caller::answer::failure_answer;
+use crate::caller::fingerprint::fingerprint_of;
 use crate::caller::forward::Forward;
 use crate::caller::head::Head;
 use crate::caller::hop::remove_hop_by_hop;
@@ -70,6 +72,8 @@
     accepted_at: Timestamp,
     kind: Option<Arc<KindRuntime>>,
     request_id: HeaderValue,
+    /// None until the request has been read.
+    fingerprint: Option<Fingerprint>,
     is_recorded: bool,
 }
 
@@ -82,7 +86,8 @@
         let taken_us = BootClock.now().since(self.accepted_at).as_micros() as u64;
         let request_id = self.request_id.to_str().unwrap_or_default();
         let kind = self.kind.as_ref().map_or("", |kind| kind.kind.name.as_str());
-        info!("request_abandoned", kv: { request_id, kind, taken_us });
+        let fingerprint = self.fingerprint_text();
+        info!("request_abandoned", kv: { request_id, fingerprint, kind, taken_us });
     }
 }
 
@@ -103,10 +108,11 @@
         accepted_at,
         kind: None,
         request_id: request_id.clone(),
+        fingerprint: None,
         is_recorded: false,
     };
-    let answered = progress.answer::<D>(request, &request_id).await;
-    progress.record(&answered, &request_id);
+    let answered = progress.answer::<D>(request).await;
+    progress.record(&answered);
     let mut response =
         answered.unwrap_or_else(|failure| failure_answer::<D>(&failure, &request_id));
     response.headers_mut().insert(headers::REQUEST_ID, request_id);
@@ -121,7 +127,6 @@
     async fn answer<D: Dialect>(
         &mut self,
         request: Request<Incoming>,
-        request_id: &HeaderValue,
     ) -> Result<Response<AnswerBody>, Failure> {
         let Some(routing) = self.shared.routing() else {
             let failure = self.refused(Reason::NotReady, Step::Match);
@@ -145,7 +150,9 @@
         kind.figures.accepted.fetch_add(1, Ordering::Relaxed);
         self.kind = Some(kind.clone());
         let body = read_body(incoming, body_limits(limits), self.caller).await?;
-        let forward: Forward<D> = self.forward(kind, parts, context, limits, request_id);
+        let fingerprint = fingerprint_of(&parts, self.caller.ip(), &body);
+        self.fingerprint = Some(fingerprint);
+        let forward: Forward<D> = self.forward(kind, parts, context, limits, fingerprint);
         let response = forward.run(body).await?;
         let (mut parts, body) = response.into_parts();
         remove_hop_by_hop(&mut parts.headers);
@@ -159,7 +166,7 @@
         parts: Parts,
         context: CallContext,
         limits: &Limits,
-        request_id: &HeaderValue,
+        fingerprint: Fingerprint,
     ) -> Forward<D> {
         let longest = Duration::from_millis(kind.kind.deadline_ms);
         let timeout = context.timeout.map_or(longest, |asked| asked.min(longest));
@@ -172,10 +179,11 @@
         Forward {
             dialect: PhantomData,
             service: kind.service_for(rand::rng().random()).clone(),
-            request_id: request_id.clone(),
+            request_id: self.request_id.clone(),
+            fingerprint,
             answer_buffer_bytes: limits.answer_buffer_bytes,
             shared: self.shared.clone(),
-            head: onward_head(parts, self.caller, request_id),
+            head: onward_head(parts, self.caller, &self.request_id),
             deadline,
             objective,
             attempts_max: attempts_max.max(1),
@@ -194,15 +202,16 @@
         Failure::new(Outcome::NotRun, reason, step, peer)
     }
 
+    /// The fingerprint as it is logged; empty until the request has been read.
+    fn fingerprint_text(&self) -> String {
+        self.fingerprint.map_or_else(String::new, |fingerprint| fingerprint.to_string())
+    }
+
     /// Counts and logs what became of the request.
-    fn record(
-        &mut self,
-        answered: &Result<Response<AnswerBody>, Failure>,
-        request_id: &HeaderValue,
-    ) {
+    fn record(&mut self, answered: &Result<Response<AnswerBody>, Failure>) {
         self.is_recorded = true;
         let taken = BootClock.now().since(self.accepted_at);
-        let request_id = request_id.to_str().unwrap_or_default();
+        let request_id = self.request_id.to_str().unwrap_or_default();
         let kind = self.kind.as_ref().map_or("", |kind| kind.kind.name.as_str());
         if let Some(kind) = &self.kind {
             kind.figures.seconds.record(taken);
@@ -219,7 +228,7 @@
             }
             Err(_) if !self.shared.allows_request_line() => {}
             Err(failure) => info!("request_failed", kv: {
-                request_id, kind, taken_us,
+                request_id, fingerprint = self.fingerprint_text(), kind, taken_us,
                 outcome: = failure.outcome, reason: = failure.reason,
                 step: = failure.step, peer: = failure.peer
             }),
--- a/crates/thymeshift_entry/src/caller/mod.rs
+++ b/crates/thymeshift_entry/src/caller/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod connection;
 mod departure;
+mod fingerprint;
 mod forward;
 mod handler;
 mod head;
--- a/crates/thymeshift_entry/src/target_client/attempt.rs
+++ b/crates/thymeshift_entry/src/target_client/attempt.rs
@@ -8,10 +8,12 @@
 use http::HeaderValue;
 use http::Request;
 use http::Response;
+use metrics::counter;
 use spdlog::debug;
 use thymeshift_dispatch::LoadReport;
 use thymeshift_dispatch::Observation;
 use thymeshift_dispatch::TargetIndex;
+use thymeshift_telemetry::metric;
 use thymeshift_types::BootClock;
 use thymeshift_types::Clock;
 use thymeshift_types::Failure;
@@ -274,6 +276,8 @@
             let reason = reason_of_body(error);
             Failure::new(Outcome::Unknown, reason, Step::ReadBody, peer)
         } else {
+            let service = destination.service.as_str().to_owned();
+            counter!(metric::TARGET_CONNECTIONS_LOST, "service" => service).increment(1);
             self.learn(Observation::Broken);
             Failure::new(Outcome::Unknown, Reason::ConnectionLost, Step::Wait, peer)
         };
--- a/crates/thymeshift_telemetry/src/metric.rs
+++ b/crates/thymeshift_telemetry/src/metric.rs
@@ -19,6 +19,8 @@
 pub const CALLERS_TURNED_AWAY: &str = "thymeshift_callers_turned_away_total";
 /// Connections opened to targets, by `service`.
 pub const TARGET_CONNECTIONS_OPENED: &str = "thymeshift_target_connections_opened_total";
+/// Connections lost while a target had a request, by `service`.
+pub const TARGET_CONNECTIONS_LOST: &str = "thymeshift_target_connections_lost_total";
 /// Probes sent, by `service`.
 pub const PROBES: &str = "thymeshift_probes_total";
 /// Target time spent on measuring, in microseconds, by `service`.
--- a/crates/thymeshift_types/src/lib.rs
+++ b/crates/thymeshift_types/src/lib.rs
@@ -6,6 +6,7 @@
 mod capacity;
 mod clock;
 mod failure;
+mod fingerprint;
 mod leaving;
 mod name;
 mod revision;
@@ -20,6 +21,8 @@
 pub use failure::Peer;
 pub use failure::Reason;
 pub use failure::Step;
+pub use fingerprint::Fingerprint;
+pub use fingerprint::FingerprintError;
 pub use leaving::Incarnation;
 pub use leaving::LeavingMark;
 pub use name::DataHallName;
