--- a/crates/thymeshift_entry/src/caller/forward.rs
+++ b/crates/thymeshift_entry/src/caller/forward.rs
@@ -16,6 +16,7 @@
 use thymeshift_dispatch::Refusal;
 use thymeshift_dispatch::Request;
 use thymeshift_dispatch::Tried;
+use thymeshift_fleet::Verdict;
 use thymeshift_types::BootClock;
 use thymeshift_types::Clock;
 use thymeshift_types::Failure;
@@ -29,6 +30,8 @@
 use thymeshift_wire::Dialect;
 use tokio::time::sleep;
 
+use crate::control_plane::note_answered;
+use crate::control_plane::note_crash;
 use crate::routing::KindRuntime;
 use crate::service::GrantGuard;
 use crate::service::ServiceRuntime;
@@ -88,7 +91,7 @@
         let mut body = body;
         let mut begun = None;
         loop {
-            let grant = match self.grant(tried).await {
+            let grant = match self.grant_unless_quarantined(tried).await {
                 Ok(grant) => grant,
                 Err(refused) => return self.ended(refused, None, begun),
             };
@@ -156,6 +159,28 @@
         });
     }
 
+    /// Waits for a target, unless the request is known to crash them: it looks before the wait and
+    /// again after it.
+    async fn grant_unless_quarantined(&self, tried: Tried) -> Result<GrantGuard, Failure> {
+        self.pass_quarantine()?;
+        let grant = self.grant(tried).await?;
+        self.pass_quarantine()?;
+        Ok(grant)
+    }
+
+    fn pass_quarantine(&self) -> Result<(), Failure> {
+        match self.verdict() {
+            Verdict::Free | Verdict::Suspected => Ok(()),
+            Verdict::Refused(left) => {
+                Err(self.not_run(Reason::Quarantined, Step::Choose).with_retry_after(left))
+            }
+        }
+    }
+
+    fn verdict(&self) -> Verdict {
+        self.shared.fleet.lock().verdict(self.fingerprint, BootClock.now())
+    }
+
     /// Waits for a target.
     async fn grant(&self, tried: Tried) -> Result<GrantGuard, Failure> {
         let begun = BootClock.now();
@@ -224,7 +249,7 @@
     /// A target for a second attempt beside the first: at once or not at all.
     async fn hedge_grant(&self, attempts: u64, tried: Tried) -> Option<GrantGuard> {
         let is_allowed = self.kind.kind.repeat == Repeat::Safe && attempts < self.attempts_max;
-        if !is_allowed || !self.service.try_retry() {
+        if !is_allowed || self.verdict() != Verdict::Free || !self.service.try_retry() {
             return None;
         }
         let at_once = Request { queue_max: 0, ..self.request(tried) };
@@ -252,7 +277,24 @@
             request_id: self.request_id.clone(),
             answer_buffer_bytes: self.answer_buffer_bytes,
         };
-        Attempt::<D>::new(self.shared.clone(), grant).run(plan).await
+        let answered = Attempt::<D>::new(self.shared.clone(), grant).run(plan).await;
+        self.note_end(&answered);
+        answered
+    }
+
+    /// What the attempt showed of the request itself.
+    fn note_end(&self, answered: &Answered) {
+        match answered {
+            Ok(_) => note_answered(&self.shared, self.fingerprint),
+            Err(failed) if failed.failure.outcome == Outcome::Failed => {
+                note_answered(&self.shared, self.fingerprint);
+            }
+            Err(failed) => {
+                if let Some(crash) = &failed.crash {
+                    note_crash(&self.shared, self.fingerprint, crash);
+                }
+            }
+        }
     }
 
     /// Another attempt needs: proof that none ran, or a kind that may run twice; a
@@ -265,6 +307,7 @@
             && !is_callers_fault
             && attempts < self.attempts_max
             && self.has_time()
+            && self.pass_quarantine().is_ok()
             && self.service.try_retry()
     }
 
--- a/crates/thymeshift_entry/src/control_plane/datagrams.rs
+++ b/crates/thymeshift_entry/src/control_plane/datagrams.rs
@@ -19,6 +19,7 @@
 use crate::control_plane::relay::take_news;
 use crate::control_plane::rooms::take_room;
 use crate::control_plane::source::take_heartbeat;
+use crate::control_plane::suspects::take_suspect;
 use crate::service::ServiceRuntime;
 use crate::shared::Shared;
 
@@ -50,6 +51,7 @@
             shared.fleet.lock().members.introduced(&member, BootClock.now());
         }
         Message::News(heads) => take_news(shared, &sender, heads),
+        Message::Suspect(told) => take_suspect(shared, &sender, &told),
         Message::Acquire(acquire) => {
             let holder = LeaseHolder { vm: sender, boot, address: Some(from) };
             take_acquire(shared, holder, from, acquire);
--- a/crates/thymeshift_entry/src/control_plane/dump.rs
+++ b/crates/thymeshift_entry/src/control_plane/dump.rs
@@ -59,6 +59,7 @@
         members: fleet.members.dump(now),
         leaving: fleet.leaving.page(None, MARKS_MAX),
         orders: fleet.orders.list(now),
+        suspects: fleet.quarantine.dump(now),
         tasks: tasks(shared),
     }
 }
--- a/crates/thymeshift_entry/src/control_plane/mod.rs
+++ b/crates/thymeshift_entry/src/control_plane/mod.rs
@@ -14,6 +14,7 @@
 mod relay;
 mod rooms;
 mod source;
+mod suspects;
 mod ticker;
 
 pub(crate) use bootstrap::bootstrap;
@@ -30,4 +31,6 @@
 pub(crate) use relay::tell_below;
 pub(crate) use rooms::run_rooms;
 pub(crate) use source::run_source;
+pub(crate) use suspects::note_answered;
+pub(crate) use suspects::note_crash;
 pub(crate) use ticker::run_ticker;
--- a/crates/thymeshift_entry/src/control_plane/peer_link.rs
+++ b/crates/thymeshift_entry/src/control_plane/peer_link.rs
@@ -32,6 +32,7 @@
 use tokio::time::timeout;
 
 use crate::control_plane::platform::offer;
+use crate::control_plane::suspects::log_verdict;
 use crate::shared::Shared;
 
 /// Time between two regular exchanges, before the spread.
@@ -264,5 +265,8 @@
         shared.apply_orders();
         shared.news.notify_one();
     }
+    for fingerprint in &taken.suspects {
+        log_verdict(shared, *fingerprint, "peer");
+    }
     taken.wanted
 }
--- a/crates/thymeshift_entry/src/control_plane/ticker.rs
+++ b/crates/thymeshift_entry/src/control_plane/ticker.rs
@@ -92,6 +92,7 @@
     let has_expired = {
         let mut fleet = shared.fleet.lock();
         fleet.members.forget_old(now);
+        fleet.quarantine.forget_old(now);
         fleet.orders.forget_expired(now)
     };
     if has_expired {
--- a/crates/thymeshift_entry/src/fleet.rs
+++ b/crates/thymeshift_entry/src/fleet.rs
@@ -22,8 +22,12 @@
 use thymeshift_fleet::PassingOn;
 use thymeshift_fleet::Phase;
 use thymeshift_fleet::Published;
+use thymeshift_fleet::Quarantine;
 use thymeshift_fleet::Readers;
+use thymeshift_fleet::SuspectTold;
+use thymeshift_fleet::Verdict;
 use thymeshift_fleet::WatchElection;
+use thymeshift_types::Fingerprint;
 use thymeshift_types::LeavingMark;
 use thymeshift_types::Timestamp;
 use thymeshift_wire::Document;
@@ -34,6 +38,11 @@
 const MARKS_REPEATED: usize = 4;
 /// Newest leaving marks, which every message holds.
 const MARKS_RECENT: usize = 4;
+/// Suspects in one message, in turn: about 300 bytes each. News of them is told at once by
+/// datagram; this is for processes that missed it.
+const SUSPECTS_REPEATED: usize = 4;
+/// The same to a process that has hardly heard of others.
+const SUSPECTS_TOLD_NEW: usize = 64;
 
 /// State that is shared with other processes by messages.
 pub(crate) struct Fleet {
@@ -55,6 +64,9 @@
     pub(crate) members: Members,
     pub(crate) leaving: LeavingRegister,
     pub(crate) orders: Orders,
+    /// Requests that crash the targets which run them.
+    pub(crate) quarantine: Quarantine,
+    suspects_repeated_to: Option<Fingerprint>,
     repeated_to: Option<LeavingMark>,
     recent_marks: VecDeque<LeavingMark>,
 }
@@ -68,6 +80,8 @@
     pub(crate) marks: Vec<LeavingMark>,
     /// Whether an order changed.
     pub(crate) has_new_orders: bool,
+    /// Suspects of which something is news.
+    pub(crate) suspects: Vec<Fingerprint>,
     /// Other content that the sender runs under the revision in force here.
     pub(crate) conflicting: Option<Head>,
 }
@@ -100,6 +114,8 @@
             members: Members::new(own, settings.peers.clone()),
             leaving: LeavingRegister::default(),
             orders: Orders::default(),
+            quarantine: Quarantine::default(),
+            suspects_repeated_to: None,
             repeated_to: None,
             recent_marks: VecDeque::new(),
         }
@@ -122,6 +138,7 @@
             watchers: self.election.watchers(now),
             leaving: self.marks_to_send(),
             orders: self.orders.list(now),
+            suspects: self.suspects_to_send(SUSPECTS_REPEATED, now),
         }
     }
 
@@ -141,7 +158,26 @@
             };
             self.members.answer_breadth(&asked, now)
         });
-        self.summary(breadth, now, rng)
+        let mut answer = self.summary(breadth, now, rng);
+        if theirs.is_new {
+            answer.suspects = self.quarantine.page(None, SUSPECTS_TOLD_NEW, now);
+        }
+        answer
+    }
+
+    /// Whether a request may be sent to a target.
+    pub(crate) fn verdict(&self, fingerprint: Fingerprint, now: Timestamp) -> Verdict {
+        self.quarantine.verdict(fingerprint, now)
+    }
+
+    /// A few of the suspects, in turn.
+    fn suspects_to_send(&mut self, count: usize, now: Timestamp) -> Vec<SuspectTold> {
+        let mut page = self.quarantine.page(self.suspects_repeated_to, count, now);
+        if page.is_empty() {
+            page = self.quarantine.page(None, count, now);
+        }
+        self.suspects_repeated_to = page.last().map(|told| told.fingerprint);
+        page
     }
 
     /// The newest marks, and a few of all the others in turn.
@@ -222,8 +258,14 @@
         for order in &exchange.orders {
             has_new_orders |= self.orders.add(order, now);
         }
+        let mut suspects = Vec::new();
+        for told in &exchange.suspects {
+            if self.quarantine.take(told, now) {
+                suspects.push(told.fingerprint);
+            }
+        }
         let seen = exchange.configuration.filter(|head| self.configuration.see(*head));
-        Taken { wanted: self.wanted(exchange), marks, has_new_orders, conflicting: seen }
+        Taken { wanted: self.wanted(exchange), marks, has_new_orders, suspects, conflicting: seen }
     }
 
     /// Whether a mark of a peer is about a target that is known here. A discovered target
--- a/crates/thymeshift_entry/src/service/guards.rs
+++ b/crates/thymeshift_entry/src/service/guards.rs
@@ -8,6 +8,7 @@
 use thymeshift_dispatch::Ticket;
 use thymeshift_types::BootClock;
 use thymeshift_types::Clock;
+use thymeshift_types::Incarnation;
 use thymeshift_types::LeavingMark;
 use thymeshift_types::Timestamp;
 use tokio::sync::oneshot;
@@ -55,6 +56,11 @@
         self.grant.as_ref().map(Grant::target)
     }
 
+    /// The start of the target that was meant.
+    pub(crate) fn incarnation(&self) -> Option<Incarnation> {
+        self.grant.as_ref().map(Grant::incarnation)
+    }
+
     /// To be asked immediately before the first byte.
     pub(crate) fn may_send(&self, deadline: Timestamp) -> bool {
         let Some(grant) = &self.grant else {
--- a/crates/thymeshift_entry/src/shared.rs
+++ b/crates/thymeshift_entry/src/shared.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 
 use parking_lot::Mutex;
 use parking_lot::RwLock;
@@ -80,6 +81,7 @@
     pub(crate) request_lines: LineBudget,
     /// Whether this process waits for a document from the one above it in its data hall.
     pub(crate) is_awaiting_relay: AtomicBool,
+    crashes_reported: AtomicU64,
     /// Whether targets are discovered apart from the configuration.
     discovers: bool,
     pub(crate) metrics_text: MetricsText,
@@ -112,6 +114,7 @@
             allocating: Arc::default(),
             request_lines: LineBudget::new(REQUEST_LINES_PER_S),
             is_awaiting_relay: AtomicBool::new(false),
+            crashes_reported: AtomicU64::new(0),
             discovers,
             settings_path,
             settings: RwLock::new(Arc::new(settings)),
@@ -144,6 +147,11 @@
         self.request_lines.allows(BootClock.now().as_micros())
     }
 
+    /// Numbers the reports of crashed targets that this process makes.
+    pub(crate) fn next_crash_number(&self) -> u64 {
+        self.crashes_reported.fetch_add(1, Ordering::Relaxed)
+    }
+
     /// The settings in force.
     pub(crate) fn settings(&self) -> Arc<Settings> {
         self.settings.read().clone()
--- a/crates/thymeshift_entry/src/target_client/attempt.rs
+++ b/crates/thymeshift_entry/src/target_client/attempt.rs
@@ -17,6 +17,7 @@
 use thymeshift_types::BootClock;
 use thymeshift_types::Clock;
 use thymeshift_types::Failure;
+use thymeshift_types::Incarnation;
 use thymeshift_types::Outcome;
 use thymeshift_types::Peer;
 use thymeshift_types::Reason;
@@ -36,8 +37,11 @@
 use crate::target_client::Lease;
 use crate::target_client::RequestBody;
 use crate::target_client::TargetBody;
+use crate::target_client::TargetCrash;
+use crate::target_client::crash::refuses_connections;
 use crate::target_client::pool::ConnectError;
 use crate::target_client::pool::Connection;
+use crate::target_client::pool::Pool;
 
 /// Whether a connection that served before may be used.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -77,6 +81,8 @@
     pub(crate) body: Option<RequestBody>,
     /// The target's own failure, to be passed on if nothing more is tried.
     pub(crate) answer: Option<Response<TargetBody>>,
+    /// The end of the target, if that is why there is no answer.
+    pub(crate) crash: Option<TargetCrash>,
 }
 
 /// An attempt at the granted target.
@@ -142,7 +148,8 @@
         destination: Destination,
     ) -> Result<Response<TargetBody>, Box<AttemptFailure>> {
         let AttemptPlan { head, body, deadline, context, id, body_stall, .. } = plan;
-        let left = BootClock.now().until(deadline);
+        let began_at = BootClock.now();
+        let left = began_at.until(deadline);
         let mut request = Request::from_parts(head, body);
         let attempt = AttemptHead {
             request_id: &plan.request_id,
@@ -159,7 +166,10 @@
             Err(_) => return Err(self.timed_out(&destination).into()),
             Ok(Err(mut error)) => {
                 let unsent = error.take_message().map(Request::into_body);
-                return Err(self.broken(&destination, unsent, error.error()).into());
+                return Err(self
+                    .broken(&destination, unsent, error.error(), began_at)
+                    .await
+                    .into());
             }
             Ok(Ok(response)) => response,
         };
@@ -171,6 +181,8 @@
         }
         connection.limit_idle(response.headers());
         let (parts, incoming) = response.into_parts();
+        let incarnation = self.grant.incarnation();
+        let pool = self.grant.service().pool().clone();
         let lease = Lease::new(connection, self.grant);
         let answer = Answer { parts, incoming, lease, body_stall };
         if plan.answer_buffer_bytes == 0 {
@@ -179,6 +191,7 @@
         let left = BootClock.now().until(deadline);
         let taken = timeout(left, answer.taken_in(plan.answer_buffer_bytes)).await;
         let peer = Peer::Target(destination.service.clone(), destination.name.clone());
+        let mut crash = None;
         let failure = match taken {
             Ok(Ok(response)) if meaning == Meaning::Failed => {
                 let failure = Failure::new(Outcome::Failed, Reason::TargetFailed, Step::Wait, peer);
@@ -188,16 +201,25 @@
                     is_sent: true,
                     body: None,
                     answer: Some(response),
+                    crash: None,
                 }));
             }
             Ok(Ok(response)) => return Ok(response),
             Ok(Err(_)) => {
+                crash = crash_of(&pool, &destination, incarnation, began_at).await;
                 Failure::new(Outcome::Unknown, Reason::ConnectionLost, Step::AnswerBody, peer)
             }
             Err(_) => Failure::new(Outcome::Unknown, Reason::Deadline, Step::AnswerBody, peer),
         };
         let target = destination.index;
-        Err(Box::new(AttemptFailure { failure, target, is_sent: true, body: None, answer: None }))
+        Err(Box::new(AttemptFailure {
+            failure,
+            target,
+            is_sent: true,
+            body: None,
+            answer: None,
+            crash,
+        }))
     }
 
     /// The failure that an answer's meaning amounts to, if it is not to be passed on.
@@ -227,14 +249,21 @@
 
     fn failure(&self, failure: Failure, body: Option<RequestBody>) -> AttemptFailure {
         let target = self.grant.target();
-        AttemptFailure { failure, target, is_sent: true, body, answer: None }
+        AttemptFailure { failure, target, is_sent: true, body, answer: None, crash: None }
     }
 
     /// Nothing was sent because the target may not be used any more.
     fn given_up(self, body: RequestBody) -> AttemptFailure {
         let peer = Peer::Service(self.grant.service().name().clone());
         let failure = Failure::new(Outcome::NotRun, Reason::Deadline, Step::Send, peer);
-        AttemptFailure { failure, target: None, is_sent: false, body: Some(body), answer: None }
+        AttemptFailure {
+            failure,
+            target: None,
+            is_sent: false,
+            body: Some(body),
+            answer: None,
+            crash: None,
+        }
     }
 
     /// There is no connection, so that nothing was sent. That all connections of this process
@@ -261,30 +290,57 @@
 
     /// If hyper hands the request back, no byte of it was written: proof that it did not
     /// run. Any other error proves nothing.
-    fn broken(
+    async fn broken(
         mut self,
         destination: &Destination,
         unsent: Option<RequestBody>,
         error: &hyper::Error,
+        began_at: Timestamp,
     ) -> AttemptFailure {
         let peer = self.peer(destination);
         if unsent.is_some() {
             let failure = Failure::new(Outcome::NotRun, Reason::ConnectionLost, Step::Send, peer);
             return self.failure(failure, unsent);
         }
-        let failure = if error.is_user() {
+        if error.is_user() {
             let reason = reason_of_body(error);
-            Failure::new(Outcome::Unknown, reason, Step::ReadBody, peer)
-        } else {
-            let service = destination.service.as_str().to_owned();
-            counter!(metric::TARGET_CONNECTIONS_LOST, "service" => service).increment(1);
-            self.learn(Observation::Broken);
-            Failure::new(Outcome::Unknown, Reason::ConnectionLost, Step::Wait, peer)
-        };
-        self.failure(failure, None)
+            let failure = Failure::new(Outcome::Unknown, reason, Step::ReadBody, peer);
+            return self.failure(failure, None);
+        }
+        let service = destination.service.as_str().to_owned();
+        counter!(metric::TARGET_CONNECTIONS_LOST, "service" => service).increment(1);
+        self.learn(Observation::Broken);
+        let incarnation = self.grant.incarnation();
+        let pool = self.grant.service().pool().clone();
+        let crash = crash_of(&pool, destination, incarnation, began_at).await;
+        if crash.is_some() {
+            // Nobody else is sent there to find out the same.
+            self.learn(Observation::Unreachable);
+        }
+        let failure = Failure::new(Outcome::Unknown, Reason::ConnectionLost, Step::Wait, peer);
+        AttemptFailure { crash, ..self.failure(failure, None) }
     }
 }
 
+/// The end of the target to which a connection was lost now, if that is why.
+async fn crash_of(
+    pool: &Arc<Pool>,
+    destination: &Destination,
+    incarnation: Option<Incarnation>,
+    began_at: Timestamp,
+) -> Option<TargetCrash> {
+    let ended_at = BootClock.now();
+    let incarnation = incarnation?;
+    let has_ended = refuses_connections(pool, destination.address).await;
+    has_ended.then(|| TargetCrash {
+        service: destination.service.clone(),
+        target: destination.name.clone(),
+        incarnation,
+        began_at,
+        ended_at,
+    })
+}
+
 fn observation(meaning: Meaning, report: Option<LoadReport>) -> Observation {
     match meaning {
         Meaning::Answered => Observation::Answered(report),
--- a/crates/thymeshift_entry/src/target_client/mod.rs
+++ b/crates/thymeshift_entry/src/target_client/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod attempt;
 mod body;
+mod crash;
 mod pace_probe;
 mod pool;
 mod probe;
@@ -18,6 +19,7 @@
 pub(crate) use body::Lease;
 pub(crate) use body::RequestBody;
 pub(crate) use body::TargetBody;
+pub(crate) use crash::TargetCrash;
 pub(crate) use pace_probe::PROBED_ALONE_MAX;
 pub(crate) use pace_probe::run_pace_probes;
 pub(crate) use pool::Pool;
--- a/crates/thymeshift_fleet/src/lib.rs
+++ b/crates/thymeshift_fleet/src/lib.rs
@@ -9,6 +9,7 @@
 //!   own data hall, a few of every other.
 //! * [`Readers`]: who reads the source, a few at a time, by rank.
 //! * [`relay_place`]: how a document reaches all processes of a data hall.
+//! * [`Quarantine`]: requests that crash the targets which run them.
 //! * [`Orders`]: operators' temporary orders, the same everywhere in any order of arrival.
 //!
 //! Times are arguments; after a pause of its own a process calls `paused` on what has such
@@ -26,6 +27,7 @@
 mod orders;
 mod passing_on;
 mod published;
+mod quarantine;
 mod rank;
 mod readers;
 mod relay;
@@ -60,6 +62,12 @@
 pub use passing_on::PassingOn;
 pub use published::Head;
 pub use published::Published;
+pub use quarantine::Crash;
+pub use quarantine::CrashId;
+pub use quarantine::Quarantine;
+pub use quarantine::SuspectDump;
+pub use quarantine::SuspectTold;
+pub use quarantine::Verdict;
 pub use rank::Contender;
 pub use rank::ranked;
 pub use readers::HallPlace;
--- a/crates/thymeshift_telemetry/src/metric.rs
+++ b/crates/thymeshift_telemetry/src/metric.rs
@@ -21,6 +21,8 @@
 pub const TARGET_CONNECTIONS_OPENED: &str = "thymeshift_target_connections_opened_total";
 /// Connections lost while a target had a request, by `service`.
 pub const TARGET_CONNECTIONS_LOST: &str = "thymeshift_target_connections_lost_total";
+/// Targets that ended while they ran a request of this process, by `service`.
+pub const TARGETS_CRASHED: &str = "thymeshift_targets_crashed_total";
 /// Probes sent, by `service`.
 pub const PROBES: &str = "thymeshift_probes_total";
 /// Target time spent on measuring, in microseconds, by `service`.
--- a/crates/thymeshift_types/src/failure.rs
+++ b/crates/thymeshift_types/src/failure.rs
@@ -132,6 +132,9 @@
     /// The caller's body broke off.
     #[display("caller_lost")]
     CallerLost,
+    /// Targets crashed while they ran the same request before.
+    #[display("quarantined")]
+    Quarantined,
 }
 
 /// A request that got no complete answer: what is known, where it arose, and when the
--- a/crates/thymeshift_wire/src/datagram.rs
+++ b/crates/thymeshift_wire/src/datagram.rs
@@ -16,6 +16,7 @@
 use thymeshift_fleet::Boot;
 use thymeshift_fleet::Head;
 use thymeshift_fleet::Member;
+use thymeshift_fleet::SuspectTold;
 use thymeshift_types::DataHallName;
 use thymeshift_types::Reason;
 use thymeshift_types::ServiceName;
@@ -74,6 +75,8 @@
     News(Heads),
     /// The sender has started, begins to serve, or stops.
     Phase(Member),
+    /// A target ended while it ran a request, or one answered a request that was suspected.
+    Suspect(SuspectTold),
 }
 
 /// News of a reader. It is told to its own data hall and to some processes of every other,
--- a/crates/thymeshift_wire/src/dump.rs
+++ b/crates/thymeshift_wire/src/dump.rs
@@ -11,6 +11,7 @@
 use thymeshift_fleet::Order;
 use thymeshift_fleet::Phase;
 use thymeshift_fleet::Rejection;
+use thymeshift_fleet::SuspectDump;
 use thymeshift_fleet::Watcher;
 use thymeshift_types::DataHallName;
 use thymeshift_types::KindName;
@@ -132,6 +133,8 @@
     pub leaving: Vec<LeavingMark>,
     /// Orders that hold.
     pub orders: Vec<Order>,
+    /// Requests that targets crashed under.
+    pub suspects: Vec<SuspectDump>,
     /// Tasks of this process.
     pub tasks: Vec<TaskDump>,
 }
--- a/crates/thymeshift_wire/src/native.rs
+++ b/crates/thymeshift_wire/src/native.rs
@@ -126,6 +126,7 @@
         | Reason::DeadlineUnreachable
         | Reason::Deadline
         | Reason::NoTarget
+        | Reason::Quarantined
         | Reason::Shed => StatusCode::SERVICE_UNAVAILABLE,
         Reason::ConnectFailed | Reason::ConnectionLost if failure.outcome == Outcome::NotRun => {
             StatusCode::SERVICE_UNAVAILABLE
--- a/crates/thymeshift_wire/src/peer.rs
+++ b/crates/thymeshift_wire/src/peer.rs
@@ -5,6 +5,7 @@
 use thymeshift_fleet::FleetDigest;
 use thymeshift_fleet::Head;
 use thymeshift_fleet::Order;
+use thymeshift_fleet::SuspectTold;
 use thymeshift_fleet::Told;
 use thymeshift_fleet::Transfer;
 use thymeshift_fleet::Watcher;
@@ -45,6 +46,8 @@
     pub leaving: Vec<LeavingMark>,
     /// Operators' orders.
     pub orders: Vec<Order>,
+    /// A page of the requests that targets crashed under.
+    pub suspects: Vec<SuspectTold>,
 }
 
 /// Calls between entry processes.
