--- a/crates/thymeshift_lab/src/http_client.rs
+++ b/crates/thymeshift_lab/src/http_client.rs
@@ -1,5 +1,6 @@
 //! Small HTTP requests to stand-ins and entry processes, each on a connection of its own.
 
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -15,6 +16,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -42,9 +44,20 @@
 pub async fn send(
     address: SocketAddr,
     request: Request<Full<Bytes>>,
+) -> Result<Response<Bytes>, AskError> {
+    send_from(Ipv4Addr::UNSPECIFIED, address, request).await
+}
+
+/// The same from an address of this machine.
+pub async fn send_from(
+    own: Ipv4Addr,
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
 ) -> Result<Response<Bytes>, AskError> {
     let exchange = async {
-        let stream = TcpStream::connect(address).await?;
+        let socket = TcpSocket::new_v4()?;
+        socket.bind((own, 0).into())?;
+        let stream = socket.connect(address).await?;
         stream.set_nodelay(true)?;
         let io = TokioIo::new(stream);
         let (mut sender, driving) = hyper::client::conn::http1::handshake(io).await?;
