--- a/crates/thymeshift_entry/src/caller/fingerprint.rs
+++ b/crates/thymeshift_entry/src/caller/fingerprint.rs
@@ -1,8 +1,7 @@
 //! The fingerprint of a caller's request.
 
-use std::net::IpAddr;
-
 use blake3::Hasher;
+use http::HeaderName;
 use http::HeaderValue;
 use http::header;
 use http::request::Parts;
@@ -10,23 +9,29 @@
 
 use crate::target_client::RequestBody;
 
-/// Marks the place of a body whose bytes are not known before it is passed on.
+/// Marks a body whose bytes are not known before it is passed on.
 const STREAMED: u8 = 1;
 const WHOLE: u8 = 0;
+/// Headers by which a caller says who it is. Its address does not: one caller moves between
+/// networks, and a balancer in front gives many the same.
+const CALLER_HEADERS: [HeaderName; 2] = [header::AUTHORIZATION, header::COOKIE];
 
-/// The fingerprint of a request: its method, host, path with query, body, and the caller's
-/// address without the port. Other headers are left out, because callers change some of them with
-/// each try. A body that is streamed is left out as well: such requests are told apart by their
-/// heads alone.
-pub(crate) fn fingerprint_of(parts: &Parts, caller: IpAddr, body: &RequestBody) -> Fingerprint {
+/// The fingerprint of a request: its method, host, path with query, who sends it as far as it
+/// says, and its body. Other headers are left out, because callers change some of them with each
+/// try. A body that is streamed is left out as well: such requests are told apart by their heads
+/// alone.
+pub(crate) fn fingerprint_of(parts: &Parts, body: &RequestBody) -> Fingerprint {
     let mut hasher = Hasher::new();
     let host = parts.headers.get(header::HOST).map(HeaderValue::as_bytes);
     let authority = parts.uri.authority().map(|authority| authority.as_str().as_bytes());
     let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
-    add(&mut hasher, caller.to_string().as_bytes());
     add(&mut hasher, parts.method.as_str().as_bytes());
     add(&mut hasher, host.or(authority).unwrap_or_default());
     add(&mut hasher, path.as_bytes());
+    for name in &CALLER_HEADERS {
+        let value = parts.headers.get(name).map(HeaderValue::as_bytes);
+        add(&mut hasher, value.unwrap_or_default());
+    }
     match body {
         RequestBody::Whole(bytes) => {
             hasher.update(&[WHOLE]);
--- a/crates/thymeshift_entry/src/caller/forward.rs
+++ b/crates/thymeshift_entry/src/caller/forward.rs
@@ -282,13 +282,12 @@
         answered
     }
 
-    /// What the attempt showed of the request itself.
+    /// What the attempt showed of the request itself. A failure that the target states clears it
+    /// of nothing: the target may have broken it off at its deadline, before it did any harm.
     fn note_end(&self, answered: &Answered) {
         match answered {
+            Ok(response) if response.status().is_server_error() => {}
             Ok(_) => note_answered(&self.shared, self.fingerprint),
-            Err(failed) if failed.failure.outcome == Outcome::Failed => {
-                note_answered(&self.shared, self.fingerprint);
-            }
             Err(failed) => {
                 if let Some(crash) = &failed.crash {
                     note_crash(&self.shared, self.fingerprint, crash);
--- a/crates/thymeshift_entry/src/caller/handler.rs
+++ b/crates/thymeshift_entry/src/caller/handler.rs
@@ -150,7 +150,7 @@
         kind.figures.accepted.fetch_add(1, Ordering::Relaxed);
         self.kind = Some(kind.clone());
         let body = read_body(incoming, body_limits(limits), self.caller).await?;
-        let fingerprint = fingerprint_of(&parts, self.caller.ip(), &body);
+        let fingerprint = fingerprint_of(&parts, &body);
         self.fingerprint = Some(fingerprint);
         let forward: Forward<D> = self.forward(kind, parts, context, limits, fingerprint);
         let response = forward.run(body).await?;
--- a/crates/thymeshift_types/src/fingerprint.rs
+++ b/crates/thymeshift_types/src/fingerprint.rs
@@ -10,7 +10,7 @@
 /// What a request asks for and who asks, as a 128-bit hash; the same on every VM and version.
 ///
 /// Two arrivals of one request have the same fingerprint although their ids differ. The hash is
-/// cryptographic: a caller cannot choose a request that has the fingerprint of another caller's.
+/// cryptographic: nobody can make a request that has the fingerprint of another one.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize,
 )]
