--- a/crates/thymeshift_fleet/src/lib.rs
+++ b/crates/thymeshift_fleet/src/lib.rs
@@ -65,6 +65,7 @@
 pub use quarantine::Crash;
 pub use quarantine::CrashId;
 pub use quarantine::Quarantine;
+pub use quarantine::QuarantineRules;
 pub use quarantine::SuspectDump;
 pub use quarantine::SuspectTold;
 pub use quarantine::Verdict;
--- a/crates/thymeshift_fleet/src/quarantine.rs
+++ b/crates/thymeshift_fleet/src/quarantine.rs
@@ -13,8 +13,8 @@
 //! Crashes are a set, and of answers the latest counts, so that the order and number of messages
 //! do not matter. Ages are sent, not moments.
 
-mod bars;
 mod crash;
+mod rules;
 mod suspect;
 
 use std::collections::BTreeMap;
@@ -28,6 +28,7 @@
 pub use crash::Crash;
 pub use crash::CrashId;
 pub use crash::SuspectTold;
+pub use rules::QuarantineRules;
 pub use suspect::SuspectDump;
 
 /// Suspects kept at most, in number. Each takes a target's end to make, and about 1 KB at most.
@@ -47,10 +48,16 @@
 /// All suspects known to this process.
 #[derive(Debug, Clone, Default)]
 pub struct Quarantine {
+    rules: QuarantineRules,
     suspects: BTreeMap<Fingerprint, Suspect>,
 }
 
 impl Quarantine {
+    /// A register with other rules than the usual ones.
+    pub fn with_rules(rules: QuarantineRules) -> Self {
+        Self { rules, suspects: BTreeMap::new() }
+    }
+
     /// Whether no request is suspected.
     pub fn is_empty(&self) -> bool {
         self.suspects.is_empty()
@@ -63,7 +70,8 @@
 
     /// Whether a request may be sent now.
     pub fn verdict(&self, fingerprint: Fingerprint, now: Timestamp) -> Verdict {
-        self.suspects.get(&fingerprint).map_or(Verdict::Free, |suspect| suspect.verdict(now))
+        let suspect = self.suspects.get(&fingerprint);
+        suspect.map_or(Verdict::Free, |suspect| suspect.verdict(&self.rules, now))
     }
 
     /// A target ended while it ran the request. Returns whether that is news.
@@ -117,14 +125,16 @@
     /// What operators are shown, the longest refused first.
     pub fn dump(&self, now: Timestamp) -> Vec<SuspectDump> {
         let suspects = self.suspects.iter();
-        let mut dump: Vec<_> = suspects.map(|(key, suspect)| suspect.dump(*key, now)).collect();
+        let mut dump: Vec<_> =
+            suspects.map(|(key, suspect)| suspect.dump(*key, &self.rules, now)).collect();
         dump.sort_by_key(|suspect| std::cmp::Reverse(suspect.refused_for_ms));
         dump
     }
 
     /// Forgets suspects whose time is over.
     pub fn forget_old(&mut self, now: Timestamp) {
-        self.suspects.retain(|_, suspect| !suspect.is_over(now));
+        let rules = self.rules;
+        self.suspects.retain(|_, suspect| !suspect.is_over(&rules, now));
     }
 
     /// Makes room for another suspect. If there is none, the one that crashed fewest targets goes,
@@ -137,9 +147,10 @@
         if self.suspects.len() < SUSPECTS_MAX {
             return true;
         }
-        let is_refused = |held: &Suspect| matches!(held.verdict(now), Verdict::Refused(_));
+        let is_refused =
+            |held: &Suspect| matches!(held.verdict(&self.rules, now), Verdict::Refused(_));
         let may_go = self.suspects.iter().filter(|(_, held)| !is_refused(held));
-        let first = may_go.min_by_key(|(_, held)| (held.in_a_row(), held.last_ended_at()));
+        let first = may_go.min_by_key(|(_, held)| (held.strikes(), held.last_ended_at()));
         let Some(fingerprint) = first.map(|(fingerprint, _)| *fingerprint) else {
             return false;
         };
--- a/crates/thymeshift_fleet/src/quarantine/suspect.rs
+++ b/crates/thymeshift_fleet/src/quarantine/suspect.rs
@@ -1,6 +1,7 @@
 //! One request during which targets ended.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -13,10 +14,9 @@
 
 use crate::quarantine::Crash;
 use crate::quarantine::CrashId;
+use crate::quarantine::QuarantineRules;
 use crate::quarantine::SuspectTold;
 use crate::quarantine::Verdict;
-use crate::quarantine::bars::bar;
-use crate::quarantine::bars::kept;
 
 /// Crashes kept for one request: more than run at the same moment before it is refused.
 const CRASHES_MAX: usize = 32;
@@ -28,8 +28,8 @@
 pub struct SuspectDump {
     /// The request.
     pub fingerprint: Fingerprint,
-    /// Targets that ended while they ran it, one after the other.
-    pub crashes_in_a_row: u64,
+    /// Targets that count against it.
+    pub strikes: u64,
     /// For how much longer it is refused, in milliseconds.
     pub refused_for_ms: u64,
     /// Time since the first of these crashes, in milliseconds.
@@ -87,26 +87,35 @@
         self.crashes.len() < before
     }
 
-    pub(super) fn verdict(&self, now: Timestamp) -> Verdict {
+    pub(super) fn verdict(&self, rules: &QuarantineRules, now: Timestamp) -> Verdict {
         let Some(last_ended_at) = self.last_ended_at() else {
             return Verdict::Free;
         };
-        let left = now.until(last_ended_at + bar(self.in_a_row()));
+        let left = now.until(last_ended_at + rules.bar(self.strikes()));
         if left.is_zero() { Verdict::Suspected } else { Verdict::Refused(left) }
     }
 
-    /// The most runs that ended with their target, each begun after the end of the one before.
-    pub(super) fn in_a_row(&self) -> usize {
-        self.row().len()
+    /// What is held against the request, in targets. Ends at one moment count once, because a rack
+    /// may have lost power. If others followed, all of them count: copies of a guilty request run at
+    /// the same time, too.
+    pub(super) fn strikes(&self) -> usize {
+        let in_a_row = self.row().len();
+        if in_a_row < 2 {
+            return in_a_row;
+        }
+        let crashes = self.crashes.values();
+        let targets: BTreeSet<_> =
+            crashes.map(|crash| (&crash.service, &crash.target, crash.incarnation)).collect();
+        in_a_row.max(targets.len())
     }
 
     pub(super) fn last_ended_at(&self) -> Option<Timestamp> {
         self.crashes.values().map(|crash| crash.ended_at).max()
     }
 
-    pub(super) fn is_over(&self, now: Timestamp) -> bool {
+    pub(super) fn is_over(&self, rules: &QuarantineRules, now: Timestamp) -> bool {
         let last = self.last_ended_at().max(self.answered_at);
-        last.is_none_or(|last| now.since(last) >= kept(self.in_a_row()))
+        last.is_none_or(|last| now.since(last) >= rules.kept(self.strikes()))
     }
 
     /// Runs that end earliest are taken first, which gives the longest row.
@@ -122,9 +131,21 @@
         row
     }
 
+    /// The last crash, and before it those that follow each other, then all others.
+    fn most_telling(&self) -> Vec<(&CrashId, &HeldCrash)> {
+        let mut row = self.row();
+        row.reverse();
+        let is_in_row = |id: &CrashId| row.iter().any(|(known, _)| *known == id);
+        let mut others: Vec<_> = self.crashes.iter().filter(|(id, _)| !is_in_row(id)).collect();
+        others.sort_by_key(|(_, crash)| std::cmp::Reverse(crash.ended_at));
+        let mut telling = row;
+        telling.truncate(CRASHES_TOLD_MAX - 1);
+        telling.extend(others);
+        telling.truncate(CRASHES_TOLD_MAX);
+        telling
+    }
+
     pub(super) fn told(&self, fingerprint: Fingerprint, now: Timestamp) -> SuspectTold {
-        let row = self.row();
-        let newest = &row[row.len().saturating_sub(CRASHES_TOLD_MAX)..];
         let ago_ms = |at: Timestamp| now.since(at).as_millis() as u64;
         let told = |(id, crash): &(&CrashId, &HeldCrash)| Crash {
             id: (*id).clone(),
@@ -136,15 +157,20 @@
         };
         SuspectTold {
             fingerprint,
-            crashes: newest.iter().map(told).collect(),
+            crashes: self.most_telling().iter().map(told).collect(),
             answered_ago_ms: self.answered_at.map(ago_ms),
         }
     }
 
-    pub(super) fn dump(&self, fingerprint: Fingerprint, now: Timestamp) -> SuspectDump {
+    pub(super) fn dump(
+        &self,
+        fingerprint: Fingerprint,
+        rules: &QuarantineRules,
+        now: Timestamp,
+    ) -> SuspectDump {
         let row = self.row();
         let ago_ms = |at: Option<Timestamp>| at.map_or(0, |at| now.since(at).as_millis() as u64);
-        let refused_for_ms = match self.verdict(now) {
+        let refused_for_ms = match self.verdict(rules, now) {
             Verdict::Refused(left) => left.as_millis() as u64,
             Verdict::Free | Verdict::Suspected => 0,
         };
@@ -153,7 +179,7 @@
         };
         SuspectDump {
             fingerprint,
-            crashes_in_a_row: row.len() as u64,
+            strikes: self.strikes() as u64,
             refused_for_ms,
             first_crash_ms: ago_ms(row.first().map(|(_, crash)| crash.ended_at)),
             last_crash_ms: ago_ms(self.last_ended_at()),
--- a/crates/thymeshift_lab/src/arguments.rs
+++ b/crates/thymeshift_lab/src/arguments.rs
@@ -32,6 +32,7 @@
   thymeshift-lab recovery [--entries=N]
   thymeshift-lab soak [--from=SEED] [--count=N] [--seconds=N] [--entries=N]
   thymeshift-lab decision-cost
+  thymeshift-lab replay [--days=N]
   thymeshift-lab rounds [--journal=FOLDER] [--plot=FILE]
   thymeshift-lab scenarios [--entries=N] [--seconds=N] [--seeds=N] [--loads=70,85] [--no-probes]
                            [--hedge-ms=N] [--scenario=NAME…] [--strategy=NAME…]
@@ -67,6 +68,7 @@
     DecisionCost,
     Rounds { journal: String, plot: String },
     Scenarios(ScenarioPlan),
+    Replay { days: u64 },
 }
 
 pub(crate) fn parse(mut parser: Parser) -> Result<Command, Error> {
@@ -84,6 +86,7 @@
             "recovery" => recovery(parser),
             "soak" => soak(parser),
             "rounds" => rounds(parser),
+            "replay" => replay(parser),
             "scenarios" => scenarios(parser),
             other => Err(format!("unknown command '{other}'").into()),
         },
@@ -107,6 +110,17 @@
     numbers.map_err(|error: T::Err| Error::Custom(error.into()))
 }
 
+fn replay(mut parser: Parser) -> Result<Command, Error> {
+    let mut days = 20;
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Long("days") => days = number(&mut parser)?,
+            unexpected => return Err(unexpected.unexpected()),
+        }
+    }
+    Ok(Command::Replay { days })
+}
+
 /// A command without options.
 fn alone(mut parser: Parser, command: Command) -> Result<Command, Error> {
     match parser.next()? {
--- a/crates/thymeshift_lab/src/lib.rs
+++ b/crates/thymeshift_lab/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod experiment;
 pub mod http_client;
 pub mod load;
+pub mod replay;
 pub mod standin;
--- a/crates/thymeshift_lab/src/main.rs
+++ b/crates/thymeshift_lab/src/main.rs
@@ -17,6 +17,7 @@
 use thymeshift_lab::experiment::ScenarioPlan;
 use thymeshift_lab::experiment::SoakPlan;
 use thymeshift_lab::load;
+use thymeshift_lab::replay;
 use thymeshift_lab::standin::Platform;
 use thymeshift_lab::standin::Running;
 use thymeshift_lab::standin::Target;
@@ -85,6 +86,10 @@
             print!("{}", experiment::rounds(Path::new(&journal), Path::new(&plot))?);
             Ok(ExitCode::SUCCESS)
         }
+        Command::Replay { days } => {
+            print!("{}", replay::crash_table(days)?);
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Demo { entries, seconds } => many_threads(demo(entries, seconds)),
     }
 }
--- /dev/null
+++ b/crates/thymeshift_lab/src/replay.rs
@@ -0,0 +1,13 @@
+//! Patterns of load and trouble in virtual time: the decisions as they are, a model of targets and
+//! callers, several processes that tell each other with a delay.
+//!
+//! A pattern is played with one way of deciding and then with others, on the same seeds.
+
+mod crashes;
+mod events;
+
+pub use crashes::CrashPattern;
+pub use crashes::CrashPolicy;
+pub use crashes::CrashResult;
+pub use crashes::crash_table;
+pub use crashes::replay_crashes;
--- /dev/null
+++ b/crates/thymeshift_lab/src/replay/events.rs
@@ -0,0 +1,28 @@
+//! What happens next in virtual time.
+
+use std::collections::BTreeMap;
+
+use thymeshift_types::Timestamp;
+
+/// Events in the order of their moments; those of one moment in the order in which they were added.
+pub(super) struct Events<E> {
+    pending: BTreeMap<(Timestamp, u64), E>,
+    added: u64,
+}
+
+impl<E> Default for Events<E> {
+    fn default() -> Self {
+        Self { pending: BTreeMap::new(), added: 0 }
+    }
+}
+
+impl<E> Events<E> {
+    pub(super) fn add(&mut self, at: Timestamp, event: E) {
+        self.added += 1;
+        self.pending.insert((at, self.added), event);
+    }
+
+    pub(super) fn next(&mut self) -> Option<(Timestamp, E)> {
+        self.pending.pop_first().map(|((at, _), event)| (at, event))
+    }
+}
--- /dev/null
+++ b/crates/thymeshift_lab/tests/replay.rs
@@ -0,0 +1,64 @@
+//! Patterns of load and trouble in virtual time, each with what the product's way must reach and
+//! what another way does to the same days.
+
+use thymeshift_lab::replay::CrashPattern;
+use thymeshift_lab::replay::CrashPolicy;
+use thymeshift_lab::replay::CrashResult;
+use thymeshift_lab::replay::replay_crashes;
+
+/// Days of a minute played for each pattern.
+const DAYS: u64 = 20;
+
+fn play(pattern: &CrashPattern, policy: &CrashPolicy) -> CrashResult {
+    replay_crashes(pattern, policy, DAYS).expect("names")
+}
+
+/// Four kinds of days with a request that crashes its targets, two without: it is stopped within a
+/// few targets, is hardly ever sent after that, and innocent requests are hardly ever taken for it.
+#[test]
+fn a_guilty_request_is_stopped_and_innocent_ones_are_served() {
+    /// Sends that may reach a target once all can know.
+    const SENT_LATE_MAX: usize = 3;
+    /// Innocent requests refused, as a share of all.
+    const REFUSED_MAX: f64 = 0.002;
+    struct Case {
+        pattern: &'static str,
+        crashed_a_day_max: f64,
+        served_min: f64,
+    }
+    let cases = [
+        Case { pattern: "guilty", crashed_a_day_max: 4.5, served_min: 0.995 },
+        Case { pattern: "guilty, ten a second", crashed_a_day_max: 5.5, served_min: 0.985 },
+        Case { pattern: "guilty, all killed", crashed_a_day_max: 9.0, served_min: 0.99 },
+        Case { pattern: "targets end by themselves", crashed_a_day_max: 0.0, served_min: 0.995 },
+        Case { pattern: "racks end", crashed_a_day_max: 0.0, served_min: 0.99 },
+        Case { pattern: "all of these", crashed_a_day_max: 4.5, served_min: 0.94 },
+    ];
+    assert_eq!(cases.len(), CrashPattern::ALL.len());
+    for (case, pattern) in cases.iter().zip(&CrashPattern::ALL) {
+        assert_eq!(case.pattern, pattern.name);
+        let result = play(pattern, &CrashPolicy::usual());
+        let note = format!("{}: {result}", pattern.name);
+        assert!(result.crashed as f64 <= case.crashed_a_day_max * DAYS as f64, "{note}");
+        assert!(result.sent_late_worst <= SENT_LATE_MAX, "{note}");
+        assert!(result.served_share() >= case.served_min, "{note}");
+        let refused = result.innocent_refused as f64 / result.innocent as f64;
+        assert!(refused <= REFUSED_MAX, "{note}");
+    }
+}
+
+/// The model shows the trouble: with nothing remembered, the same days end most targets.
+#[test]
+fn with_nothing_remembered_the_same_days_are_lost() {
+    let forgetful = CrashPolicy { refuses: false, ..CrashPolicy::usual() };
+    let result = play(&CrashPattern::GUILTY, &forgetful);
+    assert!(result.crashed as u64 > 30 * DAYS, "{result}");
+    assert!(result.served_share() < 0.7, "{result}");
+}
+
+#[test]
+fn the_same_seeds_give_the_same_days() {
+    let policy = CrashPolicy::usual();
+    let pattern = &CrashPattern::ALL[5];
+    assert_eq!(play(pattern, &policy), play(pattern, &policy));
+}
