--- a/crates/thymeshift_lab/src/replay/crashes.rs
+++ b/crates/thymeshift_lab/src/replay/crashes.rs
@@ -336,7 +336,7 @@
                 self.plan_end(target);
             }
             Event::RackEnds => {
-                for target in 0..TARGETS / 2 + 1 {
+                for target in 0..=TARGETS / 2 {
                     self.target_ends(target);
                 }
                 self.events.add(self.now + Duration::from_secs(10), Event::RackEnds);
