--- a/crates/thymeshift_config/src/discovery.rs
+++ b/crates/thymeshift_config/src/discovery.rs
@@ -3,6 +3,10 @@
 //!
 //! Both stand in one list, so that processes learn of them in one order and by one way: a target
 //! that appears in a drained hall is never known without the drain.
+//!
+//! The list is put together from what each target writes of itself, and others may write there,
+//! too. So each item is taken or left out by itself: one that cannot be read must not keep all
+//! later changes of the others from taking force.
 
 use std::collections::HashMap;
 
@@ -10,14 +14,20 @@
 use thymeshift_types::DataHallName;
 use thymeshift_types::ServiceName;
 
+use crate::Mistake;
 use crate::Mistakes;
 use crate::Target;
 use crate::TargetState;
 use crate::decode::Decode;
 use crate::decode::MapReader;
 use crate::decode::parse;
+use crate::decode::refuse;
+use crate::tree::Content;
 use crate::tree::Node;
 
+/// Longest name or mistake kept of an item that is left out, in characters.
+const LEFT_OUT_CHARS_MAX: usize = 200;
+
 /// One discovered target.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Discovered {
@@ -29,6 +39,15 @@
     pub target: Target,
 }
 
+/// An item that cannot be used, and why.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+pub struct LeftOut {
+    /// What it calls itself, as far as it says.
+    pub name: String,
+    /// The first mistake in it, with the field where it stands.
+    pub mistake: String,
+}
+
 /// All that is discovered at one revision.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize)]
 pub struct Discovery {
@@ -36,6 +55,8 @@
     pub targets: Vec<Discovered>,
     /// Data halls whose targets get no new work.
     pub drained_halls: Vec<DataHallName>,
+    /// Items that cannot be used.
+    pub left_out: Vec<LeftOut>,
 }
 
 /// One item of the list.
@@ -43,31 +64,37 @@
 enum Item {
     Target(Discovered),
     DrainedHall(DataHallName),
+    LeftOut(LeftOut),
 }
 
+/// The items of a list, each read by itself.
+struct Items(Vec<Item>);
+
 impl Discovery {
     /// Reads and checks a list of discovered targets from YAML.
     pub fn parse(text: &str) -> Result<Self, Mistakes> {
-        let items: Vec<Item> = parse(text, "targets")?;
+        let Items(items) = parse(text, "targets")?;
         Ok(items.into_iter().collect())
     }
 
     /// These targets, and those that served `before` and are missing here, unless their
-    /// address is in use again. Returns how many were kept, too.
+    /// address is in use again or their own item was left out. Returns how many were kept, too.
     pub fn keeping(&self, before: &Self) -> (Self, usize) {
         let is_listed = |kept: &Discovered| {
             let same = |listed: &Discovered| {
                 listed.target.name == kept.target.name
                     || listed.target.address == kept.target.address
             };
-            self.targets.iter().any(same)
+            let is_left_out =
+                self.left_out.iter().any(|left| kept.target.name.as_str() == left.name);
+            is_left_out || self.targets.iter().any(same)
         };
         let served =
             before.targets.iter().filter(|known| known.target.state == TargetState::Serving);
         let kept: Vec<Discovered> = served.filter(|known| !is_listed(known)).cloned().collect();
         let count = kept.len();
         let targets = self.targets.iter().cloned().chain(kept).collect();
-        (Self { targets, drained_halls: self.drained_halls.clone() }, count)
+        (Self { targets, ..self.clone() }, count)
     }
 }
 
@@ -78,12 +105,18 @@
             match item {
                 Item::Target(target) => discovery.targets.push(target),
                 Item::DrainedHall(hall) => discovery.drained_halls.push(hall),
+                Item::LeftOut(left_out) => discovery.left_out.push(left_out),
             }
         }
         discovery
     }
 }
 
+/// The beginning of a text that a stranger wrote.
+fn shortened(text: &str) -> String {
+    text.chars().take(LEFT_OUT_CHARS_MAX).collect()
+}
+
 /// Reads one revision of the list after the other. From one to the next few targets change, and
 /// a large fleet reads a long list in many processes: lines that were there before are not read
 /// again.
@@ -103,7 +136,7 @@
         Discovery::parse(text)
     }
 
-    /// The items, if each stands in a line of its own without mistakes.
+    /// The items, if each stands in a line of its own.
     fn parse_lines(&mut self, text: &str) -> Option<Vec<Item>> {
         let mut lines = HashMap::with_capacity(self.lines.len());
         let mut items = Vec::new();
@@ -125,14 +158,46 @@
     if !(line.starts_with("- {") && line.ends_with('}')) {
         return None;
     }
-    let mut items: Vec<Item> = parse(line, "targets").ok()?;
+    let Items(mut items) = parse(line, "targets").ok()?;
     let item = items.pop();
     item.filter(|_| items.is_empty())
 }
 
+impl Decode for Items {
+    fn decode(node: &Node, path: &str, mistakes: &mut Mistakes) -> Option<Self> {
+        let Content::List(nodes) = &node.content else {
+            return refuse(node, path, "a list", mistakes);
+        };
+        Some(Self(nodes.iter().map(Item::read).collect()))
+    }
+}
+
+impl Item {
+    /// The item of a node, or why it is left out.
+    fn read(node: &Node) -> Self {
+        let mut mistakes = Mistakes::default();
+        match Self::decode(node, "", &mut mistakes) {
+            Some(item) if mistakes.is_empty() => item,
+            _ => {
+                let name = node.text_of("name").unwrap_or_default();
+                let mistake = mistakes.listed().first().map(Mistake::without_place);
+                Self::LeftOut(LeftOut {
+                    name: shortened(name),
+                    mistake: shortened(&mistake.unwrap_or_default()),
+                })
+            }
+        }
+    }
+}
+
 impl Decode for Item {
     fn decode(node: &Node, path: &str, mistakes: &mut Mistakes) -> Option<Self> {
         let mut map = MapReader::new(node, path, mistakes)?;
+        if let Some(name) = map.optional("left_out")? {
+            let mistake = map.required("mistake");
+            map.finish();
+            return Some(Self::LeftOut(LeftOut { name, mistake: mistake? }));
+        }
         if let Some(hall) = map.optional("drained_hall")? {
             map.finish();
             return Some(Self::DrainedHall(hall));
--- a/crates/thymeshift_config/src/lib.rs
+++ b/crates/thymeshift_config/src/lib.rs
@@ -23,6 +23,7 @@
 pub use discovery::Discovered;
 pub use discovery::Discovery;
 pub use discovery::DiscoveryReader;
+pub use discovery::LeftOut;
 pub use kind::HeaderRule;
 pub use kind::Kind;
 pub use kind::KindMatch;
--- a/crates/thymeshift_config/src/mistake.rs
+++ b/crates/thymeshift_config/src/mistake.rs
@@ -23,6 +23,14 @@
     pub expected: String,
 }
 
+impl Mistake {
+    /// The mistake as it is told where its line is not known.
+    pub(crate) fn without_place(&self) -> String {
+        let Self { field, found, expected, .. } = self;
+        format!("{field}: found {found}, expected {expected}")
+    }
+}
+
 impl fmt::Display for Mistake {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self { line, column, field, found, expected } = self;
--- a/crates/thymeshift_config/src/tree.rs
+++ b/crates/thymeshift_config/src/tree.rs
@@ -79,6 +79,18 @@
         builder.document()
     }
 
+    /// The text of a field, if this is a map that has it.
+    pub(crate) fn text_of(&self, name: &str) -> Option<&str> {
+        let Content::Map(entries) = &self.content else {
+            return None;
+        };
+        let entry = entries.iter().find(|entry| entry.key == name)?;
+        match &entry.value.content {
+            Content::Scalar { text, .. } => Some(text),
+            Content::List(_) | Content::Map(_) => None,
+        }
+    }
+
     /// Whether nothing stands there.
     pub(crate) fn is_null(&self) -> bool {
         matches!(&self.content, Content::Scalar { text, is_quoted: false } if text.is_empty())
--- a/crates/thymeshift_entry/src/control_plane/dump.rs
+++ b/crates/thymeshift_entry/src/control_plane/dump.rs
@@ -8,14 +8,18 @@
 use thymeshift_types::DataHallName;
 use thymeshift_wire::ConfigurationDump;
 use thymeshift_wire::HallDump;
+use thymeshift_wire::LeftOutDump;
 use thymeshift_wire::PlatformDump;
 use thymeshift_wire::StateDump;
 use thymeshift_wire::TaskDump;
 
+use crate::fleet::Fleet;
 use crate::shared::Shared;
 
 /// Leaving marks listed at most.
 const MARKS_MAX: usize = 1_000;
+/// Entries that are left out, listed at most.
+const LEFT_OUT_MAX: usize = 1_000;
 
 /// What this process believes now. The fleet's part is read under one lock, and so is
 /// each service.
@@ -57,6 +61,7 @@
         services,
         kinds,
         members: fleet.members.dump(now),
+        left_out: left_out(&fleet),
         leaving: fleet.leaving.page(None, MARKS_MAX),
         orders: fleet.orders.list(now),
         suspects: fleet.quarantine.dump(now),
@@ -64,6 +69,14 @@
     }
 }
 
+fn left_out(fleet: &Fleet) -> Vec<LeftOutDump> {
+    let entries = fleet.discovery.iter().flat_map(|discovery| &discovery.left_out);
+    let dump = entries
+        .take(LEFT_OUT_MAX)
+        .map(|entry| LeftOutDump { name: entry.name.clone(), mistake: entry.mistake.clone() });
+    dump.collect()
+}
+
 /// The data halls in which targets or processes are known, with what is known of each.
 pub(crate) fn halls(shared: &Shared) -> Vec<HallDump> {
     let mut halls: BTreeMap<DataHallName, HallDump> = BTreeMap::new();
--- a/crates/thymeshift_entry/src/shared/in_force.rs
+++ b/crates/thymeshift_entry/src/shared/in_force.rs
@@ -7,7 +7,9 @@
 use metrics::gauge;
 use spdlog::error;
 use spdlog::info;
+use spdlog::warn;
 use thymeshift_config::Configuration;
+use thymeshift_config::Discovery;
 use thymeshift_config::TargetState;
 use thymeshift_fleet::Offer;
 use thymeshift_fleet::OrderSubject;
@@ -24,6 +26,9 @@
 use crate::service::ServiceRuntime;
 use crate::shared::Shared;
 
+/// Lines about entries that are left out, for one list.
+const LEFT_OUT_LOGGED_MAX: usize = 10;
+
 impl Shared {
     /// Offers a configuration from any source.
     pub(crate) fn offer_configuration(&self, published: &Published, source: &str) -> Offer {
@@ -50,6 +55,7 @@
         let mut fleet = self.fleet.lock();
         let (offer, adopted) = fleet.offer_targets(published, now);
         if let Some(discovery) = adopted {
+            log_left_out(fleet.discovery.as_ref(), &discovery);
             let kept = fleet.take_discovery(discovery, now);
             if kept > 0 {
                 info!("targets_kept", kv: { kept, revision: = published.head().revision });
@@ -182,6 +188,18 @@
     });
 }
 
+/// One line for each entry that is left out and was not before, up to a number, and how many there
+/// are.
+fn log_left_out(before: Option<&Discovery>, now: &Discovery) {
+    let before = before.map_or(&[][..], |before| &before.left_out);
+    let news = now.left_out.iter().filter(|entry| !before.contains(entry));
+    for entry in news.take(LEFT_OUT_LOGGED_MAX) {
+        let (name, mistake) = (entry.name.as_str(), entry.mistake.as_str());
+        warn!("entry_left_out", kv: { name, mistake });
+    }
+    gauge!(metric::ENTRIES_LEFT_OUT).set(now.left_out.len() as f64);
+}
+
 /// One line for each data hall that is drained or taken back, and the number of drained ones.
 fn log_halls(before: Option<&Configuration>, now: &Configuration) {
     let before = before.map_or(&[][..], |before| &before.drained_halls);
--- a/crates/thymeshift_query/src/table.rs
+++ b/crates/thymeshift_query/src/table.rs
@@ -98,6 +98,12 @@
     /// Operators' orders.
     #[display("orders")]
     Orders,
+    /// Requests that crash the targets which run them.
+    #[display("suspects")]
+    Suspects,
+    /// Entries of the list of targets that cannot be used.
+    #[display("left_out")]
+    LeftOut,
     /// Tasks of the process.
     #[display("tasks")]
     Tasks,
@@ -105,7 +111,7 @@
 
 impl TableName {
     /// All tables.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 14] = [
         Self::Process,
         Self::Configuration,
         Self::Halls,
@@ -117,6 +123,8 @@
         Self::Watchers,
         Self::Leaving,
         Self::Orders,
+        Self::Suspects,
+        Self::LeftOut,
         Self::Tasks,
     ];
 
@@ -189,6 +197,16 @@
             ],
             Self::Watchers => &["vm", "watcher", "age_ms"],
             Self::Leaving => &["vm", "service", "target", "incarnation"],
+            Self::Suspects => &[
+                "vm",
+                "fingerprint",
+                "strikes",
+                "refused_ms",
+                "first_crash_ms",
+                "last_crash_ms",
+                "targets",
+            ],
+            Self::LeftOut => &["vm", "entry", "mistake"],
             Self::Orders => &[
                 "vm",
                 "subject",
--- a/crates/thymeshift_query/src/tables.rs
+++ b/crates/thymeshift_query/src/tables.rs
@@ -38,6 +38,8 @@
         TableName::Watchers => watchers(dump),
         TableName::Leaving => leaving(dump),
         TableName::Orders => orders(dump),
+        TableName::Suspects => suspects(dump),
+        TableName::LeftOut => left_out(dump),
         TableName::Tasks => tasks(dump),
     }
 }
@@ -201,6 +203,27 @@
     dump.orders.iter().map(row).collect()
 }
 
+fn suspects(dump: &StateDump) -> Vec<Vec<Cell>> {
+    let row = |suspect: &thymeshift_fleet::SuspectDump| {
+        vec![
+            Cell::text(suspect.fingerprint),
+            number(suspect.strikes),
+            number(suspect.refused_for_ms),
+            number(suspect.first_crash_ms),
+            number(suspect.last_crash_ms),
+            Cell::text(suspect.targets.join(" ")),
+        ]
+    };
+    dump.suspects.iter().map(row).collect()
+}
+
+fn left_out(dump: &StateDump) -> Vec<Vec<Cell>> {
+    let row = |entry: &thymeshift_wire::LeftOutDump| {
+        vec![Cell::text(&entry.name), Cell::text(&entry.mistake)]
+    };
+    dump.left_out.iter().map(row).collect()
+}
+
 fn tasks(dump: &StateDump) -> Vec<Vec<Cell>> {
     let row = |task: &thymeshift_wire::TaskDump| {
         vec![Cell::text(&task.name), Cell::Flag(task.is_running), number(task.restarts)]
--- a/crates/thymeshift_telemetry/src/metric.rs
+++ b/crates/thymeshift_telemetry/src/metric.rs
@@ -31,6 +31,8 @@
 pub const REVISION: &str = "thymeshift_configuration_revision";
 /// Data halls whose targets get no new work.
 pub const DRAINED_HALLS: &str = "thymeshift_drained_halls";
+/// Entries of the list of targets that cannot be used.
+pub const ENTRIES_LEFT_OUT: &str = "thymeshift_entries_left_out";
 /// Documents refused, by `offer` (`conflicting`, `rejected`).
 pub const DOCUMENTS_REFUSED: &str = "thymeshift_documents_refused_total";
 /// Calls to the platform, by `result` (`changed`, `unchanged`, `failed`).
--- a/crates/thymeshift_wire/src/dump.rs
+++ b/crates/thymeshift_wire/src/dump.rs
@@ -70,6 +70,15 @@
     pub waited: u64,
 }
 
+/// An entry of the list of targets that cannot be used.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeftOutDump {
+    /// What it calls itself.
+    pub name: String,
+    /// Its first mistake.
+    pub mistake: String,
+}
+
 /// One data hall.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HallDump {
@@ -129,6 +138,8 @@
     pub kinds: Vec<KindDump>,
     /// Other processes.
     pub members: Vec<MemberDump>,
+    /// Entries of the list of targets that cannot be used.
+    pub left_out: Vec<LeftOutDump>,
     /// Targets that are leaving.
     pub leaving: Vec<LeavingMark>,
     /// Orders that hold.
--- a/crates/thymeshift_wire/src/lib.rs
+++ b/crates/thymeshift_wire/src/lib.rs
@@ -54,6 +54,7 @@
 pub use dump::ConfigurationDump;
 pub use dump::HallDump;
 pub use dump::KindDump;
+pub use dump::LeftOutDump;
 pub use dump::PlatformDump;
 pub use dump::StateDump;
 pub use dump::TaskDump;
