--- a/crates/thymeshift_entry/src/control_plane/operators.rs
+++ b/crates/thymeshift_entry/src/control_plane/operators.rs
@@ -124,6 +124,8 @@
     let service_name = match subject {
         OrderSubject::Target(service, _) | OrderSubject::Probing(service) => service,
         OrderSubject::DataHall(hall) => return unknown_hall(shared, hall),
+        // It may be known to others, or be expected.
+        OrderSubject::Request(_) => return None,
     };
     let service = routing.as_ref().and_then(|routing| routing.service(service_name.as_str()));
     let Some(service) = service else {
--- a/crates/thymeshift_entry/src/fleet.rs
+++ b/crates/thymeshift_entry/src/fleet.rs
@@ -18,6 +18,8 @@
 use thymeshift_fleet::Member;
 use thymeshift_fleet::Members;
 use thymeshift_fleet::Offer;
+use thymeshift_fleet::OrderChange;
+use thymeshift_fleet::OrderSubject;
 use thymeshift_fleet::Orders;
 use thymeshift_fleet::PassingOn;
 use thymeshift_fleet::Phase;
@@ -165,9 +167,13 @@
         answer
     }
 
-    /// Whether a request may be sent to a target.
+    /// Whether a request may be sent to a target. An operator's order goes before what is known.
     pub(crate) fn verdict(&self, fingerprint: Fingerprint, now: Timestamp) -> Verdict {
-        self.quarantine.verdict(fingerprint, now)
+        match self.orders.holding(&OrderSubject::Request(fingerprint), now) {
+            Some((OrderChange::Stop, left)) => Verdict::Refused(left),
+            Some((OrderChange::Resume, _)) => Verdict::Free,
+            None => self.quarantine.verdict(fingerprint, now),
+        }
     }
 
     /// A few of the suspects, in turn.
--- a/crates/thymeshift_fleet/src/orders.rs
+++ b/crates/thymeshift_fleet/src/orders.rs
@@ -14,6 +14,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use thymeshift_types::DataHallName;
+use thymeshift_types::Fingerprint;
 use thymeshift_types::Revision;
 use thymeshift_types::ServiceName;
 use thymeshift_types::TargetName;
@@ -38,6 +39,9 @@
     /// Whether the targets of a data hall get new work.
     #[display("hall {_0}")]
     DataHall(DataHallName),
+    /// Whether a request is refused, whatever is known of it.
+    #[display("request {_0}")]
+    Request(Fingerprint),
 }
 
 /// What an order says about its subject.
@@ -154,12 +158,23 @@
         held.is_some_and(|held| held.order.change == OrderChange::Stop)
     }
 
+    /// What the order that holds for `subject` says, and for how long.
+    pub fn holding(
+        &self,
+        subject: &OrderSubject,
+        now: Timestamp,
+    ) -> Option<(OrderChange, Duration)> {
+        let held = self.held.get(subject)?;
+        let left = now.until(held.expires_at);
+        (!left.is_zero()).then_some((held.order.change, left))
+    }
+
     /// Data halls that orders which hold say to drain.
     pub fn drained_halls(&self, now: Timestamp) -> Vec<DataHallName> {
         let stopped = self.held.keys().filter(|subject| self.is_stopped(subject, now));
         let hall = |subject: &OrderSubject| match subject {
             OrderSubject::DataHall(hall) => Some(hall.clone()),
-            OrderSubject::Target(..) | OrderSubject::Probing(_) => None,
+            OrderSubject::Target(..) | OrderSubject::Probing(_) | OrderSubject::Request(_) => None,
         };
         stopped.filter_map(hall).collect()
     }
--- a/crates/thymeshift_query/src/parser.rs
+++ b/crates/thymeshift_query/src/parser.rs
@@ -5,6 +5,7 @@
 use thymeshift_fleet::OrderChange;
 use thymeshift_fleet::OrderSubject;
 use thymeshift_types::DataHallName;
+use thymeshift_types::Fingerprint;
 use thymeshift_types::ServiceName;
 use thymeshift_types::TargetName;
 use thymeshift_wire::ExplainHeader;
@@ -24,7 +25,8 @@
 use crate::lexer::words;
 
 /// First words of commands.
-const VERBS: [&str; 7] = ["show", "explain", "drain", "undrain", "pause", "resume", "tables"];
+const VERBS: [&str; 9] =
+    ["show", "explain", "drain", "undrain", "pause", "resume", "refuse", "release", "tables"];
 /// What may be drained.
 const DRAIN_SUBJECTS: [&str; 2] = ["target", "hall"];
 /// Words that may follow the columns of a query.
@@ -66,6 +68,8 @@
             "undrain" => self.drain_order(OrderChange::Resume),
             "pause" => self.probing_order(OrderChange::Stop),
             "resume" => self.probing_order(OrderChange::Resume),
+            "refuse" => self.request_order(OrderChange::Stop),
+            "release" => self.request_order(OrderChange::Resume),
             "tables" => Ok(Command::Tables),
             text => Err(QueryMistake::unknown(verb.column, text, "a command", &VERBS)),
         }
@@ -233,6 +237,14 @@
         self.order(OrderSubject::Probing(service), change)
     }
 
+    fn request_order(&mut self, change: OrderChange) -> Parsed<Command> {
+        self.keyword("request")?;
+        let word = self.word("a fingerprint")?;
+        let mistake = |_| QueryMistake::new(word.column, &word.text, "a fingerprint");
+        let fingerprint: Fingerprint = word.text.parse().map_err(mistake)?;
+        self.order(OrderSubject::Request(fingerprint), change)
+    }
+
     fn order(&mut self, subject: OrderSubject, change: OrderChange) -> Parsed<Command> {
         let expires_in = if self.take_if("for") { self.duration()? } else { EXPIRY };
         Ok(Command::Order { subject, change, expires_in })
--- a/crates/thymeshift_query/tests/mistakes.rs
+++ b/crates/thymeshift_query/tests/mistakes.rs
@@ -9,7 +9,7 @@
     message: &'static str,
 }
 
-const CASES: [Case; 24] = [
+const CASES: [Case; 26] = [
     Case { line: "", column: 1, message: "found the end, expected a command" },
     Case { line: "shwo targets", column: 1, message: "a command (did you mean 'show'?)" },
     Case { line: "show", column: 5, message: "found the end, expected a table" },
@@ -32,6 +32,8 @@
     Case { line: "drain hall", column: 11, message: "expected a data hall" },
     Case { line: "undrain hall A!", column: 14, message: "a data hall's name" },
     Case { line: "drain target calc", column: 14, message: "expected SERVICE/TARGET" },
+    Case { line: "release request beef", column: 17, message: "expected a fingerprint" },
+    Case { line: "refuse target calc/c1", column: 8, message: "'request'" },
     Case { line: "drain target calc/c1 for 3d", column: 26, message: "a time from 1s to 24h" },
     Case { line: "pause probing Calc!", column: 15, message: "a service's name" },
 ];
--- a/crates/thymeshiftctl/src/arguments.rs
+++ b/crates/thymeshiftctl/src/arguments.rs
@@ -23,6 +23,8 @@
   undrain target SERVICE/TARGET
   pause probing SERVICE [for 10m]
   resume probing SERVICE
+  refuse request FINGERPRINT [for 10m]       send it to no target, whatever is known of it
+  release request FINGERPRINT [for 10m]      send it, whatever targets crashed under it
 
 Example:
   thymeshiftctl --at 10.9.1.21:8082 'show targets where service = calculator and load > 2 sort by age'
