--- a/crates/thymeshift_dispatch/src/table.rs
+++ b/crates/thymeshift_dispatch/src/table.rs
@@ -274,7 +274,10 @@
             let known = self.get_mut(index);
             let is_same =
                 known.address == listed.address && known.incarnation >= listed.incarnation;
-            if is_same {
+            // An earlier start never comes back, wherever it was.
+            let is_earlier = listed.incarnation < known.listed_incarnation;
+            if is_same || is_earlier {
+                known.listed_incarnation = known.listed_incarnation.max(listed.incarnation);
                 return index;
             }
             known.presence = Presence::Removed;
--- a/crates/thymeshift_dispatch/src/target_state.rs
+++ b/crates/thymeshift_dispatch/src/target_state.rs
@@ -54,6 +54,8 @@
     pub(crate) name: TargetName,
     pub(crate) address: SocketAddr,
     pub(crate) incarnation: Incarnation,
+    /// The same as it is listed; the target may have stated a later one since.
+    pub(crate) listed_incarnation: Incarnation,
     pub(crate) presence: Presence,
     /// An operator's order says that it gets no new work for now.
     pub(crate) is_stopped: bool,
@@ -87,6 +89,7 @@
             name,
             address,
             incarnation,
+            listed_incarnation: incarnation,
             presence: Presence::Serving,
             is_stopped: false,
             is_hall_drained: false,
