--- a/crates/thymeshift_fleet/src/quarantine.rs
+++ b/crates/thymeshift_fleet/src/quarantine.rs
@@ -31,7 +31,7 @@
 pub use rules::QuarantineRules;
 pub use suspect::SuspectDump;
 
-/// Suspects kept at most, in number. Each takes a target's end to make, and about 1 KB at most.
+/// Suspects kept at most, in number. Each takes a target's end to make, and about 3 KB at most.
 const SUSPECTS_MAX: usize = 1_024;
 
 /// Whether a request may be sent to a target.
--- a/crates/thymeshift_fleet/src/quarantine/suspect.rs
+++ b/crates/thymeshift_fleet/src/quarantine/suspect.rs
@@ -19,7 +19,7 @@
 use crate::quarantine::Verdict;
 
 /// Crashes kept for one request: more than run at the same moment before it is refused.
-const CRASHES_MAX: usize = 32;
+const CRASHES_MAX: usize = 16;
 /// Crashes told to peers at a time: with the longest names they fit one datagram.
 const CRASHES_TOLD_MAX: usize = 5;
 
