--- a/crates/thymeshift_entry/src/lib.rs
+++ b/crates/thymeshift_entry/src/lib.rs
@@ -4,10 +4,12 @@
 //! gives them sockets, clocks and random numbers.
 //!
 //! * [`caller`]: from an accepted connection to the answer.
-//! * [`target`]: connections to targets, one attempt of a request, probes.
+//! * [`target_client`]: connections to targets, one attempt of a request, probes.
+//! * [`service`]: obtaining a target, from an allocator or from the own dispatcher.
+//! * [`allocation_client`]: datagrams to other entry processes, and the leases held here.
 //! * [`control_plane`]: platform, peers, operators, readiness and metrics.
 //! * [`environment`]: what may be put in place of the product's own dialect and source.
-//! * [`post`]: datagrams between entry processes.
+//! * [`gaps`]: waits that end by the boot clock.
 //! * [`process`]: the supervisor tree, start and planned stop.
 
 mod allocation_client;
@@ -15,6 +17,7 @@
 mod control_plane;
 mod environment;
 mod fleet;
+mod gaps;
 mod native;
 mod process;
 mod reload;
@@ -29,6 +32,7 @@
 pub use environment::Environment;
 pub use environment::Source;
 pub use environment::SourceError;
+pub use gaps::Gaps;
 pub use native::NativeEnvironment;
 pub use native::NativeSource;
 pub use process::Bound;
--- a/crates/thymeshift_entry/src/shared.rs
+++ b/crates/thymeshift_entry/src/shared.rs
@@ -37,6 +37,7 @@
 use crate::allocation_client::AllocationClient;
 use crate::control_plane::Links;
 use crate::fleet::Fleet;
+use crate::gaps::Gaps;
 use crate::routing::Routing;
 use crate::service::PendingAcquire;
 use crate::service::ServiceLinks;
@@ -60,6 +61,8 @@
     pub(crate) boot: Boot,
     pub(crate) started_at: Timestamp,
     pub(crate) figures: ProcessFigures,
+    /// Ends waits that a suspension of the VM has made too long.
+    pub(crate) gaps: Gaps,
     pub(crate) fleet: Mutex<Fleet>,
     /// Whether there is a configuration in force.
     pub(crate) in_force: watch::Sender<bool>,
@@ -121,6 +124,7 @@
             boot,
             started_at: BootClock.now(),
             figures: ProcessFigures::default(),
+            gaps: Gaps::default(),
             in_force: watch::Sender::new(false),
             phase: watch::Sender::new(Phase::Starting),
             news: Notify::new(),
--- a/crates/thymeshift_entry/src/target_client/attempt.rs
+++ b/crates/thymeshift_entry/src/target_client/attempt.rs
@@ -27,7 +27,6 @@
 use thymeshift_wire::CallContext;
 use thymeshift_wire::Dialect;
 use thymeshift_wire::Meaning;
-use tokio::time::timeout;
 
 use crate::service::Destination;
 use crate::service::GrantGuard;
@@ -161,17 +160,18 @@
         let Some(sender) = connection.sender() else {
             return Err(self.given_up(request.into_body()).into());
         };
-        let sent = timeout(left, sender.try_send_request(request)).await;
+        let sending = sender.try_send_request(request);
+        let sent = self.shared.gaps.until(&BootClock, deadline, sending).await;
         let response = match sent {
-            Err(_) => return Err(self.timed_out(&destination).into()),
-            Ok(Err(mut error)) => {
+            None => return Err(self.timed_out(&destination).into()),
+            Some(Err(mut error)) => {
                 let unsent = error.take_message().map(Request::into_body);
                 return Err(self
                     .broken(&destination, unsent, error.error(), began_at)
                     .await
                     .into());
             }
-            Ok(Ok(response)) => response,
+            Some(Ok(response)) => response,
         };
         let meaning = D::meaning(response.status(), response.headers(), &attempt);
         self.learn(observation(meaning, D::report(response.headers())));
@@ -188,12 +188,12 @@
         if plan.answer_buffer_bytes == 0 {
             return Ok(answer.streamed());
         }
-        let left = BootClock.now().until(deadline);
-        let taken = timeout(left, answer.taken_in(plan.answer_buffer_bytes)).await;
+        let taking = answer.taken_in(plan.answer_buffer_bytes);
+        let taken = self.shared.gaps.until(&BootClock, deadline, taking).await;
         let peer = Peer::Target(destination.service.clone(), destination.name.clone());
         let mut crash = None;
         let failure = match taken {
-            Ok(Ok(response)) if meaning == Meaning::Failed => {
+            Some(Ok(response)) if meaning == Meaning::Failed => {
                 let failure = Failure::new(Outcome::Failed, Reason::TargetFailed, Step::Wait, peer);
                 return Err(Box::new(AttemptFailure {
                     failure,
@@ -204,12 +204,12 @@
                     crash: None,
                 }));
             }
-            Ok(Ok(response)) => return Ok(response),
-            Ok(Err(_)) => {
+            Some(Ok(response)) => return Ok(response),
+            Some(Err(_)) => {
                 crash = crash_of(&pool, &destination, incarnation, began_at).await;
                 Failure::new(Outcome::Unknown, Reason::ConnectionLost, Step::AnswerBody, peer)
             }
-            Err(_) => Failure::new(Outcome::Unknown, Reason::Deadline, Step::AnswerBody, peer),
+            None => Failure::new(Outcome::Unknown, Reason::Deadline, Step::AnswerBody, peer),
         };
         let target = destination.index;
         Err(Box::new(AttemptFailure {
