--- a/crates/thymeshift_entry/tests/gaps.rs
+++ b/crates/thymeshift_entry/tests/gaps.rs
@@ -38,7 +38,7 @@
     let ran = Duration::from_secs(1);
     let cases = [
         Case { suspended_s: 0, waits: LEFT },
-        Case { suspended_s: 1, waits: LEFT - Duration::from_secs(1) },
+        Case { suspended_s: 1, waits: Duration::from_secs(3) },
         Case { suspended_s: 5, waits: ran + NOTICED_AFTER },
         Case { suspended_s: 60, waits: ran + NOTICED_AFTER },
     ];
@@ -63,7 +63,7 @@
     let gaps = Gaps::default();
     let (answer, answered) = oneshot::channel();
     let waking = async {
-        clock.advance(Duration::from_secs(60));
+        clock.advance(Duration::from_mins(1));
         answer.send(7).expect("somebody waits");
         gaps.noticed();
     };
