--- a/crates/thymeshift_entry/src/caller/forward.rs
+++ b/crates/thymeshift_entry/src/caller/forward.rs
@@ -20,7 +20,6 @@
 use thymeshift_types::BootClock;
 use thymeshift_types::Clock;
 use thymeshift_types::Failure;
-use thymeshift_types::Fingerprint;
 use thymeshift_types::Outcome;
 use thymeshift_types::Peer;
 use thymeshift_types::Reason;
@@ -30,8 +29,7 @@
 use thymeshift_wire::Dialect;
 use tokio::time::sleep;
 
-use crate::control_plane::note_answered;
-use crate::control_plane::note_crash;
+use crate::caller::suspicion::Suspicion;
 use crate::routing::KindRuntime;
 use crate::service::GrantGuard;
 use crate::service::ServiceRuntime;
@@ -60,8 +58,7 @@
     pub(crate) kind: Arc<KindRuntime>,
     pub(crate) service: Arc<ServiceRuntime>,
     pub(crate) request_id: HeaderValue,
-    /// The same for each arrival of the request.
-    pub(crate) fingerprint: Fingerprint,
+    pub(crate) suspicion: Suspicion,
     /// Answers up to this length are complete before any of it goes to the caller.
     pub(crate) answer_buffer_bytes: u64,
     pub(crate) head: Parts,
@@ -79,7 +76,8 @@
     answer: Option<Response<TargetBody>>,
 }
 
-type Answered = Result<Response<TargetBody>, Box<AttemptFailure>>;
+/// What came of an attempt.
+pub(super) type Answered = Result<Response<TargetBody>, Box<AttemptFailure>>;
 
 impl<D: Dialect> Forward<D> {
     /// Forwards the request until there is an answer or nothing more may be tried.
@@ -151,7 +149,7 @@
         let request_id = self.request_id.to_str().unwrap_or_default();
         let left_ms = BootClock.now().until(self.deadline).as_millis() as u64;
         info!("attempt_failed", kv: {
-            request_id, fingerprint: = self.fingerprint,
+            request_id, fingerprint: = self.suspicion.fingerprint(),
             attempt, attempts_max = self.attempts_max, left_ms,
             outcome: = failure.outcome, reason: = failure.reason,
             step: = failure.step, peer: = failure.peer,
@@ -169,7 +167,7 @@
     }
 
     fn pass_quarantine(&self) -> Result<(), Failure> {
-        match self.verdict() {
+        match self.suspicion.verdict() {
             Verdict::Free | Verdict::Suspected => Ok(()),
             Verdict::Refused(left) => {
                 Err(self.not_run(Reason::Quarantined, Step::Choose).with_retry_after(left))
@@ -177,10 +175,6 @@
         }
     }
 
-    fn verdict(&self) -> Verdict {
-        self.shared.fleet.lock().verdict(self.fingerprint, BootClock.now())
-    }
-
     /// Waits for a target.
     async fn grant(&self, tried: Tried) -> Result<GrantGuard, Failure> {
         let begun = BootClock.now();
@@ -249,7 +243,7 @@
     /// A target for a second attempt beside the first: at once or not at all.
     async fn hedge_grant(&self, attempts: u64, tried: Tried) -> Option<GrantGuard> {
         let is_allowed = self.kind.kind.repeat == Repeat::Safe && attempts < self.attempts_max;
-        if !is_allowed || self.verdict() != Verdict::Free || !self.service.try_retry() {
+        if !is_allowed || self.suspicion.verdict() != Verdict::Free || !self.service.try_retry() {
             return None;
         }
         let at_once = Request { queue_max: 0, ..self.request(tried) };
@@ -278,24 +272,10 @@
             answer_buffer_bytes: self.answer_buffer_bytes,
         };
         let answered = Attempt::<D>::new(self.shared.clone(), grant).run(plan).await;
-        self.note_end(&answered);
+        self.suspicion.note(&answered);
         answered
     }
 
-    /// What the attempt showed of the request itself. A failure that the target states clears it
-    /// of nothing: the target may have broken it off at its deadline, before it did any harm.
-    fn note_end(&self, answered: &Answered) {
-        match answered {
-            Ok(response) if response.status().is_server_error() => {}
-            Ok(_) => note_answered(&self.shared, self.fingerprint),
-            Err(failed) => {
-                if let Some(crash) = &failed.crash {
-                    note_crash(&self.shared, self.fingerprint, crash);
-                }
-            }
-        }
-    }
-
     /// Another attempt needs: proof that none ran, or a kind that may run twice; a
     /// number and a budget that allow it; and time.
     fn may_retry(&self, failure: &Failure, attempts: u64) -> bool {
--- a/crates/thymeshift_entry/src/caller/handler.rs
+++ b/crates/thymeshift_entry/src/caller/handler.rs
@@ -40,6 +40,7 @@
 use crate::caller::head::Head;
 use crate::caller::hop::remove_hop_by_hop;
 use crate::caller::read_body::read_body;
+use crate::caller::suspicion::Suspicion;
 use crate::routing::KindRuntime;
 use crate::shared::Shared;
 use crate::target_client::BodyLimits;
@@ -180,7 +181,7 @@
             dialect: PhantomData,
             service: kind.service_for(rand::rng().random()).clone(),
             request_id: self.request_id.clone(),
-            fingerprint,
+            suspicion: Suspicion::new(&self.shared, fingerprint),
             answer_buffer_bytes: limits.answer_buffer_bytes,
             shared: self.shared.clone(),
             head: onward_head(parts, self.caller, &self.request_id),
--- a/crates/thymeshift_entry/src/caller/mod.rs
+++ b/crates/thymeshift_entry/src/caller/mod.rs
@@ -10,6 +10,7 @@
 mod hop;
 mod listener;
 mod read_body;
+mod suspicion;
 mod write_stall;
 
 pub(crate) use listener::run_listener;
--- a/crates/thymeshift_entry/src/target_client/attempt.rs
+++ b/crates/thymeshift_entry/src/target_client/attempt.rs
@@ -17,7 +17,6 @@
 use thymeshift_types::BootClock;
 use thymeshift_types::Clock;
 use thymeshift_types::Failure;
-use thymeshift_types::Incarnation;
 use thymeshift_types::Outcome;
 use thymeshift_types::Peer;
 use thymeshift_types::Reason;
@@ -37,10 +36,9 @@
 use crate::target_client::RequestBody;
 use crate::target_client::TargetBody;
 use crate::target_client::TargetCrash;
-use crate::target_client::crash::refuses_connections;
+use crate::target_client::crash::crash_of;
 use crate::target_client::pool::ConnectError;
 use crate::target_client::pool::Connection;
-use crate::target_client::pool::Pool;
 
 /// Whether a connection that served before may be used.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -322,25 +320,6 @@
     }
 }
 
-/// The end of the target to which a connection was lost now, if that is why.
-async fn crash_of(
-    pool: &Arc<Pool>,
-    destination: &Destination,
-    incarnation: Option<Incarnation>,
-    began_at: Timestamp,
-) -> Option<TargetCrash> {
-    let ended_at = BootClock.now();
-    let incarnation = incarnation?;
-    let has_ended = refuses_connections(pool, destination.address).await;
-    has_ended.then(|| TargetCrash {
-        service: destination.service.clone(),
-        target: destination.name.clone(),
-        incarnation,
-        began_at,
-        ended_at,
-    })
-}
-
 fn observation(meaning: Meaning, report: Option<LoadReport>) -> Observation {
     match meaning {
         Meaning::Answered => Observation::Answered(report),
--- a/crates/thymeshift_entry/src/target_client/crash.rs
+++ b/crates/thymeshift_entry/src/target_client/crash.rs
@@ -8,11 +8,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use thymeshift_types::BootClock;
+use thymeshift_types::Clock;
 use thymeshift_types::Incarnation;
 use thymeshift_types::ServiceName;
 use thymeshift_types::TargetName;
 use thymeshift_types::Timestamp;
 
+use crate::service::Destination;
 use crate::target_client::pool::ConnectError;
 use crate::target_client::pool::Pool;
 
@@ -32,9 +35,28 @@
     pub(crate) ended_at: Timestamp,
 }
 
+/// The end of the target to which a connection was lost now, if that is why.
+pub(crate) async fn crash_of(
+    pool: &Arc<Pool>,
+    destination: &Destination,
+    incarnation: Option<Incarnation>,
+    began_at: Timestamp,
+) -> Option<TargetCrash> {
+    let ended_at = BootClock.now();
+    let incarnation = incarnation?;
+    let has_ended = refuses_connections(pool, destination.address).await;
+    has_ended.then(|| TargetCrash {
+        service: destination.service.clone(),
+        target: destination.name.clone(),
+        incarnation,
+        began_at,
+        ended_at,
+    })
+}
+
 /// Whether nobody listens at `address` any more. A connection that is opened for that is kept for
 /// the next request.
-pub(crate) async fn refuses_connections(pool: &Arc<Pool>, address: SocketAddr) -> bool {
+async fn refuses_connections(pool: &Arc<Pool>, address: SocketAddr) -> bool {
     match pool.connect(address, LOOK_LIMIT).await {
         Ok(connection) => {
             connection.put_back();
