--- a/crates/thymeshift_config/src/configuration.rs
+++ b/crates/thymeshift_config/src/configuration.rs
@@ -25,9 +25,8 @@
 /// counts its own requests, and their windows differ.
 const RETRY_CAP_TENTHS: u64 = 9;
 
-/// Largest published text, in bytes. The platform holds values up to a megabyte; digests of keys
-/// may be longer than the keys that stand there.
-pub(crate) const TEXT_BYTES_MAX: usize = 1_536 * 1_024;
+/// Largest published text, in bytes: the platform holds values up to a megabyte.
+pub(crate) const TEXT_BYTES_MAX: usize = 1_024 * 1_024;
 
 /// A whole configuration that passed every check.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
--- a/crates/thymeshift_organisations/src/counter.rs
+++ b/crates/thymeshift_organisations/src/counter.rs
@@ -128,6 +128,8 @@
             return counted;
         }
         known.demand.add(asked.arrived, now);
+        // Until the next look at all of them.
+        self.demand_per_s += f64::from(asked.arrived) / DEMAND_MEMORY.as_secs_f64();
         self.now_all.add(asked.arrived, now);
         let holder_per_s = known.demand.per_s(now);
         let counted = self.hand_out(asked.wanted, holder_per_s, now);
