Probes of an allocator follow the requests that it is asked for

Cause: an allocator kept each target of its group fresh with 25 probes a second. Ruled out: fewer probes a target for all (where targets are few they are what keeps answers in time). Change: ten probes a request, 160 saved up, spent on the targets from which answers are expected soonest; the best five are found without sorting all.

--- a/crates/thymeshift_dispatch/src/dispatcher/probing.rs
+++ b/crates/thymeshift_dispatch/src/dispatcher/probing.rs
@@ -35,8 +35,8 @@
             .iter()
             .map(|candidate| (candidates.expected_us(&candidate), candidate))
             .collect();
+        keep_least(&mut best, count);
         best.sort_by(|(one, _), (other, _)| one.total_cmp(other));
-        best.truncate(count);
         let is_unheard = |candidate: &Candidate<'_>| candidate.target.is_unheard(age, now);
         if !best.first().is_some_and(|(_, first)| is_unheard(first)) {
             return Vec::new();
@@ -48,10 +48,27 @@
     }
 
     /// Names and addresses of the targets that may be probed and of which nothing was heard
-    /// for `age`.
-    pub fn unheard_targets(&self, age: Duration, now: Timestamp) -> Vec<(TargetName, SocketAddr)> {
+    /// for `age`: up to `count`, those from which answers are expected soonest.
+    pub fn unheard_targets(
+        &self,
+        age: Duration,
+        count: usize,
+        now: Timestamp,
+    ) -> Vec<(TargetName, SocketAddr)> {
         let is_unheard = |target: &&Target| target.is_serving() && target.is_unheard(age, now);
         let unheard = self.table.targets().iter().filter(is_unheard);
-        unheard.map(|target| (target.name.clone(), target.address)).collect()
+        let model = self.table.model();
+        let mut unheard: Vec<(f64, &Target)> =
+            unheard.map(|target| (target.expected_us(now, model), target)).collect();
+        keep_least(&mut unheard, count);
+        unheard.into_iter().map(|(_, target)| (target.name.clone(), target.address)).collect()
+    }
+}
+
+/// Keeps the `count` entries with the least cost, in any order.
+fn keep_least<T>(entries: &mut Vec<(f64, T)>, count: usize) {
+    if count < entries.len() {
+        entries.select_nth_unstable_by(count, |(one, _), (other, _)| one.total_cmp(other));
+        entries.truncate(count);
     }
 }
--- a/crates/thymeshift_entry/src/service/group.rs
+++ b/crates/thymeshift_entry/src/service/group.rs
@@ -14,6 +14,7 @@
 use thymeshift_dispatch::AnyStrategy;
 use thymeshift_dispatch::Dispatcher;
 use thymeshift_dispatch::LoadReport;
+use thymeshift_dispatch::ProbeBudget;
 use thymeshift_dispatch::Request;
 use thymeshift_dispatch::ServiceDump;
 use thymeshift_dispatch::Tried;
@@ -76,6 +77,7 @@
     asked_at: Option<Timestamp>,
     /// Whether the targets may be probed.
     is_probed: bool,
+    probe_budget: ProbeBudget,
 }
 
 impl GroupRuntime {
@@ -96,6 +98,7 @@
             allocator: Allocator::default(),
             asked_at: None,
             is_probed: is_probed(service),
+            probe_budget: ProbeBudget::default(),
         };
         Arc::new(Self { group, books: Mutex::new(books), told, links })
     }
@@ -118,7 +121,11 @@
 
     /// Requests come, or are about to: the targets' loads must be known.
     pub(crate) fn expect_requests(&self, now: Timestamp) {
-        let before = self.books.lock().asked_at.replace(now);
+        let before = {
+            let mut books = self.books.lock();
+            books.probe_budget.requested();
+            books.asked_at.replace(now)
+        };
         if before.is_none_or(|at| now.since(at) > RESTED) {
             self.links.allocating.notify_one();
         }
@@ -267,13 +274,20 @@
         self.books.lock().dispatcher.probe_targets().count()
     }
 
-    /// Names and addresses of the targets of which nothing was heard for `age`.
+    /// Names and addresses of the targets of which nothing was heard for `age`, as many as may be
+    /// probed.
     pub(crate) fn unheard_targets(
         &self,
         age: Duration,
         now: Timestamp,
     ) -> Vec<(TargetName, SocketAddr)> {
-        self.books.lock().dispatcher.unheard_targets(age, now)
+        let books = self.books.lock();
+        books.dispatcher.unheard_targets(age, books.probe_budget.left(), now)
+    }
+
+    /// Probes of targets of the group have begun.
+    pub(crate) fn probed(&self, probes: usize) {
+        self.books.lock().probe_budget.spend(probes);
     }
 
     pub(super) fn dump(&self, now: Timestamp) -> ServiceDump {
--- a/crates/thymeshift_entry/src/target_client/pace_probe.rs
+++ b/crates/thymeshift_entry/src/target_client/pace_probe.rs
@@ -1,9 +1,9 @@
 //! Keeping the allocator's view of its targets fresh.
 //!
 //! What it does: while this process allocates a service's targets, it probes those of which no
-//! answer or probe has told anything for a short while, and the best ones once more just before one
-//! of them is granted. Busy targets tell enough by themselves; a service without requests is not
-//! probed.
+//! answer or probe has told anything for a short while, as many as its requests are worth, and the
+//! best ones once more just before one of them is granted. Busy targets tell enough by themselves; a
+//! service without requests is not probed.
 //!
 //! Why: how long work takes at a target may change many times a second, and a report is
 //! worth nothing after that. One process probes for the whole fleet, so that the cost does
@@ -149,6 +149,7 @@
                 continue;
             }
             is_allocating = true;
+            let mut begun = 0;
             for (name, address) in group.unheard_targets(age, now) {
                 let destination = service.destination(name, address);
                 let may_begin = {
@@ -158,8 +159,10 @@
                 if may_begin {
                     let subject = Subject { service: service.clone(), group: group.clone() };
                     begin::<D>(shared, subject, destination, probe.clone(), probing.clone());
+                    begun += 1;
                 }
             }
+            group.probed(begun);
         }
     }
     is_allocating
