A process rests after a list of targets, a few times as long as that took

Cause: each change of a long list was taken in at once by every process, several a second while targets are replaced, on VMs with a tenth of a processor. Ruled out: a fixed pause (small fleets would learn later for nothing).

--- a/crates/thymeshift_entry/src/control_plane/peer_link.rs
+++ b/crates/thymeshift_entry/src/control_plane/peer_link.rs
@@ -228,7 +228,8 @@
 ) -> Result<(), ExchangeError> {
     let wanted = take_summary(shared, exchange);
     for document in wanted {
-        if !shared.links.begin_fetch(document, BootClock.now()) {
+        let is_resting = document == Document::Targets && !shared.rest().is_zero();
+        if is_resting || !shared.links.begin_fetch(document, BootClock.now()) {
             continue;
         }
         let have = shared.fleet.lock().document(document).head();
--- a/crates/thymeshift_entry/src/shared.rs
+++ b/crates/thymeshift_entry/src/shared.rs
@@ -8,12 +8,14 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use parking_lot::Mutex;
 use parking_lot::RwLock;
 use thymeshift_allocation::Group;
 use thymeshift_config::Settings;
 use thymeshift_fleet::Boot;
+use thymeshift_fleet::ListPace;
 use thymeshift_fleet::Member;
 use thymeshift_fleet::Phase;
 use thymeshift_fleet::ranked;
@@ -88,6 +90,9 @@
     pub(crate) request_lines: LineBudget,
     /// Whether this process waits for a document from the one above it in its data hall.
     pub(crate) is_awaiting_relay: AtomicBool,
+    /// Whether this process rests before it fetches a list of targets.
+    pub(crate) is_resting: AtomicBool,
+    pub(crate) list_pace: Mutex<ListPace>,
     crashes_reported: AtomicU64,
     /// Whether targets are discovered apart from the configuration.
     discovers: bool,
@@ -122,6 +127,8 @@
             allocating: Arc::default(),
             request_lines: LineBudget::new(REQUEST_LINES_PER_S),
             is_awaiting_relay: AtomicBool::new(false),
+            is_resting: AtomicBool::new(false),
+            list_pace: Mutex::default(),
             crashes_reported: AtomicU64::new(0),
             discovers,
             settings_path,
@@ -156,6 +163,11 @@
         self.request_lines.allows(BootClock.now().as_micros())
     }
 
+    /// How long this process rests before it takes in another list of targets.
+    pub(crate) fn rest(&self) -> Duration {
+        self.list_pace.lock().rest(BootClock.now())
+    }
+
     /// Numbers the reports of crashed targets that this process makes.
     pub(crate) fn next_crash_number(&self) -> u64 {
         self.crashes_reported.fetch_add(1, Ordering::Relaxed)
--- a/crates/thymeshift_entry/src/shared/in_force.rs
+++ b/crates/thymeshift_entry/src/shared/in_force.rs
@@ -70,6 +70,8 @@
         drop(fleet);
         log_offer("targets", offer, published, source, rejection);
         if offer == Offer::Adopted {
+            let ended = BootClock.now();
+            self.list_pace.lock().taken(ended.since(now), ended);
             self.pass_on();
         }
         offer
