The difference of two long lists holds the lines that changed, and not all between them

Cause: a difference kept the common start and end and carried all between the first and the last change. Targets of a large fleet change several at a time, anywhere in the list: two of 6,000 carry a third of one megabyte to every process, over every link. Change: what lies between is compared line by line.

--- a/crates/thymeshift_fleet/src/delta.rs
+++ b/crates/thymeshift_fleet/src/delta.rs
@@ -1,9 +1,13 @@
 //! The difference between two revisions of a document.
 //!
-//! A change of configuration touches one place of a long text. The difference keeps how
-//! much of the start and of the end stays, and the bytes between. It is found in one pass
-//! and needs no diff library; for changes at two distant places it carries what lies
-//! between them, which is still right, only longer.
+//! A difference keeps parts of the old text and puts new text between them. What the texts have in
+//! common at both ends is kept first; if several lines lie between, they are compared line by line.
+//!
+//! Load pattern: targets of a large fleet that change a few at a time, anywhere in a long list.
+//! Everything between the first and the last change would be a third of the list for two of them:
+//! 340 KB for two lines of 6,000, to every process.
+
+use std::collections::HashMap;
 
 use derive_more::Display;
 use derive_more::Error;
@@ -20,14 +24,24 @@
     pub from: Head,
     /// The document it makes.
     pub to: Head,
-    /// Bytes kept from the start.
-    prefix_bytes: u32,
-    /// Bytes kept from the end.
-    suffix_bytes: u32,
-    /// Text between them.
-    middle: String,
+    /// From the start to the end; what stands behind the last one is kept.
+    edits: Vec<Edit>,
+}
+
+/// One change, behind a part that is kept.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Edit {
+    /// Bytes kept before it.
+    kept_bytes: u32,
+    /// Bytes left out.
+    dropped_bytes: u32,
+    /// Text put in their place.
+    text: String,
 }
 
+/// Bytes that an edit takes beside its text.
+const EDIT_BYTES: usize = 10;
+
 /// Why a difference was not applied. Nothing was changed; ask for the whole document.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
 pub enum DeltaError {
@@ -45,13 +59,9 @@
         let (old, new) = (from.text(), to.text());
         let prefix = common_prefix(old, new);
         let suffix = common_suffix(&old[prefix..], &new[prefix..]);
-        Self {
-            from: from.head(),
-            to: to.head(),
-            prefix_bytes: prefix as u32,
-            suffix_bytes: suffix as u32,
-            middle: new[prefix..new.len() - suffix].to_owned(),
-        }
+        let old = &old[prefix..old.len() - suffix];
+        let new = &new[prefix..new.len() - suffix];
+        Self { from: from.head(), to: to.head(), edits: edits(prefix, old, new) }
     }
 
     /// The document that this difference makes of `base`.
@@ -59,18 +69,63 @@
         if base.head() != self.from {
             return Err(DeltaError::OtherBase);
         }
-        let text = base.text();
-        let prefix = text.get(..self.prefix_bytes as usize).ok_or(DeltaError::Damaged)?;
-        let suffix_at = text.len().checked_sub(self.suffix_bytes as usize);
-        let suffix = suffix_at.and_then(|at| text.get(at..)).ok_or(DeltaError::Damaged)?;
-        let made = [prefix, &self.middle, suffix].concat();
+        let mut rest = base.text();
+        let mut made = String::with_capacity(rest.len());
+        for edit in &self.edits {
+            let (kept, behind) = split(rest, edit.kept_bytes)?;
+            let (_, behind) = split(behind, edit.dropped_bytes)?;
+            made.push_str(kept);
+            made.push_str(&edit.text);
+            rest = behind;
+        }
+        made.push_str(rest);
         let published = Published::new(self.to.revision, &made);
         if published.head() == self.to { Ok(published) } else { Err(DeltaError::Damaged) }
     }
 
     /// Bytes that it carries.
     pub fn len_bytes(&self) -> usize {
-        self.middle.len()
+        self.edits.iter().map(|edit| EDIT_BYTES + edit.text.len()).sum()
+    }
+}
+
+fn split(text: &str, length_bytes: u32) -> Result<(&str, &str), DeltaError> {
+    text.split_at_checked(length_bytes as usize).ok_or(DeltaError::Damaged)
+}
+
+/// The edits that turn `old` into `new`, both behind `prefix` bytes that are kept. A line of the old
+/// text that stands in the new one, behind those found before, is kept.
+fn edits(prefix: usize, old: &str, new: &str) -> Vec<Edit> {
+    let mut places = HashMap::new();
+    let mut begin = 0;
+    for line in old.split_inclusive('\n') {
+        places.entry(line).or_insert(begin);
+        begin += line.len();
+    }
+    let mut edits = Vec::new();
+    let (mut kept, mut passed) = (prefix, 0);
+    let mut text = String::new();
+    for line in new.split_inclusive('\n') {
+        let Some(place) = places.get(line).copied().filter(|place| *place >= passed) else {
+            text.push_str(line);
+            continue;
+        };
+        if place > passed || !text.is_empty() {
+            edits.push(Edit::new(kept, place - passed, std::mem::take(&mut text)));
+            kept = 0;
+        }
+        kept += line.len();
+        passed = place + line.len();
+    }
+    if passed < old.len() || !text.is_empty() {
+        edits.push(Edit::new(kept, old.len() - passed, text));
+    }
+    edits
+}
+
+impl Edit {
+    fn new(kept: usize, dropped: usize, text: String) -> Self {
+        Self { kept_bytes: kept as u32, dropped_bytes: dropped as u32, text }
     }
 }
 
