Requests for long answers cross to another data hall later

Change: the detour grows with the mean length of the answers to a kind, up to 16 times; processes learn that and tell it with the request for a target.

--- a/crates/thymeshift_allocation/tests/books.rs
+++ b/crates/thymeshift_allocation/tests/books.rs
@@ -46,6 +46,7 @@
         queue_max: 100,
         tried: Tried::default(),
         origin: HallIndex::default(),
+        answer_kib: 0,
     }
 }
 
--- a/crates/thymeshift_allocation/tests/drained_order.rs
+++ b/crates/thymeshift_allocation/tests/drained_order.rs
@@ -199,6 +199,7 @@
             queue_max: 0,
             tried: Tried::default(),
             origin: HallIndex::default(),
+            answer_kib: 0,
         }
     }
 
--- a/crates/thymeshift_dispatch/src/dispatcher.rs
+++ b/crates/thymeshift_dispatch/src/dispatcher.rs
@@ -265,15 +265,13 @@
     }
 
     fn choose<R: Rng>(&mut self, request: &Request, now: Timestamp, rng: &mut R) -> Option<Grant> {
-        let candidates =
-            Candidates::new(&self.table, self.view, now, &request.tried, request.origin);
+        let candidates = Candidates::new(&self.table, self.view, now, &request.tried, request);
         let chosen = match self.strategy.choose(&candidates, rng) {
             Some(index) => index,
             // A second attempt at the same target is better than none.
             None if !request.tried.is_empty() => {
                 let untried = Tried::default();
-                let candidates =
-                    Candidates::new(&self.table, self.view, now, &untried, request.origin);
+                let candidates = Candidates::new(&self.table, self.view, now, &untried, request);
                 self.strategy.choose(&candidates, rng)?
             }
             None => return None,
--- a/crates/thymeshift_dispatch/src/dispatcher/probing.rs
+++ b/crates/thymeshift_dispatch/src/dispatcher/probing.rs
@@ -29,8 +29,7 @@
         count: usize,
         now: Timestamp,
     ) -> Vec<(TargetName, SocketAddr)> {
-        let candidates =
-            Candidates::new(&self.table, self.view, now, &request.tried, request.origin);
+        let candidates = Candidates::new(&self.table, self.view, now, &request.tried, request);
         let mut best: Vec<(f64, Candidate<'_>)> = candidates
             .iter()
             .map(|candidate| (candidates.expected_us(&candidate), candidate))
--- a/crates/thymeshift_dispatch/src/halls.rs
+++ b/crates/thymeshift_dispatch/src/halls.rs
@@ -4,6 +4,11 @@
 
 use thymeshift_types::DataHallName;
 
+/// Length of answers, in KiB, up to which the configured detour counts as it is: a page, not a file.
+const DETOUR_KIB: f64 = 8.0;
+/// Largest part by which the detour grows for long answers: callers of files wait for seconds.
+const DETOUR_FACTOR_MAX: f64 = 16.0;
+
 /// A data hall, as numbered by one dispatcher. The first is its own.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct HallIndex(u16);
@@ -43,9 +48,13 @@
     }
 
     /// What the way costs in a choice, in microseconds: its time, and what it is worth to
-    /// spare it.
-    pub(crate) fn cost_us(&self, from: HallIndex, to: HallIndex) -> f64 {
-        let detour = if from == to { 0.0 } else { self.detour.as_micros() as f64 };
-        self.way_us(from, to) + detour
+    /// spare it. That grows with the length of the answer.
+    pub(crate) fn cost_us(&self, from: HallIndex, to: HallIndex, answer_kib: u32) -> f64 {
+        if from == to {
+            return 0.0;
+        }
+        let length = f64::from(answer_kib) / DETOUR_KIB;
+        let detour_us = self.detour.as_micros() as f64 * length.clamp(1.0, DETOUR_FACTOR_MAX);
+        self.way_us(from, to) + detour_us
     }
 }
--- a/crates/thymeshift_dispatch/src/request.rs
+++ b/crates/thymeshift_dispatch/src/request.rs
@@ -55,4 +55,6 @@
     pub tried: Tried,
     /// The data hall it comes from.
     pub origin: HallIndex,
+    /// Length of the answers to its kind in the mean, in KiB; 0 if that is not known.
+    pub answer_kib: u32,
 }
--- a/crates/thymeshift_dispatch/src/strategy/candidates.rs
+++ b/crates/thymeshift_dispatch/src/strategy/candidates.rs
@@ -4,6 +4,7 @@
 use thymeshift_types::Timestamp;
 
 use crate::HallIndex;
+use crate::Request;
 use crate::TargetIndex;
 use crate::Tried;
 use crate::View;
@@ -45,6 +46,7 @@
     model: &'a ServiceModel,
     halls: &'a Halls,
     origin: HallIndex,
+    answer_kib: u32,
     now: Timestamp,
     tried: &'a Tried,
     bound: Bound,
@@ -58,13 +60,14 @@
         view: View,
         now: Timestamp,
         tried: &'a Tried,
-        origin: HallIndex,
+        request: &Request,
     ) -> Self {
         Self {
             targets: table.targets(),
             model: table.model(),
             halls: table.halls(),
-            origin,
+            origin: request.origin,
+            answer_kib: request.answer_kib,
             now,
             tried,
             bound: table.bound(view, now),
@@ -82,7 +85,7 @@
     /// Time in which an answer of a candidate is expected, in microseconds, the cost of the
     /// way to its data hall included.
     pub fn expected_us(&self, candidate: &Candidate<'_>) -> f64 {
-        let way_us = self.halls.cost_us(self.origin, candidate.target.hall);
+        let way_us = self.halls.cost_us(self.origin, candidate.target.hall, self.answer_kib);
         let place = (candidate.in_flight() as usize).min(self.costs.len() - 1);
         candidate.target.expected_us(self.now, self.model) * self.costs[place] + way_us
     }
--- /dev/null
+++ b/crates/thymeshift_dispatch/tests/long_answers.rs
@@ -0,0 +1,62 @@
+//! Requests for long answers stay within their data hall while it serves them hardly later.
+
+mod support;
+
+use support::at;
+use support::configuration;
+use support::dispatcher;
+use support::ms;
+use support::name;
+use support::request;
+use support::rng;
+use support::sent;
+use thymeshift_dispatch::Request;
+use thymeshift_dispatch::View;
+
+/// Two targets in hall `a` and two in hall `b`, answers may take 100 ms longer to
+/// spare the way.
+fn dispatcher_with_detour() -> thymeshift_dispatch::Dispatcher<thymeshift_dispatch::AnyStrategy> {
+    let mut configuration = configuration(4, 2, "");
+    configuration.data_hall_detour_us = 100_000;
+    configuration.services[0].slots_per_target = 4;
+    let mut dispatcher = dispatcher(&configuration);
+    dispatcher.set_view(View::Fleet);
+    dispatcher
+}
+
+#[test]
+fn requests_cross_to_another_hall_later_the_longer_their_answers_are() {
+    struct Case {
+        answer_kib: u32,
+        /// Of eight requests at one moment, those that go to the other hall.
+        crossing: std::ops::RangeInclusive<usize>,
+    }
+    let cases = [
+        Case { answer_kib: 0, crossing: 2..=4 },
+        Case { answer_kib: 5, crossing: 2..=4 },
+        Case { answer_kib: 90, crossing: 0..=1 },
+    ];
+    for Case { answer_kib, crossing } in cases {
+        let mut dispatcher = dispatcher_with_detour();
+        let mut rng = rng();
+        // Work takes 200 ms, so that a second request at a target is worth the way to another hall.
+        for step in 0..40 {
+            let wanted = request(1, at(100_000));
+            let grant = sent(&mut dispatcher, wanted, at(step * 200), &mut rng);
+            let answered = thymeshift_dispatch::Observation::Answered(Some(support::report(0, 0)));
+            dispatcher.learn(&grant, answered, at(step * 200 + 200));
+            dispatcher.release(grant, at(step * 200 + 200));
+        }
+        let now = at(10_000) + ms(1);
+        let mut crossed = 0;
+        let mut grants = Vec::new();
+        for _ in 0..6 {
+            let wanted = Request { answer_kib, ..request(1, at(100_000)) };
+            let grant = sent(&mut dispatcher, wanted, now, &mut rng);
+            let chosen = dispatcher.target_name(&grant);
+            crossed += usize::from(chosen == name(2) || chosen == name(3));
+            grants.push(grant);
+        }
+        assert!(crossing.contains(&crossed), "{answer_kib} KiB: {crossed} crossed");
+    }
+}
--- a/crates/thymeshift_dispatch/tests/support/mod.rs
+++ b/crates/thymeshift_dispatch/tests/support/mod.rs
@@ -83,6 +83,7 @@
         queue_max: 100,
         tried: Tried::default(),
         origin: HallIndex::default(),
+        answer_kib: 0,
     }
 }
 
--- a/crates/thymeshift_entry/src/allocation_client.rs
+++ b/crates/thymeshift_entry/src/allocation_client.rs
@@ -96,6 +96,7 @@
     pub(crate) wait: Duration,
     pub(crate) objective: Duration,
     pub(crate) queue_max: u32,
+    pub(crate) answer_kib: u32,
     pub(crate) tried: Vec<TargetName>,
 }
 
@@ -182,7 +183,7 @@
             Allocating::There(place) => Some(place.vm.clone()),
         };
         let Wanted { service, group, may_redirect, is_first_choice, priority, .. } = wanted;
-        let Wanted { deadline, wait, objective, queue_max, tried, .. } = wanted;
+        let Wanted { deadline, wait, objective, queue_max, answer_kib, tried, .. } = wanted;
         let open = OpenLease {
             service: service.clone(),
             group: group.clone(),
@@ -212,6 +213,7 @@
             wait,
             objective,
             queue_max,
+            answer_kib,
             tried,
             held,
         };
--- a/crates/thymeshift_entry/src/caller/forward.rs
+++ b/crates/thymeshift_entry/src/caller/forward.rs
@@ -217,6 +217,7 @@
             queue_max: u32::try_from(kind.queue_max).unwrap_or(u32::MAX),
             tried,
             origin: HallIndex::default(),
+            answer_kib: self.kind.figures.answer_kib(),
         }
     }
 
--- a/crates/thymeshift_entry/src/caller/handler.rs
+++ b/crates/thymeshift_entry/src/caller/handler.rs
@@ -15,6 +15,7 @@
 use http::Version;
 use http::header;
 use http::request::Parts;
+use http_body::Body;
 use hyper::body::Incoming;
 use metrics::counter;
 use rand::Rng;
@@ -172,6 +173,9 @@
             self.shared.quotas.give_back(identity.name());
         }
         let response = forwarded?;
+        if response.status().is_success() {
+            forward.kind.figures.learn_answer(response.body().size_hint().lower());
+        }
         let (mut parts, body) = response.into_parts();
         remove_hop_by_hop(&mut parts.headers);
         D::clean_answer(&mut parts.headers);
--- a/crates/thymeshift_entry/src/routing.rs
+++ b/crates/thymeshift_entry/src/routing.rs
@@ -23,6 +23,9 @@
 use crate::service::ServiceLinks;
 use crate::service::ServiceRuntime;
 
+/// Answers over which their length is averaged.
+const ANSWERS_MEMORY: u64 = 8;
+
 /// A figure that is kept for dumps and for metrics at once.
 pub(crate) struct Tally {
     count: AtomicU64,
@@ -54,6 +57,8 @@
     pub(crate) retries: Tally,
     pub(crate) waited: Tally,
     pub(crate) seconds: Histogram,
+    /// Length of answers in the mean, in bytes.
+    answer_bytes: AtomicU64,
     /// How long callers usually wait.
     pub(crate) patience: Mutex<Patience>,
 }
@@ -73,10 +78,28 @@
             retries: Tally::new(counter!(metric::RETRIES, "kind" => name.clone())),
             waited: Tally::new(counter!(metric::WAITED, "kind" => name.clone())),
             seconds: histogram!(metric::REQUEST_SECONDS, "kind" => name.clone()),
+            answer_bytes: AtomicU64::new(0),
             patience: Mutex::default(),
         })
     }
 
+    /// An answer of this length was passed on.
+    pub(crate) fn learn_answer(&self, bytes: u64) {
+        let before = self.answer_bytes.load(Ordering::Relaxed);
+        let mean = if before == 0 {
+            bytes
+        } else {
+            before - before / ANSWERS_MEMORY + bytes / ANSWERS_MEMORY
+        };
+        self.answer_bytes.store(mean, Ordering::Relaxed);
+    }
+
+    /// Length of answers in the mean, in KiB; 0 if none is known.
+    pub(crate) fn answer_kib(&self) -> u32 {
+        let kib = self.answer_bytes.load(Ordering::Relaxed).div_ceil(1_024);
+        u32::try_from(kib).unwrap_or(u32::MAX)
+    }
+
     pub(crate) fn outcome(&self, outcome: Outcome) -> &Tally {
         match outcome {
             Outcome::NotRun => &self.not_run,
--- a/crates/thymeshift_entry/src/service/group.rs
+++ b/crates/thymeshift_entry/src/service/group.rs
@@ -325,6 +325,7 @@
         queue_max: acquire.queue_max,
         tried,
         origin: dispatcher.hall_index(&acquire.data_hall),
+        answer_kib: acquire.answer_kib,
     }
 }
 
--- a/crates/thymeshift_entry/src/service/obtain.rs
+++ b/crates/thymeshift_entry/src/service/obtain.rs
@@ -215,6 +215,7 @@
             wait: now.until(request.wait_until),
             objective: now.until(request.objective),
             queue_max: request.queue_max,
+            answer_kib: request.answer_kib,
             tried: self.names(&request.tried),
         }
     }
--- a/crates/thymeshift_lab/src/experiment/decision_cost.rs
+++ b/crates/thymeshift_lab/src/experiment/decision_cost.rs
@@ -105,6 +105,7 @@
         queue_max: 10,
         tried: Tried::default(),
         origin: HallIndex::default(),
+        answer_kib: 0,
     }
 }
 
--- a/crates/thymeshift_wire/src/datagram.rs
+++ b/crates/thymeshift_wire/src/datagram.rs
@@ -201,6 +201,8 @@
     pub objective: Duration,
     /// Most requests of its rank waiting at one time.
     pub queue_max: u32,
+    /// Length of the answers to its kind in the mean, in KiB; 0 if that is not known.
+    pub answer_kib: u32,
     /// Targets that the request was already sent to.
     pub tried: Vec<TargetName>,
     /// All leases of this group that the sender holds or asks for.
