--- a/crates/thymeshift_config/src/decode.rs
+++ b/crates/thymeshift_config/src/decode.rs
@@ -320,14 +320,12 @@
     fn decode(node: &Node, path: &str, mistakes: &mut Mistakes) -> Option<Self> {
         let expected = "the digest of a key, 32 hexadecimal digits";
         let (text, _) = scalar(node, path, expected, mistakes)?;
-        match text.parse() {
-            Ok(digest) => Some(digest),
+        let digest = text.parse().ok();
+        if digest.is_none() {
             // What stands there may be the key itself, which is to be shown nowhere.
-            Err(_) => {
-                add(node.place, path, "another text".to_owned(), expected.to_owned(), mistakes);
-                None
-            }
+            add(node.place, path, "another text".to_owned(), expected.to_owned(), mistakes);
         }
+        digest
     }
 }
 
--- a/crates/thymeshift_dispatch/src/table.rs
+++ b/crates/thymeshift_dispatch/src/table.rs
@@ -319,15 +319,12 @@
 
     fn insert(&mut self, target: Target, free: &mut Vec<usize>) -> TargetIndex {
         let name = target.name.clone();
-        let place = match free.pop() {
-            Some(place) => {
-                self.targets[place] = target;
-                place
-            }
-            None => {
-                self.targets.push(target);
-                self.targets.len() - 1
-            }
+        let place = if let Some(place) = free.pop() {
+            self.targets[place] = target;
+            place
+        } else {
+            self.targets.push(target);
+            self.targets.len() - 1
         };
         let index = TargetIndex::new(place);
         self.places.insert(name, index);
--- a/crates/thymeshift_entry/src/caller/connection.rs
+++ b/crates/thymeshift_entry/src/caller/connection.rs
@@ -124,13 +124,11 @@
         answered = answer => answered,
         () = departed(stream) => None,
     };
-    match answered {
-        Some(answer) => answer,
-        None => {
-            departure.notify_one();
-            std::future::pending().await
-        }
+    if let Some(answer) = answered {
+        return answer;
     }
+    departure.notify_one();
+    std::future::pending().await
 }
 
 fn builder(limits: &Limits, head_limit: Duration) -> auto::Builder<TokioExecutor> {
--- a/crates/thymeshift_entry/src/organisations/quota.rs
+++ b/crates/thymeshift_entry/src/organisations/quota.rs
@@ -51,7 +51,7 @@
 pub(crate) struct Quotas {
     held: Mutex<HashMap<OrganisationName, Arc<Held>>>,
     counted: Mutex<HashMap<OrganisationName, QuotaCounter<VmName>>>,
-    orders: Mutex<HashMap<OrganisationName, Order>>,
+    rankings: Mutex<HashMap<OrganisationName, Ranking>>,
     questions: Questions,
 }
 
@@ -65,7 +65,8 @@
 /// Processes in the order in which they count; None is this process.
 type CounterOrder = Arc<[Option<AllocatorAddress>]>;
 
-struct Order {
+/// The order of an organisation's counters, while it is fresh.
+struct Ranking {
     order: CounterOrder,
     made_at: Timestamp,
     changes: u64,
@@ -143,7 +144,7 @@
         let is_known = |name: &OrganisationName| organisations.iter().any(|one| one.name == *name);
         self.held.lock().retain(|name, _| is_known(name));
         self.counted.lock().retain(|name, _| is_known(name));
-        self.orders.lock().retain(|name, _| is_known(name));
+        self.rankings.lock().retain(|name, _| is_known(name));
     }
 
     /// An organisation as this process sees it.
@@ -242,11 +243,11 @@
         counter.set_limit(limit, now);
         let question =
             QuotaQuestion { number: ask.number.0, wanted: ask.wanted, arrived: ask.arrived };
-        let counted = counter.ask(asker, question, now);
+        let answer = counter.ask(asker, question, now);
         QuotaTold {
-            tokens: counted.tokens,
-            retry_after_ms: counted.retry_after.as_millis() as u32,
-            own_rate_per_s: counted.own_rate_per_s,
+            tokens: answer.tokens,
+            retry_after_ms: answer.retry_after.as_millis() as u32,
+            own_rate_per_s: answer.own_rate_per_s,
         }
     }
 
@@ -265,7 +266,7 @@
         let now = BootClock.now();
         let changes = shared.fleet.lock().members.changes();
         let known = self
-            .orders
+            .rankings
             .lock()
             .get(name)
             .filter(|known| known.changes == changes && now.since(known.made_at) < ORDER_KEPT)
@@ -274,8 +275,8 @@
             return order;
         }
         let order: CounterOrder = shared.contacts_for(&format!("count {name}"), now).into();
-        let made = Order { order: order.clone(), made_at: now, changes };
-        self.orders.lock().insert(name.clone(), made);
+        let made = Ranking { order: order.clone(), made_at: now, changes };
+        self.rankings.lock().insert(name.clone(), made);
         order
     }
 }
--- a/crates/thymeshift_fleet/tests/documents.rs
+++ b/crates/thymeshift_fleet/tests/documents.rs
@@ -81,7 +81,9 @@
 fn differences_of_lines_in_any_order_make_the_new_text() {
     fn holds(old: Vec<u8>, new: Vec<u8>) -> bool {
         let text = |lines: &[u8]| -> String {
-            lines.iter().map(|line| format!("line {}\n", line % 16)).collect()
+            let lines: Vec<String> =
+                lines.iter().map(|line| format!("line {}\n", line % 16)).collect();
+            lines.concat()
         };
         let (from, to) = (published(1, &text(&old)), published(2, &text(&new)));
         Delta::between(&from, &to).apply(&from).as_ref() == Ok(&to)
--- a/crates/thymeshift_lab/src/replay/quotas/day.rs
+++ b/crates/thymeshift_lab/src/replay/quotas/day.rs
@@ -55,6 +55,7 @@
 /// Memory of a process's demand where parts follow demand, in milliseconds.
 const DEMAND_MEMORY_MS: f64 = 1_000.0;
 
+#[derive(Clone, Copy)]
 enum Event {
     Arrives { caller: usize },
     Asked { from: usize, to: usize, number: u64, wanted: u32, arrived: u32 },
@@ -290,18 +291,18 @@
         self.next_number += 1;
         let number = self.next_number;
         let passed_over = self.processes[place].passed_over;
-        let counter = (0..2).find(|counter| passed_over[*counter] <= self.now_ms);
-        let Some(counter) = counter else {
+        let first = (0..2).find(|place| passed_over[*place] <= self.now_ms);
+        let Some(asked_place) = first else {
             let now = self.now();
             self.processes[place].holder.unanswered(now);
             return self.pass_waiting(place);
         };
-        if counter == place {
+        if asked_place == place {
             let asked = QuotaQuestion { number, wanted, arrived };
             let counted = self.count(place, place, asked);
             return self.hear(place, counted);
         }
-        let question = Question { number, place: counter, wanted, arrived };
+        let question = Question { number, place: asked_place, wanted, arrived };
         self.processes[place].question = Some(question);
         self.send_question(place);
         for again in ASKED_AGAIN_MS {
--- a/crates/thymeshift_pipeline/tests/rows.rs
+++ b/crates/thymeshift_pipeline/tests/rows.rs
@@ -1,5 +1,7 @@
 //! Which requests behind the one under way are named, and that they are the ones hyper reads.
 
+use std::fmt::Write;
+
 use bytes::Bytes;
 use http::Method;
 use http::Request;
@@ -195,7 +197,7 @@
         let mut text =
             format!("{method} /{number} HTTP/1.1\r\nhost: a\r\n{name}:{blank}{number}\r\n");
         if self.is_post {
-            text.push_str(&format!("content-length: {}\r\n", self.body.len()));
+            let _ = write!(text, "content-length: {}\r\n", self.body.len());
         }
         text.push_str("\r\n");
         [text.as_bytes(), self.body.as_slice()].concat().into()
--- a/crates/thymeshift_query/src/table.rs
+++ b/crates/thymeshift_query/src/table.rs
@@ -115,6 +115,19 @@
     Tasks,
 }
 
+/// Columns of the table of organisations.
+const ORGANISATION_COLUMNS: [&str; 9] = [
+    "vm",
+    "organisation",
+    "rank",
+    "rate_per_s",
+    "burst",
+    "keys",
+    "tokens",
+    "demand_per_s",
+    "counted_per_s",
+];
+
 impl TableName {
     /// All tables.
     pub const ALL: [Self; 16] = [
@@ -191,17 +204,7 @@
                 "vm", "kind", "service", "priority", "accepted", "answered", "not_run", "unknown",
                 "failed", "retries", "waited",
             ],
-            Self::Organisations => &[
-                "vm",
-                "organisation",
-                "rank",
-                "rate_per_s",
-                "burst",
-                "keys",
-                "tokens",
-                "demand_per_s",
-                "counted_per_s",
-            ],
+            Self::Organisations => &ORGANISATION_COLUMNS,
             Self::Keys => &["vm", "key", "organisation"],
             Self::Members => &[
                 "vm",
