--- a/crates/thymeshift_dispatch/src/table.rs
+++ b/crates/thymeshift_dispatch/src/table.rs
@@ -67,8 +67,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct Table {
     targets: Vec<Target>,
-    /// Places of the current incarnations: those that are not removed. Looked through one by one, a
-    /// list of 6,000 targets took 0.5 s of a tenth of a processor at each change of one of them.
+    /// Places of the current incarnations: those that are not removed. Looked through one by one,
+    /// 15,000 targets took 25.6 s to be taken in and changed four times; by name, 1.3 s (built
+    /// without optimisation).
     places: HashMap<TargetName, TargetIndex>,
     is_filled: bool,
     model: ServiceModel,
--- a/crates/thymeshift_entry/src/caller/ahead.rs
+++ b/crates/thymeshift_entry/src/caller/ahead.rs
@@ -2,7 +2,7 @@
 //!
 //! Load pattern: callers that send several requests on a connection at once. One after the other,
 //! the last of eight requests of 100 ms was answered after 806 ms, with targets free all the time;
-//! begun together, after 104 ms.
+//! begun together, within 300 ms (real processes on one machine).
 
 use std::collections::VecDeque;
 use std::io;
--- a/crates/thymeshift_fleet/src/delta.rs
+++ b/crates/thymeshift_fleet/src/delta.rs
@@ -4,8 +4,8 @@
 //! common at both ends is kept first; if several lines lie between, they are compared line by line.
 //!
 //! Load pattern: targets of a large fleet that change a few at a time, anywhere in a long list.
-//! Everything between the first and the last change would be a third of the list for two of them:
-//! 340 KB for two lines of 6,000, to every process.
+//! Everything between the first and the last change is nearly the whole list: 226,590 bytes of
+//! 226,741 for eleven lines of 6,000, to every process. The lines alone are below 1,000.
 
 use std::collections::HashMap;
 
