--- a/crates/thymeshift_entry/src/organisations/quota.rs
+++ b/crates/thymeshift_entry/src/organisations/quota.rs
@@ -33,6 +33,7 @@
 
 use crate::organisations::QuotaReply;
 use crate::organisations::questions::Questions;
+use crate::shared::RankedPlaces;
 use crate::shared::Shared;
 
 /// Waits for a counter's answer, after each of which but the last the question is sent again: a
@@ -62,12 +63,9 @@
     answered: Notify,
 }
 
-/// Processes in the order in which they count; None is this process.
-type CounterOrder = Arc<[Option<AllocatorAddress>]>;
-
 /// The order of an organisation's counters, while it is fresh.
 struct Ranking {
-    order: CounterOrder,
+    order: RankedPlaces,
     made_at: Timestamp,
     changes: u64,
 }
@@ -262,7 +260,7 @@
         usable.next().is_some_and(Option::is_none)
     }
 
-    fn order(&self, shared: &Shared, name: &OrganisationName) -> CounterOrder {
+    fn order(&self, shared: &Shared, name: &OrganisationName) -> RankedPlaces {
         let now = BootClock.now();
         let changes = shared.fleet.lock().members.changes();
         let known = self
@@ -274,7 +272,7 @@
         if let Some(order) = known {
             return order;
         }
-        let order: CounterOrder = shared.contacts_for(&format!("count {name}"), now).into();
+        let order: RankedPlaces = shared.contacts_for(&format!("count {name}"), now).into();
         let made = Ranking { order: order.clone(), made_at: now, changes };
         self.rankings.lock().insert(name.clone(), made);
         order
--- a/crates/thymeshift_entry/src/service/obtain.rs
+++ b/crates/thymeshift_entry/src/service/obtain.rs
@@ -29,6 +29,7 @@
 use crate::service::Admitted;
 use crate::service::GrantGuard;
 use crate::service::ServiceRuntime;
+use crate::shared::RankedPlaces;
 use crate::shared::Shared;
 
 /// Longest wait for an allocator's first word.
@@ -41,16 +42,13 @@
 /// change. One that is gone is noticed by its silence.
 const ORDER_KEPT: Duration = Duration::from_secs(1);
 
-/// Processes in the order in which they allocate a group; None is this process.
-pub(crate) type AllocatorOrder = Arc<[Option<AllocatorAddress>]>;
-
 /// What is known of the allocators of each group.
 #[derive(Default)]
 pub(super) struct Allocators(HashMap<Group, GroupAllocators>);
 
 #[derive(Default)]
 struct GroupAllocators {
-    order: AllocatorOrder,
+    order: RankedPlaces,
     made_at: Option<Timestamp>,
     /// Changes among members that it takes into account.
     changes: u64,
@@ -58,14 +56,14 @@
 }
 
 impl Allocators {
-    fn fresh_order(&self, group: &Group, changes: u64, now: Timestamp) -> Option<AllocatorOrder> {
+    fn fresh_order(&self, group: &Group, changes: u64, now: Timestamp) -> Option<RankedPlaces> {
         let known = self.0.get(group)?;
         let is_young = known.made_at.is_some_and(|at| now.since(at) < ORDER_KEPT);
         let is_fresh = is_young && known.changes == changes;
         is_fresh.then(|| known.order.clone())
     }
 
-    fn keep_order(&mut self, group: &Group, order: AllocatorOrder, changes: u64, now: Timestamp) {
+    fn keep_order(&mut self, group: &Group, order: RankedPlaces, changes: u64, now: Timestamp) {
         let known = self.0.entry(group.clone()).or_default();
         known.order = order;
         known.made_at = Some(now);
@@ -237,7 +235,7 @@
         shared: &Shared,
         group: &Group,
         now: Timestamp,
-    ) -> AllocatorOrder {
+    ) -> RankedPlaces {
         // Not under the lock below: these take the fleet's.
         let changes = shared.fleet.lock().members.changes();
         if let Some(order) = self.allocators.lock().fresh_order(group, changes, now) {
--- a/crates/thymeshift_entry/src/shared.rs
+++ b/crates/thymeshift_entry/src/shared.rs
@@ -48,6 +48,9 @@
 /// Log lines about single requests in a second.
 const REQUEST_LINES_PER_S: u64 = 50;
 
+/// Processes in the order in which they do a task; None is this process.
+pub(crate) type RankedPlaces = Arc<[Option<AllocatorAddress>]>;
+
 /// Figures of the process as a whole.
 #[derive(Default)]
 pub(crate) struct ProcessFigures {
--- a/crates/thymeshift_lab/src/replay/quotas.rs
+++ b/crates/thymeshift_lab/src/replay/quotas.rs
@@ -2,6 +2,7 @@
 //! although it holds.
 
 mod day;
+mod process;
 mod way;
 
 use std::fmt;
--- a/crates/thymeshift_lab/src/replay/quotas/day.rs
+++ b/crates/thymeshift_lab/src/replay/quotas/day.rs
@@ -10,7 +10,6 @@
 use thymeshift_organisations::Counted;
 use thymeshift_organisations::Passed;
 use thymeshift_organisations::QuotaCounter;
-use thymeshift_organisations::QuotaHolder;
 use thymeshift_organisations::QuotaLimit;
 use thymeshift_organisations::QuotaQuestion;
 use thymeshift_types::Timestamp;
@@ -19,10 +18,12 @@
 use crate::replay::quotas::QuotaPattern;
 use crate::replay::quotas::QuotaResult;
 use crate::replay::quotas::QuotaWay;
+use crate::replay::quotas::process::Process;
+use crate::replay::quotas::process::Question;
 
 /// Callers of the organisation, and its limit; demand is usually 1 / 1.6 of it.
 const CALLERS: usize = 12;
-const LIMIT: QuotaLimit = QuotaLimit { rate_per_s: 80.0, burst: 80.0 };
+pub(super) const LIMIT: QuotaLimit = QuotaLimit { rate_per_s: 80.0, burst: 80.0 };
 const USUAL_PER_S: f64 = LIMIT.rate_per_s / 1.6;
 /// Part of the limit that is left when it is lowered.
 const LOWERED: f64 = 1.0 / 3.0;
@@ -52,8 +53,6 @@
 const TOLD_FOR_MS: u64 = 5_000;
 /// Part of the limit that is divided equally where parts follow demand.
 const EQUAL_PART: f64 = 0.2;
-/// Memory of a process's demand where parts follow demand, in milliseconds.
-const DEMAND_MEMORY_MS: f64 = 1_000.0;
 
 #[derive(Clone, Copy)]
 enum Event {
@@ -65,28 +64,6 @@
     Tells { from: usize },
 }
 
-/// A question that waits for its answer.
-struct Question {
-    number: u64,
-    place: usize,
-    wanted: u32,
-    arrived: u32,
-}
-
-struct Process {
-    holder: QuotaHolder,
-    counter: Option<QuotaCounter<usize>>,
-    question: Option<Question>,
-    waiting: usize,
-    passed_over: [u64; 2],
-    /// Where parts are admitted: tokens, when they were filled, and demand.
-    tokens: f64,
-    filled_ms: u64,
-    demand_per_s: f64,
-    /// Demand that others told, and when.
-    told: Vec<(f64, u64)>,
-}
-
 pub(super) struct Day {
     pattern: QuotaPattern,
     way: QuotaWay,
@@ -439,30 +416,3 @@
     let end = moments_ms.partition_point(|at| *at < window.end);
     end - begin
 }
-
-impl Process {
-    fn new(count: usize, now: Timestamp) -> Self {
-        Self {
-            holder: QuotaHolder::new(LIMIT, count as u64, now),
-            counter: None,
-            question: None,
-            waiting: 0,
-            passed_over: [0; 2],
-            tokens: 1.0,
-            filled_ms: now.as_micros() / 1_000,
-            demand_per_s: 0.0,
-            told: vec![(0.0, 0); count],
-        }
-    }
-
-    /// Counts an arrival.
-    fn arrives(&mut self, now_ms: u64) {
-        self.demand_per_s = self.demand(now_ms) + 1_000.0 / DEMAND_MEMORY_MS;
-    }
-
-    /// Demand since the tokens were filled last.
-    fn demand(&self, now_ms: u64) -> f64 {
-        let passed_ms = now_ms.saturating_sub(self.filled_ms) as f64;
-        self.demand_per_s * (-passed_ms / DEMAND_MEMORY_MS).exp()
-    }
-}
--- /dev/null
+++ b/crates/thymeshift_lab/src/replay/quotas/process.rs
@@ -0,0 +1,59 @@
+//! One process of the model.
+
+use thymeshift_organisations::QuotaCounter;
+use thymeshift_organisations::QuotaHolder;
+use thymeshift_types::Timestamp;
+
+use crate::replay::quotas::day::LIMIT;
+
+/// Memory of a process's demand where parts follow demand, in milliseconds.
+const DEMAND_MEMORY_MS: f64 = 1_000.0;
+
+/// A question that waits for its answer.
+pub(super) struct Question {
+    pub(super) number: u64,
+    pub(super) place: usize,
+    pub(super) wanted: u32,
+    pub(super) arrived: u32,
+}
+
+pub(super) struct Process {
+    pub(super) holder: QuotaHolder,
+    pub(super) counter: Option<QuotaCounter<usize>>,
+    pub(super) question: Option<Question>,
+    pub(super) waiting: usize,
+    pub(super) passed_over: [u64; 2],
+    /// Where parts are admitted: tokens, when they were filled, and demand.
+    pub(super) tokens: f64,
+    pub(super) filled_ms: u64,
+    pub(super) demand_per_s: f64,
+    /// Demand that others told, and when.
+    pub(super) told: Vec<(f64, u64)>,
+}
+
+impl Process {
+    pub(super) fn new(count: usize, now: Timestamp) -> Self {
+        Self {
+            holder: QuotaHolder::new(LIMIT, count as u64, now),
+            counter: None,
+            question: None,
+            waiting: 0,
+            passed_over: [0; 2],
+            tokens: 1.0,
+            filled_ms: now.as_micros() / 1_000,
+            demand_per_s: 0.0,
+            told: vec![(0.0, 0); count],
+        }
+    }
+
+    /// Counts an arrival.
+    pub(super) fn arrives(&mut self, now_ms: u64) {
+        self.demand_per_s = self.demand(now_ms) + 1_000.0 / DEMAND_MEMORY_MS;
+    }
+
+    /// Demand since the tokens were filled last.
+    pub(super) fn demand(&self, now_ms: u64) -> f64 {
+        let passed_ms = now_ms.saturating_sub(self.filled_ms) as f64;
+        self.demand_per_s * (-passed_ms / DEMAND_MEMORY_MS).exp()
+    }
+}
--- a/crates/thymeshift_types/src/key_digest.rs
+++ b/crates/thymeshift_types/src/key_digest.rs
@@ -1,23 +1,15 @@
 //! Telling keys apart without holding them.
 
-use std::str::FromStr;
-
-use derive_more::Display;
-use derive_more::Error;
-use serde::Deserialize;
-use serde::Serialize;
+use crate::hash::hash_type;
 
 /// Sets digests of keys apart from other hashes of the same bytes.
 const DIGEST_CONTEXT: &str = "thymeshift key of an organisation";
 
-/// What the product keeps of a key: a 128-bit hash. The key itself is in no document, log line or
-/// dump. Keys must be random; a short one could be found by trying.
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize,
-)]
-#[serde(into = "String", try_from = "String")]
-#[display("{_0:032x}")]
-pub struct KeyDigest(u128);
+hash_type! {
+    /// What the product keeps of a key: a 128-bit hash. The key itself is in no document, log line or
+    /// dump. Keys must be random; a short one could be found by trying.
+    KeyDigest, KeyDigestError, "a digest of a key is written as 32 hexadecimal digits"
+}
 
 impl KeyDigest {
     /// The digest of a key, or none if it is none: a key is of visible ASCII characters, so that
@@ -34,34 +26,3 @@
         Some(Self(u128::from_be_bytes(bytes)))
     }
 }
-
-/// A text that is no digest of a key.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
-#[display("a digest of a key is written as 32 hexadecimal digits")]
-pub struct KeyDigestError;
-
-impl FromStr for KeyDigest {
-    type Err = KeyDigestError;
-
-    fn from_str(text: &str) -> Result<Self, KeyDigestError> {
-        let is_hex = text.len() == 32 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
-        if !is_hex {
-            return Err(KeyDigestError);
-        }
-        u128::from_str_radix(text, 16).map(Self).map_err(|_| KeyDigestError)
-    }
-}
-
-impl TryFrom<String> for KeyDigest {
-    type Error = KeyDigestError;
-
-    fn try_from(text: String) -> Result<Self, KeyDigestError> {
-        text.parse()
-    }
-}
-
-impl From<KeyDigest> for String {
-    fn from(digest: KeyDigest) -> Self {
-        digest.to_string()
-    }
-}
--- a/crates/thymeshift_types/src/lib.rs
+++ b/crates/thymeshift_types/src/lib.rs
@@ -7,6 +7,7 @@
 mod clock;
 mod failure;
 mod fingerprint;
+mod hash;
 mod key_digest;
 mod leaving;
 mod name;
