Headers of targets that mean nothing here are logged once and counted

What callers saw: nothing. Change: each unknown name on an answer gets one line (target_header_unknown) and a counter by name; at most 32 names of 64 bytes. No decision depends on it. Test: a_header_that_is_not_known_is_logged_once_and_counted (new with the change, not run before it). The test's backend can name a limit and records arrivals.

--- a/crates/thymeshift_entry/src/shared.rs
+++ b/crates/thymeshift_entry/src/shared.rs
@@ -44,6 +44,7 @@
 use crate::routing::Routing;
 use crate::service::PendingAcquire;
 use crate::service::ServiceLinks;
+use crate::target_client::UnknownHeaders;
 
 /// Log lines about single requests in a second.
 const REQUEST_LINES_PER_S: u64 = 50;
@@ -89,6 +90,7 @@
     pending_acquires: mpsc::UnboundedSender<PendingAcquire>,
     /// Requests for a target that wait until the best targets have been probed.
     pub(crate) acquires_pending: AsyncMutex<mpsc::UnboundedReceiver<PendingAcquire>>,
+    pub(crate) unknown_headers: UnknownHeaders,
     /// Bounds the log lines about single requests.
     pub(crate) request_lines: LineBudget,
     /// Whether this process waits for a document from the one above it in its data hall.
@@ -126,6 +128,7 @@
                 boot,
             ),
             quotas: Quotas::default(),
+            unknown_headers: UnknownHeaders::default(),
             waiting: Arc::default(),
             allocating: Arc::default(),
             request_lines: LineBudget::new(REQUEST_LINES_PER_S),
--- a/crates/thymeshift_entry/src/target_client/attempt.rs
+++ b/crates/thymeshift_entry/src/target_client/attempt.rs
@@ -176,6 +176,7 @@
             Some(Ok(response)) => response,
         };
         let meaning = D::meaning(response.status(), response.headers(), &attempt);
+        self.shared.unknown_headers.note::<D>(response.headers(), &destination);
         self.learn(observation(meaning, D::report(response.headers())));
         if let Some(failed) = self.failed_by(meaning, &destination) {
             // Whatever else comes on this connection belongs to nobody.
--- a/crates/thymeshift_entry/src/target_client/mod.rs
+++ b/crates/thymeshift_entry/src/target_client/mod.rs
@@ -8,6 +8,7 @@
 mod pool;
 mod probe;
 mod stall;
+mod unknown_headers;
 
 pub(crate) use answer::Answer;
 pub(crate) use attempt::Attempt;
@@ -25,3 +26,4 @@
 pub(crate) use pool::Pool;
 pub(crate) use probe::run_probes;
 pub(crate) use stall::Stall;
+pub(crate) use unknown_headers::UnknownHeaders;
--- a/crates/thymeshift_telemetry/src/metric.rs
+++ b/crates/thymeshift_telemetry/src/metric.rs
@@ -23,6 +23,8 @@
 pub const TARGET_CONNECTIONS_LOST: &str = "thymeshift_target_connections_lost_total";
 /// Targets that ended while they ran a request of this process, by `service`.
 pub const TARGETS_CRASHED: &str = "thymeshift_targets_crashed_total";
+/// Headers on answers of targets that this environment gives no meaning to, by `name`.
+pub const UNKNOWN_HEADERS: &str = "thymeshift_target_headers_unknown_total";
 /// Requests refused because their organisation had used up its limit, by `organisation`.
 pub const OVER_QUOTA: &str = "thymeshift_over_quota_total";
 /// Requests refused because they carried no known key.
--- a/crates/thymeshift_wire/src/dialect.rs
+++ b/crates/thymeshift_wire/src/dialect.rs
@@ -5,6 +5,7 @@
 //! formats only: what is done about a call is decided elsewhere.
 
 use http::HeaderMap;
+use http::HeaderName;
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
@@ -77,6 +78,9 @@
     /// what it answers.
     fn probe_report(status: StatusCode, map: &HeaderMap) -> Option<LoadReport>;
 
+    /// Whether an answer's header has a meaning here, or only for the client.
+    fn knows_answer_header(name: &HeaderName) -> bool;
+
     /// Removes from an answer what is not meant for clients.
     fn clean_answer(map: &mut HeaderMap);
 
--- a/crates/thymeshift_wire/src/headers.rs
+++ b/crates/thymeshift_wire/src/headers.rs
@@ -2,6 +2,8 @@
 
 use http::HeaderName;
 
+/// How the names of all others begin.
+pub const OWN_PREFIX: &str = "thymeshift-";
 /// Time left to the deadline, in milliseconds. From callers, and to targets.
 pub const TIMEOUT_MS: HeaderName = HeaderName::from_static("thymeshift-timeout-ms");
 /// Attempts that this call may still cost, the next one included.
--- a/crates/thymeshift_wire/src/lib.rs
+++ b/crates/thymeshift_wire/src/lib.rs
@@ -23,6 +23,7 @@
 mod native;
 mod peer;
 mod silence;
+mod standard_headers;
 mod transport;
 
 pub use call_context::CallContext;
@@ -75,6 +76,7 @@
 pub use silence::UNANSWERED_MAX;
 pub use silence::UNCONFIRMED_MAX;
 pub use silence::end_if_silent;
+pub use standard_headers::is_standard;
 pub use transport::CALLS_PER_CONNECTION_MAX;
 pub use transport::ControlChannel;
 pub use transport::LinkError;
--- a/crates/thymeshift_wire/src/native.rs
+++ b/crates/thymeshift_wire/src/native.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use http::HeaderMap;
+use http::HeaderName;
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
@@ -24,6 +25,7 @@
 use crate::headers;
 use crate::key_header::take_bearer_key;
 use crate::load_header;
+use crate::standard_headers::is_standard;
 
 /// The product's own dialect.
 #[derive(Debug, Clone, Copy)]
@@ -80,6 +82,13 @@
         load_header::read(map)
     }
 
+    fn knows_answer_header(name: &HeaderName) -> bool {
+        name.as_str().starts_with(headers::OWN_PREFIX)
+            || *name == headers::LOAD
+            || *name == headers::REQUEST_ID
+            || is_standard(name)
+    }
+
     fn clean_answer(map: &mut HeaderMap) {
         map.remove(headers::ATTEMPT);
         map.remove(headers::LOAD);
