--- a/crates/thymeshift_allocation/src/lib.rs
+++ b/crates/thymeshift_allocation/src/lib.rs
@@ -16,11 +16,14 @@
 
 mod group;
 mod rooms;
+mod standing;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use rand::Rng;
+use serde::Deserialize;
+use serde::Serialize;
 use thymeshift_dispatch::Decision;
 use thymeshift_dispatch::Dispatcher;
 use thymeshift_dispatch::Grant;
@@ -29,12 +32,14 @@
 use thymeshift_dispatch::Request;
 use thymeshift_dispatch::Strategy;
 use thymeshift_dispatch::Ticket;
+use thymeshift_dispatch::ToldRateLimit;
 use thymeshift_types::TargetName;
 use thymeshift_types::Timestamp;
 
 pub use group::Group;
 pub use group::Grouping;
 pub use rooms::Rooms;
+pub use standing::Standing;
 
 /// A lease that its holder does not name is taken back once it is this old: the answer
 /// that told of it may still have been on its way when the holder wrote.
@@ -51,11 +56,23 @@
     pub number: u64,
 }
 
+/// The right to send one request to a target.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Granted {
+    /// The target.
+    pub target: TargetName,
+    /// Most requests that one target of the group serves well at a time:
+    /// [`Dispatcher::concurrency`].
+    pub concurrency: u32,
+    /// The target's limit that the grant is counted against; none if the allocator knows of none.
+    pub rate_limit: Option<ToldRateLimit>,
+}
+
 /// What a holder is told.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Allocation {
-    /// It may send to this target; the number is [`Dispatcher::concurrency`].
-    Granted(TargetName, u32),
+    /// It may send to a target.
+    Granted(Granted),
     /// It waits; [`Allocator::woken`] tells the rest.
     Waiting,
     /// It gets none.
@@ -116,17 +133,23 @@
         allocation
     }
 
-    /// A holder gives back, or no longer wants to wait.
+    /// A holder gives back, or no longer wants to wait. It tells what the attempt showed, and what
+    /// it knows of the target's limit.
     pub fn release<S: Strategy>(
         &mut self,
         key: &LeaseKey<B>,
         observation: Option<Observation>,
+        rate_limit: Option<ToldRateLimit>,
         dispatcher: &mut Dispatcher<S>,
         now: Timestamp,
     ) {
-        if let Some(lease) = self.leases.remove(key) {
-            end(lease, observation, dispatcher, now);
+        let Some(lease) = self.leases.remove(key) else {
+            return;
+        };
+        if let (State::Granted(grant), Some(told)) = (&lease.state, &rate_limit) {
+            dispatcher.learn_told_rate_limit(grant, told, now);
         }
+        end(lease, observation, dispatcher, now);
     }
 
     /// A holder named all leases that it holds: others of it are taken back.
@@ -209,7 +232,11 @@
 }
 
 fn granted<S: Strategy>(dispatcher: &Dispatcher<S>, grant: &Grant, now: Timestamp) -> Allocation {
-    Allocation::Granted(dispatcher.target_name(grant), dispatcher.concurrency(now))
+    Allocation::Granted(Granted {
+        target: dispatcher.target_name(grant),
+        concurrency: dispatcher.concurrency(now),
+        rate_limit: dispatcher.rate_limit_to_tell(grant, now),
+    })
 }
 
 fn end<S: Strategy>(
--- a/crates/thymeshift_allocation/tests/books.rs
+++ b/crates/thymeshift_allocation/tests/books.rs
@@ -82,7 +82,7 @@
 
     fn release(&mut self, key: &LeaseKey<u8>, now: Timestamp) {
         let observation = Some(Observation::Answered(None));
-        self.allocator.release(key, observation, &mut self.dispatcher, now);
+        self.allocator.release(key, observation, None, &mut self.dispatcher, now);
     }
 
     /// Tells all that may be told now.
--- a/crates/thymeshift_allocation/tests/drained_order.rs
+++ b/crates/thymeshift_allocation/tests/drained_order.rs
@@ -246,8 +246,8 @@
         // Earlier leases are given back, so that there is room for new ones.
         books.keep_only(&process, &[], counting, self.now + Duration::from_secs(1));
         let allocation = books.acquire(key, request, counting, self.now, &mut self.rng);
-        if let Allocation::Granted(target, _) = allocation {
-            self.answers.push(Answer { process, target });
+        if let Allocation::Granted(granted) = allocation {
+            self.answers.push(Answer { process, target: granted.target });
         }
     }
 
@@ -261,7 +261,7 @@
             self.answers.remove(place);
         }
         let process = &mut self.processes[answer.process];
-        let granted = process.dispatcher.grant_at(&answer.target, self.now);
+        let granted = process.dispatcher.grant_at(&answer.target, None, self.now);
         process.granted.extend(granted);
     }
 
--- a/crates/thymeshift_dispatch/src/admission.rs
+++ b/crates/thymeshift_dispatch/src/admission.rs
@@ -55,7 +55,12 @@
 
     /// When a refused caller should come back: once what is ahead has drained, spread.
     pub(crate) fn retry_after(&self, ahead: usize, rng: &mut impl Rng) -> Duration {
-        let base = self.expected_wait(ahead).clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX);
-        base.mul_f64(1.0 + RETRY_AFTER_SPREAD * rng.random::<f64>())
+        spread_retry_after(self.expected_wait(ahead), rng)
     }
 }
+
+/// When a refused caller should come back, if it would be served after `wait`; spread.
+pub(crate) fn spread_retry_after(wait: Duration, rng: &mut impl Rng) -> Duration {
+    let base = wait.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX);
+    base.mul_f64(1.0 + RETRY_AFTER_SPREAD * rng.random::<f64>())
+}
--- a/crates/thymeshift_dispatch/src/dispatcher.rs
+++ b/crates/thymeshift_dispatch/src/dispatcher.rs
@@ -33,10 +33,12 @@
 use crate::Strategy;
 use crate::TargetIndex;
 use crate::Ticket;
+use crate::ToldRateLimit;
 use crate::Tried;
 use crate::View;
 use crate::Wake;
 use crate::admission::Admission;
+use crate::admission::spread_retry_after;
 use crate::queue::Queue;
 use crate::table::Table;
 use crate::target_state::Target;
@@ -112,14 +114,32 @@
         self.view
     }
 
-    /// The right to send to the target called `name`, which another process chose. None if
-    /// it is not known here, or may not receive new work.
-    pub fn grant_at(&mut self, name: &TargetName, now: Timestamp) -> Option<Grant> {
+    /// The right to send to the target called `name`, which another process chose knowing
+    /// `limit` of it. None if it is not known here, or may not receive new work.
+    pub fn grant_at(
+        &mut self,
+        name: &TargetName,
+        limit: Option<ToldRateLimit>,
+        now: Timestamp,
+    ) -> Option<Grant> {
         let index = self.table.find(name)?;
-        self.table
-            .get(index)
-            .is_serving()
-            .then(|| self.table.grant(index, HallIndex::default(), now))
+        let target = self.table.get_mut(index);
+        if let Some(limit) = &limit {
+            target.rate_limit.told(limit, now);
+        }
+        if !target.is_serving() {
+            return None;
+        }
+        let is_counted = limit.is_some_and(|limit| limit.is_limited());
+        let grant = self.table.grant(index, HallIndex::default(), self.view, now);
+        Some(Grant { is_counted, ..grant })
+    }
+
+    /// Whether a grant was counted against the limit that its target has named, if there is one.
+    /// One that was not must not be used: whoever chose did not know of the limit, or it is newer
+    /// than the choice.
+    pub fn is_within_limit(&self, grant: &Grant) -> bool {
+        grant.is_counted || !self.table.get(grant.target).is_in_need()
     }
 
     /// Most requests that one target serves well at a time.
@@ -174,7 +194,11 @@
         if self.queue.len_of(request.priority) >= request.queue_max as usize {
             return Decision::Refuse(self.refusal(Reason::QueueFull, &request, now, rng));
         }
-        let wait = self.admission.expected_wait(self.ahead_of(&request, now));
+        let ahead = self.ahead_of(&request, now);
+        if let Some(refusal) = self.beyond_limits(&request, ahead, now, rng) {
+            return Decision::Refuse(refusal);
+        }
+        let wait = self.admission.expected_wait(ahead);
         if now + wait > request.wait_until {
             return Decision::Refuse(self.refusal(Reason::DeadlineUnreachable, &request, now, rng));
         }
@@ -205,7 +229,8 @@
     /// target may have begun to leave, or the process may have slept, since the choice.
     pub fn may_send(&self, grant: &Grant, deadline: Timestamp, now: Timestamp) -> bool {
         let target = self.table.get(grant.target);
-        target.is_serving() && target.incarnation == grant.incarnation && now < deadline
+        let is_meant = target.is_serving() && target.incarnation == grant.incarnation;
+        is_meant && self.is_within_limit(grant) && now < deadline
     }
 
     /// Where a granted request goes.
@@ -276,7 +301,7 @@
             }
             None => return None,
         };
-        Some(self.table.grant(chosen, request.origin, now))
+        Some(self.table.grant(chosen, request.origin, self.view, now))
     }
 
     fn refusal<R: Rng>(
@@ -290,6 +315,27 @@
         Refusal { reason, retry_after: self.admission.retry_after(ahead, rng) }
     }
 
+    /// Refuses a request that cannot be sent before its wait ends, because all targets are in need
+    /// and take only so many requests a second.
+    fn beyond_limits<R: Rng>(
+        &self,
+        request: &Request,
+        ahead: usize,
+        now: Timestamp,
+        rng: &mut R,
+    ) -> Option<Refusal> {
+        let limited = self.table.limited_rate(self.view, now)?;
+        let wait = limited.next_in.map(|next_in| {
+            let behind_s = ahead as f64 / limited.per_s;
+            Duration::try_from_secs_f64(behind_s).map_or(Duration::MAX, |behind| next_in + behind)
+        });
+        if wait.is_some_and(|wait| now + wait <= request.wait_until) {
+            return None;
+        }
+        let wait = wait.unwrap_or(Duration::ZERO);
+        Some(Refusal { reason: Reason::RateLimited, retry_after: spread_retry_after(wait, rng) })
+    }
+
     /// Waiting requests that go before this one.
     fn ahead_of(&self, request: &Request, now: Timestamp) -> usize {
         let answered_at = self.answered_at(now);
--- a/crates/thymeshift_dispatch/src/dispatcher/learning.rs
+++ b/crates/thymeshift_dispatch/src/dispatcher/learning.rs
@@ -1,5 +1,9 @@
 //! What attempts and probes teach a dispatcher.
 
+use std::time::Duration;
+
+use thymeshift_config::RequestRate;
+use thymeshift_types::Incarnation;
 use thymeshift_types::LeavingMark;
 use thymeshift_types::TargetName;
 use thymeshift_types::Timestamp;
@@ -8,14 +12,19 @@
 use crate::Grant;
 use crate::LoadReport;
 use crate::Observation;
+use crate::RateShare;
 use crate::ReportedState;
 use crate::Strategy;
 use crate::TargetIndex;
+use crate::ToldRateLimit;
 
 /// An attempt that was given up counts as the target's failure once it took this many
 /// times as long as expected.
 const TIMEOUT_FACTOR: u32 = 3;
 
+/// How long others are told that a target's need is over: several times as long as news takes.
+const ENDED_TOLD_FOR: Duration = Duration::from_secs(10);
+
 impl<S: Strategy> Dispatcher<S> {
     /// Learns from an attempt, at most once for each grant. If the target said that it is
     /// leaving and that is news, returns the mark to pass on to other VMs.
@@ -64,6 +73,67 @@
         self.learn_state(grant.target, report)
     }
 
+    /// Learns what an answer to a granted request stated of the target's limit. Returns whether
+    /// that is another limit than before.
+    pub fn learn_rate_limit(
+        &mut self,
+        grant: &Grant,
+        stated: Option<RequestRate>,
+        now: Timestamp,
+    ) -> bool {
+        let target = self.table.get_mut(grant.target);
+        let is_meant = target.incarnation == grant.incarnation;
+        is_meant && target.rate_limit.stated(stated, grant.sent_at, now)
+    }
+
+    /// Learns what another process knows of the limit of a granted request's target.
+    pub fn learn_told_rate_limit(&mut self, grant: &Grant, told: &ToldRateLimit, now: Timestamp) {
+        let target = self.table.get_mut(grant.target);
+        if target.incarnation == grant.incarnation {
+            target.rate_limit.told(told, now);
+        }
+    }
+
+    /// What is known of the limit of a granted request's target, to be told to another process;
+    /// none if the target never named one.
+    pub fn rate_limit_to_tell(&self, grant: &Grant, now: Timestamp) -> Option<ToldRateLimit> {
+        self.table.get(grant.target).rate_limit.as_told(now)
+    }
+
+    /// What is known of targets' limits, to be told to other processes: those that hold, and those
+    /// that ended lately.
+    pub fn rate_limits(&self, now: Timestamp) -> Vec<(TargetName, Incarnation, ToldRateLimit)> {
+        let serving = self.table.targets().iter().filter(|target| target.is_serving());
+        let known = serving.filter_map(|target| {
+            let told = target.rate_limit.as_told(now)?;
+            let is_told = told.is_limited() || told.age < ENDED_TOLD_FOR;
+            is_told.then(|| (target.name.clone(), target.incarnation, told))
+        });
+        known.collect()
+    }
+
+    /// Learns what another process knows of a target's limit.
+    pub fn learn_rate_limit_of(
+        &mut self,
+        name: &TargetName,
+        incarnation: Incarnation,
+        told: &ToldRateLimit,
+        now: Timestamp,
+    ) {
+        let Some(index) = self.table.find(name) else {
+            return;
+        };
+        let target = self.table.get_mut(index);
+        if target.incarnation == incarnation {
+            target.rate_limit.told(told, now);
+        }
+    }
+
+    /// Says which part of targets' limits this dispatcher may grant while it decides for the fleet.
+    pub fn set_rate_share(&mut self, share: RateShare) {
+        self.table.set_fleet_share(share);
+    }
+
     /// Takes in a report that no request carried (a probe's). As [`Dispatcher::learn`],
     /// returns a mark that is news.
     pub fn learn_probe(
--- a/crates/thymeshift_dispatch/src/dispatcher/probing.rs
+++ b/crates/thymeshift_dispatch/src/dispatcher/probing.rs
@@ -16,8 +16,8 @@
 impl<S: Strategy> Dispatcher<S> {
     /// Names and addresses of the targets that may be probed.
     pub fn probe_targets(&self) -> impl Iterator<Item = (TargetName, SocketAddr)> + '_ {
-        let serving = self.table.targets().iter().filter(|target| target.is_serving());
-        serving.map(|target| (target.name.clone(), target.address))
+        let probed = self.table.targets().iter().filter(|target| target.may_be_probed());
+        probed.map(|target| (target.name.clone(), target.address))
     }
 
     /// The targets that a request would most likely be sent to, and of which nothing was heard for
@@ -36,7 +36,9 @@
             .collect();
         keep_least(&mut best, count);
         best.sort_by(|(one, _), (other, _)| one.total_cmp(other));
-        let is_unheard = |candidate: &Candidate<'_>| candidate.target.is_unheard(age, now);
+        let is_unheard = |candidate: &Candidate<'_>| {
+            candidate.target.may_be_probed() && candidate.target.is_unheard(age, now)
+        };
         if !best.first().is_some_and(|(_, first)| is_unheard(first)) {
             return Vec::new();
         }
@@ -54,7 +56,7 @@
         count: usize,
         now: Timestamp,
     ) -> Vec<(TargetName, SocketAddr)> {
-        let is_unheard = |target: &&Target| target.is_serving() && target.is_unheard(age, now);
+        let is_unheard = |target: &&Target| target.may_be_probed() && target.is_unheard(age, now);
         let unheard = self.table.targets().iter().filter(is_unheard);
         let model = self.table.model();
         let mut unheard: Vec<(f64, &Target)> =
--- a/crates/thymeshift_dispatch/src/dump.rs
+++ b/crates/thymeshift_dispatch/src/dump.rs
@@ -30,6 +30,9 @@
     /// It failed several times in a row and is set aside for a while.
     #[display("ejected")]
     Ejected,
+    /// It takes only so many requests a second, and has got them for the moment.
+    #[display("rate_limited")]
+    RateLimited,
     /// It is cold, and bears no further request for the moment.
     #[display("cold")]
     Cold,
@@ -78,6 +81,14 @@
     pub reported_state: Option<ReportedState>,
     /// Age of the last report, in milliseconds.
     pub report_age_ms: Option<u64>,
+    /// Requests a second that it takes from all processes together, if it is in need.
+    pub rate_limit_per_s: Option<f64>,
+    /// For how long it has been in need, as far as this process knows, in milliseconds.
+    pub rate_limit_for_ms: Option<u64>,
+    /// Time since it last named the limit, in milliseconds.
+    pub rate_limit_age_ms: Option<u64>,
+    /// Part of the limit that this process may grant, 0 to 1.
+    pub rate_share: f64,
     /// Time until it is no longer set aside, in milliseconds.
     pub ejected_for_ms: Option<u64>,
 }
--- a/crates/thymeshift_dispatch/src/grant.rs
+++ b/crates/thymeshift_dispatch/src/grant.rs
@@ -45,6 +45,8 @@
     pub(crate) in_flight: u32,
     /// Whether the target was not known to work slower than usual.
     pub(crate) is_usual_pace: bool,
+    /// Whether it was counted against a limit that the target had named.
+    pub(crate) is_counted: bool,
 }
 
 impl Grant {
--- a/crates/thymeshift_dispatch/src/strategy/candidates.rs
+++ b/crates/thymeshift_dispatch/src/strategy/candidates.rs
@@ -4,6 +4,7 @@
 use thymeshift_types::Timestamp;
 
 use crate::HallIndex;
+use crate::RateShare;
 use crate::Request;
 use crate::TargetIndex;
 use crate::Tried;
@@ -50,6 +51,7 @@
     now: Timestamp,
     tried: &'a Tried,
     bound: Bound,
+    share: RateShare,
     costs: MarginalCosts,
     is_exact: bool,
 }
@@ -71,6 +73,7 @@
             now,
             tried,
             bound: table.bound(view, now),
+            share: table.rate_share(view),
             costs: table.marginal_costs(view, now),
             is_exact: view == View::Fleet,
         }
@@ -97,10 +100,10 @@
 
     /// The open targets in a fixed order.
     pub fn iter(&self) -> impl Iterator<Item = Candidate<'a>> + use<'a> {
-        let Self { targets, model, now, tried, bound, .. } = *self;
+        let Self { targets, model, now, tried, bound, share, .. } = *self;
         targets.iter().enumerate().filter_map(move |(index, target)| {
             let index = TargetIndex::new(index);
-            let is_open = target.is_open(now, bound, model) && !tried.has(index);
+            let is_open = target.is_open(now, bound, share, model) && !tried.has(index);
             is_open.then_some(Candidate { index, target })
         })
     }
--- a/crates/thymeshift_dispatch/src/table.rs
+++ b/crates/thymeshift_dispatch/src/table.rs
@@ -15,6 +15,7 @@
 use crate::Grant;
 use crate::HallIndex;
 use crate::LoadReport;
+use crate::RateShare;
 use crate::TargetDump;
 use crate::TargetIndex;
 use crate::View;
@@ -24,6 +25,7 @@
 use crate::connections::connection_share;
 use crate::halls::Halls;
 use crate::model::ServiceModel;
+use crate::rate_limit::RateLimit;
 use crate::target_state::Bound;
 use crate::target_state::Explores;
 use crate::target_state::Presence;
@@ -77,6 +79,19 @@
     slots: u32,
     halls: Halls,
     usual_pace_at: Timestamp,
+    /// The part of targets' limits that is granted here, of a fleet in which this process decides
+    /// for itself, and of one for which it allocates.
+    own_share: RateShare,
+    fleet_share: RateShare,
+}
+
+/// How soon targets that are all in need take requests.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct LimitedRate {
+    /// Requests a second that all of them together may be granted here.
+    pub(crate) per_s: f64,
+    /// Time until the first of them may be granted one; none if none ever may.
+    pub(crate) next_in: Option<Duration>,
 }
 
 impl Table {
@@ -100,6 +115,32 @@
         }
     }
 
+    /// The part of targets' limits that may be granted.
+    pub(crate) fn rate_share(&self, view: View) -> RateShare {
+        match view {
+            View::Own => self.own_share,
+            View::Fleet => self.fleet_share,
+            // Somebody who does not answer may be granting all of it.
+            View::Fallback => RateShare::NONE,
+        }
+    }
+
+    pub(crate) fn set_fleet_share(&mut self, share: RateShare) {
+        self.fleet_share = share;
+    }
+
+    /// How soon requests are taken, if all targets that serve are in need.
+    pub(crate) fn limited_rate(&self, view: View, now: Timestamp) -> Option<LimitedRate> {
+        let share = self.rate_share(view);
+        let mut all = LimitedRate { per_s: 0.0, next_in: None };
+        for target in self.targets.iter().filter(|target| target.is_serving()) {
+            all.per_s += target.rate_limit.granted_per_s(share)?;
+            let next_in = target.rate_limit.next_turn_in(share, now);
+            all.next_in = all.next_in.into_iter().chain(next_in).min();
+        }
+        Some(all)
+    }
+
     /// Most requests that one target serves well at a time.
     pub(crate) fn concurrency(&self, now: Timestamp) -> u32 {
         self.concurrency.best(self.slots, now)
@@ -112,7 +153,9 @@
         let is_quick = |target: &&Target| {
             target.is_unheard(ROOM_UNHEARD, now) || target.expected_us(now, &self.model) <= usual_us
         };
-        let open = self.targets.iter().filter(|target| target.is_open(now, bound, &self.model));
+        let share = self.rate_share(view);
+        let open =
+            self.targets.iter().filter(|target| target.is_open(now, bound, share, &self.model));
         open.filter(is_quick).map(|target| target.room(bound, now)).sum()
     }
 
@@ -135,7 +178,8 @@
     /// What is believed of each target.
     pub(crate) fn dump(&self, view: View, now: Timestamp) -> Vec<TargetDump> {
         let bound = self.bound(view, now);
-        self.targets.iter().map(|target| target.dump(now, bound, &self.model)).collect()
+        let share = self.rate_share(view);
+        self.targets.iter().map(|target| target.dump(now, bound, share, &self.model)).collect()
     }
 
     /// Learns from an answer's time, for its target and for the service.
@@ -186,9 +230,17 @@
     }
 
     /// Gives the right to send to a target.
-    pub(crate) fn grant(&mut self, index: TargetIndex, origin: HallIndex, now: Timestamp) -> Grant {
+    pub(crate) fn grant(
+        &mut self,
+        index: TargetIndex,
+        origin: HallIndex,
+        view: View,
+        now: Timestamp,
+    ) -> Grant {
+        let share = self.rate_share(view);
         let target = &mut self.targets[index.as_usize()];
         let way_us = self.halls.way_us(origin, target.hall);
+        target.rate_limit.granted(share, now);
         target.grant(index, way_us, now, &self.model)
     }
 
@@ -229,6 +281,7 @@
         let Surroundings { own_data_hall, one_way, detour, .. } = surroundings;
         self.halls.set(own_data_hall, *one_way, *detour);
         self.remove_unlisted(service);
+        self.own_share = RateShare::one_of(surroundings.entry_vms_max);
         let mut free = self.free_places();
         self.slots = u32::try_from(service.slots_per_target).unwrap_or(u32::MAX);
         let shape = Shape {
@@ -338,6 +391,7 @@
         let target = self.get_mut(index);
         if target.presence == Presence::Serving && target.incarnation < incarnation {
             target.incarnation = incarnation;
+            target.rate_limit = RateLimit::default();
         }
     }
 
--- a/crates/thymeshift_dispatch/src/target_state.rs
+++ b/crates/thymeshift_dispatch/src/target_state.rs
@@ -13,7 +13,9 @@
 
 use crate::HallIndex;
 use crate::LoadReport;
+use crate::RateShare;
 use crate::TargetDump;
+use crate::ToldRateLimit;
 use crate::Usability;
 use crate::cold_start::ColdPaces;
 use crate::cold_start::ColdStart;
@@ -24,6 +26,7 @@
 use crate::limit::Limit;
 use crate::limit::Pressure;
 use crate::model::ServiceModel;
+use crate::rate_limit::RateLimit;
 use crate::report::OthersLoad;
 use crate::slowness::Slowness;
 pub(crate) use crate::target_state::room::Bound;
@@ -75,6 +78,7 @@
     ejection: Ejection,
     cold_start: ColdStart,
     slowness: Slowness,
+    pub(crate) rate_limit: RateLimit,
 }
 
 impl Target {
@@ -106,6 +110,7 @@
             ejection: Ejection::default(),
             cold_start,
             slowness: Slowness::default(),
+            rate_limit: RateLimit::default(),
         }
     }
 
@@ -145,6 +150,16 @@
         }
     }
 
+    /// Whether it has named a limit of requests a second, and has not ended it.
+    pub(crate) fn is_in_need(&self) -> bool {
+        self.rate_limit.rate().is_some()
+    }
+
+    /// Whether a probe may ask for its load: to one in need a probe may be a request like others.
+    pub(crate) fn may_be_probed(&self) -> bool {
+        self.is_serving() && !self.is_in_need()
+    }
+
     pub(crate) fn in_flight(&self) -> u32 {
         self.in_flight
     }
@@ -175,6 +190,7 @@
             way_us,
             in_flight: self.in_flight + 1,
             is_usual_pace: self.is_usual_pace(now, model) && !self.cold_start.is_cold(now),
+            is_counted: self.is_in_need(),
         };
         self.in_flight += 1;
         self.granted_at = now;
@@ -258,9 +274,17 @@
     }
 
     /// What is believed of this target.
-    pub(crate) fn dump(&self, now: Timestamp, bound: Bound, model: &ServiceModel) -> TargetDump {
+    pub(crate) fn dump(
+        &self,
+        now: Timestamp,
+        bound: Bound,
+        share: RateShare,
+        model: &ServiceModel,
+    ) -> TargetDump {
         let report = self.others.last_report();
-        let usability = self.usability(now, bound, model);
+        let usability = self.usability(now, bound, share, model);
+        let told = self.rate_limit.as_told(now).filter(ToldRateLimit::is_limited);
+        let limited_for = self.rate_limit.limited_for(now);
         let ejected_for = self.ejection.until().filter(|_| usability == Usability::Ejected);
         TargetDump {
             name: self.name.clone(),
@@ -277,6 +301,10 @@
             reported_queued: report.map(|report| report.queued),
             reported_state: report.map(|report| report.state),
             report_age_ms: self.others.age(now).map(|age| age.as_millis() as u64),
+            rate_limit_per_s: self.rate_limit.rate().map(|rate| rate.in_1000_s() as f64 / 1_000.0),
+            rate_limit_for_ms: limited_for.map(|limited| limited.as_millis() as u64),
+            rate_limit_age_ms: told.map(|told| told.age.as_millis() as u64),
+            rate_share: share.part(),
             ejected_for_ms: ejected_for.map(|until| now.until(until).as_millis() as u64),
         }
     }
--- a/crates/thymeshift_dispatch/src/target_state/room.rs
+++ b/crates/thymeshift_dispatch/src/target_state/room.rs
@@ -4,6 +4,7 @@
 
 use thymeshift_types::Timestamp;
 
+use crate::RateShare;
 use crate::Usability;
 use crate::concurrency::Explored;
 use crate::model::ServiceModel;
@@ -39,6 +40,7 @@
         &self,
         now: Timestamp,
         bound: Bound,
+        share: RateShare,
         model: &ServiceModel,
     ) -> Usability {
         match self.presence {
@@ -47,6 +49,7 @@
             Presence::Serving if self.is_stopped => Usability::Stopped,
             Presence::Serving if self.is_hall_drained => Usability::HallDrained,
             Presence::Serving if self.ejection.is_ejected(now) => Usability::Ejected,
+            Presence::Serving if !self.rate_limit.is_turn(share, now) => Usability::RateLimited,
             Presence::Serving if !self.has_room(bound, now) => Usability::AtLimit,
             Presence::Serving if self.is_held_cold(now, bound) => Usability::Cold,
             Presence::Serving if self.is_slow_spell(now, model) => Usability::SlowSpell,
@@ -54,8 +57,14 @@
         }
     }
 
-    pub(crate) fn is_open(&self, now: Timestamp, bound: Bound, model: &ServiceModel) -> bool {
-        self.usability(now, bound, model) == Usability::Open
+    pub(crate) fn is_open(
+        &self,
+        now: Timestamp,
+        bound: Bound,
+        share: RateShare,
+        model: &ServiceModel,
+    ) -> bool {
+        self.usability(now, bound, share, model) == Usability::Open
     }
 
     fn is_slow_spell(&self, now: Timestamp, model: &ServiceModel) -> bool {
@@ -90,7 +99,8 @@
                 self.left_by_others(best, now)
             }
         };
-        most.saturating_sub(self.in_flight)
+        let most = most.saturating_sub(self.in_flight);
+        if self.is_in_need() { most.min(1) } else { most }
     }
 
     /// What is left of `most` requests beside those that a report tells of and that are not
--- a/crates/thymeshift_entry/src/allocation_client.rs
+++ b/crates/thymeshift_entry/src/allocation_client.rs
@@ -10,9 +10,11 @@
 use metrics::counter;
 use parking_lot::Mutex;
 use spdlog::debug;
+use thymeshift_allocation::Granted;
 use thymeshift_allocation::Group;
 use thymeshift_dispatch::Observation;
 use thymeshift_dispatch::Refusal;
+use thymeshift_dispatch::ToldRateLimit;
 use thymeshift_fleet::Boot;
 use thymeshift_fleet::Member;
 use thymeshift_telemetry::metric;
@@ -62,8 +64,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Reply {
     Waiting,
-    /// The target, and the most requests that one target serves well at a time.
-    Granted(TargetName, u32),
+    Granted(Granted),
     Refused(Refusal),
     Declined,
     /// To be asked for in another group, and of whom.
@@ -76,7 +77,7 @@
     fn into_message(self, number: LeaseNumber) -> Message {
         match self {
             Self::Waiting => Message::Waiting(number),
-            Self::Granted(target, concurrency) => Message::Granted(number, target, concurrency),
+            Self::Granted(granted) => Message::Granted(number, granted),
             Self::Refused(refusal) => Message::Refused(number, refusal.reason, refusal.retry_after),
             Self::Declined => Message::Declined(number),
             Self::Redirected(group, allocator) => Message::Redirected(number, group, allocator),
@@ -199,6 +200,7 @@
             group: group.clone(),
             allocating: allocating.clone(),
             observation: None,
+            rate_limit: None,
             is_open: true,
         };
         let acquire = Acquire {
@@ -293,10 +295,16 @@
     group: Group,
     allocating: Allocating,
     observation: Option<Observation>,
+    rate_limit: Option<ToldRateLimit>,
     is_open: bool,
 }
 
 impl AllocationLease {
+    /// What this process knows of the target's limit; told to the allocator at the end.
+    pub(crate) fn tell_rate_limit(&mut self, known: Option<ToldRateLimit>) {
+        self.rate_limit = known;
+    }
+
     /// What the attempt showed; told to the allocator at the end.
     pub(crate) fn observe(&mut self, observation: Observation) {
         self.observation = Some(observation);
@@ -323,6 +331,7 @@
             service: self.service.clone(),
             group: self.group.clone(),
             observation: self.observation,
+            rate_limit: self.rate_limit,
             held: self.client.held(&self.service, &self.group, allocator),
         };
         match &self.allocating {
--- a/crates/thymeshift_entry/src/control_plane/datagrams.rs
+++ b/crates/thymeshift_entry/src/control_plane/datagrams.rs
@@ -78,9 +78,7 @@
         }
         Message::Room(told) => take_room(shared, &sender, &told),
         Message::Waiting(number) => client.replied(number, Reply::Waiting),
-        Message::Granted(number, target, concurrency) => {
-            client.replied(number, Reply::Granted(target, concurrency));
-        }
+        Message::Granted(number, granted) => client.replied(number, Reply::Granted(granted)),
         Message::Declined(number) => client.replied(number, Reply::Declined),
         Message::Redirected(number, group, allocator) => {
             client.replied(number, Reply::Redirected(group, allocator));
@@ -108,7 +106,7 @@
         client.reply(&holder, acquire.number, Reply::AskInstead(member));
         return;
     }
-    service.group(&acquire.group).acquire(holder, acquire);
+    service.allocated_here(shared, &acquire.group).acquire(holder, acquire);
 }
 
 fn service(shared: &Shared, name: &ServiceName) -> Option<Arc<ServiceRuntime>> {
--- a/crates/thymeshift_entry/src/control_plane/peer_link.rs
+++ b/crates/thymeshift_entry/src/control_plane/peer_link.rs
@@ -208,7 +208,8 @@
     breadth: Breadth<'_>,
 ) -> Result<(), ExchangeError> {
     let client = shared.links.get(address).await?;
-    let summary = shared.fleet.lock().summary(breadth, BootClock.now(), &mut rand::rng());
+    let mut summary = shared.fleet.lock().summary(breadth, BootClock.now(), &mut rand::rng());
+    summary.rate_limits = shared.rate_limits_to_tell();
     let answer = client.exchange(call_context(CALL_LIMIT), summary).await?;
     take(shared, &client, &answer, address).await
 }
@@ -266,6 +267,7 @@
         shared.apply_orders();
         shared.news.notify_one();
     }
+    shared.learn_rate_limits(&exchange.rate_limits);
     for fingerprint in &taken.suspects {
         log_verdict(shared, *fingerprint, "peer");
     }
--- a/crates/thymeshift_entry/src/control_plane/peer_server.rs
+++ b/crates/thymeshift_entry/src/control_plane/peer_server.rs
@@ -54,7 +54,10 @@
         {
             self.fetch_from(sender.member.peer_address);
         }
-        self.shared.fleet.lock().answer(&summary, BootClock.now(), &mut rand::rng())
+        let now = BootClock.now();
+        let mut answer = self.shared.fleet.lock().answer(&summary, now, &mut rand::rng());
+        answer.rate_limits = self.shared.rate_limits_to_tell();
+        answer
     }
 
     async fn fetch(self, _: Context, document: Document, have: Option<Head>) -> Transfer {
--- a/crates/thymeshift_entry/src/fleet.rs
+++ b/crates/thymeshift_entry/src/fleet.rs
@@ -141,6 +141,7 @@
             leaving: self.marks_to_send(),
             orders: self.orders.list(now),
             suspects: self.suspects_to_send(SUSPECTS_REPEATED, now),
+            rate_limits: Vec::new(),
         }
     }
 
--- a/crates/thymeshift_entry/src/service/group.rs
+++ b/crates/thymeshift_entry/src/service/group.rs
@@ -15,6 +15,7 @@
 use thymeshift_dispatch::Dispatcher;
 use thymeshift_dispatch::LoadReport;
 use thymeshift_dispatch::ProbeBudget;
+use thymeshift_dispatch::RateShare;
 use thymeshift_dispatch::Request;
 use thymeshift_dispatch::ServiceDump;
 use thymeshift_dispatch::Tried;
@@ -29,6 +30,7 @@
 use thymeshift_wire::Acquire;
 use thymeshift_wire::LeaseNumber;
 use thymeshift_wire::Release;
+use thymeshift_wire::TargetRateLimit;
 
 use crate::allocation_client::LeaseHolder;
 use crate::allocation_client::Reply;
@@ -197,7 +199,8 @@
         let key = LeaseKey { holder, number: release.number.0 };
         {
             let Books { dispatcher, allocator, .. } = &mut *self.books.lock();
-            allocator.release(&key, release.observation, dispatcher, now);
+            let Release { observation, rate_limit, .. } = *release;
+            allocator.release(&key, observation, rate_limit, dispatcher, now);
             allocator.keep_only(&key.holder, &numbers(&release.held), dispatcher, now);
         }
         self.wake_waiting(now);
@@ -244,6 +247,17 @@
         gap
     }
 
+    /// Learns what a peer knows of a target's limit.
+    pub(super) fn learn_rate_limit(&self, limit: &TargetRateLimit, now: Timestamp) {
+        let TargetRateLimit { target, incarnation, told, .. } = limit;
+        self.books.lock().dispatcher.learn_rate_limit_of(target, *incarnation, told, now);
+    }
+
+    /// Says which part of targets' limits may be granted here.
+    pub(super) fn set_rate_share(&self, share: RateShare) {
+        self.books.lock().dispatcher.set_rate_share(share);
+    }
+
     pub(super) fn adopt_concurrency(&self, number: u32) {
         self.books.lock().dispatcher.adopt_concurrency(number);
     }
@@ -331,7 +345,7 @@
 
 fn reply_of(allocation: Allocation) -> Reply {
     match allocation {
-        Allocation::Granted(target, concurrency) => Reply::Granted(target, concurrency),
+        Allocation::Granted(granted) => Reply::Granted(granted),
         Allocation::Waiting => Reply::Waiting,
         Allocation::Refused(refusal) => Reply::Refused(refusal),
     }
--- a/crates/thymeshift_entry/src/service/guards.rs
+++ b/crates/thymeshift_entry/src/service/guards.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use thymeshift_config::RequestRate;
 use thymeshift_dispatch::Grant;
 use thymeshift_dispatch::Observation;
 use thymeshift_dispatch::Refusal;
@@ -69,6 +70,15 @@
         self.service.own.lock().dispatcher.may_send(grant, deadline, BootClock.now())
     }
 
+    /// Learns what an answer stated of the target's limit. Returns whether that is news here.
+    pub(crate) fn learn_rate_limit(&self, stated: Option<RequestRate>) -> bool {
+        let Some(grant) = &self.grant else {
+            return false;
+        };
+        let now = BootClock.now();
+        self.service.own.lock().dispatcher.learn_rate_limit(grant, stated, now)
+    }
+
     pub(crate) fn learn(&mut self, observation: Observation) -> Option<LeavingMark> {
         if let Some(lease) = &mut self.lease {
             lease.observe(observation);
@@ -81,9 +91,15 @@
 
 impl Drop for GrantGuard {
     fn drop(&mut self) {
-        if let Some(grant) = self.grant.take() {
-            self.service.release(grant);
+        let Some(grant) = self.grant.take() else {
+            return;
+        };
+        if let Some(lease) = &mut self.lease {
+            let now = BootClock.now();
+            let known = self.service.own.lock().dispatcher.rate_limit_to_tell(&grant, now);
+            lease.tell_rate_limit(known);
         }
+        self.service.release(grant);
     }
 }
 
--- a/crates/thymeshift_entry/src/service/mod.rs
+++ b/crates/thymeshift_entry/src/service/mod.rs
@@ -43,6 +43,7 @@
 use thymeshift_types::Timestamp;
 use thymeshift_wire::AllocatorAddress;
 use thymeshift_wire::GroupRoom;
+use thymeshift_wire::TargetRateLimit;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -332,6 +333,28 @@
         self.own.lock().dispatcher.learn_probe(name, report, BootClock.now())
     }
 
+    /// What this process knows of its targets' limits.
+    pub(crate) fn rate_limits(&self, now: Timestamp) -> Vec<TargetRateLimit> {
+        let known = self.own.lock().dispatcher.rate_limits(now);
+        let service = &self.name;
+        let limit = |(target, incarnation, told)| TargetRateLimit {
+            service: service.clone(),
+            target,
+            incarnation,
+            told,
+        };
+        known.into_iter().map(limit).collect()
+    }
+
+    /// Learns what a peer knows of a target's limit.
+    pub(crate) fn learn_rate_limit(&self, limit: &TargetRateLimit, now: Timestamp) {
+        let TargetRateLimit { target, incarnation, told, .. } = limit;
+        self.own.lock().dispatcher.learn_rate_limit_of(target, *incarnation, told, now);
+        for group in self.groups() {
+            group.learn_rate_limit(limit, now);
+        }
+    }
+
     pub(crate) fn probe_targets(&self) -> Vec<Destination> {
         let own = self.own.lock();
         let targets = own.dispatcher.probe_targets();
--- a/crates/thymeshift_entry/src/service/obtain.rs
+++ b/crates/thymeshift_entry/src/service/obtain.rs
@@ -7,7 +7,9 @@
 
 use metrics::counter;
 use rand::Rng;
+use thymeshift_allocation::Granted;
 use thymeshift_allocation::Group;
+use thymeshift_dispatch::RateShare;
 use thymeshift_dispatch::Refusal;
 use thymeshift_dispatch::Request;
 use thymeshift_dispatch::Tried;
@@ -28,6 +30,7 @@
 use crate::allocation_client::Wanted;
 use crate::service::Admitted;
 use crate::service::GrantGuard;
+use crate::service::GroupRuntime;
 use crate::service::ServiceRuntime;
 use crate::shared::RankedPlaces;
 use crate::shared::Shared;
@@ -38,6 +41,9 @@
 const LAST_WORD_SLACK: Duration = Duration::from_millis(25);
 /// Allocators of one group asked for one request.
 const ALLOCATORS_ASKED_MAX: usize = 2;
+/// Grants of one allocator that are given back, one after the other, since it did not know of the
+/// target's limit: each teaches it one.
+const UNCOUNTED_MAX: usize = 4;
 /// How long the order of allocators is kept before it is worked out anew, unless members
 /// change. One that is gone is noticed by its silence.
 const ORDER_KEPT: Duration = Duration::from_secs(1);
@@ -53,6 +59,8 @@
     /// Changes among members that it takes into account.
     changes: u64,
     concurrency: Option<u32>,
+    /// The part of targets' limits that this process may grant, should it be asked.
+    rate_share: RateShare,
 }
 
 impl Allocators {
@@ -63,13 +71,25 @@
         is_fresh.then(|| known.order.clone())
     }
 
-    fn keep_order(&mut self, group: &Group, order: RankedPlaces, changes: u64, now: Timestamp) {
+    fn keep_order(
+        &mut self,
+        group: &Group,
+        order: RankedPlaces,
+        rate_share: RateShare,
+        changes: u64,
+        now: Timestamp,
+    ) {
         let known = self.0.entry(group.clone()).or_default();
         known.order = order;
+        known.rate_share = rate_share;
         known.made_at = Some(now);
         known.changes = changes;
     }
 
+    fn rate_share(&self, group: &Group) -> RateShare {
+        self.0.get(group).map_or(RateShare::NONE, |known| known.rate_share)
+    }
+
     /// The most requests that one target of the group serves well at a time, as its allocator
     /// told last.
     pub(super) fn told_concurrency(&self, group: &Group) -> Option<u32> {
@@ -84,6 +104,8 @@
     Redirected(Group, AllocatorAddress),
     /// Another process, which is known now, ranks before the one that was asked.
     AskInstead,
+    /// The allocator did not know of the limit that the target has named; it does now.
+    Uncounted,
     /// None answered or allocates, or a target was granted that may not be used.
     Useless,
 }
@@ -100,7 +122,7 @@
             match self.ask_groups(shared, &request).await {
                 Asked::Granted(grant) => return Ok(grant),
                 Asked::Refused(refusal) => return Err(Some(refusal)),
-                Asked::Redirected(..) | Asked::AskInstead | Asked::Useless => {}
+                Asked::Redirected(..) | Asked::AskInstead | Asked::Uncounted | Asked::Useless => {}
             }
         }
         let (view, by) =
@@ -139,9 +161,9 @@
             asked => return asked,
         };
         let wanted = self.wanted(&other, request);
-        let allocating = self.allocating(&other, Some(by));
+        let allocating = self.allocating(shared, &other, Some(by));
         match self.ask(&allocating, wanted, request).await {
-            Asked::Useless | Asked::AskInstead => {
+            Asked::Useless | Asked::AskInstead | Asked::Uncounted => {
                 self.ask_group(shared, first, false, request).await
             }
             asked => asked,
@@ -181,26 +203,46 @@
         };
         let first = order.first().filter(is_usable);
         for place in order.iter().filter(is_usable).take(ALLOCATORS_ASKED_MAX) {
-            let allocating = self.allocating(group, place.clone());
-            let mut wanted = self.wanted(group, request);
-            wanted.may_redirect = may_redirect;
-            wanted.is_first_choice = may_be_corrected && Some(place) == first;
-            match self.ask(&allocating, wanted, request).await {
-                Asked::Useless => {}
-                asked => return asked,
+            let allocating = self.allocating(shared, group, place.clone());
+            for _ in 0..UNCOUNTED_MAX {
+                let mut wanted = self.wanted(group, request);
+                wanted.may_redirect = may_redirect;
+                wanted.is_first_choice = may_be_corrected && Some(place) == first;
+                match self.ask(&allocating, wanted, request).await {
+                    Asked::Uncounted => {}
+                    Asked::Useless => break,
+                    asked => return asked,
+                }
             }
         }
         Asked::Useless
     }
 
     /// How the allocator of a group is asked; None is this process.
-    fn allocating(self: &Arc<Self>, group: &Group, place: Option<AllocatorAddress>) -> Allocating {
+    fn allocating(
+        self: &Arc<Self>,
+        shared: &Shared,
+        group: &Group,
+        place: Option<AllocatorAddress>,
+    ) -> Allocating {
         match place {
             Some(place) if place.vm != *self.links.allocation.vm() => Allocating::There(place),
-            Some(_) | None => Allocating::Here(self.group(group)),
+            Some(_) | None => Allocating::Here(self.allocated_here(shared, group)),
         }
     }
 
+    /// A group that this process is asked to allocate, with the part of targets' limits that it
+    /// may grant now.
+    pub(crate) fn allocated_here(&self, shared: &Shared, group: &Group) -> Arc<GroupRuntime> {
+        let now = BootClock.now();
+        // Keeps the share as fresh as the order.
+        let _ = self.allocator_order(shared, group, now);
+        let share = self.allocators.lock().rate_share(group);
+        let runtime = self.group(group);
+        runtime.set_rate_share(share);
+        runtime
+    }
+
     fn wanted(&self, group: &Group, request: &Request) -> Wanted {
         let now = BootClock.now();
         Wanted {
@@ -242,7 +284,8 @@
             return order;
         }
         let order: Arc<[_]> = shared.allocator_order(self.name(), group, now).into();
-        self.allocators.lock().keep_order(group, order.clone(), changes, now);
+        let rate_share = shared.allocator_standing(self.name(), group, now).rate_share();
+        self.allocators.lock().keep_order(group, order.clone(), rate_share, changes, now);
         order
     }
 
@@ -260,13 +303,13 @@
                 Ok(Some(Reply::Waiting)) => {
                     limit = BootClock.now().until(request.wait_until) + LAST_WORD_SLACK;
                 }
-                Ok(Some(Reply::Granted(target, concurrency))) => {
+                Ok(Some(Reply::Granted(granted))) => {
                     let by = match allocating {
                         Allocating::Here(_) => "here",
                         Allocating::There(_) => "allocator",
                     };
                     counter!(metric::OBTAINED, "by" => by).increment(1);
-                    return self.take_lease(acquisition, &group, &target, concurrency);
+                    return self.take_lease(acquisition, &group, &granted);
                 }
                 Ok(Some(Reply::Refused(refusal))) => {
                     acquisition.lease.closed_by_allocator();
@@ -303,17 +346,26 @@
         self: &Arc<Self>,
         acquisition: Acquisition,
         group: &Group,
-        target: &TargetName,
-        concurrency: u32,
+        granted: &Granted,
     ) -> Asked {
-        self.allocators.lock().0.entry(group.clone()).or_default().concurrency = Some(concurrency);
-        let granted = self.own.lock().dispatcher.grant_at(target, BootClock.now());
-        match granted {
-            Some(grant) => {
-                Asked::Granted(GrantGuard::new(self, grant).with_lease(acquisition.lease))
-            }
-            None => Asked::Useless,
+        let concurrency = Some(granted.concurrency);
+        self.allocators.lock().0.entry(group.clone()).or_default().concurrency = concurrency;
+        let now = BootClock.now();
+        let (grant, is_within_limit) = {
+            let dispatcher = &mut self.own.lock().dispatcher;
+            let Some(grant) = dispatcher.grant_at(&granted.target, granted.rate_limit, now) else {
+                return Asked::Useless;
+            };
+            let is_within_limit = dispatcher.is_within_limit(&grant);
+            (grant, is_within_limit)
+        };
+        // Dropped, it tells the allocator what this process knows of the limit.
+        let guard = GrantGuard::new(self, grant).with_lease(acquisition.lease);
+        if is_within_limit {
+            return Asked::Granted(guard);
         }
+        counter!(metric::UNCOUNTED_GRANTS).increment(1);
+        Asked::Uncounted
     }
 
     fn names(&self, tried: &Tried) -> Vec<TargetName> {
--- a/crates/thymeshift_entry/src/shared.rs
+++ b/crates/thymeshift_entry/src/shared.rs
@@ -1,18 +1,22 @@
 //! What all tasks of the process share.
 //!
 //! * [`in_force`]: the configuration and the targets in force.
+//! * [`rate_limits`]: the limits of targets in need, as processes tell each other.
 
 mod in_force;
+mod rate_limits;
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use parking_lot::Mutex;
 use parking_lot::RwLock;
 use thymeshift_allocation::Group;
+use thymeshift_allocation::Standing;
 use thymeshift_config::Settings;
 use thymeshift_fleet::Boot;
 use thymeshift_fleet::ListPace;
@@ -99,6 +103,8 @@
     pub(crate) is_resting: AtomicBool,
     pub(crate) list_pace: Mutex<ListPace>,
     crashes_reported: AtomicU64,
+    /// Limits of targets told to peers so far, for taking turns.
+    rate_limits_told: AtomicUsize,
     /// Whether targets are discovered apart from the configuration.
     discovers: bool,
     pub(crate) metrics_text: MetricsText,
@@ -136,6 +142,7 @@
             is_resting: AtomicBool::new(false),
             list_pace: Mutex::default(),
             crashes_reported: AtomicU64::new(0),
+            rate_limits_told: AtomicUsize::new(0),
             discovers,
             settings_path,
             settings: RwLock::new(Arc::new(settings)),
@@ -207,7 +214,35 @@
         if eligible.is_empty() {
             eligible = fleet.members.contacts(now);
         }
-        places_in_order(&fleet, &format!("allocate {service}/{group}"), eligible)
+        places_in_order(&fleet, &allocator_task(service, group), eligible)
+    }
+
+    /// Where this process stands among those that may allocate a group of `service`'s targets.
+    pub(crate) fn allocator_standing(
+        &self,
+        service: &ServiceName,
+        group: &Group,
+        now: Timestamp,
+    ) -> Standing {
+        let fleet = self.fleet.lock();
+        let of_hall = match group {
+            Group::All => None,
+            Group::Hall(hall) => Some(fleet.members.reach_in(hall, now)),
+        };
+        // The processes of a hall that none is heard of may still allocate its group there.
+        let is_hall_silent =
+            of_hall.as_ref().is_some_and(|reach| reach.heard.is_empty() && reach.known > 0);
+        let reach = of_hall.filter(|reach| !reach.heard.is_empty());
+        let reach = reach.unwrap_or_else(|| fleet.members.reach(now));
+        let contenders = reach.heard.iter().map(|member| member.contender());
+        let order = ranked(&allocator_task(service, group), contenders);
+        let own = &fleet.members.own().vm;
+        let before = order.iter().take_while(|vm| **vm != own).count();
+        Standing {
+            before: before + usize::from(is_hall_silent),
+            heard: reach.heard.len(),
+            known: reach.known,
+        }
     }
 
     /// The contacts of all data halls in the order in which they do a task for the whole fleet;
@@ -251,6 +286,11 @@
     }
 }
 
+/// What processes are ranked for as allocators of a group.
+fn allocator_task(service: &ServiceName, group: &Group) -> String {
+    format!("allocate {service}/{group}")
+}
+
 /// Members in the order in which they do a task, with where they are reached; None is this process.
 fn places_in_order(
     fleet: &Fleet,
--- a/crates/thymeshift_entry/src/target_client/attempt.rs
+++ b/crates/thymeshift_entry/src/target_client/attempt.rs
@@ -10,6 +10,8 @@
 use http::Response;
 use metrics::counter;
 use spdlog::debug;
+use spdlog::info;
+use thymeshift_config::RequestRate;
 use thymeshift_dispatch::LoadReport;
 use thymeshift_dispatch::Observation;
 use thymeshift_dispatch::TargetIndex;
@@ -27,6 +29,7 @@
 use thymeshift_wire::CallContext;
 use thymeshift_wire::Dialect;
 use thymeshift_wire::Meaning;
+use thymeshift_wire::RateLimitMistake;
 
 use crate::service::Destination;
 use crate::service::GrantGuard;
@@ -177,6 +180,7 @@
         };
         let meaning = D::meaning(response.status(), response.headers(), &attempt);
         self.shared.unknown_headers.note::<D>(response.headers(), &destination);
+        self.learn_rate_limit(meaning, D::rate_limit(response.headers()), &destination);
         self.learn(observation(meaning, D::report(response.headers())));
         if let Some(failed) = self.failed_by(meaning, &destination) {
             // Whatever else comes on this connection belongs to nobody.
@@ -246,6 +250,37 @@
         }
     }
 
+    /// An answer of the meant target says whether it is in need. One that did not run the request
+    /// may come from a part of it that does not know.
+    fn learn_rate_limit(
+        &mut self,
+        meaning: Meaning,
+        stated: Result<Option<RequestRate>, RateLimitMistake>,
+        destination: &Destination,
+    ) {
+        let stated = match stated {
+            Ok(stated) => stated,
+            Err(mistake) => {
+                debug!("rate_limit_unreadable", kv: {
+                    service: = destination.service, target: = destination.name, error: = mistake
+                });
+                return;
+            }
+        };
+        let may_end_it = matches!(meaning, Meaning::Answered | Meaning::Failed);
+        let is_of_another = matches!(meaning, Meaning::OtherTarget | Meaning::Foreign);
+        if is_of_another || (stated.is_none() && !may_end_it) {
+            return;
+        }
+        if self.grant.learn_rate_limit(stated) && self.shared.allows_request_line() {
+            let per_s = stated.map(|rate| rate.in_1000_s() as f64 / 1_000.0);
+            info!("target_rate_limit", kv: {
+                service: = destination.service, target: = destination.name,
+                limit_per_s: = per_s.map_or("none".to_owned(), |per_s| per_s.to_string())
+            });
+        }
+    }
+
     fn peer(&self, destination: &Destination) -> Peer {
         Peer::Target(self.grant.service().name().clone(), destination.name.clone())
     }
--- a/crates/thymeshift_fleet/src/lib.rs
+++ b/crates/thymeshift_fleet/src/lib.rs
@@ -53,6 +53,7 @@
 pub use members::Asked;
 pub use members::Breadth;
 pub use members::Members;
+pub use members::Reach;
 pub use members::Told;
 pub use orders::Order;
 pub use orders::OrderChange;
--- a/crates/thymeshift_fleet/src/members.rs
+++ b/crates/thymeshift_fleet/src/members.rs
@@ -20,6 +20,7 @@
 
 mod contacts;
 mod known;
+mod reach;
 mod telling;
 
 use std::collections::BTreeMap;
@@ -41,6 +42,7 @@
 use crate::members::known::Known;
 use crate::members::known::MEMBERS_PER_PATIENCE;
 
+pub use reach::Reach;
 pub use telling::Asked;
 pub use telling::Breadth;
 pub use telling::Told;
--- a/crates/thymeshift_fleet/src/members/known.rs
+++ b/crates/thymeshift_fleet/src/members/known.rs
@@ -45,6 +45,11 @@
         }
     }
 
+    /// Whether its heartbeat goes on, whoever passes it on.
+    pub(super) fn is_heard(&self, patience: u32, now: Timestamp) -> bool {
+        now.since(self.heard_at) <= SUSPECT_AFTER * patience
+    }
+
     pub(super) fn is_serving(&self, patience: u32, now: Timestamp) -> bool {
         self.member.phase == Phase::Serving && self.liveness(patience, now) == Liveness::Alive
     }
--- a/crates/thymeshift_telemetry/src/metric.rs
+++ b/crates/thymeshift_telemetry/src/metric.rs
@@ -47,6 +47,8 @@
 pub const PLATFORM_CALLS: &str = "thymeshift_platform_calls_total";
 /// Datagrams to other processes, by `result` (`sent`, `dropped`).
 pub const DATAGRAMS: &str = "thymeshift_datagrams_total";
+/// Grants that were given back unused: whoever granted did not know of the target's limit.
+pub const UNCOUNTED_GRANTS: &str = "thymeshift_uncounted_grants_total";
 /// Targets obtained, by `by` (`allocator`, `here`, `alone`, `fallback`).
 pub const OBTAINED: &str = "thymeshift_targets_obtained_total";
 /// Exchanges with peers, by `result` (`answered`, `failed`).
--- a/crates/thymeshift_types/src/failure.rs
+++ b/crates/thymeshift_types/src/failure.rs
@@ -108,6 +108,9 @@
     /// The deadline could not be met by waiting.
     #[display("deadline_unreachable")]
     DeadlineUnreachable,
+    /// All targets are in need and take only so many requests a second.
+    #[display("rate_limited")]
+    RateLimited,
     /// The deadline passed.
     #[display("deadline")]
     Deadline,
--- a/crates/thymeshift_wire/src/datagram.rs
+++ b/crates/thymeshift_wire/src/datagram.rs
@@ -11,8 +11,10 @@
 use derive_more::From;
 use serde::Deserialize;
 use serde::Serialize;
+use thymeshift_allocation::Granted;
 use thymeshift_allocation::Group;
 use thymeshift_dispatch::Observation;
+use thymeshift_dispatch::ToldRateLimit;
 use thymeshift_fleet::Boot;
 use thymeshift_fleet::Head;
 use thymeshift_fleet::Member;
@@ -58,8 +60,8 @@
     Acquire(Acquire),
     /// The request waits; another answer follows.
     Waiting(LeaseNumber),
-    /// A target to send to, and the most requests that one target serves well at a time.
-    Granted(LeaseNumber, TargetName, u32),
+    /// A target to send to.
+    Granted(LeaseNumber, Granted),
     /// No target.
     Refused(LeaseNumber, Reason, Duration),
     /// The receiver does not allocate: it is stopping, or does not know the service.
@@ -220,6 +222,9 @@
     pub group: Group,
     /// What the attempt showed, if there was one.
     pub observation: Option<Observation>,
+    /// What the sender knows of the target's limit of requests a second; none if it never heard
+    /// of one.
+    pub rate_limit: Option<ToldRateLimit>,
     /// All leases of this group that the sender holds or asks for.
     pub held: Vec<LeaseNumber>,
 }
--- a/crates/thymeshift_wire/src/dialect.rs
+++ b/crates/thymeshift_wire/src/dialect.rs
@@ -9,6 +9,7 @@
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
+use thymeshift_config::RequestRate;
 use thymeshift_dispatch::LoadReport;
 use thymeshift_types::Failure;
 use thymeshift_types::KeyDigest;
@@ -17,6 +18,7 @@
 
 use crate::CallContext;
 use crate::HeaderMistake;
+use crate::RateLimitMistake;
 
 /// One attempt as the target hears of it.
 #[derive(Debug, Clone, Copy)]
@@ -74,6 +76,10 @@
     /// Reads the load report of an answer, if it carries a readable one.
     fn report(map: &HeaderMap) -> Option<LoadReport>;
 
+    /// Reads the requests a second that a target says it takes from all processes together; none if
+    /// it says nothing of that.
+    fn rate_limit(map: &HeaderMap) -> Result<Option<RequestRate>, RateLimitMistake>;
+
     /// Reads the load report of a probe's answer: unlike that of a request, it does not count
     /// what it answers.
     fn probe_report(status: StatusCode, map: &HeaderMap) -> Option<LoadReport>;
--- a/crates/thymeshift_wire/src/headers.rs
+++ b/crates/thymeshift_wire/src/headers.rs
@@ -29,5 +29,7 @@
 pub const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("thymeshift-retry-after-ms");
 /// Load report on an answer, in the text form of the ORCA specification.
 pub const LOAD: HeaderName = HeaderName::from_static("endpoint-load-metrics");
+/// On an answer: requests a second that the target takes from all processes together.
+pub const RATE_LIMIT: HeaderName = HeaderName::from_static("thymeshift-rate-limit");
 /// On answers of the platform: the revision of the document.
 pub const REVISION: HeaderName = HeaderName::from_static("thymeshift-revision");
--- a/crates/thymeshift_wire/src/native.rs
+++ b/crates/thymeshift_wire/src/native.rs
@@ -11,6 +11,7 @@
 use http::header::RETRY_AFTER;
 use http::header::WWW_AUTHENTICATE;
 use serde::Serialize;
+use thymeshift_config::RequestRate;
 use thymeshift_dispatch::LoadReport;
 use thymeshift_types::Failure;
 use thymeshift_types::KeyDigest;
@@ -22,9 +23,11 @@
 use crate::Dialect;
 use crate::HeaderMistake;
 use crate::Meaning;
+use crate::RateLimitMistake;
 use crate::headers;
 use crate::key_header::take_bearer_key;
 use crate::load_header;
+use crate::rate_header::read_rate_limit;
 use crate::standard_headers::is_standard;
 
 /// The product's own dialect.
@@ -78,6 +81,10 @@
         load_header::read(map)
     }
 
+    fn rate_limit(map: &HeaderMap) -> Result<Option<RequestRate>, RateLimitMistake> {
+        read_rate_limit(map, &headers::RATE_LIMIT)
+    }
+
     fn probe_report(_status: StatusCode, map: &HeaderMap) -> Option<LoadReport> {
         load_header::read(map)
     }
@@ -156,6 +163,7 @@
         | Reason::Deadline
         | Reason::NoTarget
         | Reason::Quarantined
+        | Reason::RateLimited
         | Reason::Shed => StatusCode::SERVICE_UNAVAILABLE,
         Reason::ConnectFailed | Reason::ConnectionLost if failure.outcome == Outcome::NotRun => {
             StatusCode::SERVICE_UNAVAILABLE
--- a/crates/thymeshift_wire/src/peer.rs
+++ b/crates/thymeshift_wire/src/peer.rs
@@ -2,6 +2,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use thymeshift_dispatch::ToldRateLimit;
 use thymeshift_fleet::FleetDigest;
 use thymeshift_fleet::Head;
 use thymeshift_fleet::Order;
@@ -9,7 +10,10 @@
 use thymeshift_fleet::Told;
 use thymeshift_fleet::Transfer;
 use thymeshift_fleet::Watcher;
+use thymeshift_types::Incarnation;
 use thymeshift_types::LeavingMark;
+use thymeshift_types::ServiceName;
+use thymeshift_types::TargetName;
 
 /// A document that the platform publishes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -48,6 +52,21 @@
     pub orders: Vec<Order>,
     /// A page of the requests that targets crashed under.
     pub suspects: Vec<SuspectTold>,
+    /// A page of the limits that targets in need have named.
+    pub rate_limits: Vec<TargetRateLimit>,
+}
+
+/// What a process knows of the limit of one target.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetRateLimit {
+    /// The service.
+    pub service: ServiceName,
+    /// The target.
+    pub target: TargetName,
+    /// Its start.
+    pub incarnation: Incarnation,
+    /// The limit, and how old this is.
+    pub told: ToldRateLimit,
 }
 
 /// Calls between entry processes.
