--- a/crates/thymeshift_lab/src/replay.rs
+++ b/crates/thymeshift_lab/src/replay.rs
@@ -5,6 +5,7 @@
 
 mod crashes;
 mod events;
+mod limits;
 mod quotas;
 
 pub use crashes::CrashPattern;
@@ -12,6 +13,12 @@
 pub use crashes::CrashResult;
 pub use crashes::crash_table;
 pub use crashes::replay_crashes;
+pub use limits::LimitPattern;
+pub use limits::LimitResult;
+pub use limits::LimitWay;
+pub use limits::Trouble;
+pub use limits::limit_table;
+pub use limits::replay_limits;
 pub use quotas::QuotaPattern;
 pub use quotas::QuotaResult;
 pub use quotas::QuotaWay;
--- /dev/null
+++ b/crates/thymeshift_lab/src/replay/limits.rs
@@ -0,0 +1,158 @@
+//! The limits that targets in need name, over many processes: how far they are exceeded, how much
+//! of them is used, and who is refused.
+
+mod day;
+mod judge;
+mod process;
+mod way;
+
+use std::fmt;
+use std::fmt::Write;
+
+use thymeshift_config::Mistakes;
+
+use crate::replay::limits::day::Day;
+
+pub use way::LimitWay;
+
+/// What happens on a day. Targets name limits from second 4 on.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LimitPattern {
+    /// What it is called in tables.
+    pub name: &'static str,
+    /// Targets in need, of seven.
+    pub needy: usize,
+    /// Requests a second that each of them names.
+    pub limit_per_s: f64,
+    /// Calls a second at all processes together.
+    pub calls_per_s: f64,
+    /// What strikes in seconds 10 to 16.
+    pub trouble: Trouble,
+    /// By what the limits are multiplied from second 12 on; 0 ends the need.
+    pub changed_by: f64,
+}
+
+/// What strikes the processes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Trouble {
+    /// Nothing but lost and doubled messages.
+    None,
+    /// The first allocator is killed, and starts again a second later.
+    FirstKilled,
+    /// The first allocator stands still for three seconds.
+    FirstFrozen,
+    /// A third of the processes, the first two allocators not among them, reach no other one.
+    CutOff,
+    /// Two data halls cannot reach each other; a third one reaches both.
+    TwoHallsCut,
+}
+
+/// What came of a pattern, over all days.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct LimitResult {
+    /// Most requests that a target in need got in four seconds, in parts of what is allowed: one
+    /// and a half times its limit, and five.
+    pub worst_window: f64,
+    /// Requests that targets in need got, and what their limits allow in the same time.
+    pub used: f64,
+    /// As above.
+    pub allowed: f64,
+    /// Calls, and those that were refused.
+    pub calls: usize,
+    /// As above.
+    pub refused: usize,
+    /// Messages between processes.
+    pub messages: usize,
+}
+
+impl LimitResult {
+    /// Part of the limits that was used.
+    pub fn used_share(&self) -> f64 {
+        self.used / self.allowed.max(f64::MIN_POSITIVE)
+    }
+
+    /// Part of the calls that was refused.
+    pub fn refused_share(&self) -> f64 {
+        self.refused as f64 / self.calls.max(1) as f64
+    }
+
+    fn add(&mut self, day: &Self) {
+        self.worst_window = self.worst_window.max(day.worst_window);
+        self.used += day.used;
+        self.allowed += day.allowed;
+        self.calls += day.calls;
+        self.refused += day.refused;
+        self.messages += day.messages;
+    }
+}
+
+impl fmt::Display for LimitResult {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let messages = self.messages as f64 / self.calls.max(1) as f64;
+        let (used, refused) = (self.used_share(), self.refused_share());
+        write!(f, "{:>7.2} {used:>6.2} {refused:>9.4} {messages:>9.2}", self.worst_window)
+    }
+}
+
+/// Plays a pattern on `days` seeds with so many processes.
+pub fn replay_limits(
+    pattern: &LimitPattern,
+    way: LimitWay,
+    processes: usize,
+    days: u64,
+) -> Result<LimitResult, Mistakes> {
+    let mut result = LimitResult::default();
+    for seed in 0..days {
+        result.add(&Day::new(*pattern, way, processes, seed)?.play());
+    }
+    Ok(result)
+}
+
+/// A table of patterns by ways of deciding and numbers of processes.
+pub fn limit_table(days: u64) -> Result<String, Mistakes> {
+    let mut text = String::new();
+    let columns = "processes  window   used   refused  messages/call";
+    let _ = writeln!(text, "{:<28} {:<22} {columns}", "pattern", "way");
+    for pattern in &LimitPattern::ALL {
+        for way in LimitWay::ALL {
+            for processes in [3, 13, 117, 1_000] {
+                let result = replay_limits(pattern, way, processes, days)?;
+                let _ = writeln!(text, "{:<28} {way:<22} {processes:>5} {result}", pattern.name);
+            }
+        }
+    }
+    Ok(text)
+}
+
+impl LimitPattern {
+    /// Two targets of seven in need.
+    pub const TWO: Self = Self {
+        name: "two in need",
+        needy: 2,
+        limit_per_s: 3.4,
+        calls_per_s: 72.0,
+        trouble: Trouble::None,
+        changed_by: 1.0,
+    };
+    /// All in need, with more calls than they take.
+    pub const ALL_NEEDY: Self =
+        Self { name: "all in need", needy: 7, calls_per_s: 40.0, ..Self::TWO };
+    /// All patterns.
+    pub const ALL: [Self; 15] = [
+        Self::TWO,
+        Self { name: "two, 0.2 a second", limit_per_s: 0.2, ..Self::TWO },
+        Self { name: "two, 1.5 a second", limit_per_s: 1.5, ..Self::TWO },
+        Self { name: "two, 50 a second", limit_per_s: 50.0, calls_per_s: 400.0, ..Self::TWO },
+        Self { name: "two, first killed", trouble: Trouble::FirstKilled, ..Self::TWO },
+        Self { name: "two, first frozen", trouble: Trouble::FirstFrozen, ..Self::TWO },
+        Self { name: "two, third cut off", trouble: Trouble::CutOff, ..Self::TWO },
+        Self { name: "two, two halls cut", trouble: Trouble::TwoHallsCut, ..Self::TWO },
+        Self { name: "two, lowered to a third", changed_by: 1.0 / 3.0, ..Self::TWO },
+        Self { name: "two, raised threefold", changed_by: 3.0, ..Self::TWO },
+        Self::ALL_NEEDY,
+        Self { name: "all, first killed", trouble: Trouble::FirstKilled, ..Self::ALL_NEEDY },
+        Self { name: "all, third cut off", trouble: Trouble::CutOff, ..Self::ALL_NEEDY },
+        Self { name: "all, two halls cut", trouble: Trouble::TwoHallsCut, ..Self::ALL_NEEDY },
+        Self { name: "all, lowered to a third", changed_by: 1.0 / 3.0, ..Self::ALL_NEEDY },
+    ];
+}
--- /dev/null
+++ b/crates/thymeshift_lab/src/replay/limits/judge.rs
@@ -0,0 +1,55 @@
+//! How far the limits were exceeded, and how much of them was used.
+
+use crate::replay::limits::LimitPattern;
+use crate::replay::limits::LimitResult;
+
+/// Times of the day, in milliseconds.
+pub(super) const DAY_MS: u64 = 26_000;
+pub(super) const NAMED_AT_MS: u64 = 4_000;
+pub(super) const CHANGED_AT_MS: u64 = 12_000;
+/// Until all processes must know of a limit, or of another one.
+const KNOWN_AFTER_MS: u64 = 3_000;
+/// Time over which a limit is judged, how far it may be exceeded, and by how many requests more.
+const WINDOW_MS: u64 = 4_000;
+const OVERSHOOT: f64 = 1.5;
+const SLACK: f64 = 5.0;
+
+/// The limit that a target in need names at a moment; none before it names one, or after its need.
+pub(super) fn limit_at(pattern: &LimitPattern, now_ms: u64) -> Option<f64> {
+    if now_ms < NAMED_AT_MS {
+        return None;
+    }
+    let factor = if now_ms < CHANGED_AT_MS { 1.0 } else { pattern.changed_by };
+    (factor > 0.0).then_some(pattern.limit_per_s * factor)
+}
+
+/// Judges the arrivals at the targets in need, in the order of their moments.
+pub(super) fn judge(pattern: &LimitPattern, arrived_ms: &[Vec<u64>], result: &mut LimitResult) {
+    let from = NAMED_AT_MS + KNOWN_AFTER_MS;
+    for arrived in arrived_ms {
+        let late: Vec<u64> = arrived.iter().copied().filter(|at| *at >= from).collect();
+        result.used += late.len() as f64;
+        result.allowed += allowed_between(pattern, from, DAY_MS);
+        for first in &late {
+            let most = late.iter().filter(|at| (*first..first + WINDOW_MS).contains(at)).count();
+            result.worst_window =
+                result.worst_window.max(most as f64 / allowed_in(pattern, *first));
+        }
+    }
+}
+
+/// What is allowed in the window that begins at `first_ms`: by the largest limit that a process may
+/// still know.
+fn allowed_in(pattern: &LimitPattern, first_ms: u64) -> f64 {
+    let before = limit_at(pattern, first_ms.saturating_sub(KNOWN_AFTER_MS));
+    let after = limit_at(pattern, first_ms + WINDOW_MS);
+    let per_s = before.into_iter().chain(after).fold(0.0, f64::max);
+    OVERSHOOT * per_s * WINDOW_MS as f64 / 1_000.0 + SLACK
+}
+
+fn allowed_between(pattern: &LimitPattern, from_ms: u64, to_ms: u64) -> f64 {
+    let seconds = |from: u64, to: u64| (to - from) as f64 / 1_000.0;
+    let first = limit_at(pattern, from_ms).unwrap_or(0.0);
+    let last = limit_at(pattern, to_ms).unwrap_or(0.0);
+    first * seconds(from_ms, CHANGED_AT_MS) + last * seconds(CHANGED_AT_MS, to_ms)
+}
--- /dev/null
+++ b/crates/thymeshift_lab/src/replay/limits/process.rs
@@ -0,0 +1,123 @@
+//! One process of the model, with the dispatchers and books that a real one has.
+
+use std::collections::BTreeMap;
+
+use thymeshift_allocation::Allocator;
+use thymeshift_config::Configuration;
+use thymeshift_dispatch::AnyStrategy;
+use thymeshift_dispatch::Dispatcher;
+use thymeshift_dispatch::Grant;
+use thymeshift_dispatch::ToldRateLimit;
+use thymeshift_dispatch::View;
+use thymeshift_types::DataHallName;
+use thymeshift_types::Incarnation;
+use thymeshift_types::TargetName;
+use thymeshift_types::Timestamp;
+
+/// How long an allocator that did not answer is passed over the first time, in milliseconds, and
+/// how often that doubles.
+const PASSED_OVER_MS: u64 = 500;
+const DOUBLINGS_MAX: u32 = 4;
+
+/// The group of targets as the process that allocates it sees it.
+pub(super) struct Books {
+    pub(super) dispatcher: Dispatcher<AnyStrategy>,
+    pub(super) allocator: Allocator<usize>,
+}
+
+/// A call that waits for a target.
+pub(super) struct Asking {
+    pub(super) allocator: usize,
+    /// Allocators asked so far, and grants given back since they were not counted.
+    pub(super) asked: usize,
+    pub(super) uncounted: usize,
+    pub(super) arrived_ms: u64,
+    /// Until when the next answer is waited for.
+    pub(super) until_ms: u64,
+}
+
+/// A call that a target runs.
+pub(super) struct Running {
+    pub(super) grant: Grant,
+    /// The allocator whose lease it holds.
+    pub(super) allocator: Option<usize>,
+}
+
+pub(super) struct Process {
+    pub(super) own: Dispatcher<AnyStrategy>,
+    pub(super) books: Option<Books>,
+    /// By the number of the lease.
+    pub(super) asking: BTreeMap<u64, Asking>,
+    pub(super) running: BTreeMap<u64, Running>,
+    passed_over: BTreeMap<usize, (u64, u32)>,
+}
+
+impl Process {
+    pub(super) fn new(
+        configuration: &Configuration,
+        hall: &DataHallName,
+        view: View,
+        now: Timestamp,
+    ) -> Self {
+        let service = &configuration.services[0];
+        let mut own = Dispatcher::configured(configuration, service, hall, now);
+        own.set_view(view);
+        Self {
+            own,
+            books: None,
+            asking: BTreeMap::new(),
+            running: BTreeMap::new(),
+            passed_over: BTreeMap::new(),
+        }
+    }
+
+    /// The books of the group, begun if it was not allocated here before.
+    pub(super) fn books(
+        &mut self,
+        configuration: &Configuration,
+        hall: &DataHallName,
+        now: Timestamp,
+    ) -> &mut Books {
+        self.books.get_or_insert_with(|| {
+            let service = &configuration.services[0];
+            let mut dispatcher = Dispatcher::configured(configuration, service, hall, now);
+            dispatcher.set_view(View::Fleet);
+            Books { dispatcher, allocator: Allocator::default() }
+        })
+    }
+
+    /// Learns what another process knows of targets' limits.
+    pub(super) fn learn(
+        &mut self,
+        known: &[(TargetName, Incarnation, ToldRateLimit)],
+        now: Timestamp,
+    ) {
+        for (name, incarnation, told) in known {
+            self.own.learn_rate_limit_of(name, *incarnation, told, now);
+            if let Some(Books { dispatcher, .. }) = &mut self.books {
+                dispatcher.learn_rate_limit_of(name, *incarnation, told, now);
+            }
+        }
+    }
+
+    pub(super) fn pass_over(&mut self, allocator: usize, now_ms: u64) {
+        let entry = self.passed_over.entry(allocator).or_insert((0, 0));
+        entry.0 = now_ms + PASSED_OVER_MS * 2_u64.pow(entry.1.min(DOUBLINGS_MAX));
+        entry.1 += 1;
+    }
+
+    pub(super) fn answered_by(&mut self, allocator: usize) {
+        self.passed_over.remove(&allocator);
+    }
+
+    pub(super) fn is_passed_over(&self, allocator: usize, now_ms: u64) -> bool {
+        self.passed_over.get(&allocator).is_some_and(|(until_ms, _)| now_ms < *until_ms)
+    }
+
+    /// Leases that this process holds or asks of an allocator.
+    pub(super) fn held(&self, allocator: usize) -> Vec<u64> {
+        let asking = self.asking.iter().filter(|(_, asking)| asking.allocator == allocator);
+        let running = self.running.iter().filter(|(_, held)| held.allocator == Some(allocator));
+        asking.map(|(number, _)| *number).chain(running.map(|(number, _)| *number)).collect()
+    }
+}
--- a/crates/thymeshift_lab/tests/replay.rs
+++ b/crates/thymeshift_lab/tests/replay.rs
@@ -4,10 +4,15 @@
 use thymeshift_lab::replay::CrashPattern;
 use thymeshift_lab::replay::CrashPolicy;
 use thymeshift_lab::replay::CrashResult;
+use thymeshift_lab::replay::LimitPattern;
+use thymeshift_lab::replay::LimitResult;
+use thymeshift_lab::replay::LimitWay;
 use thymeshift_lab::replay::QuotaPattern;
 use thymeshift_lab::replay::QuotaResult;
 use thymeshift_lab::replay::QuotaWay;
+use thymeshift_lab::replay::Trouble;
 use thymeshift_lab::replay::replay_crashes;
+use thymeshift_lab::replay::replay_limits;
 use thymeshift_lab::replay::replay_quotas;
 
 /// Days of a minute played for each pattern.
@@ -115,3 +120,39 @@
     let result = play_quota(&QuotaPattern::CALM, QuotaWay::EqualParts, 117);
     assert!(result.wrongly_refused_share() > 0.5, "{result}");
 }
+
+fn play_limits(pattern: &LimitPattern, way: LimitWay, processes: usize) -> LimitResult {
+    replay_limits(pattern, way, processes, 1).expect("a configuration")
+}
+
+/// A target in need is not overrun, whatever strikes the processes and however many there are; and
+/// what it takes is used while callers wait for it.
+#[test]
+fn limits_that_targets_name_hold_over_all_processes() {
+    const USED_MIN: f64 = 0.9;
+    for pattern in &LimitPattern::ALL {
+        for processes in [3, 13, 117] {
+            let result = play_limits(pattern, LimitWay::Allocated, processes);
+            let note = format!("{}, {processes} processes: {result}", pattern.name);
+            assert!(result.worst_window <= 1.0, "{note}");
+            let callers_wait = pattern.needy == LimitPattern::ALL_NEEDY.needy;
+            assert!(!callers_wait || result.used_share() >= USED_MIN, "{note}");
+        }
+    }
+    let cut = LimitPattern { trouble: Trouble::CutOff, ..LimitPattern::ALL_NEEDY };
+    let result = play_limits(&cut, LimitWay::Allocated, 1_000);
+    assert!(result.worst_window <= 1.0, "1,000 processes: {result}");
+}
+
+/// The model shows the trouble: unread, limits are exceeded several times over; where each process
+/// that is asked grants all, a cut between two halls exceeds them; equal parts leave them unused.
+#[test]
+fn other_ways_exceed_the_limits_or_leave_them_unused() {
+    let unread = play_limits(&LimitPattern::TWO, LimitWay::Unread, 13);
+    assert!(unread.worst_window > 2.0, "{unread}");
+    let cut = LimitPattern { trouble: Trouble::TwoHallsCut, ..LimitPattern::ALL_NEEDY };
+    let whole = play_limits(&cut, LimitWay::EachWhole, 13);
+    assert!(whole.worst_window > 1.0, "{whole}");
+    let equal = play_limits(&LimitPattern::ALL_NEEDY, LimitWay::EqualParts, 117);
+    assert!(equal.used_share() < 0.5, "{equal}");
+}
