Soak: targets that name limits, judged by the targets

The lab's target names a limit on its answers when told to, and counts arrivals in any four seconds from 3 s on.

--- a/crates/thymeshift_lab/src/experiment/fleet.rs
+++ b/crates/thymeshift_lab/src/experiment/fleet.rs
@@ -101,6 +101,19 @@
         Ok(())
     }
 
+    /// Has its answers name a limit of requests a second, or none.
+    pub async fn name_limit(&self, limit_per_s: Option<f64>) -> Result<(), FleetError> {
+        let body = serde_json::to_vec(&limit_per_s)?;
+        ask(self.child.address("control")?, Method::PUT, "/limit", body).await?;
+        Ok(())
+    }
+
+    /// Most requests that it got in a window, in parts of what its limit allows.
+    pub async fn worst_window(&self) -> Result<f64, FleetError> {
+        let answer = ask(self.child.address("control")?, Method::GET, "/limit", "").await?;
+        Ok(serde_json::from_slice(answer.body())?)
+    }
+
     /// What it ran.
     pub async fn ledger(&self) -> Result<BTreeMap<String, LedgerEntry>, FleetError> {
         let answer = ask(self.child.address("control")?, Method::GET, "/ledger", "").await?;
--- a/crates/thymeshift_lab/src/experiment/mod.rs
+++ b/crates/thymeshift_lab/src/experiment/mod.rs
@@ -18,6 +18,7 @@
 mod single;
 mod soak;
 mod soak_fault;
+mod soak_need;
 mod usage;
 
 pub use children::Child;
--- a/crates/thymeshift_lab/src/experiment/soak.rs
+++ b/crates/thymeshift_lab/src/experiment/soak.rs
@@ -38,6 +38,9 @@
 use crate::experiment::soak_fault::SoakFault;
 use crate::experiment::soak_fault::Timed;
 use crate::experiment::soak_fault::draw_faults;
+use crate::experiment::soak_need::begin_needs;
+use crate::experiment::soak_need::draw_needs;
+use crate::experiment::soak_need::worst_window;
 use crate::load;
 use crate::load::Entries;
 use crate::load::LoadPlan;
@@ -86,6 +89,8 @@
     pub judgement: Judgement,
     /// Revisions that went down within one process.
     pub reverted: u64,
+    /// Most requests in four seconds at a target that names a limit, in parts of what is allowed.
+    pub worst_window: f64,
     /// Answers that planned work alone cost.
     pub lost_by_planned_work: u64,
     /// Time until the last revision was in force everywhere; none if it was not in time.
@@ -99,6 +104,7 @@
     pub fn is_clean(&self) -> bool {
         self.judgement.is_clean()
             && self.reverted == 0
+            && self.worst_window <= 1.0
             && self.lost_by_planned_work == 0
             && self.in_force_after.is_some()
             && self.closing.is_served()
@@ -113,12 +119,13 @@
         write!(
             f,
             "seed {}: {verdict}; {} faults; {answered} of {sent} answered under them; {}; \
-             reverted {}, lost by planned work {}, last revision after {:?}, answered afterwards \
+             reverted {}, at limits {:.2}, lost by planned work {}, last revision after {:?}, answered afterwards \
              {:.3}, waited for a processor {:.2}",
             self.seed,
             self.faults.len(),
             self.judgement,
             self.reverted,
+            self.worst_window,
             self.lost_by_planned_work,
             self.in_force_after,
             self.closing.answered(),
@@ -145,6 +152,8 @@
     fleet.platform_seen_at = Some(proxy.address);
     replace_all(&mut fleet).await?;
     let faults = draw_faults(&mut rng, entries, fleet.targets.len(), duration, is_gentle);
+    let needs = draw_needs(seed, fleet.targets.len());
+    begin_needs(&fleet, &needs).await?;
     let balancer = Entries::new(fleet.caller_addresses()?);
     let mut revision = 1;
     let watched = Arc::new(Watched::default());
@@ -166,6 +175,7 @@
         seed,
         judgement,
         reverted: watched.reverted(),
+        worst_window: worst_window(&fleet, &needs).await?,
         lost_by_planned_work: if is_gentle { lost } else { 0 },
         in_force_after,
         closing,
--- a/crates/thymeshift_lab/src/standin/mod.rs
+++ b/crates/thymeshift_lab/src/standin/mod.rs
@@ -4,6 +4,7 @@
 mod behaviour;
 mod exact_sleep;
 mod ledger;
+mod need;
 mod platform;
 mod proxy;
 mod server;
--- a/crates/thymeshift_lab/src/standin/target.rs
+++ b/crates/thymeshift_lab/src/standin/target.rs
@@ -3,7 +3,9 @@
 //! Data port: any request runs for a service time and is answered with
 //! [`expected_answer`]; `bytes=N` in the query sets the answer's length, `nonce=X` the
 //! name in the ledger; `/probe` answers after the probe's cost.
-//! Control port: `PUT /behaviour` with a [`Behaviour`] as JSON, `GET /ledger`.
+//! Control port: `PUT /behaviour` with a [`Behaviour`] as JSON, `GET /ledger`, `PUT /limit` with the
+//! requests a second that answers name from then on, or null, and `GET /limit`, the most requests
+//! in a window over what that allows.
 
 use std::io;
 use std::net::SocketAddr;
@@ -49,6 +51,7 @@
 use crate::standin::Reports;
 use crate::standin::answer::expected_answer;
 use crate::standin::exact_sleep::exact_sleep;
+use crate::standin::need::Need;
 use crate::standin::platform::mistaken;
 use crate::standin::platform::number;
 use crate::standin::platform::status;
@@ -109,6 +112,7 @@
     behaviour: Mutex<Behaviour>,
     /// What it ran.
     pub ledger: Ledger,
+    need: Need,
     slots: Arc<Slots>,
     rng: Mutex<SmallRng>,
     started: Instant,
@@ -126,6 +130,7 @@
             settings,
             behaviour: Mutex::default(),
             ledger: Ledger::default(),
+            need: Need::default(),
             rng: Mutex::new(rng),
             started: Instant::now(),
             stall_until: Mutex::new(Instant::now()),
@@ -168,6 +173,14 @@
                 }
                 Err(error) => mistaken(&error),
             },
+            (&Method::PUT, "/limit") => match serde_json::from_slice(&body.to_bytes()) {
+                Ok(limit_per_s) => {
+                    self.need.set_limit(limit_per_s);
+                    status(StatusCode::OK)
+                }
+                Err(error) => mistaken(&error),
+            },
+            (&Method::GET, "/limit") => text(self.need.worst_window().to_string()),
             (&Method::GET, "/ledger") => {
                 text(serde_json::to_vec(&self.ledger.entries()).unwrap_or_default())
             }
@@ -183,6 +196,7 @@
         let mut answer = if parts.uri.path() == "/probe" {
             self.probe().await
         } else {
+            self.need.arrived();
             let body = body.collect().await.ok()?;
             let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
             self.run(path, &body.to_bytes()).await?
@@ -269,6 +283,10 @@
                 if behaviour.fault == Fault::Confusing { confused } else { attempt },
             );
         }
+        let limit = self.need.limit_per_s().map(|limit| HeaderValue::try_from(limit.to_string()));
+        if let Some(Ok(limit)) = limit {
+            map.insert(headers::RATE_LIMIT, limit);
+        }
         let report = match behaviour.reports {
             Reports::None => return,
             Reports::True => self.slots.report(Duration::ZERO),
