A counter that is not the first hands out a part of an organisation's limit

Change: a counter hands out the part of the limit that its standing gives, as allocators do: all as the first that is heard of, by whatever way, a quarter as the second, halved for each further one, times the part of the fleet that is heard of. Other patterns as before. The test's way each counter whole is the code before.

--- a/crates/thymeshift_entry/src/organisations/quota.rs
+++ b/crates/thymeshift_entry/src/organisations/quota.rs
@@ -128,7 +128,7 @@
             QuotaLimit::of(organisations.find(|known| known.name == ask.organisation)?)
         });
         match limit {
-            Some(limit) => QuotaReply::Counted(self.count(asker, ask, limit)),
+            Some(limit) => QuotaReply::Counted(self.count(shared, asker, ask, limit)),
             None => QuotaReply::Elsewhere,
         }
     }
@@ -200,7 +200,7 @@
         };
         for place in order.iter().filter(is_usable).take(COUNTERS_ASKED_MAX) {
             let Some(place) = place else {
-                return Some(self.count(shared.allocation.vm(), &ask, limit));
+                return Some(self.count(shared, shared.allocation.vm(), &ask, limit));
             };
             match self.question(shared, place.address, &ask).await {
                 Some(QuotaReply::Counted(told)) => return Some(told),
@@ -233,12 +233,20 @@
         None
     }
 
-    fn count(&self, asker: &VmName, ask: &QuotaAsk, limit: QuotaLimit) -> QuotaTold {
+    fn count(
+        &self,
+        shared: &Shared,
+        asker: &VmName,
+        ask: &QuotaAsk,
+        limit: QuotaLimit,
+    ) -> QuotaTold {
         let now = BootClock.now();
+        let share = shared.standing_for(&counter_task(&ask.organisation), now).rate_share();
         let mut all = self.counted.lock();
         let new = || QuotaCounter::new(limit, now);
         let counter = all.entry(ask.organisation.clone()).or_insert_with(new);
         counter.set_limit(limit, now);
+        counter.set_share(share.part(), now);
         let question =
             QuotaQuestion { number: ask.number.0, wanted: ask.wanted, arrived: ask.arrived };
         let answer = counter.ask(asker, question, now);
@@ -272,13 +280,18 @@
         if let Some(order) = known {
             return order;
         }
-        let order: RankedPlaces = shared.contacts_for(&format!("count {name}"), now).into();
+        let order: RankedPlaces = shared.contacts_for(&counter_task(name), now).into();
         let made = Ranking { order: order.clone(), made_at: now, changes };
         self.rankings.lock().insert(name.clone(), made);
         order
     }
 }
 
+/// What processes are ranked for as counters of an organisation.
+fn counter_task(name: &OrganisationName) -> String {
+    format!("count {name}")
+}
+
 fn counted(told: QuotaTold) -> Counted {
     Counted {
         tokens: told.tokens,
--- a/crates/thymeshift_entry/src/shared.rs
+++ b/crates/thymeshift_entry/src/shared.rs
@@ -22,6 +22,7 @@
 use thymeshift_fleet::ListPace;
 use thymeshift_fleet::Member;
 use thymeshift_fleet::Phase;
+use thymeshift_fleet::Reach;
 use thymeshift_fleet::ranked;
 use thymeshift_supervisor::Statuses;
 use thymeshift_telemetry::LineBudget;
@@ -234,15 +235,15 @@
             of_hall.as_ref().is_some_and(|reach| reach.heard.is_empty() && reach.known > 0);
         let reach = of_hall.filter(|reach| !reach.heard.is_empty());
         let reach = reach.unwrap_or_else(|| fleet.members.reach(now));
-        let contenders = reach.heard.iter().map(|member| member.contender());
-        let order = ranked(&allocator_task(service, group), contenders);
-        let own = &fleet.members.own().vm;
-        let before = order.iter().take_while(|vm| **vm != own).count();
-        Standing {
-            before: before + usize::from(is_hall_silent),
-            heard: reach.heard.len(),
-            known: reach.known,
-        }
+        let standing = standing_in(&fleet, &allocator_task(service, group), &reach);
+        Standing { before: standing.before + usize::from(is_hall_silent), ..standing }
+    }
+
+    /// Where this process stands among those that do a task for the whole fleet.
+    pub(crate) fn standing_for(&self, task: &str, now: Timestamp) -> Standing {
+        let fleet = self.fleet.lock();
+        let reach = fleet.members.reach(now);
+        standing_in(&fleet, task, &reach)
     }
 
     /// The contacts of all data halls in the order in which they do a task for the whole fleet;
@@ -286,6 +287,13 @@
     }
 }
 
+fn standing_in(fleet: &Fleet, task: &str, reach: &Reach<'_>) -> Standing {
+    let own = &fleet.members.own().vm;
+    let order = ranked(task, reach.heard.iter().map(|member| member.contender()));
+    let before = order.iter().take_while(|vm| **vm != own).count();
+    Standing { before, heard: reach.heard.len(), known: reach.known }
+}
+
 /// What processes are ranked for as allocators of a group.
 fn allocator_task(service: &ServiceName, group: &Group) -> String {
     format!("allocate {service}/{group}")
--- a/crates/thymeshift_lab/src/replay.rs
+++ b/crates/thymeshift_lab/src/replay.rs
@@ -19,6 +19,7 @@
 pub use limits::Trouble;
 pub use limits::limit_table;
 pub use limits::replay_limits;
+pub use quotas::Cut;
 pub use quotas::QuotaPattern;
 pub use quotas::QuotaResult;
 pub use quotas::QuotaWay;
--- a/crates/thymeshift_lab/src/replay/quotas.rs
+++ b/crates/thymeshift_lab/src/replay/quotas.rs
@@ -19,9 +19,8 @@
     pub name: &'static str,
     /// By how much demand exceeds the usual in seconds 8 to 20.
     pub hot: f64,
-    /// Part of the processes that reach no other process in seconds 10 to 16, while callers reach
-    /// them.
-    pub cut_off: f64,
+    /// Who cannot reach whom in seconds 10 to 16, while callers reach all.
+    pub cut: Cut,
     /// Whether the counting process is killed at second 10, and is back a second later.
     pub counter_killed: bool,
     /// Whether the limit is a third from second 12 on.
@@ -30,6 +29,18 @@
     pub moves: bool,
 }
 
+/// Which processes cannot reach each other.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Cut {
+    /// All can.
+    None,
+    /// This part of the processes reaches no other one.
+    Processes(f64),
+    /// Two of three data halls cannot reach each other: the first and the second counter stand in
+    /// them.
+    TwoHalls,
+}
+
 /// What came of a pattern, over all seeds.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct QuotaResult {
@@ -119,7 +130,7 @@
     pub const CALM: Self = Self {
         name: "calm",
         hot: 1.0,
-        cut_off: 0.0,
+        cut: Cut::None,
         counter_killed: false,
         lowered: false,
         moves: false,
@@ -127,13 +138,15 @@
     /// Demand far beyond the limit.
     pub const HOT: Self = Self { name: "hot", hot: 7.5, ..Self::CALM };
     /// All patterns.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 10] = [
         Self::CALM,
-        Self { name: "calm, cut off", cut_off: 0.35, ..Self::CALM },
+        Self { name: "calm, cut off", cut: Cut::Processes(0.35), ..Self::CALM },
         Self { name: "calm, counter killed", counter_killed: true, ..Self::CALM },
         Self { name: "calm, callers move", moves: true, ..Self::CALM },
+        Self { name: "calm, halls cut", cut: Cut::TwoHalls, ..Self::CALM },
         Self::HOT,
-        Self { name: "hot, cut off", cut_off: 0.35, ..Self::HOT },
+        Self { name: "hot, halls cut", cut: Cut::TwoHalls, ..Self::HOT },
+        Self { name: "hot, cut off", cut: Cut::Processes(0.35), ..Self::HOT },
         Self { name: "hot, counter killed", counter_killed: true, ..Self::HOT },
         Self { name: "hot, limit lowered", lowered: true, moves: true, ..Self::HOT },
     ];
--- a/crates/thymeshift_lab/src/replay/quotas/day.rs
+++ b/crates/thymeshift_lab/src/replay/quotas/day.rs
@@ -7,6 +7,7 @@
 use rand::rngs::SmallRng;
 use rand_distr::Distribution;
 use rand_distr::Exp;
+use thymeshift_allocation::Standing;
 use thymeshift_organisations::Counted;
 use thymeshift_organisations::Passed;
 use thymeshift_organisations::QuotaCounter;
@@ -15,6 +16,7 @@
 use thymeshift_types::Timestamp;
 
 use crate::replay::events::Events;
+use crate::replay::quotas::Cut;
 use crate::replay::quotas::QuotaPattern;
 use crate::replay::quotas::QuotaResult;
 use crate::replay::quotas::QuotaWay;
@@ -36,6 +38,7 @@
 const MOVE_AT_MS: u64 = 14_000;
 /// Until all processes have a new limit in force, in milliseconds.
 const IN_FORCE_MS: u64 = 2_500;
+const HALLS: usize = 3;
 /// Window over which the limit must hold, in milliseconds.
 const WINDOW_MS: u64 = 5_000;
 /// From one process to another, in milliseconds; messages that are lost and doubled.
@@ -89,7 +92,8 @@
         let processes = (0..count).map(|_| Process::new(count, start)).collect();
         let places = (0..CALLERS).map(|_| rng.random_range(0..count)).collect();
         // The first two rank first as counters; the cut leaves them together.
-        let is_cut = (0..count).map(|place| place > 1 && rng.random_bool(pattern.cut_off));
+        let cut_off = if let Cut::Processes(part) = pattern.cut { part } else { 0.0 };
+        let is_cut = (0..count).map(|place| place > 1 && rng.random_bool(cut_off));
         let is_cut = is_cut.collect();
         let mut day = Self {
             pattern,
@@ -174,9 +178,17 @@
 
     /// Whether a message from one process to another gets there.
     fn reaches(&self, from: usize, to: usize) -> bool {
-        let is_cut = CUT_MS.contains(&self.now_ms) && (self.is_cut[from] || self.is_cut[to]);
-        let is_dead = self.is_killed && (from == 0 || to == 0);
-        !is_cut && !is_dead
+        if self.is_killed && (from == 0 || to == 0) {
+            return false;
+        }
+        let is_between = from % HALLS != to % HALLS && from % HALLS + to % HALLS == 1;
+        match self.pattern.cut {
+            Cut::Processes(_) if CUT_MS.contains(&self.now_ms) => {
+                !self.is_cut[from] && !self.is_cut[to]
+            }
+            Cut::TwoHalls if CUT_MS.contains(&self.now_ms) => !is_between,
+            Cut::None | Cut::Processes(_) | Cut::TwoHalls => true,
+        }
     }
 
     fn send(&mut self, from: usize, to: usize, event: impl Fn() -> Event) {
@@ -218,7 +230,7 @@
         self.arrived_ms.push(self.now_ms);
         let now = self.now();
         let is_admitted = match self.way {
-            QuotaWay::Counted => {
+            QuotaWay::Counted | QuotaWay::EachWhole => {
                 let limit = self.limit();
                 let process = &mut self.processes[place];
                 process.holder.set_limit(limit, now);
@@ -304,18 +316,31 @@
     }
 
     fn count(&mut self, from: usize, to: usize, asked: QuotaQuestion) -> Option<Counted> {
-        // The second counts once it has noticed that the first is gone.
+        // The second counts once it has noticed that the first is gone, or does not answer it.
         let first_gone_ms = if self.is_killed { KILLED_MS.start } else { u64::MAX };
-        if to != 0 && self.now_ms < first_gone_ms.saturating_add(NOTICED_MS) {
+        let is_first_gone = self.now_ms >= first_gone_ms.saturating_add(NOTICED_MS);
+        if to != 0 && !is_first_gone && self.reaches(to, 0) {
             return None;
         }
         let (limit, now) = (self.limit(), self.now());
+        let share = self.share(to);
         let counter = &mut self.processes[to].counter;
         let counter = counter.get_or_insert_with(|| QuotaCounter::new(limit, now));
         counter.set_limit(limit, now);
+        counter.set_share(share, now);
         Some(counter.ask(&from, asked, now))
     }
 
+    /// The part of the limit that a counter may hand out. The first one is heard of by way of the
+    /// third hall, and is not silent for long enough otherwise to be forgotten.
+    fn share(&self, place: usize) -> f64 {
+        if self.way == QuotaWay::EachWhole {
+            return 1.0;
+        }
+        let known = self.processes.len();
+        Standing { before: place, heard: known, known }.rate_share().part()
+    }
+
     fn answered(&mut self, place: usize, number: u64, counted: Option<Counted>) {
         let is_open =
             self.processes[place].question.as_ref().is_some_and(|one| one.number == number);
--- a/crates/thymeshift_lab/tests/replay.rs
+++ b/crates/thymeshift_lab/tests/replay.rs
@@ -4,6 +4,7 @@
 use thymeshift_lab::replay::CrashPattern;
 use thymeshift_lab::replay::CrashPolicy;
 use thymeshift_lab::replay::CrashResult;
+use thymeshift_lab::replay::Cut;
 use thymeshift_lab::replay::LimitPattern;
 use thymeshift_lab::replay::LimitResult;
 use thymeshift_lab::replay::LimitWay;
@@ -95,7 +96,9 @@
         Case { pattern: "calm, cut off", wrongly_refused_max: 0.04, used_min: 1.0 },
         Case { pattern: "calm, counter killed", wrongly_refused_max: 0.06, used_min: 1.0 },
         Case { pattern: "calm, callers move", wrongly_refused_max: 0.01, used_min: 1.0 },
+        Case { pattern: "calm, halls cut", wrongly_refused_max: 0.02, used_min: 1.0 },
         Case { pattern: "hot", wrongly_refused_max: 0.0, used_min: 0.95 },
+        Case { pattern: "hot, halls cut", wrongly_refused_max: 0.0, used_min: 0.9 },
         Case { pattern: "hot, cut off", wrongly_refused_max: 0.0, used_min: 0.75 },
         Case { pattern: "hot, counter killed", wrongly_refused_max: 0.0, used_min: 0.75 },
         Case { pattern: "hot, limit lowered", wrongly_refused_max: 0.0, used_min: 0.75 },
@@ -121,6 +124,15 @@
     assert!(result.wrongly_refused_share() > 0.5, "{result}");
 }
 
+/// Where two halls with a counter each cannot reach each other, each handing out the whole limit
+/// exceeds it.
+#[test]
+fn two_counters_that_each_hand_out_all_exceed_the_limit() {
+    let cut = QuotaPattern { cut: Cut::TwoHalls, ..QuotaPattern::HOT };
+    let result = play_quota(&cut, QuotaWay::EachWhole, 117);
+    assert!(result.worst_window > 1.25, "{result}");
+}
+
 fn play_limits(pattern: &LimitPattern, way: LimitWay, processes: usize) -> LimitResult {
     replay_limits(pattern, way, processes, 1).expect("a configuration")
 }
--- a/crates/thymeshift_organisations/src/counter.rs
+++ b/crates/thymeshift_organisations/src/counter.rs
@@ -83,6 +83,8 @@
     holders: BTreeMap<H, Holder>,
     /// Demand of all processes, in requests a second.
     demand_per_s: f64,
+    /// Part of the limit that this counter may hand out: others may take themselves for it.
+    share: f64,
     /// Part of the limit that silent processes may use by themselves.
     withheld: f64,
     looked_at: Timestamp,
@@ -103,6 +105,7 @@
             bucket: TokenBucket::new(limit.rate_per_s, limit.burst, level, now),
             holders: BTreeMap::new(),
             demand_per_s: 0.0,
+            share: 1.0,
             withheld: 0.0,
             looked_at: now,
             began_at: now,
@@ -120,6 +123,14 @@
         }
     }
 
+    /// Says which part of the limit this counter may hand out, from 0 to 1.
+    pub fn set_share(&mut self, share: f64, now: Timestamp) {
+        if (self.share - share).abs() > f64::EPSILON {
+            self.share = share;
+            self.set_rate(now);
+        }
+    }
+
     /// A process wants tokens. A question that arrives twice is answered twice and counted once.
     pub fn ask(&mut self, holder: &H, asked: QuotaQuestion, now: Timestamp) -> Counted {
         let new = || Holder { demand: Demand::new(DEMAND_MEMORY, now), last: None, own_part: 0.0 };
@@ -196,8 +207,8 @@
     }
 
     fn set_rate(&mut self, now: Timestamp) {
-        let rate_per_s = self.limit.rate_per_s * (1.0 - self.withheld);
-        self.bucket.set_limit(rate_per_s, self.limit.burst, now);
+        let rate_per_s = self.limit.rate_per_s * self.share * (1.0 - self.withheld);
+        self.bucket.set_limit(rate_per_s, self.limit.burst * self.share, now);
     }
 }
 
