--- a/crates/thymeshift_dispatch/src/dump.rs
+++ b/crates/thymeshift_dispatch/src/dump.rs
@@ -81,16 +81,26 @@
     pub reported_state: Option<ReportedState>,
     /// Age of the last report, in milliseconds.
     pub report_age_ms: Option<u64>,
-    /// Requests a second that it takes from all processes together, if it is in need.
-    pub rate_limit_per_s: Option<f64>,
+    /// The limit of requests a second that it has named, if it is in need.
+    pub rate_limit: Option<RateLimitDump>,
+    /// Time until it is no longer set aside, in milliseconds.
+    pub ejected_for_ms: Option<u64>,
+}
+
+/// The limit of a target in need as a process sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct RateLimitDump {
+    /// Requests a second that the target takes from all processes together.
+    pub per_s: f64,
     /// For how long it has been in need, as far as this process knows, in milliseconds.
-    pub rate_limit_for_ms: Option<u64>,
+    pub limited_for_ms: u64,
     /// Time since it last named the limit, in milliseconds.
-    pub rate_limit_age_ms: Option<u64>,
+    pub age_ms: u64,
     /// Part of the limit that this process may grant, 0 to 1.
-    pub rate_share: f64,
-    /// Time until it is no longer set aside, in milliseconds.
-    pub ejected_for_ms: Option<u64>,
+    pub share: f64,
+    /// Requests granted here since it has been in need: for the fleet by an allocator, else those
+    /// that this process sends.
+    pub granted: u64,
 }
 
 /// Requests of one rank that wait.
--- a/crates/thymeshift_dispatch/src/lib.rs
+++ b/crates/thymeshift_dispatch/src/lib.rs
@@ -50,6 +50,7 @@
 pub use decision::Wake;
 pub use dispatcher::Dispatcher;
 pub use dump::QueueDump;
+pub use dump::RateLimitDump;
 pub use dump::ServiceDump;
 pub use dump::TargetDump;
 pub use dump::Usability;
--- a/crates/thymeshift_dispatch/src/rate_limit.rs
+++ b/crates/thymeshift_dispatch/src/rate_limit.rs
@@ -20,6 +20,8 @@
 use thymeshift_config::RequestRate;
 use thymeshift_types::Timestamp;
 
+use crate::RateLimitDump;
+
 /// Limits from here on are none: no target of the size served here gets as much.
 const LIMIT_PER_S_MAX: f64 = 1_000.0;
 /// A target gets a request this often however low its limit is: only its answers can say that its
@@ -85,6 +87,8 @@
     known: Option<Known>,
     /// The turn that was used last.
     last_turn: Timestamp,
+    /// Requests granted since the target has been in need.
+    granted: u64,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -139,6 +143,7 @@
         if is_first {
             // Others may have used this turn.
             self.last_turn = self.last_turn.max(now);
+            self.granted = 0;
         }
         self.known = Some(Known { rate, as_of, since });
         before != rate
@@ -149,10 +154,16 @@
         self.known?.rate
     }
 
-    /// For how long the target has been in need, as far as this process knows.
-    pub(crate) fn limited_for(&self, now: Timestamp) -> Option<Duration> {
-        let known = self.known.filter(|known| known.rate.is_some())?;
-        Some(now.since(known.since))
+    /// The limit, for people and programs to read.
+    pub(crate) fn dump(&self, share: RateShare, now: Timestamp) -> Option<RateLimitDump> {
+        let known = self.known?;
+        Some(RateLimitDump {
+            per_s: per_s(known.rate?),
+            limited_for_ms: now.since(known.since).as_millis() as u64,
+            age_ms: now.since(known.as_of).as_millis() as u64,
+            share: share.part(),
+            granted: self.granted,
+        })
     }
 
     /// Requests a second that may be granted here; none if the target is not in need.
@@ -189,6 +200,7 @@
 
     /// A request was granted.
     pub(crate) fn granted(&mut self, share: RateShare, now: Timestamp) {
+        self.granted += 1;
         let between = self.granted_per_s(share).and_then(between).unwrap_or_default();
         self.last_turn = (self.last_turn + between).max(now.minus(MADE_UP_FOR)).min(now);
     }
--- a/crates/thymeshift_dispatch/src/target_state.rs
+++ b/crates/thymeshift_dispatch/src/target_state.rs
@@ -15,7 +15,6 @@
 use crate::LoadReport;
 use crate::RateShare;
 use crate::TargetDump;
-use crate::ToldRateLimit;
 use crate::Usability;
 use crate::cold_start::ColdPaces;
 use crate::cold_start::ColdStart;
@@ -283,8 +282,6 @@
     ) -> TargetDump {
         let report = self.others.last_report();
         let usability = self.usability(now, bound, share, model);
-        let told = self.rate_limit.as_told(now).filter(ToldRateLimit::is_limited);
-        let limited_for = self.rate_limit.limited_for(now);
         let ejected_for = self.ejection.until().filter(|_| usability == Usability::Ejected);
         TargetDump {
             name: self.name.clone(),
@@ -301,10 +298,7 @@
             reported_queued: report.map(|report| report.queued),
             reported_state: report.map(|report| report.state),
             report_age_ms: self.others.age(now).map(|age| age.as_millis() as u64),
-            rate_limit_per_s: self.rate_limit.rate().map(|rate| rate.in_1000_s() as f64 / 1_000.0),
-            rate_limit_for_ms: limited_for.map(|limited| limited.as_millis() as u64),
-            rate_limit_age_ms: told.map(|told| told.age.as_millis() as u64),
-            rate_share: share.part(),
+            rate_limit: self.rate_limit.dump(share, now),
             ejected_for_ms: ejected_for.map(|until| now.until(until).as_millis() as u64),
         }
     }
--- a/crates/thymeshift_dispatch/tests/rate_limits.rs
+++ b/crates/thymeshift_dispatch/tests/rate_limits.rs
@@ -41,6 +41,11 @@
     dispatcher
 }
 
+/// The limit of the first target.
+fn limit(dispatcher: &TestDispatcher, moment: u64) -> Option<f64> {
+    dispatcher.dump(at(moment)).targets[0].rate_limit.map(|limit| limit.per_s)
+}
+
 /// A target states a limit, or none, on the answer to a request that is sent and answered now.
 fn states(dispatcher: &mut TestDispatcher, index: usize, limit: Option<RequestRate>, moment: u64) {
     let grant = dispatcher.grant_at(&name(index), None, at(moment)).expect("a grant");
@@ -154,7 +159,7 @@
         for told in &all {
             dispatcher.learn_told_rate_limit(&grant, told, at(2_000));
         }
-        dispatcher.dump(at(2_000)).targets[0].rate_limit_per_s == Some(1.5)
+        limit(&dispatcher, 2_000) == Some(1.5)
     }
     QuickCheck::new()
         .tests(60)
@@ -168,10 +173,10 @@
     let early = dispatcher.grant_at(&name(0), None, at(0)).expect("a grant");
     states(&mut dispatcher, 0, Some(rate(2.0)), 10);
     assert!(!dispatcher.learn_rate_limit(&early, None, at(200)), "it may have answered before");
-    assert_eq!(dispatcher.dump(at(200)).targets[0].rate_limit_per_s, Some(2.0));
+    assert_eq!(limit(&dispatcher, 200), Some(2.0));
     let late = dispatcher.grant_at(&name(0), None, at(210)).expect("a grant");
     assert!(dispatcher.learn_rate_limit(&late, None, at(300)));
-    assert_eq!(dispatcher.dump(at(300)).targets[0].rate_limit_per_s, None);
+    assert_eq!(limit(&dispatcher, 300), None);
 }
 
 #[test]
--- a/crates/thymeshift_entry/src/control_plane/explain.rs
+++ b/crates/thymeshift_entry/src/control_plane/explain.rs
@@ -71,7 +71,14 @@
     let strategy = kind.service.settings().strategy;
     let open = targets.iter().filter(|target| target.usability == Usability::Open).count();
     let may_open = |target: &&TargetDump| {
-        matches!(target.usability, Usability::AtLimit | Usability::SlowSpell | Usability::Ejected)
+        matches!(
+            target.usability,
+            Usability::AtLimit
+                | Usability::SlowSpell
+                | Usability::Ejected
+                | Usability::RateLimited
+                | Usability::Cold
+        )
     };
     if open > 0 {
         format!("sent at once: {open} of {} targets are open, chosen by {strategy}", targets.len())
--- a/crates/thymeshift_query/src/table.rs
+++ b/crates/thymeshift_query/src/table.rs
@@ -80,6 +80,9 @@
     /// Targets.
     #[display("targets")]
     Targets,
+    /// Targets in need, with the limits that they have named.
+    #[display("limits")]
+    Limits,
     /// Waiting requests by service and rank.
     #[display("queues")]
     Queues,
@@ -115,6 +118,20 @@
     Tasks,
 }
 
+/// Columns of the table of targets in need.
+const LIMIT_COLUMNS: [&str; 10] = [
+    "vm",
+    "service",
+    "target",
+    "per_s",
+    "limited_ms",
+    "age_ms",
+    "view",
+    "share",
+    "granted",
+    "usability",
+];
+
 /// Columns of the table of organisations.
 const ORGANISATION_COLUMNS: [&str; 9] = [
     "vm",
@@ -130,12 +147,13 @@
 
 impl TableName {
     /// All tables.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 17] = [
         Self::Process,
         Self::Configuration,
         Self::Halls,
         Self::Services,
         Self::Targets,
+        Self::Limits,
         Self::Queues,
         Self::Kinds,
         Self::Organisations,
@@ -199,6 +217,7 @@
                 "ejected_ms",
                 "connections",
             ],
+            Self::Limits => &LIMIT_COLUMNS,
             Self::Queues => &["vm", "service", "priority", "waiting"],
             Self::Kinds => &[
                 "vm", "kind", "service", "priority", "accepted", "answered", "not_run", "unknown",
--- a/crates/thymeshift_query/src/tables.rs
+++ b/crates/thymeshift_query/src/tables.rs
@@ -32,6 +32,7 @@
             };
             dump.services.iter().flat_map(each).collect()
         }
+        TableName::Limits => dump.services.iter().flat_map(limits).collect(),
         TableName::Queues => dump.services.iter().flat_map(queues).collect(),
         TableName::Kinds => kinds(dump),
         TableName::Organisations => organisations(dump),
@@ -129,6 +130,24 @@
     ]
 }
 
+fn limits(service: &ServiceDump) -> Vec<Vec<Cell>> {
+    let row = |target: &TargetDump| {
+        let limit = target.rate_limit?;
+        Some(vec![
+            Cell::text(&service.name),
+            Cell::text(&target.name),
+            Cell::Number(limit.per_s),
+            number(limit.limited_for_ms),
+            number(limit.age_ms),
+            Cell::text(service.view),
+            Cell::Number(limit.share),
+            number(limit.granted),
+            Cell::text(target.usability),
+        ])
+    };
+    service.targets.iter().filter_map(row).collect()
+}
+
 fn queues(service: &ServiceDump) -> Vec<Vec<Cell>> {
     let queues = service.queues.iter();
     let row = |queue: &thymeshift_dispatch::QueueDump| {
