--- a/crates/thymeshift_entry/src/organisations/quota.rs
+++ b/crates/thymeshift_entry/src/organisations/quota.rs
@@ -10,6 +10,7 @@
 use spdlog::info;
 use thymeshift_config::Organisation;
 use thymeshift_config::RequestRate;
+use thymeshift_dispatch::RateShare;
 use thymeshift_organisations::Counted;
 use thymeshift_organisations::Passed;
 use thymeshift_organisations::QuotaCounter;
@@ -64,8 +65,11 @@
 }
 
 /// The order of an organisation's counters, while it is fresh.
+#[derive(Clone)]
 struct Ranking {
     order: RankedPlaces,
+    /// The part of the limit that this process may hand out, should it be asked.
+    share: RateShare,
     made_at: Timestamp,
     changes: u64,
 }
@@ -241,7 +245,7 @@
         limit: QuotaLimit,
     ) -> QuotaTold {
         let now = BootClock.now();
-        let share = shared.standing_for(&counter_task(&ask.organisation), now).rate_share();
+        let share = self.ranking(shared, &ask.organisation).share;
         let mut all = self.counted.lock();
         let new = || QuotaCounter::new(limit, now);
         let counter = all.entry(ask.organisation.clone()).or_insert_with(new);
@@ -269,21 +273,23 @@
     }
 
     fn order(&self, shared: &Shared, name: &OrganisationName) -> RankedPlaces {
+        self.ranking(shared, name).order
+    }
+
+    fn ranking(&self, shared: &Shared, name: &OrganisationName) -> Ranking {
         let now = BootClock.now();
         let changes = shared.fleet.lock().members.changes();
-        let known = self
-            .rankings
-            .lock()
-            .get(name)
-            .filter(|known| known.changes == changes && now.since(known.made_at) < ORDER_KEPT)
-            .map(|known| known.order.clone());
-        if let Some(order) = known {
-            return order;
+        let is_fresh =
+            |known: &&Ranking| known.changes == changes && now.since(known.made_at) < ORDER_KEPT;
+        if let Some(known) = self.rankings.lock().get(name).filter(is_fresh) {
+            return known.clone();
         }
-        let order: RankedPlaces = shared.contacts_for(&counter_task(name), now).into();
-        let made = Ranking { order: order.clone(), made_at: now, changes };
-        self.rankings.lock().insert(name.clone(), made);
-        order
+        let task = counter_task(name);
+        let order = shared.contacts_for(&task, now).into();
+        let share = shared.standing_for(&task, now).rate_share();
+        let made = Ranking { order, share, made_at: now, changes };
+        self.rankings.lock().insert(name.clone(), made.clone());
+        made
     }
 }
 
