Limits that were not heard again for a minute are not told to others

What could happen: a process without traffic goes on telling a need that is long over, and each process that starts believes it until it asks an allocator. Found by reading; the test is new with the change.

--- a/crates/thymeshift_dispatch/src/dispatcher/learning.rs
+++ b/crates/thymeshift_dispatch/src/dispatcher/learning.rs
@@ -22,8 +22,9 @@
 /// times as long as expected.
 const TIMEOUT_FACTOR: u32 = 3;
 
-/// How long others are told that a target's need is over: several times as long as news takes.
-const ENDED_TOLD_FOR: Duration = Duration::from_secs(10);
+/// How old what is told of a limit may be: several times as long as news takes. Older knowledge is
+/// wrong more often than not, since a target in need is heard of every few seconds.
+const TOLD_FOR: Duration = Duration::from_mins(1);
 
 impl<S: Strategy> Dispatcher<S> {
     /// Learns from an attempt, at most once for each grant. If the target said that it is
@@ -100,14 +101,12 @@
         self.table.get(grant.target).rate_limit.as_told(now)
     }
 
-    /// What is known of targets' limits, to be told to other processes: those that hold, and those
-    /// that ended lately.
+    /// What was heard of targets' limits lately, to be told to other processes.
     pub fn rate_limits(&self, now: Timestamp) -> Vec<(TargetName, Incarnation, ToldRateLimit)> {
         let serving = self.table.targets().iter().filter(|target| target.is_serving());
         let known = serving.filter_map(|target| {
-            let told = target.rate_limit.as_told(now)?;
-            let is_told = told.is_limited() || told.age < ENDED_TOLD_FOR;
-            is_told.then(|| (target.name.clone(), target.incarnation, told))
+            let told = target.rate_limit.as_told(now).filter(|told| told.age < TOLD_FOR)?;
+            Some((target.name.clone(), target.incarnation, told))
         });
         known.collect()
     }
--- a/crates/thymeshift_dispatch/tests/rate_limits.rs
+++ b/crates/thymeshift_dispatch/tests/rate_limits.rs
@@ -257,3 +257,13 @@
     let sent = send(&mut dispatcher, &[None], 10..100, &mut rng());
     assert_eq!(sent.len(), 9);
 }
+
+#[test]
+fn what_was_not_heard_again_for_long_is_not_told_to_others() {
+    let mut dispatcher = fleet(2);
+    states(&mut dispatcher, 0, Some(rate(2.0)), 0);
+    let told: Vec<_> =
+        dispatcher.rate_limits(at(1_000)).into_iter().map(|(name, ..)| name).collect();
+    assert_eq!(told, [name(0)], "the other one never named a limit");
+    assert!(dispatcher.rate_limits(at(70_000)).is_empty());
+}
