Sight: Retry-After of a target is read and logged; headers that address a proxy no longer hide

What callers saw: look-ups refused while targets that had asked for a pause got more requests than before. The logs told neither that a target had asked for a pause nor who chose it, so that "passed over" and "known to another process than the one that chooses" could not be told apart: Retry-After stood among the standard headers, which are never reported.

Each header of an answer now has one audience: read here, meant for callers, or unknown (logged and counted). Proxy-Authenticate and Upgrade, which address a proxy and are not read, count as unknown. Retry-After on 503 is read (seconds, fractions, a date against the answer's own Date; the longest of several) and gives `target_backoff` with who obtained the target; what cannot be read is counted. No decision depends on it yet.

--- a/crates/thymeshift_entry/src/service/guards.rs
+++ b/crates/thymeshift_entry/src/service/guards.rs
@@ -53,6 +53,11 @@
         })
     }
 
+    /// Who chose the target.
+    pub(crate) fn obtained_by(&self) -> &'static str {
+        if self.lease.is_some() { "allocator" } else { "alone" }
+    }
+
     pub(crate) fn target(&self) -> Option<thymeshift_dispatch::TargetIndex> {
         self.grant.as_ref().map(Grant::target)
     }
--- a/crates/thymeshift_entry/src/target_client/attempt.rs
+++ b/crates/thymeshift_entry/src/target_client/attempt.rs
@@ -10,8 +10,6 @@
 use http::Response;
 use metrics::counter;
 use spdlog::debug;
-use spdlog::info;
-use thymeshift_config::RequestRate;
 use thymeshift_dispatch::LoadReport;
 use thymeshift_dispatch::Observation;
 use thymeshift_dispatch::TargetIndex;
@@ -29,7 +27,6 @@
 use thymeshift_wire::CallContext;
 use thymeshift_wire::Dialect;
 use thymeshift_wire::Meaning;
-use thymeshift_wire::RateLimitMistake;
 
 use crate::service::Destination;
 use crate::service::GrantGuard;
@@ -43,6 +40,7 @@
 use crate::target_client::crash::crash_of;
 use crate::target_client::pool::ConnectError;
 use crate::target_client::pool::Connection;
+use crate::target_client::statements::Statements;
 
 /// Whether a connection that served before may be used.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -100,6 +98,14 @@
         Self { dialect: PhantomData, shared, grant }
     }
 
+    pub(super) fn shared(&self) -> &Shared {
+        &self.shared
+    }
+
+    pub(super) fn grant(&self) -> &GrantGuard {
+        &self.grant
+    }
+
     /// Runs the attempt. Dropping the future cancels it at the target: its connection is
     /// closed.
     pub(crate) async fn run(
@@ -180,7 +186,8 @@
         };
         let meaning = D::meaning(response.status(), response.headers(), &attempt);
         self.shared.unknown_headers.note::<D>(response.headers(), &destination);
-        self.learn_rate_limit(meaning, D::rate_limit(response.headers()), &destination);
+        let statements = Statements::read::<D>(response.status(), response.headers());
+        self.learn_statements(meaning, statements, &destination);
         self.learn(observation(meaning, D::report(response.headers())));
         if let Some(failed) = self.failed_by(meaning, &destination) {
             // Whatever else comes on this connection belongs to nobody.
@@ -250,37 +257,6 @@
         }
     }
 
-    /// An answer of the meant target says whether it is in need. One that did not run the request
-    /// may come from a part of it that does not know.
-    fn learn_rate_limit(
-        &mut self,
-        meaning: Meaning,
-        stated: Result<Option<RequestRate>, RateLimitMistake>,
-        destination: &Destination,
-    ) {
-        let stated = match stated {
-            Ok(stated) => stated,
-            Err(mistake) => {
-                debug!("rate_limit_unreadable", kv: {
-                    service: = destination.service, target: = destination.name, error: = mistake
-                });
-                return;
-            }
-        };
-        let may_end_it = matches!(meaning, Meaning::Answered | Meaning::Failed);
-        let is_of_another = matches!(meaning, Meaning::OtherTarget | Meaning::Foreign);
-        if is_of_another || (stated.is_none() && !may_end_it) {
-            return;
-        }
-        if self.grant.learn_rate_limit(stated) && self.shared.allows_request_line() {
-            let per_s = stated.map(|rate| rate.in_1000_s() as f64 / 1_000.0);
-            info!("target_rate_limit", kv: {
-                service: = destination.service, target: = destination.name,
-                limit_per_s: = per_s.map_or("none".to_owned(), |per_s| per_s.to_string())
-            });
-        }
-    }
-
     fn peer(&self, destination: &Destination) -> Peer {
         Peer::Target(self.grant.service().name().clone(), destination.name.clone())
     }
--- a/crates/thymeshift_entry/src/target_client/mod.rs
+++ b/crates/thymeshift_entry/src/target_client/mod.rs
@@ -8,6 +8,7 @@
 mod pool;
 mod probe;
 mod stall;
+mod statements;
 mod unknown_headers;
 
 pub(crate) use answer::Answer;
--- a/crates/thymeshift_entry/src/target_client/unknown_headers.rs
+++ b/crates/thymeshift_entry/src/target_client/unknown_headers.rs
@@ -13,6 +13,7 @@
 use spdlog::info;
 use thymeshift_telemetry::metric;
 use thymeshift_wire::Dialect;
+use thymeshift_wire::HeaderAudience;
 
 use crate::service::Destination;
 
@@ -30,7 +31,8 @@
 impl UnknownHeaders {
     /// Notes what an answer of `target` carries.
     pub(crate) fn note<D: Dialect>(&self, headers: &HeaderMap, target: &Destination) {
-        for name in headers.keys().filter(|name| !D::knows_answer_header(name)) {
+        let is_unknown = |name: &&HeaderName| D::header_audience(name) == HeaderAudience::Unknown;
+        for name in headers.keys().filter(is_unknown) {
             self.note_name(name, target);
         }
     }
--- a/crates/thymeshift_telemetry/src/metric.rs
+++ b/crates/thymeshift_telemetry/src/metric.rs
@@ -25,6 +25,10 @@
 pub const TARGETS_CRASHED: &str = "thymeshift_targets_crashed_total";
 /// Headers on answers of targets that this environment gives no meaning to, by `name`.
 pub const UNKNOWN_HEADERS: &str = "thymeshift_target_headers_unknown_total";
+/// Answers on which a target asked to get no requests for a while, by `service`.
+pub const BACKOFFS_ASKED: &str = "thymeshift_target_backoffs_asked_total";
+/// Answers of targets whose `Retry-After` cannot be read, by `service`.
+pub const BACKOFFS_UNREADABLE: &str = "thymeshift_target_backoffs_unreadable_total";
 /// Requests refused because their organisation had used up its limit, by `organisation`.
 pub const OVER_QUOTA: &str = "thymeshift_over_quota_total";
 /// Requests refused because they carried no known key.
--- a/crates/thymeshift_wire/src/standard_headers.rs
+++ b/crates/thymeshift_wire/src/answer_headers.rs
@@ -1,10 +1,31 @@
-//! Headers of answers that HTTP itself defines (RFC 9110, 9111 and their companions).
+//! Whom the headers of an answer address that HTTP itself defines (RFC 9110, 9111, 9112 and their
+//! companions).
 
 use http::HeaderName;
 use http::header;
 
-/// Names that an answer may carry in any environment.
-const STANDARD: [HeaderName; 44] = [
+/// Whom a header of a target's answer addresses.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HeaderAudience {
+    /// This process, which reads it.
+    Proxy,
+    /// The caller: it is passed on unread.
+    Caller,
+    /// Nobody that is known here.
+    Unknown,
+}
+
+/// Headers between neighbours of a connection: framing (hyper), reuse of connections (the pool).
+const READ_HERE: [HeaderName; 5] = [
+    header::CONNECTION,
+    header::CONTENT_LENGTH,
+    HeaderName::from_static("keep-alive"),
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+];
+
+/// Headers that an answer may carry to the caller in any environment.
+const FOR_CALLERS: [HeaderName; 36] = [
     header::ACCEPT_RANGES,
     header::ACCESS_CONTROL_ALLOW_CREDENTIALS,
     header::ACCESS_CONTROL_ALLOW_HEADERS,
@@ -16,11 +37,9 @@
     header::ALLOW,
     header::ALT_SVC,
     header::CACHE_CONTROL,
-    header::CONNECTION,
     header::CONTENT_DISPOSITION,
     header::CONTENT_ENCODING,
     header::CONTENT_LANGUAGE,
-    header::CONTENT_LENGTH,
     header::CONTENT_LOCATION,
     header::CONTENT_RANGE,
     header::CONTENT_SECURITY_POLICY,
@@ -28,20 +47,14 @@
     header::DATE,
     header::ETAG,
     header::EXPIRES,
-    HeaderName::from_static("keep-alive"),
     header::LAST_MODIFIED,
     header::LINK,
     header::LOCATION,
     header::PRAGMA,
-    header::PROXY_AUTHENTICATE,
     header::REFERRER_POLICY,
-    header::RETRY_AFTER,
     header::SERVER,
     header::SET_COOKIE,
     header::STRICT_TRANSPORT_SECURITY,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
     header::VARY,
     header::VIA,
     header::WARNING,
@@ -51,7 +64,14 @@
     header::X_XSS_PROTECTION,
 ];
 
-/// Whether HTTP itself defines the header.
-pub fn is_standard(name: &HeaderName) -> bool {
-    STANDARD.contains(name)
+/// Whom a header addresses that HTTP itself defines. One that addresses proxies and is not read
+/// here counts as unknown, so that it does not go unnoticed.
+pub fn standard_audience(name: &HeaderName) -> HeaderAudience {
+    if READ_HERE.contains(name) {
+        HeaderAudience::Proxy
+    } else if FOR_CALLERS.contains(name) {
+        HeaderAudience::Caller
+    } else {
+        HeaderAudience::Unknown
+    }
 }
--- a/crates/thymeshift_wire/src/dialect.rs
+++ b/crates/thymeshift_wire/src/dialect.rs
@@ -4,6 +4,8 @@
 //! another implementation of [`Dialect`] translates. An implementation holds names and
 //! formats only: what is done about a call is decided elsewhere.
 
+use std::time::Duration;
+
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
@@ -17,8 +19,10 @@
 use thymeshift_types::TargetName;
 
 use crate::CallContext;
+use crate::HeaderAudience;
 use crate::HeaderMistake;
 use crate::RateLimitMistake;
+use crate::RetryAfterMistake;
 
 /// One attempt as the target hears of it.
 #[derive(Debug, Clone, Copy)]
@@ -84,8 +88,12 @@
     /// what it answers.
     fn probe_report(status: StatusCode, map: &HeaderMap) -> Option<LoadReport>;
 
-    /// Whether an answer's header has a meaning here, or only for the client.
-    fn knows_answer_header(name: &HeaderName) -> bool;
+    /// Reads for how long a target asks to get no requests from the process that it answers; none
+    /// if it does not ask for that.
+    fn backoff(status: StatusCode, map: &HeaderMap) -> Result<Option<Duration>, RetryAfterMistake>;
+
+    /// Whom an answer's header addresses.
+    fn header_audience(name: &HeaderName) -> HeaderAudience;
 
     /// Removes from an answer what is not meant for clients.
     fn clean_answer(map: &mut HeaderMap);
--- a/crates/thymeshift_wire/src/lib.rs
+++ b/crates/thymeshift_wire/src/lib.rs
@@ -10,6 +10,7 @@
 //!   the `postcard` codec and a bound on every frame.
 //! * [`StateDump`]: what a process says of its whole state.
 
+mod answer_headers;
 mod call_context;
 mod codec;
 mod control;
@@ -23,10 +24,12 @@
 mod native;
 mod peer;
 mod rate_header;
+mod retry_after;
 mod silence;
-mod standard_headers;
 mod transport;
 
+pub use answer_headers::HeaderAudience;
+pub use answer_headers::standard_audience;
 pub use call_context::CallContext;
 pub use call_context::HeaderMistake;
 pub use codec::CodecError;
@@ -76,11 +79,12 @@
 pub use peer::TargetRateLimit;
 pub use rate_header::RateLimitMistake;
 pub use rate_header::read_rate_limit;
+pub use retry_after::RetryAfterMistake;
+pub use retry_after::read_retry_after;
 pub use silence::ASKED_AFTER;
 pub use silence::UNANSWERED_MAX;
 pub use silence::UNCONFIRMED_MAX;
 pub use silence::end_if_silent;
-pub use standard_headers::is_standard;
 pub use transport::CALLS_PER_CONNECTION_MAX;
 pub use transport::ControlChannel;
 pub use transport::LinkError;
--- a/crates/thymeshift_wire/src/native.rs
+++ b/crates/thymeshift_wire/src/native.rs
@@ -21,14 +21,17 @@
 use crate::AttemptHead;
 use crate::CallContext;
 use crate::Dialect;
+use crate::HeaderAudience;
 use crate::HeaderMistake;
 use crate::Meaning;
 use crate::RateLimitMistake;
+use crate::RetryAfterMistake;
+use crate::answer_headers::standard_audience;
 use crate::headers;
 use crate::key_header::take_bearer_key;
 use crate::load_header;
 use crate::rate_header::read_rate_limit;
-use crate::standard_headers::is_standard;
+use crate::retry_after::read_retry_after;
 
 /// The product's own dialect.
 #[derive(Debug, Clone, Copy)]
@@ -89,11 +92,20 @@
         load_header::read(map)
     }
 
-    fn knows_answer_header(name: &HeaderName) -> bool {
-        name.as_str().starts_with(headers::OWN_PREFIX)
+    fn backoff(status: StatusCode, map: &HeaderMap) -> Result<Option<Duration>, RetryAfterMistake> {
+        // A deeper layer speaks of its own targets, not of itself.
+        if status != StatusCode::SERVICE_UNAVAILABLE || map.contains_key(&headers::OUTCOME) {
+            return Ok(None);
+        }
+        read_retry_after(map)
+    }
+
+    fn header_audience(name: &HeaderName) -> HeaderAudience {
+        let is_own = name.as_str().starts_with(headers::OWN_PREFIX)
             || *name == headers::LOAD
-            || *name == headers::REQUEST_ID
-            || is_standard(name)
+            || *name == headers::REQUEST_ID;
+        // On other answers than those read here it addresses the caller.
+        if is_own || *name == RETRY_AFTER { HeaderAudience::Proxy } else { standard_audience(name) }
     }
 
     fn clean_answer(map: &mut HeaderMap) {
