Backends that say on an answer that they leave get no new requests

What callers saw: requests reached a backend 2,368 and 2,425 ms after an answer had said that it leaves (bound 2,000); once such a backend ends, they fail.

The mark is of the incarnation that the request was sent to and travels as marks do. A process that is granted a target that it knows to leave gives the grant back and tells its allocator the incarnation, as it does for limits, and asks again.

--- a/crates/thymeshift_allocation/src/lib.rs
+++ b/crates/thymeshift_allocation/src/lib.rs
@@ -33,6 +33,7 @@
 use thymeshift_dispatch::Strategy;
 use thymeshift_dispatch::Ticket;
 use thymeshift_dispatch::ToldRateLimit;
+use thymeshift_types::Incarnation;
 use thymeshift_types::TargetName;
 use thymeshift_types::Timestamp;
 
@@ -68,6 +69,17 @@
     pub rate_limit: Option<ToldRateLimit>,
 }
 
+/// What a holder tells when it gives a lease back.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseReport {
+    /// What the attempt showed, if there was one.
+    pub observation: Option<Observation>,
+    /// What it knows of the target's limit of requests a second; none if it never learnt of one.
+    pub rate_limit: Option<ToldRateLimit>,
+    /// The incarnation of the target that it knows to leave, if it does.
+    pub leaving: Option<Incarnation>,
+}
+
 /// What a holder is told.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Allocation {
@@ -133,23 +145,26 @@
         allocation
     }
 
-    /// A holder gives back, or no longer wants to wait. It tells what the attempt showed, and what
-    /// it knows of the target's limit.
+    /// A holder gives back, or no longer wants to wait.
     pub fn release<S: Strategy>(
         &mut self,
         key: &LeaseKey<B>,
-        observation: Option<Observation>,
-        rate_limit: Option<ToldRateLimit>,
+        report: &LeaseReport,
         dispatcher: &mut Dispatcher<S>,
         now: Timestamp,
     ) {
         let Some(lease) = self.leases.remove(key) else {
             return;
         };
-        if let (State::Granted(grant), Some(told)) = (&lease.state, &rate_limit) {
-            dispatcher.learn_told_rate_limit(grant, told, now);
+        if let State::Granted(grant) = &lease.state {
+            if let Some(told) = &report.rate_limit {
+                dispatcher.learn_told_rate_limit(grant, told, now);
+            }
+            if let Some(incarnation) = report.leaving {
+                dispatcher.mark_leaving(&dispatcher.target_name(grant), incarnation);
+            }
         }
-        end(lease, observation, dispatcher, now);
+        end(lease, report.observation, dispatcher, now);
     }
 
     /// A holder named all leases that it holds: others of it are taken back.
--- a/crates/thymeshift_allocation/tests/books.rs
+++ b/crates/thymeshift_allocation/tests/books.rs
@@ -12,6 +12,7 @@
 use thymeshift_allocation::Allocation;
 use thymeshift_allocation::Allocator;
 use thymeshift_allocation::LeaseKey;
+use thymeshift_allocation::LeaseReport;
 use thymeshift_config::Configuration;
 use thymeshift_dispatch::AnyStrategy;
 use thymeshift_dispatch::Dispatcher;
@@ -82,7 +83,8 @@
 
     fn release(&mut self, key: &LeaseKey<u8>, now: Timestamp) {
         let observation = Some(Observation::Answered(None));
-        self.allocator.release(key, observation, None, &mut self.dispatcher, now);
+        let report = LeaseReport { observation, ..LeaseReport::default() };
+        self.allocator.release(key, &report, &mut self.dispatcher, now);
     }
 
     /// Tells all that may be told now.
--- a/crates/thymeshift_dispatch/src/dispatcher/learning.rs
+++ b/crates/thymeshift_dispatch/src/dispatcher/learning.rs
@@ -128,6 +128,22 @@
         }
     }
 
+    /// The target of a granted request said that it leaves. Returns the mark to pass on to other
+    /// VMs, if that is news.
+    pub fn mark_granted_leaving(&mut self, grant: &Grant) -> Option<LeavingMark> {
+        let target = self.target_name(grant);
+        let incarnation = grant.incarnation();
+        let is_news = self.table.mark_leaving(&target, incarnation);
+        let service = self.service.clone();
+        is_news.then_some(LeavingMark { service, target, incarnation })
+    }
+
+    /// The incarnation of a target that is known to leave, if it is.
+    pub fn leaving_incarnation(&self, index: TargetIndex) -> Option<Incarnation> {
+        let target = self.table.get(index);
+        target.is_leaving().then_some(target.incarnation)
+    }
+
     /// Says which part of targets' limits this dispatcher may grant while it decides for the fleet.
     pub fn set_rate_share(&mut self, share: RateShare) {
         self.table.set_fleet_share(share);
--- a/crates/thymeshift_dispatch/src/target_state.rs
+++ b/crates/thymeshift_dispatch/src/target_state.rs
@@ -128,6 +128,10 @@
         self.presence == Presence::Serving && !self.is_stopped && !self.is_hall_drained
     }
 
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.presence == Presence::Leaving
+    }
+
     /// Its data hall is drained, or is not. A hall that is taken back may have become cold
     /// meanwhile: its targets count as cold until they tell otherwise.
     pub(crate) fn set_hall_drained(&mut self, is_drained: bool, now: Timestamp) {
--- a/crates/thymeshift_entry/src/allocation_client.rs
+++ b/crates/thymeshift_entry/src/allocation_client.rs
@@ -12,6 +12,7 @@
 use spdlog::debug;
 use thymeshift_allocation::Granted;
 use thymeshift_allocation::Group;
+use thymeshift_allocation::LeaseReport;
 use thymeshift_dispatch::Observation;
 use thymeshift_dispatch::Refusal;
 use thymeshift_dispatch::ToldRateLimit;
@@ -19,6 +20,7 @@
 use thymeshift_fleet::Member;
 use thymeshift_telemetry::metric;
 use thymeshift_types::DataHallName;
+use thymeshift_types::Incarnation;
 use thymeshift_types::ServiceName;
 use thymeshift_types::TargetName;
 use thymeshift_types::Timestamp;
@@ -199,8 +201,7 @@
             service: service.clone(),
             group: group.clone(),
             allocating: allocating.clone(),
-            observation: None,
-            rate_limit: None,
+            report: LeaseReport::default(),
             is_open: true,
         };
         let acquire = Acquire {
@@ -294,20 +295,24 @@
     service: ServiceName,
     group: Group,
     allocating: Allocating,
-    observation: Option<Observation>,
-    rate_limit: Option<ToldRateLimit>,
+    report: LeaseReport,
     is_open: bool,
 }
 
 impl AllocationLease {
     /// What this process knows of the target's limit; told to the allocator at the end.
     pub(crate) fn tell_rate_limit(&mut self, known: Option<ToldRateLimit>) {
-        self.rate_limit = known;
+        self.report.rate_limit = known;
+    }
+
+    /// The incarnation of the target that this process knows to leave; told at the end.
+    pub(crate) fn tell_leaving(&mut self, incarnation: Option<Incarnation>) {
+        self.report.leaving = incarnation;
     }
 
     /// What the attempt showed; told to the allocator at the end.
     pub(crate) fn observe(&mut self, observation: Observation) {
-        self.observation = Some(observation);
+        self.report.observation = Some(observation);
     }
 
     /// The allocator ended it itself.
@@ -330,8 +335,7 @@
             number: self.number,
             service: self.service.clone(),
             group: self.group.clone(),
-            observation: self.observation,
-            rate_limit: self.rate_limit,
+            report: self.report,
             held: self.client.held(&self.service, &self.group, allocator),
         };
         match &self.allocating {
--- a/crates/thymeshift_entry/src/service/group.rs
+++ b/crates/thymeshift_entry/src/service/group.rs
@@ -199,8 +199,7 @@
         let key = LeaseKey { holder, number: release.number.0 };
         {
             let Books { dispatcher, allocator, .. } = &mut *self.books.lock();
-            let Release { observation, rate_limit, .. } = *release;
-            allocator.release(&key, observation, rate_limit, dispatcher, now);
+            allocator.release(&key, &release.report, dispatcher, now);
             allocator.keep_only(&key.holder, &numbers(&release.held), dispatcher, now);
         }
         self.wake_waiting(now);
--- a/crates/thymeshift_entry/src/service/guards.rs
+++ b/crates/thymeshift_entry/src/service/guards.rs
@@ -84,6 +84,12 @@
         self.service.own.lock().dispatcher.learn_rate_limit(grant, stated, now)
     }
 
+    /// The target said that it leaves. Returns the mark to pass on if that is news here.
+    pub(crate) fn mark_leaving(&self) -> Option<LeavingMark> {
+        let grant = self.grant.as_ref()?;
+        self.service.own.lock().dispatcher.mark_granted_leaving(grant)
+    }
+
     pub(crate) fn learn(&mut self, observation: Observation) -> Option<LeavingMark> {
         if let Some(lease) = &mut self.lease {
             lease.observe(observation);
@@ -100,9 +106,9 @@
             return;
         };
         if let Some(lease) = &mut self.lease {
-            let now = BootClock.now();
-            let known = self.service.own.lock().dispatcher.rate_limit_to_tell(&grant, now);
-            lease.tell_rate_limit(known);
+            let own = self.service.own.lock();
+            lease.tell_rate_limit(own.dispatcher.rate_limit_to_tell(&grant, BootClock.now()));
+            lease.tell_leaving(own.dispatcher.leaving_incarnation(grant.target()));
         }
         self.service.release(grant);
     }
--- a/crates/thymeshift_entry/src/service/obtain.rs
+++ b/crates/thymeshift_entry/src/service/obtain.rs
@@ -41,9 +41,9 @@
 const LAST_WORD_SLACK: Duration = Duration::from_millis(25);
 /// Allocators of one group asked for one request.
 const ALLOCATORS_ASKED_MAX: usize = 2;
-/// Grants of one allocator that are given back, one after the other, since it did not know of the
-/// target's limit: each teaches it one.
-const UNCOUNTED_MAX: usize = 4;
+/// Grants of one allocator that are given back, one after the other, since it did not know what their
+/// targets have said: each tells it of one.
+const STALE_GRANTS_MAX: usize = 4;
 /// How long the order of allocators is kept before it is worked out anew, unless members
 /// change. One that is gone is noticed by its silence.
 const ORDER_KEPT: Duration = Duration::from_secs(1);
@@ -98,14 +98,16 @@
 }
 
 /// What asking the allocators of one group came to.
+#[expect(clippy::large_enum_variant, reason = "taken apart where it is made")]
 enum Asked {
     Granted(GrantGuard),
     Refused(Refusal),
     Redirected(Group, AllocatorAddress),
     /// Another process, which is known now, ranks before the one that was asked.
     AskInstead,
-    /// The allocator did not know of the limit that the target has named; it does now.
-    Uncounted,
+    /// The allocator did not know what the target has said of itself: it is told when the grant is
+    /// given back.
+    Stale,
     /// None answered or allocates, or a target was granted that may not be used.
     Useless,
 }
@@ -122,7 +124,7 @@
             match self.ask_groups(shared, &request).await {
                 Asked::Granted(grant) => return Ok(grant),
                 Asked::Refused(refusal) => return Err(Some(refusal)),
-                Asked::Redirected(..) | Asked::AskInstead | Asked::Uncounted | Asked::Useless => {}
+                Asked::Redirected(..) | Asked::AskInstead | Asked::Stale | Asked::Useless => {}
             }
         }
         let (view, by) =
@@ -163,7 +165,7 @@
         let wanted = self.wanted(&other, request);
         let allocating = self.allocating(shared, &other, Some(by));
         match self.ask(&allocating, wanted, request).await {
-            Asked::Useless | Asked::AskInstead | Asked::Uncounted => {
+            Asked::Useless | Asked::AskInstead | Asked::Stale => {
                 self.ask_group(shared, first, false, request).await
             }
             asked => asked,
@@ -204,12 +206,12 @@
         let first = order.first().filter(is_usable);
         for place in order.iter().filter(is_usable).take(ALLOCATORS_ASKED_MAX) {
             let allocating = self.allocating(shared, group, place.clone());
-            for _ in 0..UNCOUNTED_MAX {
+            for _ in 0..STALE_GRANTS_MAX {
                 let mut wanted = self.wanted(group, request);
                 wanted.may_redirect = may_redirect;
                 wanted.is_first_choice = may_be_corrected && Some(place) == first;
                 match self.ask(&allocating, wanted, request).await {
-                    Asked::Uncounted => {}
+                    Asked::Stale => {}
                     Asked::Useless => break,
                     asked => return asked,
                 }
@@ -344,28 +346,31 @@
 
     fn take_lease(
         self: &Arc<Self>,
-        acquisition: Acquisition,
+        mut acquisition: Acquisition,
         group: &Group,
         granted: &Granted,
     ) -> Asked {
         let concurrency = Some(granted.concurrency);
         self.allocators.lock().0.entry(group.clone()).or_default().concurrency = concurrency;
         let now = BootClock.now();
-        let (grant, is_within_limit) = {
-            let dispatcher = &mut self.own.lock().dispatcher;
-            let Some(grant) = dispatcher.grant_at(&granted.target, granted.rate_limit, now) else {
-                return Asked::Useless;
-            };
-            let is_within_limit = dispatcher.is_within_limit(&grant);
-            (grant, is_within_limit)
+        let mut own = self.own.lock();
+        let dispatcher = &mut own.dispatcher;
+        let Some(grant) = dispatcher.grant_at(&granted.target, granted.rate_limit, now) else {
+            let index = dispatcher.index_of(&granted.target);
+            let leaving = index.and_then(|index| dispatcher.leaving_incarnation(index));
+            drop(own);
+            acquisition.lease.tell_leaving(leaving);
+            return if leaving.is_some() { Asked::Stale } else { Asked::Useless };
         };
+        let is_within_limit = dispatcher.is_within_limit(&grant);
+        drop(own);
         // Dropped, it tells the allocator what this process knows of the limit.
         let guard = GrantGuard::new(self, grant).with_lease(acquisition.lease);
         if is_within_limit {
             return Asked::Granted(guard);
         }
         counter!(metric::UNCOUNTED_GRANTS).increment(1);
-        Asked::Uncounted
+        Asked::Stale
     }
 
     fn names(&self, tried: &Tried) -> Vec<TargetName> {
--- a/crates/thymeshift_entry/src/target_client/statements.rs
+++ b/crates/thymeshift_entry/src/target_client/statements.rs
@@ -21,11 +21,16 @@
 pub(super) struct Statements {
     rate_limit: Result<Option<RequestRate>, RateLimitMistake>,
     backoff: Result<Option<Duration>, RetryAfterMistake>,
+    is_leaving: bool,
 }
 
 impl Statements {
     pub(super) fn read<D: Dialect>(status: StatusCode, headers: &HeaderMap) -> Self {
-        Self { rate_limit: D::rate_limit(headers), backoff: D::backoff(status, headers) }
+        Self {
+            rate_limit: D::rate_limit(headers),
+            backoff: D::backoff(status, headers),
+            is_leaving: D::is_leaving(headers),
+        }
     }
 }
 
@@ -43,6 +48,11 @@
         }
         self.learn_rate_limit(meaning, statements.rate_limit, destination);
         self.learn_backoff(statements.backoff, destination);
+        if statements.is_leaving
+            && let Some(mark) = self.grant().mark_leaving()
+        {
+            self.shared().note_leaving(&mark, "answer");
+        }
     }
 
     /// An answer that did not run the request may come from a part of the target that does not know
--- a/crates/thymeshift_lab/src/replay/limits/day.rs
+++ b/crates/thymeshift_lab/src/replay/limits/day.rs
@@ -11,6 +11,7 @@
 use thymeshift_allocation::Allocation;
 use thymeshift_allocation::Granted;
 use thymeshift_allocation::LeaseKey;
+use thymeshift_allocation::LeaseReport;
 use thymeshift_allocation::Standing;
 use thymeshift_config::Configuration;
 use thymeshift_config::Mistakes;
@@ -290,7 +291,8 @@
                 let now = self.now();
                 if let Some(Books { dispatcher, allocator }) = &mut self.processes[to].books {
                     let key = LeaseKey { holder: from, number };
-                    allocator.release(&key, observation, told, dispatcher, now);
+                    let report = LeaseReport { observation, rate_limit: told, leaving: None };
+                    allocator.release(&key, &report, dispatcher, now);
                 }
                 self.wake(to);
             }
--- a/crates/thymeshift_wire/src/datagram.rs
+++ b/crates/thymeshift_wire/src/datagram.rs
@@ -13,8 +13,7 @@
 use serde::Serialize;
 use thymeshift_allocation::Granted;
 use thymeshift_allocation::Group;
-use thymeshift_dispatch::Observation;
-use thymeshift_dispatch::ToldRateLimit;
+use thymeshift_allocation::LeaseReport;
 use thymeshift_fleet::Boot;
 use thymeshift_fleet::Head;
 use thymeshift_fleet::Member;
@@ -220,11 +219,8 @@
     pub service: ServiceName,
     /// The group of its targets.
     pub group: Group,
-    /// What the attempt showed, if there was one.
-    pub observation: Option<Observation>,
-    /// What the sender knows of the target's limit of requests a second; none if it never heard
-    /// of one.
-    pub rate_limit: Option<ToldRateLimit>,
+    /// What the sender knows of the target.
+    pub report: LeaseReport,
     /// All leases of this group that the sender holds or asks for.
     pub held: Vec<LeaseNumber>,
 }
--- a/crates/thymeshift_wire/src/dialect.rs
+++ b/crates/thymeshift_wire/src/dialect.rs
@@ -88,6 +88,9 @@
     /// what it answers.
     fn probe_report(status: StatusCode, map: &HeaderMap) -> Option<LoadReport>;
 
+    /// Whether a target says, apart from its load report, that it leaves.
+    fn is_leaving(map: &HeaderMap) -> bool;
+
     /// Reads for how long a target asks to get no requests from the process that it answers; none
     /// if it does not ask for that.
     fn backoff(status: StatusCode, map: &HeaderMap) -> Result<Option<Duration>, RetryAfterMistake>;
--- a/crates/thymeshift_wire/src/native.rs
+++ b/crates/thymeshift_wire/src/native.rs
@@ -92,6 +92,11 @@
         load_header::read(map)
     }
 
+    fn is_leaving(_map: &HeaderMap) -> bool {
+        // Its load report tells.
+        false
+    }
+
     fn backoff(status: StatusCode, map: &HeaderMap) -> Result<Option<Duration>, RetryAfterMistake> {
         // A deeper layer speaks of its own targets, not of itself.
         if status != StatusCode::SERVICE_UNAVAILABLE || map.contains_key(&headers::OUTCOME) {
