Marks of leaving targets outlive a list without them

An entry may lapse while the store is away and come back, `ready`, for the same start. The mark was forgotten with the first list without the target, so that it got requests again at once.

Cause: marks were kept only for listed targets. Change: a mark is kept for ten minutes after its target was last listed, and is set in the configuration before that is in force, so that no request slips between the new list and its marks. A later start drops it at once.

The register's test of `retain` gave way to seven cases of `prune`, which hold the old one (listed targets kept, unlisted ones forgotten) with its time.

--- a/crates/thymeshift_config/src/configuration.rs
+++ b/crates/thymeshift_config/src/configuration.rs
@@ -4,6 +4,9 @@
 
 use serde::Serialize;
 use thymeshift_types::DataHallName;
+use thymeshift_types::Incarnation;
+use thymeshift_types::ServiceName;
+use thymeshift_types::TargetName;
 
 use crate::Discovered;
 use crate::Discovery;
@@ -15,6 +18,7 @@
 use crate::RequestRate;
 use crate::Service;
 use crate::Settings;
+use crate::TargetState;
 use crate::check;
 use crate::decode::Decode;
 use crate::decode::MapReader;
@@ -115,6 +119,20 @@
         self
     }
 
+    /// Sets the state of targets that leave whatever the documents say.
+    pub fn mark_leaving(
+        &mut self,
+        is_leaving: impl Fn(&ServiceName, &TargetName, Incarnation) -> bool,
+    ) {
+        for service in &mut self.services {
+            for target in &mut service.targets {
+                if is_leaving(&service.name, &target.name, target.incarnation) {
+                    target.state = TargetState::Leaving;
+                }
+            }
+        }
+    }
+
     /// Whether the targets of a data hall get no new work.
     pub fn is_drained(&self, hall: &DataHallName) -> bool {
         self.drained_halls.contains(hall)
--- a/crates/thymeshift_entry/src/fleet.rs
+++ b/crates/thymeshift_entry/src/fleet.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use rand::Rng;
+use spdlog::warn;
 use thymeshift_config::Configuration;
 use thymeshift_config::Discovery;
 use thymeshift_config::DiscoveryReader;
@@ -243,6 +244,8 @@
         if is_news {
             self.recent_marks.truncate(MARKS_RECENT - 1);
             self.recent_marks.push_front(mark.clone());
+        } else if !self.leaving.is_leaving(&mark.service, &mark.target, mark.incarnation) {
+            warn!("leaving_mark_dropped", kv: { service: = mark.service, target: = mark.target });
         }
         is_news
     }
--- a/crates/thymeshift_entry/src/shared/in_force.rs
+++ b/crates/thymeshift_entry/src/shared/in_force.rs
@@ -107,7 +107,7 @@
         };
         let by_order = fleet.orders.drained_halls(now);
         self.drained_by_order.lock().clone_from(&by_order);
-        let configuration = configuration.with_drained(&by_order).capped(&self.settings());
+        let mut configuration = configuration.with_drained(&by_order).capped(&self.settings());
         for service in &configuration.services {
             for target in &service.targets {
                 if target.state == TargetState::Leaving {
@@ -119,7 +119,10 @@
                 }
             }
         }
-        forget_marks(fleet, &configuration);
+        prune_marks(fleet, &configuration, now);
+        configuration.mark_leaving(|service, target, incarnation| {
+            fleet.leaving.is_leaving(service, target, incarnation)
+        });
         let before = self.routing();
         log_halls(before.as_deref().map(|before| &*before.configuration), &configuration);
         let own_data_hall = &self.settings().data_hall;
@@ -174,8 +177,9 @@
     }
 }
 
-/// Forgets the marks of targets that are listed no longer, or with a later incarnation.
-fn forget_marks(fleet: &mut Fleet, configuration: &Configuration) {
+/// Forgets the marks of targets that have not been listed for long, or are listed with a later
+/// incarnation.
+fn prune_marks(fleet: &mut Fleet, configuration: &Configuration, now: Timestamp) {
     if fleet.leaving.is_empty() {
         return;
     }
@@ -185,10 +189,7 @@
         .flat_map(|service| service.targets.iter().map(move |target| (&service.name, target)))
         .map(|(service, target)| ((service, &target.name), target.incarnation))
         .collect();
-    fleet.leaving.retain(|mark| {
-        let incarnation = listed.get(&(&mark.service, &mark.target));
-        incarnation.is_some_and(|incarnation| *incarnation <= mark.incarnation)
-    });
+    fleet.leaving.prune(|service, target| listed.get(&(service, target)).copied(), now);
 }
 
 fn apply_marks(service: &ServiceRuntime, fleet: &Fleet) {
--- a/crates/thymeshift_fleet/tests/agreement.rs
+++ b/crates/thymeshift_fleet/tests/agreement.rs
@@ -90,8 +90,41 @@
         seen.extend(page);
     }
     assert_eq!(seen.len(), 100);
-    register.retain(|mark| mark.target.as_str() == "t7");
-    assert_eq!(register.len(), 1);
+}
+
+/// An entry that lapses is back for the same start, and must not serve again.
+#[test]
+fn a_mark_is_kept_while_its_target_is_unlisted_for_a_while() {
+    struct Case {
+        name: &'static str,
+        /// The incarnation with which the target is listed, and when, in seconds.
+        lists: &'static [(u64, Option<u64>)],
+        is_kept: bool,
+    }
+    let cases = [
+        Case { name: "listed", lists: &[(0, Some(2))], is_kept: true },
+        Case { name: "listed, earlier start", lists: &[(0, Some(1))], is_kept: true },
+        Case { name: "listed, later start", lists: &[(0, Some(3))], is_kept: false },
+        Case { name: "off and back", lists: &[(0, None), (60, Some(2))], is_kept: true },
+        Case { name: "off, later start", lists: &[(0, None), (1, Some(3))], is_kept: false },
+        Case { name: "off for long", lists: &[(0, None), (601, None)], is_kept: false },
+        Case {
+            name: "off twice",
+            lists: &[(0, None), (500, Some(2)), (550, None), (700, None)],
+            is_kept: true,
+        },
+    ];
+    for Case { name, lists, is_kept } in cases {
+        let mut register = LeavingRegister::default();
+        let mark = mark(7, 2);
+        register.add(&mark);
+        for (second, incarnation) in lists {
+            let now = Timestamp::from_micros(second * 1_000_000);
+            register.prune(|_, _| incarnation.map(Incarnation::new), now);
+        }
+        let is_leaving = register.is_leaving(&mark.service, &mark.target, mark.incarnation);
+        assert_eq!(is_leaving, is_kept, "{name}");
+    }
 }
 
 fn subject() -> OrderSubject {
