Targets that refuse and ask for a backoff get no requests of that process until it ends

What callers saw: 20 to 41 in 100 look-ups refused while five of seven targets served; two targets that refused each request with `Retry-After: 3` got 36 and 34 requests a second instead of 19 and 8. Cause: the header of a target was read nowhere (hypothesis 1); a target that refuses within a millisecond looks idle and is preferred (2); the second attempt met the other refusing target and used up the retry budget (4). What a change of 1 alone would have met: the allocator of a group chooses for all processes, and the backoff is asked of one of them (3).

Change: * `Backoff`, by target and process: until its end the target is not chosen, a grant in hand is void before the first byte, and it is not probed. It ends by time alone; a shorter one does not end a longer one, an answer in between ends nothing, a later start does. `backoff_max_ms` (an hour) bounds what a target can ask for. * A process that asks an allocator names the targets that it may not use (up to 32); one that is granted one all the same gives it back and asks again. * The allocator learns of each refusal from the release of the lease. From two in a row on it grants the target once in 100 ms, until it answers: otherwise each process of the fleet would be sent there to be refused once in each backoff. * While all targets back off, what cannot wait for the first of them is refused at once (`backing_off`) with that moment, spread over half a second, as Retry-After; no attempt is spent. * What a target has said (that it leaves, a backoff) holds while it is not listed. * `show targets` and `explain` name it: usability `backing_off`, `backoff_ms`; `target_backoff` in the log.

--- a/crates/thymeshift_allocation/tests/books.rs
+++ b/crates/thymeshift_allocation/tests/books.rs
@@ -16,6 +16,7 @@
 use thymeshift_config::Configuration;
 use thymeshift_dispatch::AnyStrategy;
 use thymeshift_dispatch::Dispatcher;
+use thymeshift_dispatch::Excluded;
 use thymeshift_dispatch::HallIndex;
 use thymeshift_dispatch::Observation;
 use thymeshift_dispatch::Request;
@@ -46,6 +47,7 @@
         objective: now + Duration::from_millis(200),
         queue_max: 100,
         tried: Tried::default(),
+        excluded: Excluded::default(),
         origin: HallIndex::default(),
         answer_kib: 0,
     }
--- a/crates/thymeshift_allocation/tests/drained_order.rs
+++ b/crates/thymeshift_allocation/tests/drained_order.rs
@@ -21,6 +21,7 @@
 use thymeshift_config::Discovery;
 use thymeshift_dispatch::AnyStrategy;
 use thymeshift_dispatch::Dispatcher;
+use thymeshift_dispatch::Excluded;
 use thymeshift_dispatch::Grant;
 use thymeshift_dispatch::HallIndex;
 use thymeshift_dispatch::Request;
@@ -198,6 +199,7 @@
             objective: deadline,
             queue_max: 0,
             tried: Tried::default(),
+            excluded: Excluded::default(),
             origin: HallIndex::default(),
             answer_kib: 0,
         }
--- a/crates/thymeshift_config/src/service.rs
+++ b/crates/thymeshift_config/src/service.rs
@@ -1,6 +1,7 @@
 //! Services and their targets.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use derive_more::Display;
 use serde::Serialize;
@@ -159,6 +160,9 @@
     pub idle_connection_ms: u64,
     /// Whether a target's answer "shed" proves that the request did not run.
     pub shed_means_not_run: bool,
+    /// Longest backoff that a target can ask for, in milliseconds: one that asks for ever must not
+    /// be lost for ever.
+    pub backoff_max_ms: u64,
     /// Target time that all VMs together may spend measuring one target, in
     /// microseconds each second. 0 forbids probes.
     pub measuring_budget_us_per_s: u64,
@@ -235,6 +239,13 @@
     }
 }
 
+impl Service {
+    /// Longest backoff that a target can ask for.
+    pub fn backoff_max(&self) -> Duration {
+        Duration::from_millis(self.backoff_max_ms)
+    }
+}
+
 impl Decode for Service {
     fn decode(node: &Node, path: &str, mistakes: &mut Mistakes) -> Option<Self> {
         let mut map = MapReader::new(node, path, mistakes)?;
@@ -245,6 +256,7 @@
         let connect_timeout_ms = map.number_or("connect_timeout_ms", 1..=60_000, 50);
         let idle_connection_ms = map.number_or("idle_connection_ms", 1..=3_600_000, 30_000);
         let shed_means_not_run = map.or("shed_means_not_run", false);
+        let backoff_max_ms = map.number_or("backoff_max_ms", 0..=86_400_000, 3_600_000);
         let measuring_budget_us_per_s =
             map.number_or("measuring_budget_us_per_s", 0..=SECOND_US, 0);
         let probe = map.optional("probe");
@@ -264,6 +276,7 @@
             connect_timeout_ms: connect_timeout_ms?,
             idle_connection_ms: idle_connection_ms?,
             shed_means_not_run: shed_means_not_run?,
+            backoff_max_ms: backoff_max_ms?,
             measuring_budget_us_per_s: measuring_budget_us_per_s?,
             probe: probe?,
             ejection: ejection?,
--- a/crates/thymeshift_dispatch/src/admission.rs
+++ b/crates/thymeshift_dispatch/src/admission.rs
@@ -25,6 +25,8 @@
 /// Spread of the time to come back: up to this share is added at random, so that callers
 /// do not return together.
 const RETRY_AFTER_SPREAD: f64 = 1.0;
+/// Time over which callers return that wait for the same moment.
+const RETURN_SPREAD_MAX: Duration = Duration::from_millis(500);
 
 #[derive(Debug, Clone)]
 pub(crate) struct Admission {
@@ -60,6 +62,12 @@
 }
 
 /// When a refused caller should come back, if it would be served after `wait`; spread.
+/// When a caller should come back for a target that may be used again after `wait`: not sooner, and
+/// not all at once.
+pub(crate) fn spread_return(wait: Duration, rng: &mut impl Rng) -> Duration {
+    wait + RETURN_SPREAD_MAX.min(wait).mul_f64(rng.random::<f64>())
+}
+
 pub(crate) fn spread_retry_after(wait: Duration, rng: &mut impl Rng) -> Duration {
     let base = wait.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX);
     base.mul_f64(1.0 + RETRY_AFTER_SPREAD * rng.random::<f64>())
--- a/crates/thymeshift_dispatch/src/decision.rs
+++ b/crates/thymeshift_dispatch/src/decision.rs
@@ -51,6 +51,8 @@
     Failed(Option<LoadReport>),
     /// The target shed the request.
     Shed(Option<LoadReport>),
+    /// The target shed the request, and asked the process that sent it for a backoff.
+    ShedWithBackoff(Option<LoadReport>),
     /// The connection broke, or what came on it is no answer.
     Broken,
     /// No answer came in time.
@@ -63,7 +65,10 @@
     /// The report that came with the answer.
     pub fn report(&self) -> Option<LoadReport> {
         match *self {
-            Self::Answered(report) | Self::Failed(report) | Self::Shed(report) => report,
+            Self::Answered(report)
+            | Self::Failed(report)
+            | Self::Shed(report)
+            | Self::ShedWithBackoff(report) => report,
             Self::Broken | Self::TimedOut | Self::Unreachable => None,
         }
     }
--- a/crates/thymeshift_dispatch/src/dispatcher.rs
+++ b/crates/thymeshift_dispatch/src/dispatcher.rs
@@ -39,9 +39,10 @@
 use crate::Wake;
 use crate::admission::Admission;
 use crate::admission::spread_retry_after;
+use crate::admission::spread_return;
 use crate::queue::Queue;
+use crate::request::EXCLUDED_MAX;
 use crate::table::Table;
-use crate::target_state::Target;
 
 /// A gap in the process's own time above this is a pause. The entry process calls
 /// [`Dispatcher::tick`] ten times as often.
@@ -127,7 +128,7 @@
         if let Some(limit) = &limit {
             target.rate_limit.told(limit, now);
         }
-        if !target.is_serving() {
+        if !target.may_be_sent_to(now) {
             return None;
         }
         let is_counted = limit.is_some_and(|limit| limit.is_limited());
@@ -187,10 +188,12 @@
         if let Some(grant) = self.choose(&request, now, rng) {
             return Decision::Send(grant);
         }
-        let is_served = self.table.targets().iter().any(Target::is_serving);
-        if !is_served {
+        if !self.is_served(&request) {
             return Decision::Refuse(self.refusal(Reason::NoTarget, &request, now, rng));
         }
+        if let Some(refusal) = self.beyond_backoffs(&request, now, rng) {
+            return Decision::Refuse(refusal);
+        }
         if self.queue.len_of(request.priority) >= request.queue_max as usize {
             return Decision::Refuse(self.refusal(Reason::QueueFull, &request, now, rng));
         }
@@ -229,7 +232,7 @@
     /// target may have begun to leave, or the process may have slept, since the choice.
     pub fn may_send(&self, grant: &Grant, deadline: Timestamp, now: Timestamp) -> bool {
         let target = self.table.get(grant.target);
-        let is_meant = target.is_serving() && target.incarnation == grant.incarnation;
+        let is_meant = target.may_be_sent_to(now) && target.incarnation == grant.incarnation;
         is_meant && self.is_within_limit(grant) && now < deadline
     }
 
@@ -262,11 +265,12 @@
             self.queue.take(waiter.ticket);
             return Some(Wake::Send(waiter.ticket, grant));
         }
-        if self.table.targets().iter().any(Target::is_serving) {
-            return None;
-        }
+        let refusal = if self.is_served(&waiter.request) {
+            self.beyond_backoffs(&waiter.request, now, rng)?
+        } else {
+            self.refusal(Reason::NoTarget, &waiter.request, now, rng)
+        };
         self.queue.remove(waiter.ticket);
-        let refusal = self.refusal(Reason::NoTarget, &waiter.request, now, rng);
         Some(Wake::Refuse(waiter.ticket, refusal))
     }
 
@@ -315,6 +319,50 @@
         Refusal { reason, retry_after: self.admission.retry_after(ahead, rng) }
     }
 
+    /// Whether any target may get the request now or later.
+    fn is_served(&self, request: &Request) -> bool {
+        let mut places = self.table.targets().iter().enumerate();
+        places.any(|(place, target)| {
+            target.is_serving() && !request.excluded.has(TargetIndex::new(place))
+        })
+    }
+
+    /// When the first target may be used again, if all of them have asked this process for a backoff.
+    pub fn all_backing_off_until(&self, now: Timestamp) -> Option<Timestamp> {
+        self.table.all_backing_off_until(now)
+    }
+
+    /// Refuses a request that cannot be sent before its wait ends, because all targets have asked this
+    /// process for a backoff.
+    pub fn beyond_backoffs<R: Rng>(
+        &self,
+        request: &Request,
+        now: Timestamp,
+        rng: &mut R,
+    ) -> Option<Refusal> {
+        let until = self.table.all_backing_off_until(now)?;
+        let is_in_time = until <= request.wait_until;
+        let retry_after = spread_return(now.until(until), rng);
+        (!is_in_time).then_some(Refusal { reason: Reason::BackingOff, retry_after })
+    }
+
+    /// Names of targets of a data hall, or of all, that have asked this process for a backoff: as
+    /// many as a request can exclude.
+    pub fn backing_off(&mut self, hall: Option<&DataHallName>, now: Timestamp) -> Vec<TargetName> {
+        let hall = hall.map(|hall| self.table.hall_index(hall));
+        let targets = self.table.targets().iter();
+        let meant = targets.filter(|target| {
+            hall.is_none_or(|hall| target.hall == hall) && target.backoff.is_active(now)
+        });
+        meant.take(EXCLUDED_MAX).map(|target| target.name.clone()).collect()
+    }
+
+    /// Whether a target has asked this process for a backoff.
+    pub fn is_backing_off(&self, name: &TargetName, now: Timestamp) -> bool {
+        let index = self.table.find(name);
+        index.is_some_and(|index| self.table.get(index).backoff.is_active(now))
+    }
+
     /// Refuses a request that cannot be sent before its wait ends, because all targets are in need
     /// and take only so many requests a second.
     fn beyond_limits<R: Rng>(
--- a/crates/thymeshift_dispatch/src/dispatcher/learning.rs
+++ b/crates/thymeshift_dispatch/src/dispatcher/learning.rs
@@ -47,11 +47,17 @@
                 target.learn_pressure(report, now);
                 target.succeeded(now);
             }
-            Observation::Failed(_) | Observation::Broken => {
+            Observation::Failed(_) => {
+                target.answered();
                 target.failed(&self.ejection, has_room, now);
             }
+            Observation::Broken => target.failed(&self.ejection, has_room, now),
             Observation::Unreachable => target.unreachable(&self.ejection, has_room, now),
             Observation::Shed(_) => target.learn_overload(now),
+            Observation::ShedWithBackoff(_) => {
+                target.learn_overload(now);
+                target.refused_with_backoff();
+            }
             Observation::TimedOut => {
                 target.learn_latency(grant, now);
                 target.learn_overload(now);
@@ -128,6 +134,21 @@
         }
     }
 
+    /// The target of a granted request asked this process for a backoff.
+    pub fn back_off(&mut self, grant: &Grant, wait: Duration, now: Timestamp) {
+        let target = self.table.get_mut(grant.target);
+        if target.incarnation == grant.incarnation {
+            target.backoff.ask(wait, now);
+        }
+    }
+
+    /// A target asked this process for a backoff when it was probed.
+    pub fn back_off_probed(&mut self, name: &TargetName, wait: Duration, now: Timestamp) {
+        if let Some(index) = self.table.find(name) {
+            self.table.get_mut(index).backoff.ask(wait, now);
+        }
+    }
+
     /// The target of a granted request said that it leaves. Returns the mark to pass on to other
     /// VMs, if that is news.
     pub fn mark_granted_leaving(&mut self, grant: &Grant) -> Option<LeavingMark> {
--- a/crates/thymeshift_dispatch/src/dispatcher/probing.rs
+++ b/crates/thymeshift_dispatch/src/dispatcher/probing.rs
@@ -15,8 +15,12 @@
 
 impl<S: Strategy> Dispatcher<S> {
     /// Names and addresses of the targets that may be probed.
-    pub fn probe_targets(&self) -> impl Iterator<Item = (TargetName, SocketAddr)> + '_ {
-        let probed = self.table.targets().iter().filter(|target| target.may_be_probed());
+    pub fn probe_targets(
+        &self,
+        now: Timestamp,
+    ) -> impl Iterator<Item = (TargetName, SocketAddr)> + '_ {
+        let targets = self.table.targets().iter();
+        let probed = targets.filter(move |target| target.may_be_probed(now));
         probed.map(|target| (target.name.clone(), target.address))
     }
 
@@ -37,7 +41,7 @@
         keep_least(&mut best, count);
         best.sort_by(|(one, _), (other, _)| one.total_cmp(other));
         let is_unheard = |candidate: &Candidate<'_>| {
-            candidate.target.may_be_probed() && candidate.target.is_unheard(age, now)
+            candidate.target.may_be_probed(now) && candidate.target.is_unheard(age, now)
         };
         if !best.first().is_some_and(|(_, first)| is_unheard(first)) {
             return Vec::new();
@@ -56,7 +60,8 @@
         count: usize,
         now: Timestamp,
     ) -> Vec<(TargetName, SocketAddr)> {
-        let is_unheard = |target: &&Target| target.may_be_probed() && target.is_unheard(age, now);
+        let is_unheard =
+            |target: &&Target| target.may_be_probed(now) && target.is_unheard(age, now);
         let unheard = self.table.targets().iter().filter(is_unheard);
         let model = self.table.model();
         let mut unheard: Vec<(f64, &Target)> =
--- a/crates/thymeshift_dispatch/src/dump.rs
+++ b/crates/thymeshift_dispatch/src/dump.rs
@@ -27,6 +27,9 @@
     /// it waits.
     #[display("slow_spell")]
     SlowSpell,
+    /// It has asked this process for a backoff.
+    #[display("backing_off")]
+    BackingOff,
     /// It failed several times in a row and is set aside for a while.
     #[display("ejected")]
     Ejected,
@@ -85,6 +88,8 @@
     pub rate_limit: Option<RateLimitDump>,
     /// Time until it is no longer set aside, in milliseconds.
     pub ejected_for_ms: Option<u64>,
+    /// Time until the end of the backoff that it asked this process for, in milliseconds.
+    pub backoff_for_ms: Option<u64>,
 }
 
 /// The limit of a target in need as a process sees it.
--- a/crates/thymeshift_dispatch/src/grant.rs
+++ b/crates/thymeshift_dispatch/src/grant.rs
@@ -1,27 +1,26 @@
 //! The right to send one request to one target, and what was expected of it.
 
+use std::num::NonZeroU32;
 use std::time::Duration;
 
-use derive_more::Display;
-use serde::Deserialize;
-use serde::Serialize;
 use thymeshift_types::Incarnation;
 use thymeshift_types::Timestamp;
 
 /// Place of a target in its service's table. Valid while the target or a request to it
 /// exists.
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize,
-)]
-pub struct TargetIndex(u32);
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TargetIndex {
+    /// Counted from 1, so that an optional index takes no more room.
+    place: NonZeroU32,
+}
 
 impl TargetIndex {
     pub(crate) fn new(index: usize) -> Self {
-        Self(index as u32)
+        Self { place: NonZeroU32::MIN.saturating_add(index as u32) }
     }
 
     pub(crate) fn as_usize(self) -> usize {
-        self.0 as usize
+        self.place.get() as usize - 1
     }
 }
 
--- a/crates/thymeshift_dispatch/src/lib.rs
+++ b/crates/thymeshift_dispatch/src/lib.rs
@@ -15,6 +15,7 @@
 //! The choice of target is a [`Strategy`]; each one is a file in `strategy/`.
 
 mod admission;
+mod backoff;
 mod cold_start;
 mod concurrency;
 mod connections;
@@ -41,6 +42,7 @@
 mod strategy;
 mod table;
 mod target_state;
+mod unlisted;
 mod view;
 
 pub use connections::connection_share;
@@ -68,6 +70,7 @@
 pub use report::LoadReport;
 pub use report::ReportedState;
 pub use report::USUAL_PACE_PERCENT;
+pub use request::Excluded;
 pub use request::Request;
 pub use request::Tried;
 pub use retry::RetryBudget;
--- a/crates/thymeshift_dispatch/src/request.rs
+++ b/crates/thymeshift_dispatch/src/request.rs
@@ -7,37 +7,60 @@
 
 /// Most targets remembered as tried; equal to the largest `attempts_max`.
 const TRIED_MAX: usize = 10;
+/// Most targets that a request can exclude: their names must fit into one datagram.
+pub(crate) const EXCLUDED_MAX: usize = 32;
 
-/// Targets that this request was already sent to.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct Tried {
-    targets: [Option<TargetIndex>; TRIED_MAX],
+/// Targets that this request was already sent to. Another one goes before them.
+pub type Tried = TargetSet<TRIED_MAX>;
+/// Targets that this request must not be sent to: its process may not use them now.
+pub type Excluded = TargetSet<EXCLUDED_MAX>;
+
+/// Up to `N` targets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TargetSet<const N: usize> {
+    targets: [Option<TargetIndex>; N],
+}
+
+impl<const N: usize> Default for TargetSet<N> {
+    fn default() -> Self {
+        Self { targets: [None; N] }
+    }
 }
 
-impl Tried {
-    /// Adds a target; beyond ten the oldest knowledge is kept.
+impl<const N: usize> TargetSet<N> {
+    /// Adds a target; beyond `N` the oldest knowledge is kept.
     pub fn add(&mut self, target: TargetIndex) {
         if let Some(free) = self.targets.iter_mut().find(|entry| entry.is_none()) {
             *free = Some(target);
         }
     }
 
-    /// Whether `target` was tried.
+    /// Whether `target` is in it.
     pub fn has(&self, target: TargetIndex) -> bool {
-        self.targets.contains(&Some(target))
+        self.iter().any(|known| known == target)
     }
 
-    /// The targets tried.
+    /// The targets.
     pub fn iter(&self) -> impl Iterator<Item = TargetIndex> + '_ {
-        self.targets.iter().flatten().copied()
+        self.targets.iter().map_while(|entry| *entry)
     }
 
-    /// Whether nothing was tried yet.
+    /// Whether there are none.
     pub fn is_empty(&self) -> bool {
         self.targets[0].is_none()
     }
 }
 
+impl<const N: usize> FromIterator<TargetIndex> for TargetSet<N> {
+    fn from_iter<I: IntoIterator<Item = TargetIndex>>(targets: I) -> Self {
+        let mut set = Self::default();
+        for target in targets {
+            set.add(target);
+        }
+        set
+    }
+}
+
 /// A request as the dispatcher sees it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Request {
@@ -53,6 +76,8 @@
     pub queue_max: u32,
     /// Targets it was already sent to.
     pub tried: Tried,
+    /// Targets it must not be sent to.
+    pub excluded: Excluded,
     /// The data hall it comes from.
     pub origin: HallIndex,
     /// Length of the answers to its kind in the mean, in KiB; 0 if that is not known.
--- a/crates/thymeshift_dispatch/src/strategy/candidates.rs
+++ b/crates/thymeshift_dispatch/src/strategy/candidates.rs
@@ -3,6 +3,7 @@
 use rand::Rng;
 use thymeshift_types::Timestamp;
 
+use crate::Excluded;
 use crate::HallIndex;
 use crate::RateShare;
 use crate::Request;
@@ -50,6 +51,7 @@
     answer_kib: u32,
     now: Timestamp,
     tried: &'a Tried,
+    excluded: Excluded,
     bound: Bound,
     share: RateShare,
     costs: MarginalCosts,
@@ -72,6 +74,7 @@
             answer_kib: request.answer_kib,
             now,
             tried,
+            excluded: request.excluded,
             bound: table.bound(view, now),
             share: table.rate_share(view),
             costs: table.marginal_costs(view, now),
@@ -100,10 +103,11 @@
 
     /// The open targets in a fixed order.
     pub fn iter(&self) -> impl Iterator<Item = Candidate<'a>> + use<'a> {
-        let Self { targets, model, now, tried, bound, share, .. } = *self;
+        let Self { targets, model, now, tried, excluded, bound, share, .. } = *self;
         targets.iter().enumerate().filter_map(move |(index, target)| {
             let index = TargetIndex::new(index);
-            let is_open = target.is_open(now, bound, share, model) && !tried.has(index);
+            let is_allowed = !tried.has(index) && !excluded.has(index);
+            let is_open = is_allowed && target.is_open(now, bound, share, model);
             is_open.then_some(Candidate { index, target })
         })
     }
--- a/crates/thymeshift_dispatch/src/table.rs
+++ b/crates/thymeshift_dispatch/src/table.rs
@@ -25,12 +25,12 @@
 use crate::connections::connection_share;
 use crate::halls::Halls;
 use crate::model::ServiceModel;
-use crate::rate_limit::RateLimit;
 use crate::target_state::Bound;
 use crate::target_state::Explores;
 use crate::target_state::Presence;
 use crate::target_state::Shape;
 use crate::target_state::Target;
+use crate::unlisted::UnlistedTargets;
 
 /// What of the configuration beside the service itself the table depends on.
 #[derive(Debug, Clone)]
@@ -73,6 +73,8 @@
     /// 15,000 targets took 25.6 s to be taken in and changed four times; by name, 1.3 s (built
     /// without optimisation).
     places: HashMap<TargetName, TargetIndex>,
+    /// What targets have said that are not listed now.
+    unlisted: UnlistedTargets,
     is_filled: bool,
     model: ServiceModel,
     concurrency: Concurrency,
@@ -146,6 +148,16 @@
         self.concurrency.best(self.slots, now)
     }
 
+    /// When the first backoff ends, if all targets that serve have asked this process for one.
+    pub(crate) fn all_backing_off_until(&self, now: Timestamp) -> Option<Timestamp> {
+        let mut first: Option<Timestamp> = None;
+        for target in self.targets.iter().filter(|target| target.is_serving()) {
+            let until = target.backoff.active_until(now)?;
+            first = Some(first.map_or(until, |first| first.min(until)));
+        }
+        first
+    }
+
     /// Further requests that targets would serve at nearly their usual pace.
     pub(crate) fn room(&self, view: View, now: Timestamp) -> u32 {
         let bound = self.bound(view, now);
@@ -280,7 +292,7 @@
     ) {
         let Surroundings { own_data_hall, one_way, detour, .. } = surroundings;
         self.halls.set(own_data_hall, *one_way, *detour);
-        self.remove_unlisted(service);
+        self.remove_unlisted(service, now);
         self.own_share = RateShare::one_of(surroundings.entry_vms_max);
         let mut free = self.free_places();
         self.slots = u32::try_from(service.slots_per_target).unwrap_or(u32::MAX);
@@ -308,11 +320,13 @@
         self.is_filled = true;
     }
 
-    fn remove_unlisted(&mut self, service: &Service) {
+    fn remove_unlisted(&mut self, service: &Service, now: Timestamp) {
+        self.unlisted.expire(now);
         let listed: HashSet<&TargetName> =
             service.targets.iter().map(|listed| &listed.name).collect();
         for target in &mut self.targets {
-            if !listed.contains(&target.name) {
+            if !listed.contains(&target.name) && target.presence != Presence::Removed {
+                self.unlisted.remember(target, now);
                 target.presence = Presence::Removed;
             }
         }
@@ -367,7 +381,8 @@
             ColdStart::warm()
         };
         let name = listed.name.clone();
-        let target = Target::new(name, listed.address, listed.incarnation, shape, cold_start);
+        let mut target = Target::new(name, listed.address, listed.incarnation, shape, cold_start);
+        self.unlisted.restore(&mut target);
         self.insert(target, free)
     }
 
@@ -390,8 +405,7 @@
     pub(crate) fn note_incarnation(&mut self, index: TargetIndex, incarnation: Incarnation) {
         let target = self.get_mut(index);
         if target.presence == Presence::Serving && target.incarnation < incarnation {
-            target.incarnation = incarnation;
-            target.rate_limit = RateLimit::default();
+            target.set_incarnation(incarnation);
         }
     }
 
--- a/crates/thymeshift_dispatch/src/target_state.rs
+++ b/crates/thymeshift_dispatch/src/target_state.rs
@@ -16,6 +16,8 @@
 use crate::RateShare;
 use crate::TargetDump;
 use crate::Usability;
+use crate::backoff::Backoff;
+use crate::backoff::RefusalStreak;
 use crate::cold_start::ColdPaces;
 use crate::cold_start::ColdStart;
 use crate::ejection::Ejection;
@@ -78,6 +80,9 @@
     cold_start: ColdStart,
     slowness: Slowness,
     pub(crate) rate_limit: RateLimit,
+    /// What it asked of this process.
+    pub(crate) backoff: Backoff,
+    refusals: RefusalStreak,
 }
 
 impl Target {
@@ -110,9 +115,19 @@
             cold_start,
             slowness: Slowness::default(),
             rate_limit: RateLimit::default(),
+            backoff: Backoff::default(),
+            refusals: RefusalStreak::default(),
         }
     }
 
+    /// What was learnt of an earlier incarnation does not hold for this one.
+    pub(crate) fn set_incarnation(&mut self, incarnation: Incarnation) {
+        self.incarnation = incarnation;
+        self.rate_limit = RateLimit::default();
+        self.backoff = Backoff::default();
+        self.refusals = RefusalStreak::default();
+    }
+
     pub(crate) fn set_shape(&mut self, shape: Shape) {
         self.shape = shape;
         self.limit.set_ceiling(shape.connection_share);
@@ -158,9 +173,15 @@
         self.rate_limit.rate().is_some()
     }
 
-    /// Whether a probe may ask for its load: to one in need a probe may be a request like others.
-    pub(crate) fn may_be_probed(&self) -> bool {
-        self.is_serving() && !self.is_in_need()
+    /// Whether a probe may ask for its load: to one in need, or that asked for a backoff, a probe
+    /// may be a request like others.
+    pub(crate) fn may_be_probed(&self, now: Timestamp) -> bool {
+        self.is_serving() && !self.is_in_need() && !self.backoff.is_active(now)
+    }
+
+    /// Whether a request that was granted may be sent.
+    pub(crate) fn may_be_sent_to(&self, now: Timestamp) -> bool {
+        self.is_serving() && !self.backoff.is_active(now)
     }
 
     pub(crate) fn in_flight(&self) -> u32 {
@@ -257,6 +278,16 @@
 
     pub(crate) fn succeeded(&mut self, now: Timestamp) {
         self.ejection.succeeded(now);
+        self.answered();
+    }
+
+    /// It ran a request.
+    pub(crate) fn answered(&mut self) {
+        self.refusals.answered();
+    }
+
+    pub(crate) fn refused_with_backoff(&mut self) {
+        self.refusals.refused();
     }
 
     pub(crate) fn failed(&mut self, settings: &EjectionSettings, has_room: bool, now: Timestamp) {
@@ -286,6 +317,7 @@
     ) -> TargetDump {
         let report = self.others.last_report();
         let usability = self.usability(now, bound, share, model);
+        let backoff = self.backoff.active_until(now);
         let ejected_for = self.ejection.until().filter(|_| usability == Usability::Ejected);
         TargetDump {
             name: self.name.clone(),
@@ -304,6 +336,7 @@
             report_age_ms: self.others.age(now).map(|age| age.as_millis() as u64),
             rate_limit: self.rate_limit.dump(share, now),
             ejected_for_ms: ejected_for.map(|until| now.until(until).as_millis() as u64),
+            backoff_for_ms: backoff.map(|until| now.until(until).as_millis() as u64),
         }
     }
 }
--- a/crates/thymeshift_dispatch/src/target_state/room.rs
+++ b/crates/thymeshift_dispatch/src/target_state/room.rs
@@ -48,6 +48,7 @@
             Presence::Leaving => Usability::Leaving,
             Presence::Serving if self.is_stopped => Usability::Stopped,
             Presence::Serving if self.is_hall_drained => Usability::HallDrained,
+            Presence::Serving if self.backoff.is_active(now) => Usability::BackingOff,
             Presence::Serving if self.ejection.is_ejected(now) => Usability::Ejected,
             Presence::Serving if !self.rate_limit.is_turn(share, now) => Usability::RateLimited,
             Presence::Serving if !self.has_room(bound, now) => Usability::AtLimit,
@@ -99,6 +100,7 @@
                 self.left_by_others(best, now)
             }
         };
+        let most = self.refusals.room(self.granted_at, now).map_or(most, |room| room.min(most));
         let most = most.saturating_sub(self.in_flight);
         if self.is_in_need() { most.min(1) } else { most }
     }
--- a/crates/thymeshift_dispatch/tests/many_targets.rs
+++ b/crates/thymeshift_dispatch/tests/many_targets.rs
@@ -50,7 +50,7 @@
     }
     let taken = begun.elapsed();
     assert!(taken < LIMIT, "{taken:?}");
-    assert_eq!(dispatcher.probe_targets().count(), TARGETS);
+    assert_eq!(dispatcher.probe_targets(START).count(), TARGETS);
     assert!(dispatcher.index_of(&name(0)).is_some());
     assert!(dispatcher.index_of(&name(TARGETS)).is_none());
 }
--- a/crates/thymeshift_dispatch/tests/rate_limits.rs
+++ b/crates/thymeshift_dispatch/tests/rate_limits.rs
@@ -241,7 +241,7 @@
 fn a_target_in_need_is_not_probed_and_not_set_aside() {
     let mut dispatcher = fleet(2);
     states(&mut dispatcher, 0, Some(rate(2.0)), 0);
-    let probed: Vec<_> = dispatcher.probe_targets().map(|(name, _)| name).collect();
+    let probed: Vec<_> = dispatcher.probe_targets(at(0)).map(|(name, _)| name).collect();
     assert_eq!(probed, [name(1)]);
     let unheard = dispatcher.unheard_targets(Duration::ZERO, 9, at(500));
     assert!(unheard.iter().all(|(target, _)| *target != name(0)), "{unheard:?}");
--- a/crates/thymeshift_dispatch/tests/restarted_targets.rs
+++ b/crates/thymeshift_dispatch/tests/restarted_targets.rs
@@ -4,6 +4,7 @@
 mod support;
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use thymeshift_config::Configuration;
 use thymeshift_dispatch::Observation;
@@ -53,6 +54,14 @@
         learn: fn(&mut TestDispatcher),
     }
     let cases = [
+        Case {
+            believed: "that it asked for a backoff",
+            learn: |dispatcher| {
+                let grant = dispatcher.grant_at(&name(0), None, at(0)).expect("a grant");
+                dispatcher.back_off(&grant, Duration::from_mins(1), at(0));
+                dispatcher.release(grant, at(0));
+            },
+        },
         Case {
             believed: "that it is leaving",
             learn: |dispatcher| {
--- a/crates/thymeshift_dispatch/tests/support/mod.rs
+++ b/crates/thymeshift_dispatch/tests/support/mod.rs
@@ -10,6 +10,7 @@
 use thymeshift_dispatch::AnyStrategy;
 use thymeshift_dispatch::Decision;
 use thymeshift_dispatch::Dispatcher;
+use thymeshift_dispatch::Excluded;
 use thymeshift_dispatch::Grant;
 use thymeshift_dispatch::HallIndex;
 use thymeshift_dispatch::LoadReport;
@@ -82,6 +83,7 @@
         objective: deadline,
         queue_max: 100,
         tried: Tried::default(),
+        excluded: Excluded::default(),
         origin: HallIndex::default(),
         answer_kib: 0,
     }
--- a/crates/thymeshift_entry/src/allocation_client.rs
+++ b/crates/thymeshift_entry/src/allocation_client.rs
@@ -101,6 +101,7 @@
     pub(crate) queue_max: u32,
     pub(crate) answer_kib: u32,
     pub(crate) tried: Vec<TargetName>,
+    pub(crate) excluded: Vec<TargetName>,
 }
 
 struct OpenLease {
@@ -186,7 +187,8 @@
             Allocating::There(place) => Some(place.vm.clone()),
         };
         let Wanted { service, group, may_redirect, is_first_choice, priority, .. } = wanted;
-        let Wanted { deadline, wait, objective, queue_max, answer_kib, tried, .. } = wanted;
+        let Wanted { deadline, wait, objective, queue_max, answer_kib, tried, excluded, .. } =
+            wanted;
         let open = OpenLease {
             service: service.clone(),
             group: group.clone(),
@@ -218,6 +220,7 @@
             queue_max,
             answer_kib,
             tried,
+            excluded,
             held,
         };
         match allocating {
--- a/crates/thymeshift_entry/src/caller/forward.rs
+++ b/crates/thymeshift_entry/src/caller/forward.rs
@@ -12,6 +12,7 @@
 use rand::Rng;
 use spdlog::info;
 use thymeshift_config::Repeat;
+use thymeshift_dispatch::Excluded;
 use thymeshift_dispatch::HallIndex;
 use thymeshift_dispatch::Refusal;
 use thymeshift_dispatch::Request;
@@ -216,6 +217,7 @@
             objective: self.objective,
             queue_max: u32::try_from(kind.queue_max).unwrap_or(u32::MAX),
             tried,
+            excluded: Excluded::default(),
             origin: HallIndex::default(),
             answer_kib: self.kind.figures.answer_kib(),
         }
--- a/crates/thymeshift_entry/src/control_plane/explain.rs
+++ b/crates/thymeshift_entry/src/control_plane/explain.rs
@@ -76,6 +76,7 @@
             Usability::AtLimit
                 | Usability::SlowSpell
                 | Usability::Ejected
+                | Usability::BackingOff
                 | Usability::RateLimited
                 | Usability::Cold
         )
--- a/crates/thymeshift_entry/src/service/group.rs
+++ b/crates/thymeshift_entry/src/service/group.rs
@@ -13,6 +13,7 @@
 use thymeshift_config::Service;
 use thymeshift_dispatch::AnyStrategy;
 use thymeshift_dispatch::Dispatcher;
+use thymeshift_dispatch::Excluded;
 use thymeshift_dispatch::LoadReport;
 use thymeshift_dispatch::ProbeBudget;
 use thymeshift_dispatch::RateShare;
@@ -284,7 +285,7 @@
 
     /// How many targets it has.
     pub(crate) fn target_count(&self) -> usize {
-        self.books.lock().dispatcher.probe_targets().count()
+        self.books.lock().dispatcher.probe_targets(BootClock.now()).count()
     }
 
     /// Names and addresses of the targets of which nothing was heard for `age`, as many as may be
@@ -323,12 +324,9 @@
     dispatcher: &mut Dispatcher<AnyStrategy>,
     now: Timestamp,
 ) -> Request {
-    let mut tried = Tried::default();
-    for name in &acquire.tried {
-        if let Some(index) = dispatcher.index_of(name) {
-            tried.add(index);
-        }
-    }
+    let index_of = |name| dispatcher.index_of(name);
+    let tried: Tried = acquire.tried.iter().filter_map(index_of).collect();
+    let excluded: Excluded = acquire.excluded.iter().filter_map(index_of).collect();
     let deadline = now + acquire.deadline;
     Request {
         priority: acquire.priority,
@@ -337,6 +335,7 @@
         objective: (now + acquire.objective).min(deadline),
         queue_max: acquire.queue_max,
         tried,
+        excluded,
         origin: dispatcher.hall_index(&acquire.data_hall),
         answer_kib: acquire.answer_kib,
     }
--- a/crates/thymeshift_entry/src/service/guards.rs
+++ b/crates/thymeshift_entry/src/service/guards.rs
@@ -1,6 +1,7 @@
 //! What a request holds while it has, or waits for, a target.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use thymeshift_config::RequestRate;
 use thymeshift_dispatch::Grant;
@@ -84,6 +85,14 @@
         self.service.own.lock().dispatcher.learn_rate_limit(grant, stated, now)
     }
 
+    /// The target asked this process for a backoff.
+    pub(crate) fn back_off(&self, wait: Duration) {
+        if let Some(grant) = &self.grant {
+            let wait = wait.min(self.service.settings().backoff_max());
+            self.service.own.lock().dispatcher.back_off(grant, wait, BootClock.now());
+        }
+    }
+
     /// The target said that it leaves. Returns the mark to pass on if that is news here.
     pub(crate) fn mark_leaving(&self) -> Option<LeavingMark> {
         let grant = self.grant.as_ref()?;
--- a/crates/thymeshift_entry/src/service/mod.rs
+++ b/crates/thymeshift_entry/src/service/mod.rs
@@ -355,9 +355,20 @@
         }
     }
 
+    /// Whether a target has asked this process for a backoff.
+    pub(crate) fn is_backing_off(&self, name: &TargetName) -> bool {
+        self.own.lock().dispatcher.is_backing_off(name, BootClock.now())
+    }
+
+    /// A target asked this process for a backoff when it was probed.
+    pub(crate) fn back_off_probed(&self, name: &TargetName, wait: Duration) {
+        let wait = wait.min(self.settings().backoff_max());
+        self.own.lock().dispatcher.back_off_probed(name, wait, BootClock.now());
+    }
+
     pub(crate) fn probe_targets(&self) -> Vec<Destination> {
         let own = self.own.lock();
-        let targets = own.dispatcher.probe_targets();
+        let targets = own.dispatcher.probe_targets(BootClock.now());
         targets.map(|(name, address)| self.destination(name, address)).collect()
     }
 
--- a/crates/thymeshift_entry/src/service/obtain.rs
+++ b/crates/thymeshift_entry/src/service/obtain.rs
@@ -22,6 +22,7 @@
 use thymeshift_types::TargetName;
 use thymeshift_types::Timestamp;
 use thymeshift_wire::AllocatorAddress;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::allocation_client::Acquisition;
@@ -119,6 +120,9 @@
         shared: &Shared,
         request: Request,
     ) -> Result<GrantGuard, Option<Refusal>> {
+        if let Some(refusal) = self.wait_out_backoffs(&request).await {
+            return Err(Some(refusal));
+        }
         let has_allocators = self.links.allocation.socket().is_some();
         if has_allocators {
             match self.ask_groups(shared, &request).await {
@@ -143,6 +147,23 @@
         }
     }
 
+    /// Waits while all targets have asked this process for a backoff. Refuses a request that may not
+    /// wait for so long.
+    async fn wait_out_backoffs(&self, request: &Request) -> Option<Refusal> {
+        loop {
+            let now = BootClock.now();
+            let until = {
+                let dispatcher = &self.own.lock().dispatcher;
+                let refusal = dispatcher.beyond_backoffs(request, now, &mut rand::rng());
+                if refusal.is_some() {
+                    return refusal;
+                }
+                dispatcher.all_backing_off_until(now)?
+            };
+            sleep(now.until(until)).await;
+        }
+    }
+
     /// Asks for a target of the own data hall's group, and of another one if that has no
     /// room.
     async fn ask_groups(self: &Arc<Self>, shared: &Shared, request: &Request) -> Asked {
@@ -247,6 +268,11 @@
 
     fn wanted(&self, group: &Group, request: &Request) -> Wanted {
         let now = BootClock.now();
+        let hall = match group {
+            Group::All => None,
+            Group::Hall(hall) => Some(hall),
+        };
+        let excluded = self.own.lock().dispatcher.backing_off(hall, now);
         Wanted {
             service: self.name().clone(),
             group: group.clone(),
@@ -259,6 +285,7 @@
             queue_max: request.queue_max,
             answer_kib: request.answer_kib,
             tried: self.names(&request.tried),
+            excluded,
         }
     }
 
@@ -358,9 +385,10 @@
         let Some(grant) = dispatcher.grant_at(&granted.target, granted.rate_limit, now) else {
             let index = dispatcher.index_of(&granted.target);
             let leaving = index.and_then(|index| dispatcher.leaving_incarnation(index));
+            let is_stale = leaving.is_some() || dispatcher.is_backing_off(&granted.target, now);
             drop(own);
             acquisition.lease.tell_leaving(leaving);
-            return if leaving.is_some() { Asked::Stale } else { Asked::Useless };
+            return if is_stale { Asked::Stale } else { Asked::Useless };
         };
         let is_within_limit = dispatcher.is_within_limit(&grant);
         drop(own);
--- a/crates/thymeshift_entry/src/target_client/attempt.rs
+++ b/crates/thymeshift_entry/src/target_client/attempt.rs
@@ -187,8 +187,9 @@
         let meaning = D::meaning(response.status(), response.headers(), &attempt);
         self.shared.unknown_headers.note::<D>(response.headers(), &destination);
         let statements = Statements::read::<D>(response.status(), response.headers());
+        let shown = observation(meaning, &statements, D::report(response.headers()));
         self.learn_statements(meaning, statements, &destination);
-        self.learn(observation(meaning, D::report(response.headers())));
+        self.learn(shown);
         if let Some(failed) = self.failed_by(meaning, &destination) {
             // Whatever else comes on this connection belongs to nobody.
             return Err(failed.into());
@@ -336,8 +337,15 @@
     }
 }
 
-fn observation(meaning: Meaning, report: Option<LoadReport>) -> Observation {
+fn observation(
+    meaning: Meaning,
+    statements: &Statements,
+    report: Option<LoadReport>,
+) -> Observation {
     match meaning {
+        Meaning::Shed | Meaning::NotRun if statements.asks_for_backoff() => {
+            Observation::ShedWithBackoff(report)
+        }
         Meaning::Answered => Observation::Answered(report),
         Meaning::Failed => Observation::Failed(report),
         Meaning::Shed | Meaning::ShedByDeeperLayer | Meaning::NotRun => Observation::Shed(report),
--- a/crates/thymeshift_entry/src/target_client/pace_probe.rs
+++ b/crates/thymeshift_entry/src/target_client/pace_probe.rs
@@ -206,7 +206,7 @@
 ) -> bool {
     let Subject { service, group } = subject;
     let limit = Duration::from_millis(probe.timeout_ms);
-    let answer = timeout(limit, ask::<D>(service, destination.address, probe, limit)).await;
+    let answer = timeout(limit, ask::<D>(service, destination, probe, limit)).await;
     let name = service.name().as_str().to_owned();
     counter!(metric::PROBES, "service" => name.clone()).increment(1);
     counter!(metric::MEASURING_US, "service" => name).increment(probe.cost_us);
--- a/crates/thymeshift_entry/src/target_client/probe.rs
+++ b/crates/thymeshift_entry/src/target_client/probe.rs
@@ -1,7 +1,6 @@
 //! Probing targets within this VM's share of the measuring budget.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -140,7 +139,7 @@
 ) -> Ended {
     let began = BootClock.now();
     let limit = Duration::from_millis(probe.timeout_ms);
-    let answer = timeout(limit, ask::<D>(&service, destination.address, &probe, limit)).await;
+    let answer = timeout(limit, ask::<D>(&service, &destination, &probe, limit)).await;
     let spent = BootClock.now().since(began);
     // Whether or not an answer came: the target may have worked for it.
     let counted_us = (spent.as_micros() as u64).max(probe.cost_us);
@@ -158,10 +157,14 @@
 
 pub(super) async fn ask<D: Dialect>(
     service: &Arc<ServiceRuntime>,
-    address: SocketAddr,
+    destination: &Destination,
     probe: &Probe,
     limit: Duration,
 ) -> Option<LoadReport> {
+    if service.is_backing_off(&destination.name) {
+        return None;
+    }
+    let address = destination.address;
     let pool = service.pool();
     let mut connection = match pool.idle(address).await {
         Some(connection) => connection,
@@ -172,6 +175,9 @@
     let request = request.body(RequestBody::Whole(Bytes::new())).ok()?;
     let response = connection.sender()?.try_send_request(request).await.ok()?;
     let report = D::probe_report(response.status(), response.headers());
+    if let Ok(Some(wait)) = D::backoff(response.status(), response.headers()) {
+        service.back_off_probed(&destination.name, wait);
+    }
     if http_body_util::BodyExt::collect(response.into_body()).await.is_ok() {
         connection.put_back();
     }
--- a/crates/thymeshift_entry/src/target_client/statements.rs
+++ b/crates/thymeshift_entry/src/target_client/statements.rs
@@ -25,6 +25,11 @@
 }
 
 impl Statements {
+    /// Whether the target asks for a backoff.
+    pub(super) fn asks_for_backoff(&self) -> bool {
+        matches!(self.backoff, Ok(Some(_)))
+    }
+
     pub(super) fn read<D: Dialect>(status: StatusCode, headers: &HeaderMap) -> Self {
         Self {
             rate_limit: D::rate_limit(headers),
@@ -94,6 +99,7 @@
         match asked {
             Ok(None) => {}
             Ok(Some(backoff)) => {
+                self.grant().back_off(backoff);
                 counter!(metric::BACKOFFS_ASKED, "service" => service).increment(1);
                 if self.shared().allows_request_line() {
                     info!("target_backoff", kv: {
--- a/crates/thymeshift_lab/src/experiment/decision_cost.rs
+++ b/crates/thymeshift_lab/src/experiment/decision_cost.rs
@@ -14,6 +14,7 @@
 use thymeshift_dispatch::AnyStrategy;
 use thymeshift_dispatch::Decision;
 use thymeshift_dispatch::Dispatcher;
+use thymeshift_dispatch::Excluded;
 use thymeshift_dispatch::HallIndex;
 use thymeshift_dispatch::LoadReport;
 use thymeshift_dispatch::Observation;
@@ -104,6 +105,7 @@
         objective: deadline,
         queue_max: 10,
         tried: Tried::default(),
+        excluded: Excluded::default(),
         origin: HallIndex::default(),
         answer_kib: 0,
     }
--- a/crates/thymeshift_lab/src/replay/limits/day.rs
+++ b/crates/thymeshift_lab/src/replay/limits/day.rs
@@ -17,6 +17,7 @@
 use thymeshift_config::Mistakes;
 use thymeshift_config::RequestRate;
 use thymeshift_dispatch::Decision;
+use thymeshift_dispatch::Excluded;
 use thymeshift_dispatch::HallIndex;
 use thymeshift_dispatch::Observation;
 use thymeshift_dispatch::RateShare;
@@ -540,6 +541,7 @@
         objective: wait_until,
         queue_max: 100,
         tried: Tried::default(),
+        excluded: Excluded::default(),
         origin: HallIndex::default(),
         answer_kib: 0,
     }
--- a/crates/thymeshift_query/src/table.rs
+++ b/crates/thymeshift_query/src/table.rs
@@ -215,6 +215,7 @@
                 "expected_us",
                 "failure_rate",
                 "ejected_ms",
+                "backoff_ms",
                 "connections",
             ],
             Self::Limits => &LIMIT_COLUMNS,
--- a/crates/thymeshift_query/src/tables.rs
+++ b/crates/thymeshift_query/src/tables.rs
@@ -126,6 +126,7 @@
         number(target.expected_us),
         Cell::Number(target.failure_rate),
         Cell::maybe(target.ejected_for_ms),
+        Cell::maybe(target.backoff_for_ms),
         number(u64::from(target.connection_share)),
     ]
 }
--- a/crates/thymeshift_types/src/failure.rs
+++ b/crates/thymeshift_types/src/failure.rs
@@ -108,6 +108,9 @@
     /// The deadline could not be met by waiting.
     #[display("deadline_unreachable")]
     DeadlineUnreachable,
+    /// All targets have asked this process to send nothing for a while.
+    #[display("backing_off")]
+    BackingOff,
     /// All targets are in need and take only so many requests a second.
     #[display("rate_limited")]
     RateLimited,
--- a/crates/thymeshift_wire/src/datagram.rs
+++ b/crates/thymeshift_wire/src/datagram.rs
@@ -206,6 +206,8 @@
     pub answer_kib: u32,
     /// Targets that the request was already sent to.
     pub tried: Vec<TargetName>,
+    /// Targets that the sender may not use now.
+    pub excluded: Vec<TargetName>,
     /// All leases of this group that the sender holds or asks for.
     pub held: Vec<LeaseNumber>,
 }
--- a/crates/thymeshift_wire/src/native.rs
+++ b/crates/thymeshift_wire/src/native.rs
@@ -180,6 +180,7 @@
         | Reason::Deadline
         | Reason::NoTarget
         | Reason::Quarantined
+        | Reason::BackingOff
         | Reason::RateLimited
         | Reason::Shed => StatusCode::SERVICE_UNAVAILABLE,
         Reason::ConnectFailed | Reason::ConnectionLost if failure.outcome == Outcome::NotRun => {
