--- a/crates/thymeshift_allocation/src/lib.rs
+++ b/crates/thymeshift_allocation/src/lib.rs
@@ -2,12 +2,12 @@
 //!
 //! Alone, each of many processes sees a small part of the load on a target. Here they ask
 //! one of them, which decides with the [`Dispatcher`] that everybody has, but over the
-//! requests of the whole fleet. [`Allocator`] keeps that process's books: which leases are out,
+//! requests of the whole fleet. [`Allocator`] keeps that process's state: which leases are out,
 //! and which holders wait.
 //!
 //! Messages may be lost, late or doubled, two processes may allocate at the same time, and any
 //! of them may pause. What a lease says is a hint: a holder checks by itself, just before
-//! the first byte, whether the target may be used. The books mend themselves: each message
+//! the first byte, whether the target may be used. The state mends itself: each message
 //! of a holder names all leases that it holds, and what it does not name is taken back;
 //! what is never heard of again ends by time.
 //!
@@ -15,8 +15,8 @@
 //! the fleet.
 
 mod group;
+mod rank;
 mod rooms;
-mod standing;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -28,19 +28,19 @@
 use thymeshift_dispatch::Dispatcher;
 use thymeshift_dispatch::Grant;
 use thymeshift_dispatch::Observation;
+use thymeshift_dispatch::RateLimitUpdate;
 use thymeshift_dispatch::Refusal;
 use thymeshift_dispatch::Request;
 use thymeshift_dispatch::Strategy;
 use thymeshift_dispatch::Ticket;
-use thymeshift_dispatch::ToldRateLimit;
 use thymeshift_types::Incarnation;
 use thymeshift_types::TargetName;
 use thymeshift_types::Timestamp;
 
 pub use group::Group;
 pub use group::Grouping;
+pub use rank::AllocatorRank;
 pub use rooms::Rooms;
-pub use standing::Standing;
 
 /// A lease that its holder does not name is taken back once it is this old: the answer
 /// that told of it may still have been on its way when the holder wrote.
@@ -66,7 +66,7 @@
     /// [`Dispatcher::concurrency`].
     pub concurrency: u32,
     /// The target's limit that the grant is counted against; none if the allocator knows of none.
-    pub rate_limit: Option<ToldRateLimit>,
+    pub rate_limit: Option<RateLimitUpdate>,
 }
 
 /// What a holder tells when it gives a lease back.
@@ -75,7 +75,7 @@
     /// What the attempt showed, if there was one.
     pub observation: Option<Observation>,
     /// What it knows of the target's limit of requests a second; none if it never learnt of one.
-    pub rate_limit: Option<ToldRateLimit>,
+    pub rate_limit: Option<RateLimitUpdate>,
     /// The incarnation of the target that it knows to leave, if it does.
     pub leaving: Option<Incarnation>,
 }
@@ -104,7 +104,7 @@
     ends: Timestamp,
 }
 
-/// The books of an allocator, for one group of targets.
+/// The state of an allocator, for one group of targets.
 #[derive(Debug)]
 pub struct Allocator<B> {
     leases: BTreeMap<LeaseKey<B>, Lease>,
@@ -158,7 +158,7 @@
         };
         if let State::Granted(grant) = &lease.state {
             if let Some(told) = &report.rate_limit {
-                dispatcher.learn_told_rate_limit(grant, told, now);
+                dispatcher.merge_rate_limit(grant, told, now);
             }
             if let Some(incarnation) = report.leaving {
                 dispatcher.mark_leaving(&dispatcher.target_name(grant), incarnation);
@@ -250,7 +250,7 @@
     Allocation::Granted(Granted {
         target: dispatcher.target_name(grant),
         concurrency: dispatcher.concurrency(now),
-        rate_limit: dispatcher.rate_limit_to_tell(grant, now),
+        rate_limit: dispatcher.rate_limit_update(grant, now),
     })
 }
 
--- a/crates/thymeshift_allocation/src/standing.rs
+++ b/crates/thymeshift_allocation/src/rank.rs
@@ -14,7 +14,7 @@
 
 /// Where a process stands among those that may allocate a group.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Standing {
+pub struct AllocatorRank {
     /// Processes that rank before it and whose heartbeats still arrive, by whatever way.
     pub before: usize,
     /// Processes whose heartbeats arrive, this one included.
@@ -23,7 +23,7 @@
     pub known: usize,
 }
 
-impl Standing {
+impl AllocatorRank {
     /// The part of targets' limits that it may grant.
     pub fn rate_share(self) -> RateShare {
         let rank_part = match self.before {
--- a/crates/thymeshift_dispatch/src/dispatcher.rs
+++ b/crates/thymeshift_dispatch/src/dispatcher.rs
@@ -26,6 +26,7 @@
 use crate::HallIndex;
 use crate::PauseDetector;
 use crate::QueueDump;
+use crate::RateLimitUpdate;
 use crate::Refusal;
 use crate::Request;
 use crate::RetryBudget;
@@ -33,7 +34,6 @@
 use crate::Strategy;
 use crate::TargetIndex;
 use crate::Ticket;
-use crate::ToldRateLimit;
 use crate::Tried;
 use crate::View;
 use crate::Wake;
@@ -120,13 +120,13 @@
     pub fn grant_at(
         &mut self,
         name: &TargetName,
-        limit: Option<ToldRateLimit>,
+        limit: Option<RateLimitUpdate>,
         now: Timestamp,
     ) -> Option<Grant> {
         let index = self.table.find(name)?;
         let target = self.table.get_mut(index);
         if let Some(limit) = &limit {
-            target.rate_limit.told(limit, now);
+            target.rate_limit.merge(limit, now);
         }
         if !target.may_be_sent_to(now) {
             return None;
@@ -140,7 +140,7 @@
     /// One that was not must not be used: whoever chose did not know of the limit, or it is newer
     /// than the choice.
     pub fn is_within_limit(&self, grant: &Grant) -> bool {
-        grant.is_counted || !self.table.get(grant.target).is_in_need()
+        grant.is_counted || !self.table.get(grant.target).is_rate_limited()
     }
 
     /// Most requests that one target serves well at a time.
--- a/crates/thymeshift_dispatch/src/dispatcher/learning.rs
+++ b/crates/thymeshift_dispatch/src/dispatcher/learning.rs
@@ -12,11 +12,11 @@
 use crate::Grant;
 use crate::LoadReport;
 use crate::Observation;
+use crate::RateLimitUpdate;
 use crate::RateShare;
 use crate::ReportedState;
 use crate::Strategy;
 use crate::TargetIndex;
-use crate::ToldRateLimit;
 
 /// An attempt that was given up counts as the target's failure once it took this many
 /// times as long as expected.
@@ -24,7 +24,7 @@
 
 /// How old what is told of a limit may be: several times as long as news takes. Older knowledge is
 /// wrong more often than not, since a target in need is heard of every few seconds.
-const TOLD_FOR: Duration = Duration::from_mins(1);
+const RATE_LIMIT_TTL: Duration = Duration::from_mins(1);
 
 impl<S: Strategy> Dispatcher<S> {
     /// Learns from an attempt, at most once for each grant. If the target said that it is
@@ -90,39 +90,40 @@
     ) -> bool {
         let target = self.table.get_mut(grant.target);
         let is_meant = target.incarnation == grant.incarnation;
-        is_meant && target.rate_limit.stated(stated, grant.sent_at, now)
+        is_meant && target.rate_limit.observe(stated, grant.sent_at, now)
     }
 
     /// Learns what another process knows of the limit of a granted request's target.
-    pub fn learn_told_rate_limit(&mut self, grant: &Grant, told: &ToldRateLimit, now: Timestamp) {
+    pub fn merge_rate_limit(&mut self, grant: &Grant, told: &RateLimitUpdate, now: Timestamp) {
         let target = self.table.get_mut(grant.target);
         if target.incarnation == grant.incarnation {
-            target.rate_limit.told(told, now);
+            target.rate_limit.merge(told, now);
         }
     }
 
     /// What is known of the limit of a granted request's target, to be told to another process;
     /// none if the target never named one.
-    pub fn rate_limit_to_tell(&self, grant: &Grant, now: Timestamp) -> Option<ToldRateLimit> {
-        self.table.get(grant.target).rate_limit.as_told(now)
+    pub fn rate_limit_update(&self, grant: &Grant, now: Timestamp) -> Option<RateLimitUpdate> {
+        self.table.get(grant.target).rate_limit.latest_update(now)
     }
 
     /// What was heard of targets' limits lately, to be told to other processes.
-    pub fn rate_limits(&self, now: Timestamp) -> Vec<(TargetName, Incarnation, ToldRateLimit)> {
+    pub fn rate_limits(&self, now: Timestamp) -> Vec<(TargetName, Incarnation, RateLimitUpdate)> {
         let serving = self.table.targets().iter().filter(|target| target.is_serving());
         let known = serving.filter_map(|target| {
-            let told = target.rate_limit.as_told(now).filter(|told| told.age < TOLD_FOR)?;
+            let told =
+                target.rate_limit.latest_update(now).filter(|told| told.age < RATE_LIMIT_TTL)?;
             Some((target.name.clone(), target.incarnation, told))
         });
         known.collect()
     }
 
     /// Learns what another process knows of a target's limit.
-    pub fn learn_rate_limit_of(
+    pub fn merge_rate_limit_of(
         &mut self,
         name: &TargetName,
         incarnation: Incarnation,
-        told: &ToldRateLimit,
+        told: &RateLimitUpdate,
         now: Timestamp,
     ) {
         let Some(index) = self.table.find(name) else {
@@ -130,7 +131,7 @@
         };
         let target = self.table.get_mut(index);
         if target.incarnation == incarnation {
-            target.rate_limit.told(told, now);
+            target.rate_limit.merge(told, now);
         }
     }
 
--- a/crates/thymeshift_dispatch/src/dispatcher/probing.rs
+++ b/crates/thymeshift_dispatch/src/dispatcher/probing.rs
@@ -40,13 +40,13 @@
             .collect();
         keep_least(&mut best, count);
         best.sort_by(|(one, _), (other, _)| one.total_cmp(other));
-        let is_unheard = |candidate: &Candidate<'_>| {
-            candidate.target.may_be_probed(now) && candidate.target.is_unheard(age, now)
+        let is_stale = |candidate: &Candidate<'_>| {
+            candidate.target.may_be_probed(now) && candidate.target.is_stale(age, now)
         };
-        if !best.first().is_some_and(|(_, first)| is_unheard(first)) {
+        if !best.first().is_some_and(|(_, first)| is_stale(first)) {
             return Vec::new();
         }
-        let unheard = best.into_iter().filter(|(_, candidate)| is_unheard(candidate));
+        let unheard = best.into_iter().filter(|(_, candidate)| is_stale(candidate));
         unheard
             .map(|(_, candidate)| (candidate.target.name.clone(), candidate.target.address))
             .collect()
@@ -54,15 +54,14 @@
 
     /// Names and addresses of the targets that may be probed and of which nothing was heard
     /// for `age`: up to `count`, those from which answers are expected soonest.
-    pub fn unheard_targets(
+    pub fn stale_targets(
         &self,
         age: Duration,
         count: usize,
         now: Timestamp,
     ) -> Vec<(TargetName, SocketAddr)> {
-        let is_unheard =
-            |target: &&Target| target.may_be_probed(now) && target.is_unheard(age, now);
-        let unheard = self.table.targets().iter().filter(is_unheard);
+        let is_stale = |target: &&Target| target.may_be_probed(now) && target.is_stale(age, now);
+        let unheard = self.table.targets().iter().filter(is_stale);
         let model = self.table.model();
         let mut unheard: Vec<(f64, &Target)> =
             unheard.map(|target| (target.expected_us(now, model), target)).collect();
--- a/crates/thymeshift_dispatch/src/rate_limit.rs
+++ b/crates/thymeshift_dispatch/src/rate_limit.rs
@@ -1,12 +1,11 @@
-//! A target in need takes only so many requests a second, from all processes together.
+//! A rate-limited target takes only so many requests a second, from all processes together.
 //!
-//! What it does: keeps the limit that a target last stated, and the turns at which it may get a
-//! request. A turn comes each `1 / (limit x share)` seconds, where the share is the part of the
-//! limit that whoever decides may grant; the shares of all processes add up to little more than 1
-//! however they see the fleet. A turn that is not used lapses after a while: were it kept, many
-//! processes with small shares could use theirs at one moment.
+//! What it does: keeps the limit that a target last stated, and a token bucket that fills at the
+//! limit times the share that whoever decides may grant; the shares of all processes add up to
+//! little more than 1 however they see the fleet. A token expires: were it kept, many processes with
+//! small shares could use theirs at one moment.
 //!
-//! Why: each process is told the number, and it is meant for all of them. Kept by each process, it
+//! Why: each process learns the number, and it is meant for all of them. Kept by each process, it
 //! is exceeded as many times as there are processes.
 //!
 //! Answers arrive out of order, and through several processes. What one says counts only if it is
@@ -26,23 +25,23 @@
 const LIMIT_PER_S_MAX: f64 = 1_000.0;
 /// A target gets a request this often however low its limit is: only its answers can say that its
 /// need is over.
-const HEARD_PER_S_MIN: f64 = 0.5;
-/// Turns missed within this time are made up for, since waiting requests are looked at every few
+const RATE_MIN_PER_S: f64 = 0.5;
+/// Tokens missed within this time are made up for, since waiting requests are looked at every few
 /// milliseconds only.
-const MADE_UP_FOR: Duration = Duration::from_millis(100);
-/// A turn lapses if it is not used within this time.
-const TURN_KEPT: Duration = Duration::from_secs(1);
+const BURST_WINDOW: Duration = Duration::from_millis(100);
+/// A token expires if it is not used within this time.
+const TOKEN_TTL: Duration = Duration::from_secs(1);
 
 /// What a process knows of a target's limit, as it tells another.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ToldRateLimit {
+pub struct RateLimitUpdate {
     /// The limit in requests in 1,000 seconds; none if the target's need is over.
     pub per_1000_s: Option<u64>,
     /// How old this is.
     pub age: Duration,
 }
 
-impl ToldRateLimit {
+impl RateLimitUpdate {
     /// Whether the target is in need.
     pub fn is_limited(&self) -> bool {
         self.per_1000_s.is_some()
@@ -85,8 +84,8 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct RateLimit {
     known: Option<Known>,
-    /// The turn that was used last.
-    last_turn: Timestamp,
+    /// When the last token was taken.
+    last_taken_at: Timestamp,
     /// Requests granted since the target has been in need.
     granted: u64,
 }
@@ -96,14 +95,14 @@
     /// None if the need is over.
     rate: Option<RequestRate>,
     as_of: Timestamp,
-    /// When this process first heard of the need, or of its end.
+    /// When this process first learnt of the limit, or of its end.
     since: Timestamp,
 }
 
 impl RateLimit {
     /// An answer came at `now` to a request that was sent at `sent_at`; it states a limit or none.
     /// Returns whether that is another one than before.
-    pub(crate) fn stated(
+    pub(crate) fn observe(
         &mut self,
         rate: Option<RequestRate>,
         sent_at: Timestamp,
@@ -116,17 +115,17 @@
         self.take(rate, as_of, now)
     }
 
-    /// Another process told what it knows. Returns whether that is another limit than before.
-    pub(crate) fn told(&mut self, told: &ToldRateLimit, now: Timestamp) -> bool {
-        let rate = told.per_1000_s.map(RequestRate::per_1000_s);
-        self.take(rate, now.minus(told.age), now)
+    /// Takes in what another process knows. Returns whether that is another limit than before.
+    pub(crate) fn merge(&mut self, update: &RateLimitUpdate, now: Timestamp) -> bool {
+        let rate = update.per_1000_s.map(RequestRate::per_1000_s);
+        self.take(rate, now.minus(update.age), now)
     }
 
-    /// What another process is told.
-    pub(crate) fn as_told(&self, now: Timestamp) -> Option<ToldRateLimit> {
+    /// What is known, for another process.
+    pub(crate) fn latest_update(&self, now: Timestamp) -> Option<RateLimitUpdate> {
         let known = self.known?;
         let per_1000_s = known.rate.map(RequestRate::in_1000_s);
-        Some(ToldRateLimit { per_1000_s, age: now.since(known.as_of) })
+        Some(RateLimitUpdate { per_1000_s, age: now.since(known.as_of) })
     }
 
     fn take(&mut self, rate: Option<RequestRate>, as_of: Timestamp, now: Timestamp) -> bool {
@@ -141,8 +140,8 @@
             Some(_) | None => now,
         };
         if is_first {
-            // Others may have used this turn.
-            self.last_turn = self.last_turn.max(now);
+            // Others may have used the token of this moment.
+            self.last_taken_at = self.last_taken_at.max(now);
             self.granted = 0;
         }
         self.known = Some(Known { rate, as_of, since });
@@ -168,32 +167,32 @@
 
     /// Requests a second that may be granted here; none if the target is not in need.
     pub(crate) fn granted_per_s(&self, share: RateShare) -> Option<f64> {
-        Some(per_s(self.rate()?).max(HEARD_PER_S_MIN) * share.part())
+        Some(per_s(self.rate()?).max(RATE_MIN_PER_S) * share.part())
     }
 
     /// Whether a request may be granted now.
-    pub(crate) fn is_turn(&self, share: RateShare, now: Timestamp) -> bool {
+    pub(crate) fn has_token(&self, share: RateShare, now: Timestamp) -> bool {
         let Some(per_s) = self.granted_per_s(share) else {
             return true;
         };
         let Some(between) = between(per_s) else {
             return false;
         };
-        let waited = now.since(self.last_turn);
+        let waited = now.since(self.last_taken_at);
         if waited < between {
             return false;
         }
-        let since_turn = waited.as_secs_f64() % between.as_secs_f64();
-        since_turn <= TURN_KEPT.as_secs_f64()
+        let since_token = waited.as_secs_f64() % between.as_secs_f64();
+        since_token <= TOKEN_TTL.as_secs_f64()
     }
 
     /// Time until a request may be granted; none if it is never.
-    pub(crate) fn next_turn_in(&self, share: RateShare, now: Timestamp) -> Option<Duration> {
-        if self.is_turn(share, now) {
+    pub(crate) fn next_token_in(&self, share: RateShare, now: Timestamp) -> Option<Duration> {
+        if self.has_token(share, now) {
             return Some(Duration::ZERO);
         }
         let between = between(self.granted_per_s(share)?)?.as_secs_f64();
-        let waited = now.since(self.last_turn).as_secs_f64();
+        let waited = now.since(self.last_taken_at).as_secs_f64();
         let left = between - waited % between;
         Some(Duration::from_secs_f64(left))
     }
@@ -202,7 +201,7 @@
     pub(crate) fn granted(&mut self, share: RateShare, now: Timestamp) {
         self.granted += 1;
         let between = self.granted_per_s(share).and_then(between).unwrap_or_default();
-        self.last_turn = (self.last_turn + between).max(now.minus(MADE_UP_FOR)).min(now);
+        self.last_taken_at = (self.last_taken_at + between).max(now.minus(BURST_WINDOW)).min(now);
     }
 }
 
--- a/crates/thymeshift_dispatch/src/report.rs
+++ b/crates/thymeshift_dispatch/src/report.rs
@@ -144,14 +144,14 @@
     }
 
     /// The pace that the last report told, if it is not older than `age_max`.
-    pub(crate) fn told_pace(&self, age_max: Duration, now: Timestamp) -> Option<f64> {
+    pub(crate) fn reported_pace(&self, age_max: Duration, now: Timestamp) -> Option<f64> {
         let last = self.last.filter(|last| now.since(last.at) <= age_max)?;
         Some(last.report.pace())
     }
 
     /// The pace that a request meets which is sent now, as far as a report says that.
     pub(crate) fn current_pace(&self, now: Timestamp) -> Option<f64> {
-        self.told_pace(PACE_MEMORY, now)
+        self.reported_pace(PACE_MEMORY, now)
     }
 
     pub(crate) fn last_report(&self) -> Option<LoadReport> {
--- a/crates/thymeshift_dispatch/src/table.rs
+++ b/crates/thymeshift_dispatch/src/table.rs
@@ -137,7 +137,7 @@
         let mut all = LimitedRate { per_s: 0.0, next_in: None };
         for target in self.targets.iter().filter(|target| target.is_serving()) {
             all.per_s += target.rate_limit.granted_per_s(share)?;
-            let next_in = target.rate_limit.next_turn_in(share, now);
+            let next_in = target.rate_limit.next_token_in(share, now);
             all.next_in = all.next_in.into_iter().chain(next_in).min();
         }
         Some(all)
@@ -163,7 +163,7 @@
         let bound = self.bound(view, now);
         let usual_us = self.model.service_us() * ROOM_FACTOR_MAX;
         let is_quick = |target: &&Target| {
-            target.is_unheard(ROOM_UNHEARD, now) || target.expected_us(now, &self.model) <= usual_us
+            target.is_stale(ROOM_UNHEARD, now) || target.expected_us(now, &self.model) <= usual_us
         };
         let share = self.rate_share(view);
         let open =
@@ -236,7 +236,7 @@
         }
         self.usual_pace_at = now;
         let serving = self.targets.iter().filter(|target| target.is_serving());
-        let paces = serving.filter_map(|target| target.told_pace(USUAL_PACE_AGE_MAX, now));
+        let paces = serving.filter_map(|target| target.reported_pace(USUAL_PACE_AGE_MAX, now));
         let paces = paces.collect();
         self.model.learn_usual_pace(paces, now);
     }
--- a/crates/thymeshift_dispatch/src/target_state.rs
+++ b/crates/thymeshift_dispatch/src/target_state.rs
@@ -134,8 +134,8 @@
     }
 
     /// The pace that it told within `age_max`.
-    pub(crate) fn told_pace(&self, age_max: Duration, now: Timestamp) -> Option<f64> {
-        self.others.told_pace(age_max, now)
+    pub(crate) fn reported_pace(&self, age_max: Duration, now: Timestamp) -> Option<f64> {
+        self.others.reported_pace(age_max, now)
     }
 
     /// Whether it may be open again without a change of configuration.
@@ -169,14 +169,14 @@
     }
 
     /// Whether it has named a limit of requests a second, and has not ended it.
-    pub(crate) fn is_in_need(&self) -> bool {
+    pub(crate) fn is_rate_limited(&self) -> bool {
         self.rate_limit.rate().is_some()
     }
 
     /// Whether a probe may ask for its load: to one in need, or that asked for a backoff, a probe
     /// may be a request like others.
     pub(crate) fn may_be_probed(&self, now: Timestamp) -> bool {
-        self.is_serving() && !self.is_in_need() && !self.backoff.is_active(now)
+        self.is_serving() && !self.is_rate_limited() && !self.backoff.is_active(now)
     }
 
     /// Whether a request that was granted may be sent.
@@ -214,7 +214,7 @@
             way_us,
             in_flight: self.in_flight + 1,
             is_usual_pace: self.is_usual_pace(now, model) && !self.cold_start.is_cold(now),
-            is_counted: self.is_in_need(),
+            is_counted: self.is_rate_limited(),
         };
         self.in_flight += 1;
         self.granted_at = now;
@@ -233,7 +233,7 @@
     }
 
     /// Whether the last report is older than `age`, or there is none.
-    pub(crate) fn is_unheard(&self, age: Duration, now: Timestamp) -> bool {
+    pub(crate) fn is_stale(&self, age: Duration, now: Timestamp) -> bool {
         self.others.age(now).is_none_or(|heard| heard >= age)
     }
 
--- a/crates/thymeshift_dispatch/src/target_state/room.rs
+++ b/crates/thymeshift_dispatch/src/target_state/room.rs
@@ -50,7 +50,7 @@
             Presence::Serving if self.is_hall_drained => Usability::HallDrained,
             Presence::Serving if self.backoff.is_active(now) => Usability::BackingOff,
             Presence::Serving if self.ejection.is_ejected(now) => Usability::Ejected,
-            Presence::Serving if !self.rate_limit.is_turn(share, now) => Usability::RateLimited,
+            Presence::Serving if !self.rate_limit.has_token(share, now) => Usability::RateLimited,
             Presence::Serving if !self.has_room(bound, now) => Usability::AtLimit,
             Presence::Serving if self.is_held_cold(now, bound) => Usability::Cold,
             Presence::Serving if self.is_slow_spell(now, model) => Usability::SlowSpell,
@@ -102,7 +102,7 @@
         };
         let most = self.refusals.room(self.granted_at, now).map_or(most, |room| room.min(most));
         let most = most.saturating_sub(self.in_flight);
-        if self.is_in_need() { most.min(1) } else { most }
+        if self.is_rate_limited() { most.min(1) } else { most }
     }
 
     /// What is left of `most` requests beside those that a report tells of and that are not
--- a/crates/thymeshift_dispatch/tests/backoffs.rs
+++ b/crates/thymeshift_dispatch/tests/backoffs.rs
@@ -121,7 +121,7 @@
     refuses(&mut dispatcher, 0, BACKOFF, at(100));
     let probed: Vec<_> = dispatcher.probe_targets(at(200)).map(|(name, _)| name).collect();
     assert_eq!(probed, [name(1)]);
-    let unheard = dispatcher.unheard_targets(Duration::ZERO, 9, at(200));
+    let unheard = dispatcher.stale_targets(Duration::ZERO, 9, at(200));
     assert!(unheard.iter().all(|(target, _)| *target != name(0)), "{unheard:?}");
     let after = dispatcher.dump(at(3_200)).targets;
     assert_eq!((after[0].ejected_for_ms, after[0].usability), (None, Usability::Open));
--- a/crates/thymeshift_dispatch/tests/fleet_view.rs
+++ b/crates/thymeshift_dispatch/tests/fleet_view.rs
@@ -503,8 +503,8 @@
 fn only_targets_that_were_silent_are_to_be_probed() {
     let mut dispatcher = fleet_dispatcher(3, 3);
     let _ = dispatcher.learn_probe(&name(1), paced(100), at(0));
-    let silent = dispatcher.unheard_targets(ms(50), usize::MAX, at(40));
+    let silent = dispatcher.stale_targets(ms(50), usize::MAX, at(40));
     assert_eq!(silent.len(), 2, "{silent:?}");
-    assert_eq!(dispatcher.unheard_targets(ms(50), usize::MAX, at(60)).len(), 3);
-    assert_eq!(dispatcher.unheard_targets(ms(50), 2, at(60)).len(), 2);
+    assert_eq!(dispatcher.stale_targets(ms(50), usize::MAX, at(60)).len(), 3);
+    assert_eq!(dispatcher.stale_targets(ms(50), 2, at(60)).len(), 2);
 }
--- a/crates/thymeshift_dispatch/tests/rate_limits.rs
+++ b/crates/thymeshift_dispatch/tests/rate_limits.rs
@@ -19,9 +19,9 @@
 use support::rng;
 use thymeshift_config::RequestRate;
 use thymeshift_dispatch::Decision;
+use thymeshift_dispatch::RateLimitUpdate;
 use thymeshift_dispatch::RateShare;
 use thymeshift_dispatch::Request;
-use thymeshift_dispatch::ToldRateLimit;
 use thymeshift_dispatch::Usability;
 use thymeshift_dispatch::View;
 use thymeshift_types::Reason;
@@ -141,7 +141,7 @@
 fn what_is_said_counts_by_its_age_and_not_by_its_order() {
     fn holds(seed: u64) -> bool {
         use rand::SeedableRng;
-        let told = |limit: Option<f64>, age_ms: u64| ToldRateLimit {
+        let told = |limit: Option<f64>, age_ms: u64| RateLimitUpdate {
             per_1000_s: limit.map(|per_s| rate(per_s).in_1000_s()),
             age: ms(age_ms),
         };
@@ -157,7 +157,7 @@
         let mut dispatcher = fleet(1);
         let grant = dispatcher.grant_at(&name(0), None, at(0)).expect("a grant");
         for told in &all {
-            dispatcher.learn_told_rate_limit(&grant, told, at(2_000));
+            dispatcher.merge_rate_limit(&grant, told, at(2_000));
         }
         limit(&dispatcher, 2_000) == Some(1.5)
     }
@@ -186,7 +186,7 @@
     assert!(dispatcher.may_send(&unaware, at(900), at(1)));
     states(&mut dispatcher, 0, Some(rate(2.0)), 10);
     assert!(!dispatcher.may_send(&unaware, at(900), at(20)), "the limit is newer than the choice");
-    let limit = ToldRateLimit { per_1000_s: Some(2_000), age: Duration::ZERO };
+    let limit = RateLimitUpdate { per_1000_s: Some(2_000), age: Duration::ZERO };
     let aware = dispatcher.grant_at(&name(0), Some(limit), at(30)).expect("a grant");
     assert!(dispatcher.may_send(&aware, at(900), at(31)));
     let unaware = dispatcher.grant_at(&name(0), None, at(40)).expect("a grant");
@@ -243,7 +243,7 @@
     states(&mut dispatcher, 0, Some(rate(2.0)), 0);
     let probed: Vec<_> = dispatcher.probe_targets(at(0)).map(|(name, _)| name).collect();
     assert_eq!(probed, [name(1)]);
-    let unheard = dispatcher.unheard_targets(Duration::ZERO, 9, at(500));
+    let unheard = dispatcher.stale_targets(Duration::ZERO, 9, at(500));
     assert!(unheard.iter().all(|(target, _)| *target != name(0)), "{unheard:?}");
     assert_eq!(dispatcher.dump(at(20)).targets[0].usability, Usability::RateLimited);
     assert_eq!(dispatcher.dump(at(520)).targets[0].usability, Usability::Open);
--- a/crates/thymeshift_entry/src/allocation_client.rs
+++ b/crates/thymeshift_entry/src/allocation_client.rs
@@ -14,8 +14,8 @@
 use thymeshift_allocation::Group;
 use thymeshift_allocation::LeaseReport;
 use thymeshift_dispatch::Observation;
+use thymeshift_dispatch::RateLimitUpdate;
 use thymeshift_dispatch::Refusal;
-use thymeshift_dispatch::ToldRateLimit;
 use thymeshift_fleet::Boot;
 use thymeshift_fleet::Member;
 use thymeshift_telemetry::metric;
@@ -304,12 +304,12 @@
 
 impl AllocationLease {
     /// What this process knows of the target's limit; told to the allocator at the end.
-    pub(crate) fn tell_rate_limit(&mut self, known: Option<ToldRateLimit>) {
+    pub(crate) fn set_rate_limit(&mut self, known: Option<RateLimitUpdate>) {
         self.report.rate_limit = known;
     }
 
     /// The incarnation of the target that this process knows to leave; told at the end.
-    pub(crate) fn tell_leaving(&mut self, incarnation: Option<Incarnation>) {
+    pub(crate) fn set_leaving(&mut self, incarnation: Option<Incarnation>) {
         self.report.leaving = incarnation;
     }
 
--- a/crates/thymeshift_entry/src/control_plane/peer_link.rs
+++ b/crates/thymeshift_entry/src/control_plane/peer_link.rs
@@ -209,7 +209,7 @@
 ) -> Result<(), ExchangeError> {
     let client = shared.links.get(address).await?;
     let mut summary = shared.fleet.lock().summary(breadth, BootClock.now(), &mut rand::rng());
-    summary.rate_limits = shared.rate_limits_to_tell();
+    summary.rate_limits = shared.rate_limit_updates();
     let answer = client.exchange(call_context(CALL_LIMIT), summary).await?;
     take(shared, &client, &answer, address).await
 }
@@ -267,7 +267,7 @@
         shared.apply_orders();
         shared.news.notify_one();
     }
-    shared.learn_rate_limits(&exchange.rate_limits);
+    shared.merge_rate_limits(&exchange.rate_limits);
     for fingerprint in &taken.suspects {
         log_verdict(shared, *fingerprint, "peer");
     }
--- a/crates/thymeshift_entry/src/control_plane/peer_server.rs
+++ b/crates/thymeshift_entry/src/control_plane/peer_server.rs
@@ -56,7 +56,7 @@
         }
         let now = BootClock.now();
         let mut answer = self.shared.fleet.lock().answer(&summary, now, &mut rand::rng());
-        answer.rate_limits = self.shared.rate_limits_to_tell();
+        answer.rate_limits = self.shared.rate_limit_updates();
         answer
     }
 
--- a/crates/thymeshift_entry/src/control_plane/platform.rs
+++ b/crates/thymeshift_entry/src/control_plane/platform.rs
@@ -41,13 +41,13 @@
     // nothing is noticed, and so is its return, within the answer's limit.
     let mut wait = WAIT;
     loop {
-        let is_turn = {
+        let has_token = {
             let now = BootClock.now();
             let mut fleet = shared.fleet.lock();
             let count = fleet.members.count_alive(now);
             fleet.election.should_watch(count, now)
         };
-        if !is_turn {
+        if !has_token {
             sleep(LOOK).await;
             continue;
         }
--- a/crates/thymeshift_entry/src/control_plane/suspects.rs
+++ b/crates/thymeshift_entry/src/control_plane/suspects.rs
@@ -10,7 +10,7 @@
 use spdlog::warn;
 use thymeshift_fleet::Crash;
 use thymeshift_fleet::CrashId;
-use thymeshift_fleet::SuspectTold;
+use thymeshift_fleet::SuspectReport;
 use thymeshift_fleet::Verdict;
 use thymeshift_telemetry::metric;
 use thymeshift_types::BootClock;
@@ -58,7 +58,7 @@
 }
 
 /// A peer told of a suspect. What comes from another data hall is passed on in the own one.
-pub(crate) fn take_suspect(shared: &Shared, sender: &VmName, told: &SuspectTold) {
+pub(crate) fn take_suspect(shared: &Shared, sender: &VmName, told: &SuspectReport) {
     let now = BootClock.now();
     let near = {
         let mut fleet = shared.fleet.lock();
@@ -106,7 +106,7 @@
     send(shared, &addresses, &told);
 }
 
-fn send(shared: &Shared, addresses: &[SocketAddr], told: &SuspectTold) {
+fn send(shared: &Shared, addresses: &[SocketAddr], told: &SuspectReport) {
     for address in addresses {
         shared.allocation.send(*address, Message::Suspect(told.clone()));
     }
--- a/crates/thymeshift_entry/src/fleet.rs
+++ b/crates/thymeshift_entry/src/fleet.rs
@@ -27,7 +27,7 @@
 use thymeshift_fleet::Published;
 use thymeshift_fleet::Quarantine;
 use thymeshift_fleet::Readers;
-use thymeshift_fleet::SuspectTold;
+use thymeshift_fleet::SuspectReport;
 use thymeshift_fleet::Verdict;
 use thymeshift_fleet::WatchElection;
 use thymeshift_types::Fingerprint;
@@ -179,7 +179,7 @@
     }
 
     /// A few of the suspects, in turn.
-    fn suspects_to_send(&mut self, count: usize, now: Timestamp) -> Vec<SuspectTold> {
+    fn suspects_to_send(&mut self, count: usize, now: Timestamp) -> Vec<SuspectReport> {
         let mut page = self.quarantine.page(self.suspects_repeated_to, count, now);
         if page.is_empty() {
             page = self.quarantine.page(None, count, now);
--- a/crates/thymeshift_entry/src/organisations/questions.rs
+++ b/crates/thymeshift_entry/src/organisations/questions.rs
@@ -6,13 +6,13 @@
 
 use parking_lot::Mutex;
 use thymeshift_wire::QuestionNumber;
-use thymeshift_wire::QuotaTold;
+use thymeshift_wire::QuotaGrant;
 use tokio::sync::oneshot;
 
 /// What came back.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) enum QuotaReply {
-    Counted(QuotaTold),
+    Counted(QuotaGrant),
     /// Another process counts.
     Elsewhere,
 }
--- a/crates/thymeshift_entry/src/organisations/quota.rs
+++ b/crates/thymeshift_entry/src/organisations/quota.rs
@@ -28,7 +28,7 @@
 use thymeshift_wire::OrganisationDump;
 use thymeshift_wire::QuestionNumber;
 use thymeshift_wire::QuotaAsk;
-use thymeshift_wire::QuotaTold;
+use thymeshift_wire::QuotaGrant;
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
@@ -189,7 +189,7 @@
         limit: QuotaLimit,
         wanted: u32,
         arrived: u32,
-    ) -> Option<QuotaTold> {
+    ) -> Option<QuotaGrant> {
         let ask = QuotaAsk {
             number: self.questions.next_number(),
             organisation: organisation.name.clone(),
@@ -243,7 +243,7 @@
         asker: &VmName,
         ask: &QuotaAsk,
         limit: QuotaLimit,
-    ) -> QuotaTold {
+    ) -> QuotaGrant {
         let now = BootClock.now();
         let share = self.ranking(shared, &ask.organisation).share;
         let mut all = self.counted.lock();
@@ -254,7 +254,7 @@
         let question =
             QuotaQuestion { number: ask.number.0, wanted: ask.wanted, arrived: ask.arrived };
         let answer = counter.ask(asker, question, now);
-        QuotaTold {
+        QuotaGrant {
             tokens: answer.tokens,
             retry_after_ms: answer.retry_after.as_millis() as u32,
             own_rate_per_s: answer.own_rate_per_s,
@@ -298,7 +298,7 @@
     format!("count {name}")
 }
 
-fn counted(told: QuotaTold) -> Counted {
+fn counted(told: QuotaGrant) -> Counted {
     Counted {
         tokens: told.tokens,
         retry_after: Duration::from_millis(told.retry_after_ms.into()),
--- a/crates/thymeshift_entry/src/service/group.rs
+++ b/crates/thymeshift_entry/src/service/group.rs
@@ -65,15 +65,15 @@
     }
 }
 
-/// The dispatcher over the whole fleet's requests to one group, with the books of its leases.
+/// The dispatcher over the whole fleet's requests to one group, with the state of its leases.
 pub(crate) struct GroupRuntime {
     group: Group,
-    books: Mutex<Books>,
+    state: Mutex<GroupState>,
     told: SharedGroups,
     links: ServiceLinks,
 }
 
-struct Books {
+struct GroupState {
     dispatcher: Dispatcher<AnyStrategy>,
     allocator: Allocator<LeaseHolder>,
     /// When a target was last asked for.
@@ -96,14 +96,14 @@
         let part = part_of(service, &group);
         let mut dispatcher = Dispatcher::configured(configuration, &part, own_data_hall, now);
         dispatcher.set_view(View::Fleet);
-        let books = Books {
+        let state = GroupState {
             dispatcher,
             allocator: Allocator::default(),
             asked_at: None,
             is_probed: is_probed(service),
             probe_budget: ProbeBudget::default(),
         };
-        Arc::new(Self { group, books: Mutex::new(books), told, links })
+        Arc::new(Self { group, state: Mutex::new(state), told, links })
     }
 
     pub(super) fn update(
@@ -115,9 +115,9 @@
     ) {
         let part = part_of(service, &self.group);
         {
-            let mut books = self.books.lock();
-            books.dispatcher.reconfigure(configuration, &part, own_data_hall, now);
-            books.is_probed = is_probed(service);
+            let mut state = self.state.lock();
+            state.dispatcher.reconfigure(configuration, &part, own_data_hall, now);
+            state.is_probed = is_probed(service);
         }
         self.wake_waiting(now);
     }
@@ -125,9 +125,9 @@
     /// Requests come, or are about to: the targets' loads must be known.
     pub(crate) fn expect_requests(&self, now: Timestamp) {
         let before = {
-            let mut books = self.books.lock();
-            books.probe_budget.requested();
-            books.asked_at.replace(now)
+            let mut state = self.state.lock();
+            state.probe_budget.requested();
+            state.asked_at.replace(now)
         };
         if before.is_none_or(|at| now.since(at) > RESTED) {
             self.links.allocating.notify_one();
@@ -151,12 +151,12 @@
     }
 
     fn worth_asking(&self, acquire: &Acquire, now: Timestamp) -> Vec<(TargetName, SocketAddr)> {
-        let books = &mut *self.books.lock();
-        if !books.is_probed {
+        let state = &mut *self.state.lock();
+        if !state.is_probed {
             return Vec::new();
         }
-        let request = request_of(acquire, &mut books.dispatcher, now);
-        books.dispatcher.worth_asking(&request, FRESH, PROBED_BEFORE_GRANT, now)
+        let request = request_of(acquire, &mut state.dispatcher, now);
+        state.dispatcher.worth_asking(&request, FRESH, PROBED_BEFORE_GRANT, now)
     }
 
     /// Answers a process that asked for a target at `asked_at`.
@@ -179,7 +179,7 @@
         now: Timestamp,
     ) -> Reply {
         self.expect_requests(now);
-        let Books { dispatcher, allocator, .. } = &mut *self.books.lock();
+        let GroupState { dispatcher, allocator, .. } = &mut *self.state.lock();
         dispatcher.set_backed(self.told.lock().rooms.is_elsewhere(&self.group, now));
         allocator.keep_only(&key.holder, &numbers(&acquire.held), dispatcher, now);
         if acquire.may_redirect
@@ -199,7 +199,7 @@
         let now = BootClock.now();
         let key = LeaseKey { holder, number: release.number.0 };
         {
-            let Books { dispatcher, allocator, .. } = &mut *self.books.lock();
+            let GroupState { dispatcher, allocator, .. } = &mut *self.state.lock();
             allocator.release(&key, &release.report, dispatcher, now);
             allocator.keep_only(&key.holder, &numbers(&release.held), dispatcher, now);
         }
@@ -208,7 +208,7 @@
 
     /// Tells waiting processes what became of their requests.
     pub(super) fn wake_waiting(&self, now: Timestamp) {
-        let Books { dispatcher, allocator, .. } = &mut *self.books.lock();
+        let GroupState { dispatcher, allocator, .. } = &mut *self.state.lock();
         let rng = &mut rand::rng();
         while let Some(wake) = dispatcher.next_wake(now, rng) {
             let (ticket, woken) = match wake {
@@ -229,17 +229,17 @@
 
     /// Further requests that the targets would serve at nearly their usual pace.
     pub(crate) fn room(&self, now: Timestamp) -> u32 {
-        self.books.lock().dispatcher.room(now)
+        self.state.lock().dispatcher.room(now)
     }
 
     pub(super) fn has_waiting(&self) -> bool {
-        self.books.lock().dispatcher.has_waiting()
+        self.state.lock().dispatcher.has_waiting()
     }
 
     /// As [`crate::service::ServiceRuntime::tick`].
     pub(super) fn tick(&self, now: Timestamp) -> Option<Duration> {
         let gap = {
-            let Books { dispatcher, allocator, .. } = &mut *self.books.lock();
+            let GroupState { dispatcher, allocator, .. } = &mut *self.state.lock();
             allocator.expire(dispatcher, now);
             dispatcher.tick(now)
         };
@@ -250,29 +250,29 @@
     /// Learns what a peer knows of a target's limit.
     pub(super) fn learn_rate_limit(&self, limit: &TargetRateLimit, now: Timestamp) {
         let TargetRateLimit { target, incarnation, told, .. } = limit;
-        self.books.lock().dispatcher.learn_rate_limit_of(target, *incarnation, told, now);
+        self.state.lock().dispatcher.merge_rate_limit_of(target, *incarnation, told, now);
     }
 
     /// Says which part of targets' limits may be granted here.
     pub(super) fn set_rate_share(&self, share: RateShare) {
-        self.books.lock().dispatcher.set_rate_share(share);
+        self.state.lock().dispatcher.set_rate_share(share);
     }
 
     pub(super) fn adopt_concurrency(&self, number: u32) {
-        self.books.lock().dispatcher.adopt_concurrency(number);
+        self.state.lock().dispatcher.adopt_concurrency(number);
     }
 
     pub(super) fn mark_leaving(&self, mark: &LeavingMark) -> bool {
-        self.books.lock().dispatcher.mark_leaving(&mark.target, mark.incarnation)
+        self.state.lock().dispatcher.mark_leaving(&mark.target, mark.incarnation)
     }
 
     pub(super) fn set_stopped(&self, is_stopped: &impl Fn(&TargetName) -> bool) {
-        self.books.lock().dispatcher.set_stopped(is_stopped);
+        self.state.lock().dispatcher.set_stopped(is_stopped);
     }
 
     pub(crate) fn learn_probe(&self, name: &TargetName, report: LoadReport) -> Option<LeavingMark> {
         let now = BootClock.now();
-        let mark = self.books.lock().dispatcher.learn_probe(name, report, now);
+        let mark = self.state.lock().dispatcher.learn_probe(name, report, now);
         // A target whose slow spell is over takes requests that wait.
         self.wake_waiting(now);
         mark
@@ -280,32 +280,32 @@
 
     /// Whether a target was asked for within `time`.
     pub(crate) fn is_asked_within(&self, time: Duration, now: Timestamp) -> bool {
-        self.books.lock().asked_at.is_some_and(|at| now.since(at) < time)
+        self.state.lock().asked_at.is_some_and(|at| now.since(at) < time)
     }
 
     /// How many targets it has.
     pub(crate) fn target_count(&self) -> usize {
-        self.books.lock().dispatcher.probe_targets(BootClock.now()).count()
+        self.state.lock().dispatcher.probe_targets(BootClock.now()).count()
     }
 
     /// Names and addresses of the targets of which nothing was heard for `age`, as many as may be
     /// probed.
-    pub(crate) fn unheard_targets(
+    pub(crate) fn stale_targets(
         &self,
         age: Duration,
         now: Timestamp,
     ) -> Vec<(TargetName, SocketAddr)> {
-        let books = self.books.lock();
-        books.dispatcher.unheard_targets(age, books.probe_budget.left(), now)
+        let state = self.state.lock();
+        state.dispatcher.stale_targets(age, state.probe_budget.left(), now)
     }
 
     /// Probes of targets of the group have begun.
     pub(crate) fn probed(&self, probes: usize) {
-        self.books.lock().probe_budget.spend(probes);
+        self.state.lock().probe_budget.spend(probes);
     }
 
     pub(super) fn dump(&self, now: Timestamp) -> ServiceDump {
-        self.books.lock().dispatcher.dump(now)
+        self.state.lock().dispatcher.dump(now)
     }
 }
 
--- a/crates/thymeshift_entry/src/service/guards.rs
+++ b/crates/thymeshift_entry/src/service/guards.rs
@@ -116,8 +116,8 @@
         };
         if let Some(lease) = &mut self.lease {
             let own = self.service.own.lock();
-            lease.tell_rate_limit(own.dispatcher.rate_limit_to_tell(&grant, BootClock.now()));
-            lease.tell_leaving(own.dispatcher.leaving_incarnation(grant.target()));
+            lease.set_rate_limit(own.dispatcher.rate_limit_update(&grant, BootClock.now()));
+            lease.set_leaving(own.dispatcher.leaving_incarnation(grant.target()));
         }
         self.service.release(grant);
     }
--- a/crates/thymeshift_entry/src/service/mod.rs
+++ b/crates/thymeshift_entry/src/service/mod.rs
@@ -64,16 +64,16 @@
 /// What a waiting request hears.
 pub(super) type Woken = Result<Grant, Refusal>;
 /// What the groups of a service told of themselves, shared by those that are allocated here.
-type SharedGroups = Arc<Mutex<GroupsTold>>;
+type SharedGroups = Arc<Mutex<KnownGroups>>;
 
 /// What the groups of a service told of themselves.
 #[derive(Default)]
-struct GroupsTold {
+struct KnownGroups {
     rooms: Rooms,
     allocators: BTreeMap<Group, AllocatorAddress>,
 }
 
-impl GroupsTold {
+impl KnownGroups {
     /// Takes a place in another group than `own`; also returns who allocates it.
     fn take(&mut self, own: &Group, now: Timestamp) -> Option<(Group, AllocatorAddress)> {
         let other = self.rooms.take(own, now, &mut rand::rng())?;
@@ -219,7 +219,7 @@
     /// A group to allocate here. It begins with what its earlier allocator told.
     pub(crate) fn group(&self, group: &Group) -> Arc<GroupRuntime> {
         // Not under the lock below: whoever works out the order of allocators takes others.
-        let told = self.allocators.lock().told_concurrency(group);
+        let told = self.allocators.lock().known_concurrency(group);
         let mut groups = self.groups.lock();
         if let Some(known) = groups.get(group) {
             return known.clone();
@@ -349,7 +349,7 @@
     /// Learns what a peer knows of a target's limit.
     pub(crate) fn learn_rate_limit(&self, limit: &TargetRateLimit, now: Timestamp) {
         let TargetRateLimit { target, incarnation, told, .. } = limit;
-        self.own.lock().dispatcher.learn_rate_limit_of(target, *incarnation, told, now);
+        self.own.lock().dispatcher.merge_rate_limit_of(target, *incarnation, told, now);
         for group in self.groups() {
             group.learn_rate_limit(limit, now);
         }
--- a/crates/thymeshift_entry/src/service/obtain.rs
+++ b/crates/thymeshift_entry/src/service/obtain.rs
@@ -93,7 +93,7 @@
 
     /// The most requests that one target of the group serves well at a time, as its allocator
     /// told last.
-    pub(super) fn told_concurrency(&self, group: &Group) -> Option<u32> {
+    pub(super) fn known_concurrency(&self, group: &Group) -> Option<u32> {
         self.0.get(group)?.concurrency
     }
 }
@@ -313,7 +313,7 @@
             return order;
         }
         let order: Arc<[_]> = shared.allocator_order(self.name(), group, now).into();
-        let rate_share = shared.allocator_standing(self.name(), group, now).rate_share();
+        let rate_share = shared.allocator_rank(self.name(), group, now).rate_share();
         self.allocators.lock().keep_order(group, order.clone(), rate_share, changes, now);
         order
     }
@@ -387,7 +387,7 @@
             let leaving = index.and_then(|index| dispatcher.leaving_incarnation(index));
             let is_stale = leaving.is_some() || dispatcher.is_backing_off(&granted.target, now);
             drop(own);
-            acquisition.lease.tell_leaving(leaving);
+            acquisition.lease.set_leaving(leaving);
             return if is_stale { Asked::Stale } else { Asked::Useless };
         };
         let is_within_limit = dispatcher.is_within_limit(&grant);
--- a/crates/thymeshift_entry/src/shared.rs
+++ b/crates/thymeshift_entry/src/shared.rs
@@ -15,8 +15,8 @@
 
 use parking_lot::Mutex;
 use parking_lot::RwLock;
+use thymeshift_allocation::AllocatorRank;
 use thymeshift_allocation::Group;
-use thymeshift_allocation::Standing;
 use thymeshift_config::Settings;
 use thymeshift_fleet::Boot;
 use thymeshift_fleet::ListPace;
@@ -105,7 +105,7 @@
     pub(crate) list_pace: Mutex<ListPace>,
     crashes_reported: AtomicU64,
     /// Limits of targets told to peers so far, for taking turns.
-    rate_limits_told: AtomicUsize,
+    rate_limits_cursor: AtomicUsize,
     /// Whether targets are discovered apart from the configuration.
     discovers: bool,
     pub(crate) metrics_text: MetricsText,
@@ -143,7 +143,7 @@
             is_resting: AtomicBool::new(false),
             list_pace: Mutex::default(),
             crashes_reported: AtomicU64::new(0),
-            rate_limits_told: AtomicUsize::new(0),
+            rate_limits_cursor: AtomicUsize::new(0),
             discovers,
             settings_path,
             settings: RwLock::new(Arc::new(settings)),
@@ -219,12 +219,12 @@
     }
 
     /// Where this process stands among those that may allocate a group of `service`'s targets.
-    pub(crate) fn allocator_standing(
+    pub(crate) fn allocator_rank(
         &self,
         service: &ServiceName,
         group: &Group,
         now: Timestamp,
-    ) -> Standing {
+    ) -> AllocatorRank {
         let fleet = self.fleet.lock();
         let of_hall = match group {
             Group::All => None,
@@ -235,15 +235,15 @@
             of_hall.as_ref().is_some_and(|reach| reach.heard.is_empty() && reach.known > 0);
         let reach = of_hall.filter(|reach| !reach.heard.is_empty());
         let reach = reach.unwrap_or_else(|| fleet.members.reach(now));
-        let standing = standing_in(&fleet, &allocator_task(service, group), &reach);
-        Standing { before: standing.before + usize::from(is_hall_silent), ..standing }
+        let rank = rank_in(&fleet, &allocator_task(service, group), &reach);
+        AllocatorRank { before: rank.before + usize::from(is_hall_silent), ..rank }
     }
 
     /// Where this process stands among those that do a task for the whole fleet.
-    pub(crate) fn standing_for(&self, task: &str, now: Timestamp) -> Standing {
+    pub(crate) fn standing_for(&self, task: &str, now: Timestamp) -> AllocatorRank {
         let fleet = self.fleet.lock();
         let reach = fleet.members.reach(now);
-        standing_in(&fleet, task, &reach)
+        rank_in(&fleet, task, &reach)
     }
 
     /// The contacts of all data halls in the order in which they do a task for the whole fleet;
@@ -287,11 +287,11 @@
     }
 }
 
-fn standing_in(fleet: &Fleet, task: &str, reach: &Reach<'_>) -> Standing {
+fn rank_in(fleet: &Fleet, task: &str, reach: &Reach<'_>) -> AllocatorRank {
     let own = &fleet.members.own().vm;
     let order = ranked(task, reach.heard.iter().map(|member| member.contender()));
     let before = order.iter().take_while(|vm| **vm != own).count();
-    Standing { before, heard: reach.heard.len(), known: reach.known }
+    AllocatorRank { before, heard: reach.heard.len(), known: reach.known }
 }
 
 /// What processes are ranked for as allocators of a group.
--- a/crates/thymeshift_entry/src/shared/rate_limits.rs
+++ b/crates/thymeshift_entry/src/shared/rate_limits.rs
@@ -16,7 +16,7 @@
 
 impl Shared {
     /// Some of the limits that this process knows.
-    pub(crate) fn rate_limits_to_tell(&self) -> Vec<TargetRateLimit> {
+    pub(crate) fn rate_limit_updates(&self) -> Vec<TargetRateLimit> {
         let Some(routing) = self.routing() else {
             return Vec::new();
         };
@@ -27,12 +27,12 @@
             return known;
         }
         let count = known.len().min(TOLD_AT_ONCE);
-        let first = self.rate_limits_told.fetch_add(count, Ordering::Relaxed) % known.len();
+        let first = self.rate_limits_cursor.fetch_add(count, Ordering::Relaxed) % known.len();
         known.into_iter().cycle().skip(first).take(count).collect()
     }
 
     /// Takes in what a peer knows.
-    pub(crate) fn learn_rate_limits(&self, told: &[TargetRateLimit]) {
+    pub(crate) fn merge_rate_limits(&self, told: &[TargetRateLimit]) {
         let Some(routing) = self.routing().filter(|_| !told.is_empty()) else {
             return;
         };
--- a/crates/thymeshift_entry/src/target_client/pace_probe.rs
+++ b/crates/thymeshift_entry/src/target_client/pace_probe.rs
@@ -150,7 +150,7 @@
             }
             is_allocating = true;
             let mut begun = 0;
-            for (name, address) in group.unheard_targets(age, now) {
+            for (name, address) in group.stale_targets(age, now) {
                 let destination = service.destination(name, address);
                 let may_begin = {
                     let mut probing = probing.lock();
--- a/crates/thymeshift_fleet/src/lib.rs
+++ b/crates/thymeshift_fleet/src/lib.rs
@@ -70,7 +70,7 @@
 pub use quarantine::Quarantine;
 pub use quarantine::QuarantineRules;
 pub use quarantine::SuspectDump;
-pub use quarantine::SuspectTold;
+pub use quarantine::SuspectReport;
 pub use quarantine::Verdict;
 pub use rank::Contender;
 pub use rank::ranked;
--- a/crates/thymeshift_fleet/src/members.rs
+++ b/crates/thymeshift_fleet/src/members.rs
@@ -111,7 +111,7 @@
             if member.is_newer_than(&known.member) {
                 self.changes += u64::from(known.member.has_another_part(member));
                 known.member = member.clone();
-                known.heard_at = now;
+                known.last_seen_at = now;
                 known.unanswered = 0;
             }
         } else if self.known.len() < MEMBERS_MAX && self.makes_room(member, now) {
@@ -125,7 +125,7 @@
         self.heard = self.heard.saturating_add(1);
         self.introduced(member, now);
         if let Some(known) = self.known.get_mut(&member.vm) {
-            known.heard_at = now;
+            known.last_seen_at = now;
             known.unanswered = 0;
         }
     }
@@ -138,7 +138,7 @@
     /// A process sent something by itself: direct evidence, if it is the start known here.
     pub fn heard(&mut self, vm: &VmName, boot: Boot, now: Timestamp) {
         if let Some(known) = self.known.get_mut(vm).filter(|known| known.member.boot == boot) {
-            known.heard_at = now;
+            known.last_seen_at = now;
             known.unanswered = 0;
         }
     }
@@ -245,13 +245,13 @@
 
     /// Forgets members that have been silent for very long.
     pub fn forget_old(&mut self, now: Timestamp) {
-        self.known.retain(|_, known| now.since(known.heard_at) < FORGET_AFTER);
+        self.known.retain(|_, known| now.since(known.last_seen_at) < FORGET_AFTER);
     }
 
     /// This process was paused for `gap`: the silence of others was its own.
     pub fn paused(&mut self, gap: Duration) {
         for known in self.known.values_mut() {
-            known.heard_at = known.heard_at + gap;
+            known.last_seen_at = known.last_seen_at + gap;
         }
     }
 
@@ -261,7 +261,7 @@
         let dump = |known: &Known| MemberDump {
             member: known.member.clone(),
             liveness: known.liveness(patience, now),
-            silent_ms: now.since(known.heard_at).as_millis() as u64,
+            silent_ms: now.since(known.last_seen_at).as_millis() as u64,
         };
         self.known.values().map(dump).collect()
     }
--- a/crates/thymeshift_fleet/src/members/known.rs
+++ b/crates/thymeshift_fleet/src/members/known.rs
@@ -20,7 +20,7 @@
 #[derive(Debug, Clone)]
 pub(super) struct Known {
     pub(super) member: Member,
-    pub(super) heard_at: Timestamp,
+    pub(super) last_seen_at: Timestamp,
     pub(super) unanswered: u32,
     /// Place among the contacts of its hall; the smaller, the earlier.
     pub(super) contact_score: f64,
@@ -29,12 +29,12 @@
 impl Known {
     pub(super) fn new(member: &Member, now: Timestamp) -> Self {
         let contact_score = contact_score(member.contender());
-        Self { member: member.clone(), heard_at: now, unanswered: 0, contact_score }
+        Self { member: member.clone(), last_seen_at: now, unanswered: 0, contact_score }
     }
 
     /// `patience` is how many times as long as in a small fleet heartbeats take.
     pub(super) fn liveness(&self, patience: u32, now: Timestamp) -> Liveness {
-        let silent = now.since(self.heard_at);
+        let silent = now.since(self.last_seen_at);
         let has_stopped = self.member.phase == Phase::Stopping && silent > SUSPECT_AFTER;
         if silent > GONE_AFTER * patience || has_stopped {
             Liveness::Gone
@@ -47,7 +47,7 @@
 
     /// Whether its heartbeat goes on, whoever passes it on.
     pub(super) fn is_heard(&self, patience: u32, now: Timestamp) -> bool {
-        now.since(self.heard_at) <= SUSPECT_AFTER * patience
+        now.since(self.last_seen_at) <= SUSPECT_AFTER * patience
     }
 
     pub(super) fn is_serving(&self, patience: u32, now: Timestamp) -> bool {
--- a/crates/thymeshift_fleet/src/members/telling.rs
+++ b/crates/thymeshift_fleet/src/members/telling.rs
@@ -112,7 +112,7 @@
         };
         let own = Told { member: self.own.clone(), silent_ms: 0 };
         let others = others.into_iter().map(|known| {
-            let silent_ms = now.since(known.heard_at).as_millis();
+            let silent_ms = now.since(known.last_seen_at).as_millis();
             let silent_ms = u32::try_from(silent_ms).unwrap_or(u32::MAX);
             Told { member: known.member.clone(), silent_ms }
         });
--- a/crates/thymeshift_fleet/src/quarantine.rs
+++ b/crates/thymeshift_fleet/src/quarantine.rs
@@ -27,7 +27,7 @@
 
 pub use crash::Crash;
 pub use crash::CrashId;
-pub use crash::SuspectTold;
+pub use crash::SuspectReport;
 pub use rules::QuarantineRules;
 pub use suspect::SuspectDump;
 
@@ -89,7 +89,7 @@
     }
 
     /// Takes in what a peer tells. Returns whether any of it is news.
-    pub fn take(&mut self, told: &SuspectTold, now: Timestamp) -> bool {
+    pub fn take(&mut self, told: &SuspectReport, now: Timestamp) -> bool {
         if !self.suspects.contains_key(&told.fingerprint) && !self.make_room(now) {
             return false;
         }
@@ -106,7 +106,7 @@
     }
 
     /// One suspect as it is told to peers.
-    pub fn told(&self, fingerprint: Fingerprint, now: Timestamp) -> Option<SuspectTold> {
+    pub fn told(&self, fingerprint: Fingerprint, now: Timestamp) -> Option<SuspectReport> {
         self.suspects.get(&fingerprint).map(|suspect| suspect.told(fingerprint, now))
     }
 
@@ -116,7 +116,7 @@
         after: Option<Fingerprint>,
         count: usize,
         now: Timestamp,
-    ) -> Vec<SuspectTold> {
+    ) -> Vec<SuspectReport> {
         let is_behind = |fingerprint: &Fingerprint| after.is_none_or(|after| *fingerprint > after);
         let suspects = self.suspects.iter().filter(|(fingerprint, _)| is_behind(fingerprint));
         suspects.take(count).map(|(key, suspect)| suspect.told(*key, now)).collect()
--- a/crates/thymeshift_fleet/src/quarantine/crash.rs
+++ b/crates/thymeshift_fleet/src/quarantine/crash.rs
@@ -40,7 +40,7 @@
 
 /// What is held against a request, and what speaks for it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SuspectTold {
+pub struct SuspectReport {
     /// The request.
     pub fingerprint: Fingerprint,
     /// Targets that ended while they ran it.
--- a/crates/thymeshift_fleet/src/quarantine/suspect.rs
+++ b/crates/thymeshift_fleet/src/quarantine/suspect.rs
@@ -15,7 +15,7 @@
 use crate::quarantine::Crash;
 use crate::quarantine::CrashId;
 use crate::quarantine::QuarantineRules;
-use crate::quarantine::SuspectTold;
+use crate::quarantine::SuspectReport;
 use crate::quarantine::Verdict;
 
 /// Crashes kept for one request: more than run at the same moment before it is refused.
@@ -145,7 +145,7 @@
         telling
     }
 
-    pub(super) fn told(&self, fingerprint: Fingerprint, now: Timestamp) -> SuspectTold {
+    pub(super) fn told(&self, fingerprint: Fingerprint, now: Timestamp) -> SuspectReport {
         let ago_ms = |at: Timestamp| now.since(at).as_millis() as u64;
         let told = |(id, crash): &(&CrashId, &HeldCrash)| Crash {
             id: (*id).clone(),
@@ -155,7 +155,7 @@
             began_ago_ms: ago_ms(crash.began_at),
             ended_ago_ms: ago_ms(crash.ended_at),
         };
-        SuspectTold {
+        SuspectReport {
             fingerprint,
             crashes: self.most_telling().iter().map(told).collect(),
             answered_ago_ms: self.answered_at.map(ago_ms),
--- a/crates/thymeshift_fleet/src/readers.rs
+++ b/crates/thymeshift_fleet/src/readers.rs
@@ -88,7 +88,7 @@
     returned_at: Option<Timestamp>,
     passed_over: BTreeMap<VmName, Timestamp>,
     /// When another process last told that its call failed.
-    failure_heard_at: Option<Timestamp>,
+    failure_seen_at: Option<Timestamp>,
     failures: u32,
     not_before: Timestamp,
 }
@@ -103,7 +103,7 @@
             confirmed_at: None,
             returned_at: None,
             passed_over: BTreeMap::new(),
-            failure_heard_at: None,
+            failure_seen_at: None,
             failures: 0,
             not_before: Timestamp::default(),
         }
@@ -122,13 +122,13 @@
         }
         let before = u32::try_from(place.before).unwrap_or(u32::MAX);
         let delay = PLACE_DELAY.saturating_mul(before).min(PLACE_DELAY_MAX);
-        let mut heard_at = self.confirmed_at.unwrap_or(self.started_at);
+        let mut last_seen_at = self.confirmed_at.unwrap_or(self.started_at);
         if !place.is_contact && self.passed_over.len() >= FAILED_OTHERS_MIN {
             // Somebody tries on, and would tell. Played in virtual time, 142 processes make at
             // most 20 calls a second in an outage of 10 s; where all of a hall try, 38.
-            heard_at = heard_at.max(self.failure_heard_at.unwrap_or(heard_at));
+            last_seen_at = last_seen_at.max(self.failure_seen_at.unwrap_or(last_seen_at));
         }
-        let due = heard_at + SILENCE_MAX + delay;
+        let due = last_seen_at + SILENCE_MAX + delay;
         if now >= due { Turn::Read } else { Turn::Rest(now.until(due)) }
     }
 
@@ -187,7 +187,7 @@
         } else {
             self.passed_over.retain(|_, until| *until > now);
             self.passed_over.insert(vm.clone(), now + PASSED_OVER);
-            self.failure_heard_at = Some(now);
+            self.failure_seen_at = Some(now);
         }
     }
 
--- a/crates/thymeshift_fleet/tests/quarantine.rs
+++ b/crates/thymeshift_fleet/tests/quarantine.rs
@@ -10,7 +10,7 @@
 use thymeshift_fleet::Crash;
 use thymeshift_fleet::CrashId;
 use thymeshift_fleet::Quarantine;
-use thymeshift_fleet::SuspectTold;
+use thymeshift_fleet::SuspectReport;
 use thymeshift_fleet::Verdict;
 use thymeshift_types::Fingerprint;
 use thymeshift_types::Incarnation;
@@ -117,7 +117,7 @@
         let mut quarantine = Quarantine::default();
         let runs = runs_ms.iter().zip(0..);
         let crashes = runs.map(|((began, ended), number)| crash(number, *began, *ended)).collect();
-        quarantine.take(&SuspectTold { fingerprint: GUILTY, crashes, answered_ago_ms }, NOW);
+        quarantine.take(&SuspectReport { fingerprint: GUILTY, crashes, answered_ago_ms }, NOW);
         let left = match quarantine.verdict(GUILTY, NOW) {
             Verdict::Refused(left) => Some(left),
             Verdict::Free | Verdict::Suspected => None,
@@ -150,13 +150,13 @@
 }
 
 impl History {
-    fn told(&self) -> Vec<SuspectTold> {
-        let crashes = self.crashes.iter().zip(0..).map(|((began, ended), number)| SuspectTold {
+    fn told(&self) -> Vec<SuspectReport> {
+        let crashes = self.crashes.iter().zip(0..).map(|((began, ended), number)| SuspectReport {
             fingerprint: GUILTY,
             crashes: vec![crash(number, *began, *ended)],
             answered_ago_ms: None,
         });
-        let answers = self.answers.iter().map(|ago| SuspectTold {
+        let answers = self.answers.iter().map(|ago| SuspectReport {
             fingerprint: GUILTY,
             crashes: Vec::new(),
             answered_ago_ms: Some(*ago),
--- a/crates/thymeshift_lab/src/replay/crashes/day.rs
+++ b/crates/thymeshift_lab/src/replay/crashes/day.rs
@@ -12,7 +12,7 @@
 use thymeshift_fleet::Crash;
 use thymeshift_fleet::CrashId;
 use thymeshift_fleet::Quarantine;
-use thymeshift_fleet::SuspectTold;
+use thymeshift_fleet::SuspectReport;
 use thymeshift_fleet::Verdict;
 use thymeshift_types::Fingerprint;
 use thymeshift_types::Incarnation;
@@ -90,7 +90,7 @@
     RackEnds,
     AllKilled,
     Lost(Run, Timestamp),
-    Told(usize, SuspectTold),
+    Told(usize, SuspectReport),
 }
 
 /// The names of all that is modelled.
--- a/crates/thymeshift_lab/src/replay/limits.rs
+++ b/crates/thymeshift_lab/src/replay/limits.rs
@@ -3,8 +3,8 @@
 
 mod day;
 mod judge;
+mod policy;
 mod process;
-mod way;
 
 use std::fmt;
 use std::fmt::Write;
@@ -13,7 +13,7 @@
 
 use crate::replay::limits::day::Day;
 
-pub use way::LimitWay;
+pub use policy::LimitPolicy;
 
 /// What happens on a day. Targets name limits from second 4 on.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -97,13 +97,13 @@
 /// Plays a pattern on `days` seeds with so many processes.
 pub fn replay_limits(
     pattern: &LimitPattern,
-    way: LimitWay,
+    policy: LimitPolicy,
     processes: usize,
     days: u64,
 ) -> Result<LimitResult, Mistakes> {
     let mut result = LimitResult::default();
     for seed in 0..days {
-        result.add(&Day::new(*pattern, way, processes, seed)?.play());
+        result.add(&Day::new(*pattern, policy, processes, seed)?.play());
     }
     Ok(result)
 }
@@ -112,12 +112,12 @@
 pub fn limit_table(days: u64) -> Result<String, Mistakes> {
     let mut text = String::new();
     let columns = "processes  window   used   refused  messages/call";
-    let _ = writeln!(text, "{:<28} {:<22} {columns}", "pattern", "way");
+    let _ = writeln!(text, "{:<28} {:<22} {columns}", "pattern", "policy");
     for pattern in &LimitPattern::ALL {
-        for way in LimitWay::ALL {
+        for policy in LimitPolicy::ALL {
             for processes in [3, 13, 117, 1_000] {
-                let result = replay_limits(pattern, way, processes, days)?;
-                let _ = writeln!(text, "{:<28} {way:<22} {processes:>5} {result}", pattern.name);
+                let result = replay_limits(pattern, policy, processes, days)?;
+                let _ = writeln!(text, "{:<28} {policy:<22} {processes:>5} {result}", pattern.name);
             }
         }
     }
--- a/crates/thymeshift_lab/src/replay/limits/day.rs
+++ b/crates/thymeshift_lab/src/replay/limits/day.rs
@@ -9,10 +9,10 @@
 use rand_distr::Distribution;
 use rand_distr::Exp;
 use thymeshift_allocation::Allocation;
+use thymeshift_allocation::AllocatorRank;
 use thymeshift_allocation::Granted;
 use thymeshift_allocation::LeaseKey;
 use thymeshift_allocation::LeaseReport;
-use thymeshift_allocation::Standing;
 use thymeshift_config::Configuration;
 use thymeshift_config::Mistakes;
 use thymeshift_config::RequestRate;
@@ -20,9 +20,9 @@
 use thymeshift_dispatch::Excluded;
 use thymeshift_dispatch::HallIndex;
 use thymeshift_dispatch::Observation;
+use thymeshift_dispatch::RateLimitUpdate;
 use thymeshift_dispatch::RateShare;
 use thymeshift_dispatch::Request;
-use thymeshift_dispatch::ToldRateLimit;
 use thymeshift_dispatch::Tried;
 use thymeshift_dispatch::View;
 use thymeshift_dispatch::Wake;
@@ -31,14 +31,14 @@
 
 use crate::replay::events::Events;
 use crate::replay::limits::LimitPattern;
+use crate::replay::limits::LimitPolicy;
 use crate::replay::limits::LimitResult;
-use crate::replay::limits::LimitWay;
 use crate::replay::limits::Trouble;
 use crate::replay::limits::judge::DAY_MS;
 use crate::replay::limits::judge::judge;
 use crate::replay::limits::judge::limit_at;
 use crate::replay::limits::process::Asking;
-use crate::replay::limits::process::Books;
+use crate::replay::limits::process::GroupState;
 use crate::replay::limits::process::Process;
 use crate::replay::limits::process::Running;
 
@@ -101,7 +101,7 @@
         from: usize,
         to: usize,
         number: u64,
-        told: Option<ToldRateLimit>,
+        told: Option<RateLimitUpdate>,
         is_answered: bool,
     },
     /// A process exchanges what it knows of limits with another one.
@@ -113,7 +113,7 @@
 
 pub(super) struct Day {
     pattern: LimitPattern,
-    way: LimitWay,
+    policy: LimitPolicy,
     configuration: Configuration,
     halls: Vec<DataHallName>,
     processes: Vec<Process>,
@@ -130,7 +130,7 @@
 impl Day {
     pub(super) fn new(
         pattern: LimitPattern,
-        way: LimitWay,
+        policy: LimitPolicy,
         count: usize,
         seed: u64,
     ) -> Result<Self, Mistakes> {
@@ -138,7 +138,7 @@
         let halls = configuration.data_halls.clone();
         let mut rng = SmallRng::seed_from_u64(seed);
         let start = Timestamp::from_millis(0);
-        let view = if way == LimitWay::EqualParts { View::Own } else { View::Fallback };
+        let view = if policy == LimitPolicy::EqualParts { View::Own } else { View::Fallback };
         let process =
             |place: usize| Process::new(&configuration, &halls[place % HALLS], view, start);
         let processes: Vec<_> = (0..count).map(process).collect();
@@ -146,7 +146,7 @@
         let is_cut = (0..count).map(|place| place > 1 && rng.random_bool(CUT_OFF)).collect();
         let mut day = Self {
             pattern,
-            way,
+            policy,
             processes,
             halls,
             configuration,
@@ -225,7 +225,7 @@
         }
     }
 
-    /// Whether `at` has heard of `other` lately, by whatever way.
+    /// Whether `at` has heard of `other` lately, directly or not.
     fn hears_of(&self, at: usize, other: usize) -> bool {
         let patience = 1 + (self.processes.len().min(CONTENDERS_MAX) / MEMBERS_PER_PATIENCE) as u64;
         let is_silent = match self.pattern.trouble {
@@ -244,17 +244,17 @@
     }
 
     fn share(&self, place: usize) -> RateShare {
-        if self.way != LimitWay::Allocated {
+        if self.policy != LimitPolicy::Allocated {
             return RateShare::WHOLE;
         }
         let heard = |other: &usize| *other == place || self.hears_of(place, *other);
         let known = self.contenders();
-        let standing = Standing {
+        let rank = AllocatorRank {
             before: (0..place.min(known)).filter(heard).count(),
             heard: (0..known).filter(heard).count(),
             known,
         };
-        standing.rate_share()
+        rank.rate_share()
     }
 
     fn send(&mut self, from: usize, to: usize, event: impl Fn() -> Event) {
@@ -290,7 +290,7 @@
             Event::Release { from, to, number, told, is_answered } => {
                 let observation = is_answered.then_some(Observation::Answered(None));
                 let now = self.now();
-                if let Some(Books { dispatcher, allocator }) = &mut self.processes[to].books {
+                if let Some(GroupState { dispatcher, allocator }) = &mut self.processes[to].state {
                     let key = LeaseKey { holder: from, number };
                     let report = LeaseReport { observation, rate_limit: told, leaving: None };
                     allocator.release(&key, &report, dispatcher, now);
@@ -322,7 +322,7 @@
             if self.is_frozen(place) {
                 continue;
             }
-            if let Some(Books { dispatcher, allocator }) = &mut self.processes[place].books {
+            if let Some(GroupState { dispatcher, allocator }) = &mut self.processes[place].state {
                 allocator.expire(dispatcher, now);
                 dispatcher.tick(now);
             }
@@ -333,7 +333,7 @@
     fn wake(&mut self, place: usize) {
         let now = self.now();
         let mut woken = Vec::new();
-        if let Some(Books { dispatcher, allocator }) = &mut self.processes[place].books {
+        if let Some(GroupState { dispatcher, allocator }) = &mut self.processes[place].state {
             while let Some(wake) = dispatcher.next_wake(now, &mut self.rng) {
                 let (ticket, decided) = match wake {
                     Wake::Send(ticket, grant) => (ticket, Ok(grant)),
@@ -363,8 +363,8 @@
             place = self.processes.len() - 1;
         }
         self.result.calls += 1;
-        match self.way {
-            LimitWay::EqualParts => self.decide_alone(place),
+        match self.policy {
+            LimitPolicy::EqualParts => self.decide_alone(place),
             _ => self.ask(place, 0, 0, self.now_ms),
         }
     }
@@ -400,8 +400,8 @@
         let now = self.now();
         let share = self.share(to);
         let hall = self.halls[to % HALLS].clone();
-        let books = self.processes[to].books(&self.configuration, &hall, now);
-        let Books { dispatcher, allocator } = books;
+        let state = self.processes[to].state(&self.configuration, &hall, now);
+        let GroupState { dispatcher, allocator } = state;
         dispatcher.set_rate_share(share);
         allocator.keep_only(&from, held, dispatcher, now);
         let key = LeaseKey { holder: from, number };
@@ -445,7 +445,7 @@
         if process.own.is_within_limit(&grant) {
             return self.begin(place, number, grant, allocator);
         }
-        let told = process.own.rate_limit_to_tell(&grant, now);
+        let told = process.own.rate_limit_update(&grant, now);
         process.own.release(grant, now);
         self.release(place, asking.allocator, number, told, false);
         if asking.uncounted + 1 < UNCOUNTED_MAX {
@@ -460,7 +460,7 @@
         from: usize,
         to: usize,
         number: u64,
-        told: Option<ToldRateLimit>,
+        told: Option<RateLimitUpdate>,
         is_answered: bool,
     ) {
         self.send(from, to, || Event::Release { from, to, number, told, is_answered });
@@ -510,7 +510,7 @@
         }
         self.processes[place].running.insert(number, Running { grant, allocator });
         let work_ms = self.rng.random_range(WORK_MS);
-        let is_needy = target < self.pattern.needy && self.way != LimitWay::Unread;
+        let is_needy = target < self.pattern.needy && self.policy != LimitPolicy::Unread;
         let limit = limit_at(&self.pattern, self.now_ms + work_ms).filter(|_| is_needy);
         self.add(work_ms, Event::Answer { at: place, number, limit });
     }
@@ -524,7 +524,7 @@
         let stated = limit.map(|per_s| RequestRate::per_1000_s((per_s * 1_000.0) as u64));
         process.own.learn_rate_limit(&grant, stated, now);
         let _ = process.own.learn(&grant, Observation::Answered(None), now);
-        let told = process.own.rate_limit_to_tell(&grant, now);
+        let told = process.own.rate_limit_update(&grant, now);
         process.own.release(grant, now);
         if let Some(allocator) = allocator {
             self.release(place, allocator, number, told, true);
--- a/crates/thymeshift_lab/src/replay/limits/way.rs
+++ b/crates/thymeshift_lab/src/replay/limits/policy.rs
@@ -1,10 +1,10 @@
-//! Ways of keeping a target's limit over many processes.
+//! Policies of keeping a target's limit over many processes.
 
 use derive_more::Display;
 
-/// A way of keeping the limit.
+/// A policy of keeping the limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
-pub enum LimitWay {
+pub enum LimitPolicy {
     /// What the product does: the target's allocator counts; one that is not the first, or has lost
     /// others, grants a part; whoever decides alone grants nothing.
     #[display("allocated")]
@@ -21,7 +21,7 @@
     Unread,
 }
 
-impl LimitWay {
-    /// The ways that are compared.
+impl LimitPolicy {
+    /// The policies that are compared.
     pub const ALL: [Self; 4] = [Self::Allocated, Self::EachWhole, Self::EqualParts, Self::Unread];
 }
--- a/crates/thymeshift_lab/src/replay/limits/process.rs
+++ b/crates/thymeshift_lab/src/replay/limits/process.rs
@@ -1,4 +1,4 @@
-//! One process of the model, with the dispatchers and books that a real one has.
+//! One process of the model, with the dispatchers and state that a real one has.
 
 use std::collections::BTreeMap;
 
@@ -7,7 +7,7 @@
 use thymeshift_dispatch::AnyStrategy;
 use thymeshift_dispatch::Dispatcher;
 use thymeshift_dispatch::Grant;
-use thymeshift_dispatch::ToldRateLimit;
+use thymeshift_dispatch::RateLimitUpdate;
 use thymeshift_dispatch::View;
 use thymeshift_types::DataHallName;
 use thymeshift_types::Incarnation;
@@ -20,7 +20,7 @@
 const DOUBLINGS_MAX: u32 = 4;
 
 /// The group of targets as the process that allocates it sees it.
-pub(super) struct Books {
+pub(super) struct GroupState {
     pub(super) dispatcher: Dispatcher<AnyStrategy>,
     pub(super) allocator: Allocator<usize>,
 }
@@ -45,7 +45,7 @@
 
 pub(super) struct Process {
     pub(super) own: Dispatcher<AnyStrategy>,
-    pub(super) books: Option<Books>,
+    pub(super) state: Option<GroupState>,
     /// By the number of the lease.
     pub(super) asking: BTreeMap<u64, Asking>,
     pub(super) running: BTreeMap<u64, Running>,
@@ -64,38 +64,38 @@
         own.set_view(view);
         Self {
             own,
-            books: None,
+            state: None,
             asking: BTreeMap::new(),
             running: BTreeMap::new(),
             passed_over: BTreeMap::new(),
         }
     }
 
-    /// The books of the group, begun if it was not allocated here before.
-    pub(super) fn books(
+    /// The state of the group, begun if it was not allocated here before.
+    pub(super) fn state(
         &mut self,
         configuration: &Configuration,
         hall: &DataHallName,
         now: Timestamp,
-    ) -> &mut Books {
-        self.books.get_or_insert_with(|| {
+    ) -> &mut GroupState {
+        self.state.get_or_insert_with(|| {
             let service = &configuration.services[0];
             let mut dispatcher = Dispatcher::configured(configuration, service, hall, now);
             dispatcher.set_view(View::Fleet);
-            Books { dispatcher, allocator: Allocator::default() }
+            GroupState { dispatcher, allocator: Allocator::default() }
         })
     }
 
     /// Learns what another process knows of targets' limits.
     pub(super) fn learn(
         &mut self,
-        known: &[(TargetName, Incarnation, ToldRateLimit)],
+        known: &[(TargetName, Incarnation, RateLimitUpdate)],
         now: Timestamp,
     ) {
         for (name, incarnation, told) in known {
-            self.own.learn_rate_limit_of(name, *incarnation, told, now);
-            if let Some(Books { dispatcher, .. }) = &mut self.books {
-                dispatcher.learn_rate_limit_of(name, *incarnation, told, now);
+            self.own.merge_rate_limit_of(name, *incarnation, told, now);
+            if let Some(GroupState { dispatcher, .. }) = &mut self.state {
+                dispatcher.merge_rate_limit_of(name, *incarnation, told, now);
             }
         }
     }
--- a/crates/thymeshift_lab/src/replay/quotas.rs
+++ b/crates/thymeshift_lab/src/replay/quotas.rs
@@ -2,15 +2,15 @@
 //! although it holds.
 
 mod day;
+mod policy;
 mod process;
-mod way;
 
 use std::fmt;
 use std::fmt::Write;
 
 use crate::replay::quotas::day::Day;
 
-pub use way::QuotaWay;
+pub use policy::QuotaPolicy;
 
 /// What goes wrong with an organisation's requests.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -97,13 +97,13 @@
 /// Plays a pattern on `days` seeds with so many processes.
 pub fn replay_quotas(
     pattern: &QuotaPattern,
-    way: QuotaWay,
+    policy: QuotaPolicy,
     processes: usize,
     days: u64,
 ) -> QuotaResult {
     let mut result = QuotaResult::default();
     for seed in 0..days {
-        result.add(&Day::new(*pattern, way, processes, seed).play());
+        result.add(&Day::new(*pattern, policy, processes, seed).play());
     }
     result
 }
@@ -112,13 +112,13 @@
 pub fn quota_table(days: u64) -> String {
     let mut text = String::new();
     let columns = "processes  window  wrongly_refused  used  messages/request";
-    let _ = writeln!(text, "{:<24} {:<18} {columns}", "pattern", "way");
+    let _ = writeln!(text, "{:<24} {:<18} {columns}", "pattern", "policy");
     for pattern in &QuotaPattern::ALL {
-        for way in QuotaWay::ALL {
-            for processes in way.sizes() {
+        for policy in QuotaPolicy::ALL {
+            for processes in policy.sizes() {
                 let processes = *processes;
-                let result = replay_quotas(pattern, way, processes, days);
-                let _ = writeln!(text, "{:<24} {way:<18} {processes:>5} {result}", pattern.name);
+                let result = replay_quotas(pattern, policy, processes, days);
+                let _ = writeln!(text, "{:<24} {policy:<18} {processes:>5} {result}", pattern.name);
             }
         }
     }
--- a/crates/thymeshift_lab/src/replay/quotas/day.rs
+++ b/crates/thymeshift_lab/src/replay/quotas/day.rs
@@ -7,7 +7,7 @@
 use rand::rngs::SmallRng;
 use rand_distr::Distribution;
 use rand_distr::Exp;
-use thymeshift_allocation::Standing;
+use thymeshift_allocation::AllocatorRank;
 use thymeshift_organisations::Counted;
 use thymeshift_organisations::Passed;
 use thymeshift_organisations::QuotaCounter;
@@ -18,8 +18,8 @@
 use crate::replay::events::Events;
 use crate::replay::quotas::Cut;
 use crate::replay::quotas::QuotaPattern;
+use crate::replay::quotas::QuotaPolicy;
 use crate::replay::quotas::QuotaResult;
-use crate::replay::quotas::QuotaWay;
 use crate::replay::quotas::process::Process;
 use crate::replay::quotas::process::Question;
 
@@ -69,7 +69,7 @@
 
 pub(super) struct Day {
     pattern: QuotaPattern,
-    way: QuotaWay,
+    policy: QuotaPolicy,
     processes: Vec<Process>,
     /// The process of each caller.
     places: Vec<usize>,
@@ -86,7 +86,7 @@
 }
 
 impl Day {
-    pub(super) fn new(pattern: QuotaPattern, way: QuotaWay, count: usize, seed: u64) -> Self {
+    pub(super) fn new(pattern: QuotaPattern, policy: QuotaPolicy, count: usize, seed: u64) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
         let start = Timestamp::from_millis(0);
         let processes = (0..count).map(|_| Process::new(count, start)).collect();
@@ -97,7 +97,7 @@
         let is_cut = is_cut.collect();
         let mut day = Self {
             pattern,
-            way,
+            policy,
             processes,
             places,
             is_cut,
@@ -114,7 +114,7 @@
         for caller in 0..CALLERS {
             day.next_arrival(caller);
         }
-        if way == QuotaWay::PartsByDemand {
+        if policy == QuotaPolicy::PartsByDemand {
             for from in 0..count {
                 let at = day.rng.random_range(0..TELL_EVERY_MS);
                 day.events.add(Timestamp::from_millis(at), Event::Tells { from });
@@ -229,8 +229,8 @@
         self.result.requests += 1;
         self.arrived_ms.push(self.now_ms);
         let now = self.now();
-        let is_admitted = match self.way {
-            QuotaWay::Counted | QuotaWay::EachWhole => {
+        let is_admitted = match self.policy {
+            QuotaPolicy::Counted | QuotaPolicy::EachWhole => {
                 let limit = self.limit();
                 let process = &mut self.processes[place];
                 process.holder.set_limit(limit, now);
@@ -238,11 +238,11 @@
                 process.waiting += 1;
                 return self.pass_waiting(place);
             }
-            QuotaWay::EqualParts => {
+            QuotaPolicy::EqualParts => {
                 let part = 1.0 / self.processes.len() as f64;
                 self.admits_part(place, part)
             }
-            QuotaWay::PartsByDemand => {
+            QuotaPolicy::PartsByDemand => {
                 let part = self.part_by_demand(place);
                 self.admits_part(place, part)
             }
@@ -331,14 +331,14 @@
         Some(counter.ask(&from, asked, now))
     }
 
-    /// The part of the limit that a counter may hand out. The first one is heard of by way of the
+    /// The part of the limit that a counter may hand out. The first one is heard of through the
     /// third hall, and is not silent for long enough otherwise to be forgotten.
     fn share(&self, place: usize) -> f64 {
-        if self.way == QuotaWay::EachWhole {
+        if self.policy == QuotaPolicy::EachWhole {
             return 1.0;
         }
         let known = self.processes.len();
-        Standing { before: place, heard: known, known }.rate_share().part()
+        AllocatorRank { before: place, heard: known, known }.rate_share().part()
     }
 
     fn answered(&mut self, place: usize, number: u64, counted: Option<Counted>) {
--- a/crates/thymeshift_lab/src/replay/quotas/way.rs
+++ b/crates/thymeshift_lab/src/replay/quotas/policy.rs
@@ -1,10 +1,10 @@
-//! Ways of keeping a limit over many processes.
+//! Policies of keeping a limit over many processes.
 
 use derive_more::Display;
 
-/// A way of keeping the limit.
+/// A policy of keeping the limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
-pub enum QuotaWay {
+pub enum QuotaPolicy {
     /// What the product does: one process counts, the others hold tokens.
     #[display("counted")]
     Counted,
@@ -20,8 +20,8 @@
     PartsByDemand,
 }
 
-impl QuotaWay {
-    /// The ways that are compared.
+impl QuotaPolicy {
+    /// The policies that are compared.
     pub const ALL: [Self; 4] =
         [Self::Counted, Self::EachWhole, Self::EqualParts, Self::PartsByDemand];
 
--- a/crates/thymeshift_lab/tests/replay.rs
+++ b/crates/thymeshift_lab/tests/replay.rs
@@ -6,11 +6,11 @@
 use thymeshift_lab::replay::CrashResult;
 use thymeshift_lab::replay::Cut;
 use thymeshift_lab::replay::LimitPattern;
+use thymeshift_lab::replay::LimitPolicy;
 use thymeshift_lab::replay::LimitResult;
-use thymeshift_lab::replay::LimitWay;
 use thymeshift_lab::replay::QuotaPattern;
+use thymeshift_lab::replay::QuotaPolicy;
 use thymeshift_lab::replay::QuotaResult;
-use thymeshift_lab::replay::QuotaWay;
 use thymeshift_lab::replay::Trouble;
 use thymeshift_lab::replay::replay_crashes;
 use thymeshift_lab::replay::replay_limits;
@@ -76,7 +76,7 @@
 /// Processes of the deployments that the limit must hold on.
 const PROCESSES: [usize; 3] = [3, 117, 1_000];
 
-fn play_quota(pattern: &QuotaPattern, way: QuotaWay, processes: usize) -> QuotaResult {
+fn play_quota(pattern: &QuotaPattern, way: QuotaPolicy, processes: usize) -> QuotaResult {
     replay_quotas(pattern, way, processes, 8)
 }
 
@@ -107,7 +107,7 @@
     for (case, pattern) in cases.iter().zip(&QuotaPattern::ALL) {
         assert_eq!(case.pattern, pattern.name);
         for processes in PROCESSES {
-            let result = play_quota(pattern, QuotaWay::Counted, processes);
+            let result = play_quota(pattern, QuotaPolicy::Counted, processes);
             let note = format!("{}, {processes} processes: {result}", pattern.name);
             assert!(result.worst_window <= WINDOW_MAX, "{note}");
             assert!(result.wrongly_refused_share() <= case.wrongly_refused_max, "{note}");
@@ -120,7 +120,7 @@
 /// what the limit allows.
 #[test]
 fn equal_parts_refuse_what_the_limit_allows() {
-    let result = play_quota(&QuotaPattern::CALM, QuotaWay::EqualParts, 117);
+    let result = play_quota(&QuotaPattern::CALM, QuotaPolicy::EqualParts, 117);
     assert!(result.wrongly_refused_share() > 0.5, "{result}");
 }
 
@@ -129,11 +129,11 @@
 #[test]
 fn two_counters_that_each_hand_out_all_exceed_the_limit() {
     let cut = QuotaPattern { cut: Cut::TwoHalls, ..QuotaPattern::HOT };
-    let result = play_quota(&cut, QuotaWay::EachWhole, 117);
+    let result = play_quota(&cut, QuotaPolicy::EachWhole, 117);
     assert!(result.worst_window > 1.25, "{result}");
 }
 
-fn play_limits(pattern: &LimitPattern, way: LimitWay, processes: usize) -> LimitResult {
+fn play_limits(pattern: &LimitPattern, way: LimitPolicy, processes: usize) -> LimitResult {
     replay_limits(pattern, way, processes, 1).expect("a configuration")
 }
 
@@ -144,7 +144,7 @@
     const USED_MIN: f64 = 0.9;
     for pattern in &LimitPattern::ALL {
         for processes in [3, 13, 117] {
-            let result = play_limits(pattern, LimitWay::Allocated, processes);
+            let result = play_limits(pattern, LimitPolicy::Allocated, processes);
             let note = format!("{}, {processes} processes: {result}", pattern.name);
             assert!(result.worst_window <= 1.0, "{note}");
             let callers_wait = pattern.needy == LimitPattern::ALL_NEEDY.needy;
@@ -152,7 +152,7 @@
         }
     }
     let cut = LimitPattern { trouble: Trouble::CutOff, ..LimitPattern::ALL_NEEDY };
-    let result = play_limits(&cut, LimitWay::Allocated, 1_000);
+    let result = play_limits(&cut, LimitPolicy::Allocated, 1_000);
     assert!(result.worst_window <= 1.0, "1,000 processes: {result}");
 }
 
@@ -160,11 +160,11 @@
 /// that is asked grants all, a cut between two halls exceeds them; equal parts leave them unused.
 #[test]
 fn other_ways_exceed_the_limits_or_leave_them_unused() {
-    let unread = play_limits(&LimitPattern::TWO, LimitWay::Unread, 13);
+    let unread = play_limits(&LimitPattern::TWO, LimitPolicy::Unread, 13);
     assert!(unread.worst_window > 2.0, "{unread}");
     let cut = LimitPattern { trouble: Trouble::TwoHallsCut, ..LimitPattern::ALL_NEEDY };
-    let whole = play_limits(&cut, LimitWay::EachWhole, 13);
+    let whole = play_limits(&cut, LimitPolicy::EachWhole, 13);
     assert!(whole.worst_window > 1.0, "{whole}");
-    let equal = play_limits(&LimitPattern::ALL_NEEDY, LimitWay::EqualParts, 117);
+    let equal = play_limits(&LimitPattern::ALL_NEEDY, LimitPolicy::EqualParts, 117);
     assert!(equal.used_share() < 0.5, "{equal}");
 }
--- a/crates/thymeshift_wire/src/datagram.rs
+++ b/crates/thymeshift_wire/src/datagram.rs
@@ -17,7 +17,7 @@
 use thymeshift_fleet::Boot;
 use thymeshift_fleet::Head;
 use thymeshift_fleet::Member;
-use thymeshift_fleet::SuspectTold;
+use thymeshift_fleet::SuspectReport;
 use thymeshift_types::DataHallName;
 use thymeshift_types::OrganisationName;
 use thymeshift_types::Reason;
@@ -78,11 +78,11 @@
     /// The sender has started, begins to serve, or stops.
     Phase(Member),
     /// A target ended while it ran a request, or one answered a request that was suspected.
-    Suspect(SuspectTold),
+    Suspect(SuspectReport),
     /// Asks for tokens of an organisation.
     QuotaAsk(QuotaAsk),
     /// What the counter of an organisation answers.
-    QuotaCounted(QuestionNumber, QuotaTold),
+    QuotaCounted(QuestionNumber, QuotaGrant),
     /// The receiver does not count the organisation's requests: another process ranks before it,
     /// or it is stopping.
     QuotaElsewhere(QuestionNumber),
@@ -120,7 +120,7 @@
 
 /// What a counter hands out.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct QuotaTold {
+pub struct QuotaGrant {
     /// Tokens.
     pub tokens: u32,
     /// When there are tokens again, if there was none, in milliseconds.
--- a/crates/thymeshift_wire/src/lib.rs
+++ b/crates/thymeshift_wire/src/lib.rs
@@ -54,7 +54,7 @@
 pub use datagram::Message;
 pub use datagram::QuestionNumber;
 pub use datagram::QuotaAsk;
-pub use datagram::QuotaTold;
+pub use datagram::QuotaGrant;
 pub use datagram::Release;
 pub use datagram::SourceHeartbeat;
 pub use dialect::AttemptHead;
--- a/crates/thymeshift_wire/src/peer.rs
+++ b/crates/thymeshift_wire/src/peer.rs
@@ -2,11 +2,11 @@
 
 use serde::Deserialize;
 use serde::Serialize;
-use thymeshift_dispatch::ToldRateLimit;
+use thymeshift_dispatch::RateLimitUpdate;
 use thymeshift_fleet::FleetDigest;
 use thymeshift_fleet::Head;
 use thymeshift_fleet::Order;
-use thymeshift_fleet::SuspectTold;
+use thymeshift_fleet::SuspectReport;
 use thymeshift_fleet::Told;
 use thymeshift_fleet::Transfer;
 use thymeshift_fleet::Watcher;
@@ -51,7 +51,7 @@
     /// Operators' orders.
     pub orders: Vec<Order>,
     /// A page of the requests that targets crashed under.
-    pub suspects: Vec<SuspectTold>,
+    pub suspects: Vec<SuspectReport>,
     /// A page of the limits that targets in need have named.
     pub rate_limits: Vec<TargetRateLimit>,
 }
@@ -66,7 +66,7 @@
     /// Its start.
     pub incarnation: Incarnation,
     /// The limit, and how old this is.
-    pub told: ToldRateLimit,
+    pub told: RateLimitUpdate,
 }
 
 /// Calls between entry processes.
