Replay of backoffs, on a virtual fleet that limits and backoffs share

It is `replay::fleet` now, with what targets answer behind the trait `Scenario`; limits and backoffs are two of them.

Without spacing out, refusals grow with the processes. So: the process that was asked, and spacing out by the allocator.

--- a/crates/thymeshift_lab/src/main.rs
+++ b/crates/thymeshift_lab/src/main.rs
@@ -89,7 +89,8 @@
         Command::Replay { days } => {
             println!("{}", replay::crash_table(days)?);
             println!("{}", replay::quota_table(days));
-            print!("{}", replay::limit_table(days)?);
+            println!("{}", replay::limit_table(days)?);
+            print!("{}", replay::backoff_table(days)?);
             Ok(ExitCode::SUCCESS)
         }
         Command::Demo { entries, seconds } => many_threads(demo(entries, seconds)),
--- a/crates/thymeshift_lab/src/replay.rs
+++ b/crates/thymeshift_lab/src/replay.rs
@@ -3,20 +3,27 @@
 //!
 //! A pattern is played with one way of deciding and then with others, on the same seeds.
 
+mod backoffs;
 mod crashes;
 mod events;
+mod fleet;
 mod limits;
 mod quotas;
 
+pub use backoffs::BackoffPattern;
+pub use backoffs::BackoffPolicy;
+pub use backoffs::BackoffResult;
+pub use backoffs::backoff_table;
+pub use backoffs::replay_backoffs;
 pub use crashes::CrashPattern;
 pub use crashes::CrashPolicy;
 pub use crashes::CrashResult;
 pub use crashes::crash_table;
 pub use crashes::replay_crashes;
+pub use fleet::Trouble;
 pub use limits::LimitPattern;
 pub use limits::LimitPolicy;
 pub use limits::LimitResult;
-pub use limits::Trouble;
 pub use limits::limit_table;
 pub use limits::replay_limits;
 pub use quotas::Cut;
--- /dev/null
+++ b/crates/thymeshift_lab/src/replay/backoffs.rs
@@ -0,0 +1,162 @@
+//! Targets that refuse and ask for backoffs, over many processes: how many requests reach them all the
+//! same, and what callers get.
+
+mod day;
+mod judge;
+mod policy;
+
+use std::fmt;
+use std::fmt::Write;
+
+use thymeshift_config::Mistakes;
+
+use crate::replay::backoffs::day::BackoffDay;
+use crate::replay::fleet::Trouble;
+use crate::replay::fleet::VirtualFleet;
+
+pub use policy::BackoffPolicy;
+
+/// What happens on a day. Targets refuse from second 4 to second 16.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BackoffPattern {
+    /// What it is called in tables.
+    pub name: &'static str,
+    /// Targets that refuse, of seven.
+    pub refusing: usize,
+    /// For how long they refuse, in milliseconds.
+    pub refusing_ms: u64,
+    /// The backoff that they ask for, in milliseconds.
+    pub backoff_ms: u64,
+    /// Whether they refuse some processes only: every fourth.
+    pub is_partial: bool,
+    /// Calls a second at all processes together.
+    pub calls_per_s: f64,
+    /// What strikes in seconds 10 to 16.
+    pub trouble: Trouble,
+}
+
+/// What came of a pattern, over all days.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct BackoffResult {
+    /// Most requests of one process that reached a target between half a second after it had asked
+    /// that process for a backoff and its end.
+    pub worst_backoff: usize,
+    /// Requests that were refused by targets.
+    pub refusals: usize,
+    /// Calls.
+    pub calls: usize,
+    /// Those that were not served.
+    pub failed: usize,
+    /// Those among them that a target had refused last.
+    pub failed_at_target: usize,
+    /// Most requests in a second at a target that has just stopped refusing, in even shares.
+    pub rush: f64,
+    /// Requests at targets in the second second after they have stopped refusing, in even shares; in
+    /// the mean.
+    pub back: f64,
+    /// Messages between processes.
+    pub messages: usize,
+    days: usize,
+}
+
+impl BackoffResult {
+    /// Part of the calls that was not served.
+    pub fn failed_share(&self) -> f64 {
+        self.failed as f64 / self.calls.max(1) as f64
+    }
+
+    fn add(&mut self, day: &Self) {
+        let days = self.days as f64;
+        self.back = (self.back * days + day.back) / (days + 1.0);
+        self.worst_backoff = self.worst_backoff.max(day.worst_backoff);
+        self.rush = self.rush.max(day.rush);
+        self.refusals += day.refusals;
+        self.calls += day.calls;
+        self.failed += day.failed;
+        self.failed_at_target += day.failed_at_target;
+        self.messages += day.messages;
+        self.days += 1;
+    }
+}
+
+impl fmt::Display for BackoffResult {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let per_day = self.refusals as f64 / self.days.max(1) as f64;
+        let messages = self.messages as f64 / self.calls.max(1) as f64;
+        write!(
+            f,
+            "{:>7} {per_day:>9.0} {:>8.4} {:>9} {:>6.2} {:>6.2} {messages:>9.2}",
+            self.worst_backoff,
+            self.failed_share(),
+            self.failed_at_target,
+            self.rush,
+            self.back
+        )
+    }
+}
+
+/// Plays a pattern on `days` seeds with so many processes.
+pub fn replay_backoffs(
+    pattern: &BackoffPattern,
+    policy: BackoffPolicy,
+    processes: usize,
+    days: u64,
+) -> Result<BackoffResult, Mistakes> {
+    let mut result = BackoffResult::default();
+    for seed in 0..days {
+        let day = BackoffDay::new(*pattern, policy);
+        let (day, messages) = VirtualFleet::new(day, processes, seed)?.play();
+        result.add(&day.result(messages));
+    }
+    Ok(result)
+}
+
+/// A table of patterns by policies and numbers of processes.
+pub fn backoff_table(days: u64) -> Result<String, Mistakes> {
+    let mut text = String::new();
+    let columns = "processes backoff refusals/day failed at-target rush   back messages/call";
+    let _ = writeln!(text, "{:<26} {:<18} {columns}", "pattern", "policy");
+    for pattern in &BackoffPattern::ALL {
+        for policy in BackoffPolicy::ALL {
+            for processes in [3, 13, 117, 1_000] {
+                let result = replay_backoffs(pattern, policy, processes, days)?;
+                let _ = writeln!(text, "{:<26} {policy:<18} {processes:>5} {result}", pattern.name);
+            }
+        }
+    }
+    Ok(text)
+}
+
+impl BackoffPattern {
+    /// Two targets of seven refuse each request for nine seconds.
+    pub const TWO: Self = Self {
+        name: "two",
+        refusing: 2,
+        refusing_ms: 9_000,
+        backoff_ms: 3_000,
+        is_partial: false,
+        calls_per_s: 72.0,
+        trouble: Trouble::None,
+    };
+    /// The same at two thirds of what all targets can do.
+    pub const BUSY: Self =
+        Self { name: "busy", refusing: 4, refusing_ms: 500, calls_per_s: 600.0, ..Self::TWO };
+    /// All patterns.
+    pub const ALL: [Self; 15] = [
+        Self { name: "one", refusing: 1, ..Self::TWO },
+        Self::TWO,
+        Self { name: "two, 0.2 s", backoff_ms: 200, ..Self::TWO },
+        Self { name: "two, 1 s", backoff_ms: 1_000, ..Self::TWO },
+        Self { name: "two, 30 s", backoff_ms: 30_000, ..Self::TWO },
+        Self { name: "two for a moment", refusing_ms: 100, ..Self::TWO },
+        Self { name: "two, some processes", is_partial: true, ..Self::TWO },
+        Self { name: "four", refusing: 4, ..Self::TWO },
+        Self { name: "all", refusing: 7, ..Self::TWO },
+        Self { name: "two, first killed", trouble: Trouble::FirstKilled, ..Self::TWO },
+        Self { name: "two, third cut off", trouble: Trouble::CutOff, ..Self::TWO },
+        Self { name: "two, 400 calls", calls_per_s: 400.0, ..Self::TWO },
+        Self::BUSY,
+        Self { name: "busy, for a moment", refusing_ms: 50, ..Self::BUSY },
+        Self { name: "busy, some processes", is_partial: true, ..Self::BUSY },
+    ];
+}
--- /dev/null
+++ b/crates/thymeshift_lab/src/replay/backoffs/day.rs
@@ -0,0 +1,114 @@
+//! A day on which targets refuse and ask for backoffs.
+
+use std::time::Duration;
+
+use rand::Rng;
+use rand::rngs::SmallRng;
+use thymeshift_dispatch::AnyStrategy;
+use thymeshift_dispatch::Dispatcher;
+use thymeshift_dispatch::Grant;
+use thymeshift_dispatch::Observation;
+use thymeshift_types::Timestamp;
+
+use crate::replay::backoffs::BackoffPattern;
+use crate::replay::backoffs::BackoffPolicy;
+use crate::replay::backoffs::BackoffResult;
+use crate::replay::backoffs::judge::Ledger;
+use crate::replay::backoffs::judge::REFUSING_FROM_MS;
+use crate::replay::fleet::Arrival;
+use crate::replay::fleet::Outcome;
+use crate::replay::fleet::Scenario;
+use crate::replay::fleet::Trouble;
+use crate::replay::fleet::WORK_MS;
+
+/// Until a refusal is back at the process.
+const REFUSAL_MS: u64 = 3;
+/// Processes that a target with partial refusals serves, for each one that it refuses.
+const SERVED_PER_REFUSED: usize = 3;
+
+pub(super) struct BackoffDay {
+    pattern: BackoffPattern,
+    policy: BackoffPolicy,
+    ledger: Ledger,
+    result: BackoffResult,
+}
+
+impl BackoffDay {
+    pub(super) fn new(pattern: BackoffPattern, policy: BackoffPolicy) -> Self {
+        let ledger = Ledger::new(&pattern);
+        Self { pattern, policy, ledger, result: BackoffResult::default() }
+    }
+
+    pub(super) fn result(mut self, messages: usize) -> BackoffResult {
+        self.result.messages = messages;
+        self.ledger.judge(&mut self.result);
+        self.result
+    }
+
+    fn is_refused(&self, arrival: Arrival) -> bool {
+        let Arrival { process, target, at_ms } = arrival;
+        let is_refusing = target < self.pattern.refusing
+            && (REFUSING_FROM_MS..REFUSING_FROM_MS + self.pattern.refusing_ms).contains(&at_ms);
+        let is_meant = !self.pattern.is_partial || process % (SERVED_PER_REFUSED + 1) == 0;
+        is_refusing && is_meant
+    }
+}
+
+impl Scenario for BackoffDay {
+    /// The backoff that it asks for, if it refuses.
+    type Answer = Option<Duration>;
+
+    fn calls_per_s(&self) -> f64 {
+        self.pattern.calls_per_s
+    }
+
+    fn trouble(&self) -> Trouble {
+        self.pattern.trouble
+    }
+
+    fn names_excluded(&self) -> bool {
+        self.policy != BackoffPolicy::HolderAlone
+    }
+
+    fn answer(&mut self, arrival: Arrival, rng: &mut SmallRng) -> (u64, Option<Duration>) {
+        let is_refused = self.is_refused(arrival);
+        self.ledger.note(arrival, is_refused);
+        if is_refused {
+            self.result.refusals += 1;
+            return (REFUSAL_MS, Some(Duration::from_millis(self.pattern.backoff_ms)));
+        }
+        (rng.random_range(WORK_MS), None)
+    }
+
+    fn learn(
+        &self,
+        answer: &Option<Duration>,
+        own: &mut Dispatcher<AnyStrategy>,
+        grant: &Grant,
+        now: Timestamp,
+    ) -> (Observation, Option<Duration>) {
+        let Some(backoff) = *answer else {
+            let _ = own.learn(grant, Observation::Answered(None), now);
+            return (Observation::Answered(None), None);
+        };
+        if self.policy != BackoffPolicy::Unread {
+            own.back_off(grant, backoff, now);
+        }
+        let observation = match self.policy {
+            BackoffPolicy::NamedAndSpaced => Observation::ShedWithBackoff(None),
+            _ => Observation::Shed(None),
+        };
+        let _ = own.learn(grant, observation, now);
+        (observation, (self.policy == BackoffPolicy::ForAll).then_some(backoff))
+    }
+
+    fn ended(&mut self, _at_ms: u64, outcome: Outcome) {
+        self.result.calls += 1;
+        self.result.failed += usize::from(outcome != Outcome::Served);
+        self.result.failed_at_target += usize::from(outcome == Outcome::RefusedByTarget);
+    }
+
+    fn restarted(&mut self, process: usize) {
+        self.ledger.forgive(process);
+    }
+}
--- /dev/null
+++ b/crates/thymeshift_lab/src/replay/backoffs/judge.rs
@@ -0,0 +1,94 @@
+//! What reached targets within the backoffs that they had asked for, and after.
+
+use std::collections::HashMap;
+
+use crate::replay::backoffs::BackoffPattern;
+use crate::replay::backoffs::BackoffResult;
+use crate::replay::fleet::Arrival;
+use crate::replay::fleet::TARGETS;
+
+/// When targets begin to refuse, in milliseconds.
+pub(super) const REFUSING_FROM_MS: u64 = 4_000;
+/// Requests under way when a target asks for a backoff may arrive for so long.
+const SETTLED_AFTER_MS: u64 = 500;
+const SECOND_MS: u64 = 1_000;
+
+/// A process and a target.
+type Pair = (usize, usize);
+
+/// What arrived at the targets that refuse.
+pub(super) struct Ledger {
+    backoff_ms: u64,
+    returned_at_ms: u64,
+    refusing: usize,
+    even_per_s: f64,
+    asked_ms: HashMap<Pair, Vec<u64>>,
+    worst_backoff: usize,
+    within: HashMap<Pair, Vec<u64>>,
+    /// Moments of arrivals after the targets have stopped refusing, by target.
+    after_ms: Vec<Vec<u64>>,
+}
+
+impl Ledger {
+    pub(super) fn new(pattern: &BackoffPattern) -> Self {
+        Self {
+            backoff_ms: pattern.backoff_ms,
+            returned_at_ms: REFUSING_FROM_MS + pattern.refusing_ms.max(pattern.backoff_ms),
+            refusing: pattern.refusing,
+            even_per_s: pattern.calls_per_s / TARGETS as f64,
+            asked_ms: HashMap::new(),
+            worst_backoff: 0,
+            within: HashMap::new(),
+            after_ms: vec![Vec::new(); pattern.refusing],
+        }
+    }
+
+    pub(super) fn note(&mut self, arrival: Arrival, is_refused: bool) {
+        let Arrival { process, target, at_ms } = arrival;
+        if target >= self.refusing {
+            return;
+        }
+        let pair = (process, target);
+        self.within.entry(pair).or_default().push(at_ms);
+        if is_refused {
+            self.asked_ms.entry(pair).or_default().push(at_ms);
+        }
+        if at_ms >= self.returned_at_ms {
+            self.after_ms[target].push(at_ms);
+        }
+    }
+
+    /// What a process was asked before it started again does not bind it.
+    pub(super) fn forgive(&mut self, process: usize) {
+        self.settle();
+        self.asked_ms.retain(|(asked, _), _| *asked != process);
+    }
+
+    fn settle(&mut self) {
+        for (pair, asked_ms) in &self.asked_ms {
+            let arrived = self.within.get(pair).map_or(&[][..], Vec::as_slice);
+            for asked in asked_ms {
+                let span = asked + SETTLED_AFTER_MS..asked + self.backoff_ms;
+                let count = arrived.iter().filter(|at| span.contains(at)).count();
+                self.worst_backoff = self.worst_backoff.max(count);
+            }
+        }
+    }
+
+    pub(super) fn judge(mut self, result: &mut BackoffResult) {
+        self.settle();
+        result.worst_backoff = self.worst_backoff;
+        for arrived in &self.after_ms {
+            let from = |first: &u64| {
+                let span = *first..first + SECOND_MS;
+                arrived.iter().filter(|at| span.contains(at)).count()
+            };
+            let first = self.returned_at_ms..self.returned_at_ms + SECOND_MS;
+            let starts = arrived.iter().filter(|at| first.contains(at));
+            let most = starts.map(from).max().unwrap_or(0) as f64;
+            result.rush = result.rush.max(most / self.even_per_s);
+            let second = from(&(self.returned_at_ms + SECOND_MS)) as f64;
+            result.back += second / self.even_per_s / self.refusing as f64;
+        }
+    }
+}
--- /dev/null
+++ b/crates/thymeshift_lab/src/replay/fleet/mod.rs
@@ -0,0 +1,358 @@
+//! A virtual fleet: calls at many processes that ask an allocator for targets, event by event. What
+//! targets answer, and what is done about that, is a [`Scenario`].
+
+mod asking;
+mod process;
+mod scenario;
+
+use std::fmt::Write;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rand_distr::Distribution;
+use rand_distr::Exp;
+use thymeshift_allocation::Allocation;
+use thymeshift_allocation::AllocatorRank;
+use thymeshift_allocation::LeaseKey;
+use thymeshift_allocation::LeaseReport;
+use thymeshift_config::Configuration;
+use thymeshift_config::Mistakes;
+use thymeshift_dispatch::Excluded;
+use thymeshift_dispatch::RateShare;
+use thymeshift_dispatch::View;
+use thymeshift_dispatch::Wake;
+use thymeshift_types::DataHallName;
+use thymeshift_types::TargetName;
+use thymeshift_types::Timestamp;
+
+use crate::replay::events::Events;
+use crate::replay::fleet::asking::request;
+use crate::replay::fleet::process::GroupState;
+use crate::replay::fleet::process::Process;
+
+pub(super) use scenario::Arrival;
+pub(super) use scenario::Call;
+pub(super) use scenario::Outcome;
+pub(super) use scenario::Scenario;
+pub use scenario::Trouble;
+
+pub(super) const TARGETS: usize = 7;
+/// Length of a day, in milliseconds.
+pub(super) const DAY_MS: u64 = 26_000;
+const HALLS: usize = 3;
+/// Processes that may allocate: the contacts of the halls.
+const CONTENDERS_MAX: usize = 24;
+/// When trouble strikes, and until when, in milliseconds.
+const TROUBLE_MS: std::ops::Range<u64> = 10_000..16_000;
+const KILLED_MS: std::ops::Range<u64> = 10_000..11_000;
+const FROZEN_MS: std::ops::Range<u64> = 10_000..13_000;
+/// Part of the processes that is cut off.
+const CUT_OFF: f64 = 0.35;
+/// Until a process that is not heard of is suspected, in a small fleet and for each further 24.
+const SUSPECTED_MS: u64 = 5_000;
+const MEMBERS_PER_PATIENCE: usize = 24;
+/// From one process to another, and to a target, in milliseconds; messages lost and doubled.
+const WAY_MS: std::ops::Range<u64> = 1..4;
+const LOST: f64 = 0.02;
+const DOUBLED: f64 = 0.02;
+/// Work of a target, in milliseconds.
+pub(super) const WORK_MS: std::ops::Range<u64> = 40..80;
+/// Time between two exchanges of a process with others.
+const EXCHANGE_MS: u64 = 1_250;
+/// Time between two looks at waiting calls.
+const TICK_MS: u64 = 10;
+
+enum Event<A> {
+    Call,
+    Acquire {
+        from: usize,
+        to: usize,
+        number: u64,
+        call: Call,
+        wait_ms: u64,
+        excluded: Excluded,
+        held: Vec<u64>,
+    },
+    Told {
+        to: usize,
+        number: u64,
+        allocation: Allocation,
+    },
+    Unheard {
+        at: usize,
+        number: u64,
+    },
+    Answer {
+        at: usize,
+        number: u64,
+        answer: A,
+    },
+    Release {
+        from: usize,
+        to: usize,
+        number: u64,
+        report: LeaseReport,
+        /// A backoff that the allocator is to keep for all processes.
+        backoff: Option<(TargetName, Duration)>,
+    },
+    /// A process exchanges what it knows of limits with another one.
+    Exchange {
+        at: usize,
+    },
+    Tick,
+}
+
+pub(super) struct VirtualFleet<S: Scenario> {
+    scenario: S,
+    configuration: Configuration,
+    halls: Vec<DataHallName>,
+    processes: Vec<Process>,
+    is_cut: Vec<bool>,
+    events: Events<Event<S::Answer>>,
+    rng: SmallRng,
+    now_ms: u64,
+    next_number: u64,
+    is_killed: bool,
+    messages: usize,
+}
+
+impl<S: Scenario> VirtualFleet<S> {
+    pub(super) fn new(scenario: S, count: usize, seed: u64) -> Result<Self, Mistakes> {
+        let configuration = Configuration::parse(&configuration_text(count))?;
+        let halls = configuration.data_halls.clone();
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let start = Timestamp::from_millis(0);
+        let view = scenario.lone_view();
+        let process =
+            |place: usize| Process::new(&configuration, &halls[place % HALLS], view, start);
+        let processes: Vec<_> = (0..count).map(process).collect();
+        // The first two allocators stay together, and with most others.
+        let is_cut = (0..count).map(|place| place > 1 && rng.random_bool(CUT_OFF)).collect();
+        let mut day = Self {
+            scenario,
+            processes,
+            halls,
+            configuration,
+            is_cut,
+            events: Events::default(),
+            rng,
+            now_ms: 0,
+            next_number: 0,
+            is_killed: false,
+            messages: 0,
+        };
+        day.add(0, Event::Tick);
+        for at in 0..count {
+            let first_ms = day.rng.random_range(0..EXCHANGE_MS);
+            day.add(first_ms, Event::Exchange { at });
+        }
+        day.next_call();
+        Ok(day)
+    }
+
+    /// Plays the day. Returns the scenario, and how many messages processes sent to each other.
+    pub(super) fn play(mut self) -> (S, usize) {
+        while let Some((at, event)) = self.events.next() {
+            self.now_ms = at.as_micros() / 1_000;
+            if self.now_ms >= DAY_MS {
+                break;
+            }
+            self.kill_or_start_first();
+            self.take(event);
+        }
+        (self.scenario, self.messages)
+    }
+
+    fn now(&self) -> Timestamp {
+        Timestamp::from_millis(self.now_ms)
+    }
+
+    fn add(&mut self, after_ms: u64, event: Event<S::Answer>) {
+        self.events.add(self.now() + Duration::from_millis(after_ms), event);
+    }
+
+    fn next_call(&mut self) {
+        let Ok(gaps) = Exp::new(self.scenario.calls_per_s()) else { return };
+        let gap_ms = (gaps.sample(&mut self.rng) * 1_000.0).round() as u64;
+        self.add(gap_ms.max(1), Event::Call);
+    }
+
+    fn kill_or_start_first(&mut self) {
+        let is_killed =
+            self.scenario.trouble() == Trouble::FirstKilled && KILLED_MS.contains(&self.now_ms);
+        if is_killed && !self.is_killed {
+            let hall = &self.halls[0];
+            self.processes[0] = Process::new(&self.configuration, hall, View::Fallback, self.now());
+            self.scenario.restarted(0);
+        }
+        self.is_killed = is_killed;
+    }
+
+    fn is_frozen(&self, place: usize) -> bool {
+        place == 0
+            && self.scenario.trouble() == Trouble::FirstFrozen
+            && FROZEN_MS.contains(&self.now_ms)
+    }
+
+    fn reaches(&self, from: usize, to: usize) -> bool {
+        if self.is_killed && (from == 0 || to == 0) {
+            return false;
+        }
+        let is_in_trouble = TROUBLE_MS.contains(&self.now_ms);
+        match self.scenario.trouble() {
+            Trouble::CutOff if is_in_trouble => !self.is_cut[from] && !self.is_cut[to],
+            Trouble::TwoHallsCut if is_in_trouble => {
+                from % HALLS + to % HALLS != 1 || from % HALLS == to % HALLS
+            }
+            _ => true,
+        }
+    }
+
+    /// Whether `at` has heard of `other` lately, directly or not.
+    fn hears_of(&self, at: usize, other: usize) -> bool {
+        let patience = 1 + (self.processes.len().min(CONTENDERS_MAX) / MEMBERS_PER_PATIENCE) as u64;
+        let is_silent = match self.scenario.trouble() {
+            Trouble::FirstKilled => self.is_killed && other == 0,
+            Trouble::CutOff => {
+                let is_apart = self.is_cut[at] || self.is_cut[other];
+                is_apart && TROUBLE_MS.contains(&self.now_ms)
+            }
+            Trouble::None | Trouble::FirstFrozen | Trouble::TwoHallsCut => false,
+        };
+        !is_silent || self.now_ms < TROUBLE_MS.start + SUSPECTED_MS * patience
+    }
+
+    fn contenders(&self) -> usize {
+        self.processes.len().min(CONTENDERS_MAX)
+    }
+
+    fn share(&self, place: usize) -> RateShare {
+        if !self.scenario.ranks_allocators() {
+            return RateShare::WHOLE;
+        }
+        let heard = |other: &usize| *other == place || self.hears_of(place, *other);
+        let known = self.contenders();
+        let rank = AllocatorRank {
+            before: (0..place.min(known)).filter(heard).count(),
+            heard: (0..known).filter(heard).count(),
+            known,
+        };
+        rank.rate_share()
+    }
+
+    fn send(&mut self, from: usize, to: usize, event: impl Fn() -> Event<S::Answer>) {
+        if from == to {
+            self.add(0, event());
+            return;
+        }
+        self.messages += 1;
+        if !self.reaches(from, to) || self.rng.random_bool(LOST) {
+            return;
+        }
+        let copies = if self.rng.random_bool(DOUBLED) { 2 } else { 1 };
+        for _ in 0..copies {
+            let late_ms = self.rng.random_range(WAY_MS);
+            self.add(late_ms, event());
+        }
+    }
+
+    fn take(&mut self, event: Event<S::Answer>) {
+        match event {
+            Event::Call => self.call(),
+            Event::Acquire { to, .. } if self.is_frozen(to) => {
+                self.add(FROZEN_MS.end - self.now_ms, event);
+            }
+            Event::Acquire { from, to, number, call, wait_ms, excluded, held } => {
+                let request = request(self.now(), call, wait_ms, excluded);
+                self.acquire(LeaseKey { holder: from, number }, to, request, &held);
+            }
+            Event::Told { to, number, allocation } => self.told(to, number, allocation),
+            Event::Unheard { at, number } => self.unheard(at, number),
+            Event::Answer { at, number, answer } => self.answer(at, number, &answer),
+            Event::Release { from, to, number, report, backoff } => {
+                let now = self.now();
+                if let Some(GroupState { dispatcher, allocator }) = &mut self.processes[to].state {
+                    if let Some((name, wait)) = &backoff {
+                        dispatcher.back_off_probed(name, *wait, now);
+                    }
+                    let key = LeaseKey { holder: from, number };
+                    allocator.release(&key, &report, dispatcher, now);
+                }
+                self.wake(to);
+            }
+            Event::Exchange { at } => self.exchange(at),
+            Event::Tick => self.tick(),
+        }
+    }
+
+    fn exchange(&mut self, at: usize) {
+        self.add(EXCHANGE_MS, Event::Exchange { at });
+        let other = self.rng.random_range(0..self.processes.len());
+        if self.is_frozen(at) || self.is_frozen(other) || !self.reaches(at, other) {
+            return;
+        }
+        let now = self.now();
+        let (known, of_other) =
+            (self.processes[at].own.rate_limits(now), self.processes[other].own.rate_limits(now));
+        self.processes[other].learn(&known, now);
+        self.processes[at].learn(&of_other, now);
+    }
+
+    fn tick(&mut self) {
+        self.add(TICK_MS, Event::Tick);
+        for place in 0..self.contenders() {
+            let now = self.now();
+            if self.is_frozen(place) {
+                continue;
+            }
+            if let Some(GroupState { dispatcher, allocator }) = &mut self.processes[place].state {
+                allocator.expire(dispatcher, now);
+                dispatcher.tick(now);
+            }
+            self.wake(place);
+        }
+    }
+
+    fn wake(&mut self, place: usize) {
+        let now = self.now();
+        let mut woken = Vec::new();
+        if let Some(GroupState { dispatcher, allocator }) = &mut self.processes[place].state {
+            while let Some(wake) = dispatcher.next_wake(now, &mut self.rng) {
+                let (ticket, decided) = match wake {
+                    Wake::Send(ticket, grant) => (ticket, Ok(grant)),
+                    Wake::Refuse(ticket, refusal) => (ticket, Err(refusal)),
+                };
+                match allocator.woken(ticket, decided, dispatcher, now) {
+                    Ok(told) => woken.push(told),
+                    Err(Ok(grant)) => dispatcher.release(grant, now),
+                    Err(Err(_)) => {}
+                }
+            }
+        }
+        for (key, allocation) in woken {
+            self.send(place, key.holder, || Event::Told {
+                to: key.holder,
+                number: key.number,
+                allocation: allocation.clone(),
+            });
+        }
+    }
+}
+
+fn configuration_text(count: usize) -> String {
+    let mut text = format!(
+        "entry_vms_max: {count}\ndata_halls: [a, b, c]\ndata_hall_one_way_us: 1500\nkinds: []\n\
+         services:\n- name: s\n  slots_per_target: 8\n  connections_per_target: 100000\n  targets:\n"
+    );
+    for index in 0..TARGETS {
+        let hall = ['a', 'b', 'c'][index % HALLS];
+        let _ = writeln!(
+            text,
+            "  - {{ name: t{index}, address: '127.0.0.1:{}', data_hall: {hall} }}",
+            index + 1
+        );
+    }
+    text
+}
--- a/crates/thymeshift_lab/src/replay/limits/process.rs
+++ b/crates/thymeshift_lab/src/replay/fleet/process.rs
@@ -14,6 +14,8 @@
 use thymeshift_types::TargetName;
 use thymeshift_types::Timestamp;
 
+use crate::replay::fleet::Call;
+
 /// How long an allocator that did not answer is passed over the first time, in milliseconds, and
 /// how often that doubles.
 const PASSED_OVER_MS: u64 = 500;
@@ -28,10 +30,10 @@
 /// A call that waits for a target.
 pub(super) struct Asking {
     pub(super) allocator: usize,
-    /// Allocators asked so far, and grants given back since they were not counted.
+    /// Allocators asked so far, and grants given back.
     pub(super) asked: usize,
-    pub(super) uncounted: usize,
-    pub(super) arrived_ms: u64,
+    pub(super) given_back: usize,
+    pub(super) call: Call,
     /// Until when the next answer is waited for.
     pub(super) until_ms: u64,
 }
@@ -41,6 +43,7 @@
     pub(super) grant: Grant,
     /// The allocator whose lease it holds.
     pub(super) allocator: Option<usize>,
+    pub(super) call: Call,
 }
 
 pub(super) struct Process {
--- a/crates/thymeshift_lab/src/replay/limits.rs
+++ b/crates/thymeshift_lab/src/replay/limits.rs
@@ -4,14 +4,15 @@
 mod day;
 mod judge;
 mod policy;
-mod process;
 
 use std::fmt;
 use std::fmt::Write;
 
 use thymeshift_config::Mistakes;
 
-use crate::replay::limits::day::Day;
+use crate::replay::fleet::Trouble;
+use crate::replay::fleet::VirtualFleet;
+use crate::replay::limits::day::LimitDay;
 
 pub use policy::LimitPolicy;
 
@@ -32,21 +33,6 @@
     pub changed_by: f64,
 }
 
-/// What strikes the processes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Trouble {
-    /// Nothing but lost and doubled messages.
-    None,
-    /// The first allocator is killed, and starts again a second later.
-    FirstKilled,
-    /// The first allocator stands still for three seconds.
-    FirstFrozen,
-    /// A third of the processes, the first two allocators not among them, reach no other one.
-    CutOff,
-    /// Two data halls cannot reach each other; a third one reaches both.
-    TwoHallsCut,
-}
-
 /// What came of a pattern, over all days.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct LimitResult {
@@ -103,7 +89,9 @@
 ) -> Result<LimitResult, Mistakes> {
     let mut result = LimitResult::default();
     for seed in 0..days {
-        result.add(&Day::new(*pattern, policy, processes, seed)?.play());
+        let day = LimitDay::new(*pattern, policy);
+        let (day, messages) = VirtualFleet::new(day, processes, seed)?.play();
+        result.add(&day.result(messages));
     }
     Ok(result)
 }
--- a/crates/thymeshift_lab/src/replay/limits/judge.rs
+++ b/crates/thymeshift_lab/src/replay/limits/judge.rs
@@ -1,10 +1,10 @@
 //! How far the limits were exceeded, and how much of them was used.
 
+use crate::replay::fleet::DAY_MS;
 use crate::replay::limits::LimitPattern;
 use crate::replay::limits::LimitResult;
 
 /// Times of the day, in milliseconds.
-pub(super) const DAY_MS: u64 = 26_000;
 pub(super) const NAMED_AT_MS: u64 = 4_000;
 pub(super) const CHANGED_AT_MS: u64 = 12_000;
 /// Until all processes must know of a limit, or of another one.
--- a/crates/thymeshift_lab/tests/replay.rs
+++ b/crates/thymeshift_lab/tests/replay.rs
@@ -1,6 +1,9 @@
-//! Patterns of load and trouble in virtual time, each with what the product's way must reach and
-//! what another way does to the same days.
+//! Patterns of load and trouble in virtual time, each with what the product's policy must reach and
+//! what another policy does to the same days.
 
+use thymeshift_lab::replay::BackoffPattern;
+use thymeshift_lab::replay::BackoffPolicy;
+use thymeshift_lab::replay::BackoffResult;
 use thymeshift_lab::replay::CrashPattern;
 use thymeshift_lab::replay::CrashPolicy;
 use thymeshift_lab::replay::CrashResult;
@@ -12,6 +15,7 @@
 use thymeshift_lab::replay::QuotaPolicy;
 use thymeshift_lab::replay::QuotaResult;
 use thymeshift_lab::replay::Trouble;
+use thymeshift_lab::replay::replay_backoffs;
 use thymeshift_lab::replay::replay_crashes;
 use thymeshift_lab::replay::replay_limits;
 use thymeshift_lab::replay::replay_quotas;
@@ -76,8 +80,8 @@
 /// Processes of the deployments that the limit must hold on.
 const PROCESSES: [usize; 3] = [3, 117, 1_000];
 
-fn play_quota(pattern: &QuotaPattern, way: QuotaPolicy, processes: usize) -> QuotaResult {
-    replay_quotas(pattern, way, processes, 8)
+fn play_quota(pattern: &QuotaPattern, policy: QuotaPolicy, processes: usize) -> QuotaResult {
+    replay_quotas(pattern, policy, processes, 8)
 }
 
 /// The platform bears a quarter more than the limit in a window, and a few requests.
@@ -133,8 +137,8 @@
     assert!(result.worst_window > 1.25, "{result}");
 }
 
-fn play_limits(pattern: &LimitPattern, way: LimitPolicy, processes: usize) -> LimitResult {
-    replay_limits(pattern, way, processes, 1).expect("a configuration")
+fn play_limits(pattern: &LimitPattern, policy: LimitPolicy, processes: usize) -> LimitResult {
+    replay_limits(pattern, policy, processes, 1).expect("a configuration")
 }
 
 /// A target in need is not overrun, whatever strikes the processes and however many there are; and
@@ -159,7 +163,7 @@
 /// The model shows the trouble: unread, limits are exceeded several times over; where each process
 /// that is asked grants all, a cut between two halls exceeds them; equal parts leave them unused.
 #[test]
-fn other_ways_exceed_the_limits_or_leave_them_unused() {
+fn other_policies_exceed_the_limits_or_leave_them_unused() {
     let unread = play_limits(&LimitPattern::TWO, LimitPolicy::Unread, 13);
     assert!(unread.worst_window > 2.0, "{unread}");
     let cut = LimitPattern { trouble: Trouble::TwoHallsCut, ..LimitPattern::ALL_NEEDY };
@@ -168,3 +172,47 @@
     let equal = play_limits(&LimitPattern::ALL_NEEDY, LimitPolicy::EqualParts, 117);
     assert!(equal.used_share() < 0.5, "{equal}");
 }
+
+fn play_backoffs(
+    pattern: &BackoffPattern,
+    policy: BackoffPolicy,
+    processes: usize,
+) -> BackoffResult {
+    replay_backoffs(pattern, policy, processes, 1).expect("a configuration")
+}
+
+/// What a target may get of one process within a backoff that it had asked that process for.
+const IN_BACKOFF_MAX: usize = 2;
+
+#[test]
+fn backoffs_hold_whoever_chooses_and_however_many_processes_there_are() {
+    for pattern in &BackoffPattern::ALL {
+        for processes in [3, 13, 117] {
+            let result = play_backoffs(pattern, BackoffPolicy::NamedAndSpaced, processes);
+            let note = format!("{}, {processes} processes: {result}", pattern.name);
+            assert!(result.worst_backoff <= IN_BACKOFF_MAX, "{note}");
+        }
+    }
+    let result = play_backoffs(&BackoffPattern::TWO, BackoffPolicy::NamedAndSpaced, 1_000);
+    assert!(result.worst_backoff <= IN_BACKOFF_MAX, "1,000 processes: {result}");
+}
+
+/// Unread, a target that refuses attracts requests; without spacing out, refusals grow with the number
+/// of processes; kept for all, a refusal of a moment takes targets from callers that need them.
+#[test]
+fn other_policies_of_backoffs_send_too_much_or_serve_fewer() {
+    let built =
+        |pattern, processes| play_backoffs(pattern, BackoffPolicy::NamedAndSpaced, processes);
+    let unread = play_backoffs(&BackoffPattern::TWO, BackoffPolicy::Unread, 13);
+    assert!(unread.worst_backoff > IN_BACKOFF_MAX, "{unread}");
+    assert!(
+        unread.failed_share() > 4.0 * built(&BackoffPattern::TWO, 13).failed_share(),
+        "{unread}"
+    );
+    let named = play_backoffs(&BackoffPattern::TWO, BackoffPolicy::Named, 1_000);
+    let spaced = built(&BackoffPattern::TWO, 1_000);
+    assert!(2 * spaced.refusals < named.refusals, "{spaced}; {named}");
+    let moment = BackoffPattern { refusing_ms: 50, ..BackoffPattern::BUSY };
+    let for_all = play_backoffs(&moment, BackoffPolicy::ForAll, 117);
+    assert!(for_all.failed_share() > 4.0 * built(&moment, 117).failed_share(), "{for_all}");
+}
