Soak: targets that say that they leave, or refuse and ask for a backoff

Faults that strike these targets are left out, since a target that is stopped reads what arrived long before.

--- a/crates/thymeshift_lab/src/experiment/fleet.rs
+++ b/crates/thymeshift_lab/src/experiment/fleet.rs
@@ -21,6 +21,7 @@
 use crate::http_client::AskError;
 use crate::http_client::ask;
 use crate::standin::Behaviour;
+use crate::standin::Disregarded;
 use crate::standin::LedgerEntry;
 use crate::standin::PlatformMode;
 
@@ -114,6 +115,12 @@
         Ok(serde_json::from_slice(answer.body())?)
     }
 
+    /// What reached it against what it had said.
+    pub async fn disregarded(&self) -> Result<Disregarded, FleetError> {
+        let answer = ask(self.child.address("control")?, Method::GET, "/statements", "").await?;
+        Ok(serde_json::from_slice(answer.body())?)
+    }
+
     /// What it ran.
     pub async fn ledger(&self) -> Result<BTreeMap<String, LedgerEntry>, FleetError> {
         let answer = ask(self.child.address("control")?, Method::GET, "/ledger", "").await?;
--- a/crates/thymeshift_lab/src/experiment/mod.rs
+++ b/crates/thymeshift_lab/src/experiment/mod.rs
@@ -19,6 +19,7 @@
 mod soak;
 mod soak_fault;
 mod soak_need;
+mod soak_statement;
 mod usage;
 
 pub use children::Child;
--- a/crates/thymeshift_lab/src/experiment/soak_fault.rs
+++ b/crates/thymeshift_lab/src/experiment/soak_fault.rs
@@ -85,6 +85,14 @@
 }
 
 impl SoakFault {
+    /// Whether it strikes a target.
+    pub fn is_at(&self, index: usize) -> bool {
+        matches!(
+            self,
+            Self::Target { target, .. } | Self::PauseTarget { target, .. } if *target == index
+        )
+    }
+
     /// Whether it is planned work, which must cost no caller an answer.
     pub fn is_planned(&self) -> bool {
         matches!(self, Self::StopEntry { .. } | Self::ReloadEntry { .. } | Self::Publish)
--- a/crates/thymeshift_lab/src/standin/behaviour.rs
+++ b/crates/thymeshift_lab/src/standin/behaviour.rs
@@ -47,6 +47,8 @@
     pub is_draining: bool,
     /// What is wrong with it.
     pub fault: Fault,
+    /// For how long it asks whom it sheds to send nothing, in seconds.
+    pub backoff_s: Option<u64>,
     /// Factor on its service time.
     pub slowness: f64,
     /// It holds each answer back for this long, in milliseconds.
@@ -70,6 +72,7 @@
         Self {
             is_draining: false,
             fault: Fault::None,
+            backoff_s: None,
             slowness: 1.0,
             late_ms: 0,
             reports: Reports::True,
--- a/crates/thymeshift_lab/src/standin/mod.rs
+++ b/crates/thymeshift_lab/src/standin/mod.rs
@@ -9,6 +9,7 @@
 mod proxy;
 mod server;
 mod slots;
+mod statements;
 mod target;
 
 pub use answer::expected_answer;
@@ -23,5 +24,7 @@
 pub use proxy::Proxy;
 pub use proxy::ProxyMode;
 pub use server::Running;
+pub use statements::CALLED_PROCESS;
+pub use statements::Disregarded;
 pub use target::Target;
 pub use target::TargetSettings;
--- /dev/null
+++ b/crates/thymeshift_lab/src/standin/statements.rs
@@ -0,0 +1,87 @@
+//! What a target has said of itself to each process, and what reached it all the same.
+
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use http::HeaderName;
+use parking_lot::Mutex;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// The process that a request was sent to, as its caller names it.
+pub const CALLED_PROCESS: HeaderName = HeaderName::from_static("lab-called-process");
+/// After this time without a new request a target may end that leaves.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+/// Until an answer has reached the process, and requests under way have arrived.
+const SETTLED_AFTER: Duration = Duration::from_millis(500);
+
+/// What reached a target against what it had said.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Disregarded {
+    /// Requests of processes that had known for longer than the drain time that it leaves.
+    pub after_leaving: usize,
+    /// Most requests of one process within a backoff.
+    pub in_backoff: usize,
+}
+
+impl Disregarded {
+    /// The worse of two targets.
+    #[must_use]
+    pub fn max(self, other: Self) -> Self {
+        Self {
+            after_leaving: self.after_leaving.max(other.after_leaving),
+            in_backoff: self.in_backoff.max(other.in_backoff),
+        }
+    }
+}
+
+#[derive(Default)]
+struct ToProcess {
+    left_at: Option<Instant>,
+    /// Beginning, end, and requests within.
+    backoffs: Vec<(Instant, Instant, usize)>,
+}
+
+/// The statements of one target, by process.
+#[derive(Default)]
+pub(super) struct StatementLedger {
+    processes: Mutex<HashMap<String, ToProcess>>,
+    disregarded: Mutex<Disregarded>,
+}
+
+impl StatementLedger {
+    /// A request of a process arrives.
+    pub(super) fn arrived(&self, process: &str) {
+        let now = Instant::now();
+        let mut processes = self.processes.lock();
+        let known = processes.entry(process.to_owned()).or_default();
+        let mut disregarded = self.disregarded.lock();
+        let is_late = known.left_at.is_some_and(|at| now > at + SETTLED_AFTER + DRAIN_TIME);
+        disregarded.after_leaving += usize::from(is_late);
+        known.backoffs.retain(|(_, end, _)| now < *end);
+        for (begin, _, count) in &mut known.backoffs {
+            *count += usize::from(now > *begin + SETTLED_AFTER);
+            disregarded.in_backoff = disregarded.in_backoff.max(*count);
+        }
+    }
+
+    /// A process is answered that the target leaves.
+    pub(super) fn says_leaving(&self, process: &str) {
+        let mut processes = self.processes.lock();
+        let known = processes.entry(process.to_owned()).or_default();
+        known.left_at.get_or_insert_with(Instant::now);
+    }
+
+    /// A process is asked for a backoff.
+    pub(super) fn asks_for_backoff(&self, process: &str, wait: Duration) {
+        let now = Instant::now();
+        let mut processes = self.processes.lock();
+        let known = processes.entry(process.to_owned()).or_default();
+        known.backoffs.push((now, now + wait, 0));
+    }
+
+    pub(super) fn disregarded(&self) -> Disregarded {
+        *self.disregarded.lock()
+    }
+}
--- a/crates/thymeshift_lab/src/standin/target.rs
+++ b/crates/thymeshift_lab/src/standin/target.rs
@@ -23,6 +23,7 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::header::RETRY_AFTER;
 use http_body::Frame;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -60,6 +61,8 @@
 use crate::standin::server::Running;
 use crate::standin::server::serve;
 use crate::standin::slots::Slots;
+use crate::standin::statements::CALLED_PROCESS;
+use crate::standin::statements::StatementLedger;
 
 /// Length of an answer whose request does not say.
 const ANSWER_BYTES: u64 = 64;
@@ -113,6 +116,7 @@
     /// What it ran.
     pub ledger: Ledger,
     need: Need,
+    statements: StatementLedger,
     slots: Arc<Slots>,
     rng: Mutex<SmallRng>,
     started: Instant,
@@ -131,6 +135,7 @@
             behaviour: Mutex::default(),
             ledger: Ledger::default(),
             need: Need::default(),
+            statements: StatementLedger::default(),
             rng: Mutex::new(rng),
             started: Instant::now(),
             stall_until: Mutex::new(Instant::now()),
@@ -181,6 +186,9 @@
                 Err(error) => mistaken(&error),
             },
             (&Method::GET, "/limit") => text(self.need.worst_window().to_string()),
+            (&Method::GET, "/statements") => {
+                text(serde_json::to_vec(&self.statements.disregarded()).unwrap_or_default())
+            }
             (&Method::GET, "/ledger") => {
                 text(serde_json::to_vec(&self.ledger.entries()).unwrap_or_default())
             }
@@ -193,19 +201,40 @@
         exact_sleep(one_way).await;
         let (parts, body) = request.into_parts();
         let attempt = parts.headers.get(&headers::ATTEMPT).cloned();
+        let process = parts.headers.get(&CALLED_PROCESS).and_then(|value| value.to_str().ok());
+        let process = process.map(str::to_owned);
         let mut answer = if parts.uri.path() == "/probe" {
             self.probe().await
         } else {
             self.need.arrived();
+            if let Some(process) = &process {
+                self.statements.arrived(process);
+            }
             let body = body.collect().await.ok()?;
             let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
             self.run(path, &body.to_bytes()).await?
         };
         self.mark(answer.headers_mut(), attempt);
+        if let Some(process) = &process {
+            self.state_to(process, &mut answer);
+        }
         exact_sleep(one_way).await;
         Some(answer)
     }
 
+    /// Notes what a process is told, and asks it for a backoff if it is refused.
+    fn state_to(&self, process: &str, answer: &mut Answer) {
+        let behaviour = self.behaviour();
+        if behaviour.is_draining {
+            self.statements.says_leaving(process);
+        }
+        let is_refused = answer.status() == StatusCode::SERVICE_UNAVAILABLE;
+        if let Some(backoff_s) = behaviour.backoff_s.filter(|_| is_refused) {
+            answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from(backoff_s));
+            self.statements.asks_for_backoff(process, Duration::from_secs(backoff_s));
+        }
+    }
+
     async fn probe(&self) -> Answer {
         exact_sleep(Duration::from_micros(self.settings.probe_us)).await;
         whole(text("probed"))
