Soak: a process that stood still is excused from what lay unread

A freeze of the process excuses it. What a target counts is kept by process now, and those whose logs tell of a pause are not judged; all others are as before.

--- a/crates/thymeshift_lab/src/experiment/fleet.rs
+++ b/crates/thymeshift_lab/src/experiment/fleet.rs
@@ -1,6 +1,7 @@
 //! A platform, the targets of a configuration and some entry processes, each a process.
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::fs;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -115,8 +116,8 @@
         Ok(serde_json::from_slice(answer.body())?)
     }
 
-    /// What reached it against what it had said.
-    pub async fn disregarded(&self) -> Result<Disregarded, FleetError> {
+    /// What reached it against what it had said, by the process that sent it.
+    pub async fn disregarded(&self) -> Result<HashMap<String, Disregarded>, FleetError> {
         let answer = ask(self.child.address("control")?, Method::GET, "/statements", "").await?;
         Ok(serde_json::from_slice(answer.body())?)
     }
--- a/crates/thymeshift_lab/src/experiment/soak.rs
+++ b/crates/thymeshift_lab/src/experiment/soak.rs
@@ -159,6 +159,7 @@
     let SoakPlan { seed, entries, duration, folder } = plan;
     let mut rng = SmallRng::seed_from_u64(seed);
     let is_gentle = seed.is_multiple_of(GENTLE_EVERY);
+    let logs = folder.clone();
     let fleet_plan = FleetPlan { seed, has_datagrams: true, ..tariff_plan(folder, entries)? };
     let mut fleet = Fleet::start(fleet_plan).await?;
     let proxy = Proxy::start(fleet.platform.address("data")?).await?;
@@ -181,7 +182,7 @@
     played?;
     fleet.set_platform(PlatformMode::Normal).await?;
     proxy.set_mode(ProxyMode::Pass);
-    let disregarded = disregarded(&fleet, &statements).await?;
+    let disregarded = disregarded(&fleet, &statements, &logs).await?;
     end_refusals(&fleet, &statements).await?;
     let judgement = judge(&result, &ledgers(&fleet).await?, &UNSAFE_KINDS);
     let in_force_after = publish_everywhere(&mut fleet, revision + 1, &watched).await?;
--- a/crates/thymeshift_lab/src/experiment/soak_statement.rs
+++ b/crates/thymeshift_lab/src/experiment/soak_statement.rs
@@ -1,5 +1,10 @@
 //! Targets of a soak that say that they leave, or refuse and ask for a backoff.
 
+use std::collections::HashSet;
+use std::fs;
+use std::io;
+use std::path::Path;
+
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -69,14 +74,38 @@
     Ok(())
 }
 
-/// The worst of what reached the targets against what they had said.
+/// The worst of what reached the targets against what they had said. A process that stood still is
+/// excused: what it had been told lay unread meanwhile.
 pub(super) async fn disregarded(
     fleet: &Fleet,
     statements: &[SoakStatement],
+    folder: &Path,
 ) -> Result<Disregarded, FleetError> {
+    let paused = paused_processes(folder)?;
     let mut worst = Disregarded::default();
     for statement in statements {
-        worst = worst.max(fleet.targets[statement.target].disregarded().await?);
+        let by_process = fleet.targets[statement.target].disregarded().await?;
+        let counted = by_process.iter().filter(|(process, _)| !paused.contains(*process));
+        worst = counted.fold(worst, |worst, (_, disregarded)| worst.max(*disregarded));
     }
     Ok(worst)
 }
+
+/// Addresses of the processes whose logs tell that they stood still.
+fn paused_processes(folder: &Path) -> io::Result<HashSet<String>> {
+    let mut paused = HashSet::new();
+    for entry in fs::read_dir(folder)? {
+        let path = entry?.path();
+        if path.extension().is_none_or(|extension| extension != "log") {
+            continue;
+        }
+        let log = fs::read_to_string(&path)?;
+        if log.contains("event=process_was_paused")
+            && let Some(address) =
+                log.split_whitespace().find_map(|pair| pair.strip_prefix("caller="))
+        {
+            paused.insert(address.to_owned());
+        }
+    }
+    Ok(paused)
+}
