--- a/crates/thymeshift_entry/src/allocation_client.rs
+++ b/crates/thymeshift_entry/src/allocation_client.rs
@@ -308,7 +308,7 @@
         self.report.rate_limit = known;
     }
 
-    /// The incarnation of the target that this process knows to leave; told at the end.
+    /// The incarnation of the target that this process knows to leave; reported at the end.
     pub(crate) fn set_leaving(&mut self, incarnation: Option<Incarnation>) {
         self.report.leaving = incarnation;
     }
--- a/crates/thymeshift_entry/src/service/obtain.rs
+++ b/crates/thymeshift_entry/src/service/obtain.rs
@@ -106,7 +106,7 @@
     Redirected(Group, AllocatorAddress),
     /// Another process, which is known now, ranks before the one that was asked.
     AskInstead,
-    /// The allocator did not know what the target has said of itself: it is told when the grant is
+    /// The allocator did not know what the target has said of itself: it learns when the grant is
     /// given back.
     Stale,
     /// None answered or allocates, or a target was granted that may not be used.
--- a/crates/thymeshift_lab/src/experiment/soak_statement.rs
+++ b/crates/thymeshift_lab/src/experiment/soak_statement.rs
@@ -75,7 +75,7 @@
 }
 
 /// The worst of what reached the targets against what they had said. A process that stood still is
-/// excused: what it had been told lay unread meanwhile.
+/// excused: the answers lay unread meanwhile.
 pub(super) async fn disregarded(
     fleet: &Fleet,
     statements: &[SoakStatement],
--- a/crates/thymeshift_lab/src/replay/fleet/asking.rs
+++ b/crates/thymeshift_lab/src/replay/fleet/asking.rs
@@ -64,7 +64,7 @@
         }
     }
 
-    /// Asks the next allocator that is heard of and not passed over.
+    /// Asks the next allocator that is reachable and not passed over.
     fn ask(&mut self, place: usize, asked: usize, given_back: usize, call: Call) {
         let usable = (0..self.contenders()).filter(|other| {
             self.hears_of(place, *other)
@@ -94,7 +94,7 @@
         self.add(FIRST_WORD_MS, Event::Unheard { at: place, number });
     }
 
-    /// Targets that the allocator is told not to grant. All processes number them alike.
+    /// Targets that the allocator must not grant. All processes number them alike.
     fn excluded(&mut self, place: usize) -> Excluded {
         if !self.scenario.names_excluded() {
             return Excluded::default();
--- a/crates/thymeshift_lab/src/replay/fleet/mod.rs
+++ b/crates/thymeshift_lab/src/replay/fleet/mod.rs
@@ -50,7 +50,7 @@
 const FROZEN_MS: std::ops::Range<u64> = 10_000..13_000;
 /// Part of the processes that is cut off.
 const CUT_OFF: f64 = 0.35;
-/// Until a process that is not heard of is suspected, in a small fleet and for each further 24.
+/// Until a silent process is suspected, in a small fleet and for each further 24.
 const SUSPECTED_MS: u64 = 5_000;
 const MEMBERS_PER_PATIENCE: usize = 24;
 /// From one process to another, and to a target, in milliseconds; messages lost and doubled.
@@ -210,7 +210,7 @@
         }
     }
 
-    /// Whether `at` has heard of `other` lately, directly or not.
+    /// Whether heartbeats of `other` reach `at`, directly or not.
     fn hears_of(&self, at: usize, other: usize) -> bool {
         let patience = 1 + (self.processes.len().min(CONTENDERS_MAX) / MEMBERS_PER_PATIENCE) as u64;
         let is_silent = match self.scenario.trouble() {
--- a/crates/thymeshift_lab/src/replay/fleet/scenario.rs
+++ b/crates/thymeshift_lab/src/replay/fleet/scenario.rs
@@ -93,7 +93,7 @@
         true
     }
 
-    /// Whether allocators are told which targets the asking process may not use.
+    /// Whether a process names the targets that it may not use when it asks an allocator.
     fn names_excluded(&self) -> bool {
         true
     }
@@ -101,7 +101,7 @@
     /// A request arrives. Returns after how many milliseconds its answer is there, and the answer.
     fn answer(&mut self, arrival: Arrival, rng: &mut SmallRng) -> (u64, Self::Answer);
 
-    /// A process takes an answer in. Returns what its allocator is told, and a backoff that the
+    /// A process takes an answer in. Returns what it reports to its allocator, and a backoff that the
     /// allocator is to keep for all processes.
     fn learn(
         &self,
--- a/crates/thymeshift_lab/src/standin/target.rs
+++ b/crates/thymeshift_lab/src/standin/target.rs
@@ -222,7 +222,7 @@
         Some(answer)
     }
 
-    /// Notes what a process is told, and asks it for a backoff if it is refused.
+    /// Notes what a process learns, and asks it for a backoff if it is refused.
     fn state_to(&self, process: &str, answer: &mut Answer) {
         let behaviour = self.behaviour();
         if behaviour.is_draining {
