Log which process granted how many tokens of an organisation, and as which rank

Seen by callers: a limit exceeded across a loss of all processes (942 of 845 in 5 s, once), and 187 admitted of 129 in a test. The logs could not tell the hypotheses apart: several counters at a time, a fallback beside a counter, or a counter that starts with too many tokens.

Change: quota_granted names the tokens by VM, the refusals, the rank and the age of the counter, when the rank changes and otherwise every five seconds; quota_fallback names the rate that a process admits on its own. Both count against the limit of request lines per second.

--- a/crates/thymeshift_entry/src/control_plane/ticker.rs
+++ b/crates/thymeshift_entry/src/control_plane/ticker.rs
@@ -90,6 +90,7 @@
     }
     shared.metrics_text.run_upkeep();
     shared.drop_kept_targets(now);
+    shared.quotas.log_grants(shared, now);
     let has_expired = {
         let mut fleet = shared.fleet.lock();
         fleet.members.forget_old(now);
--- a/crates/thymeshift_entry/src/organisations/quota.rs
+++ b/crates/thymeshift_entry/src/organisations/quota.rs
@@ -8,9 +8,9 @@
 use metrics::counter;
 use parking_lot::Mutex;
 use spdlog::info;
+use thymeshift_allocation::AllocatorRank;
 use thymeshift_config::Organisation;
 use thymeshift_config::RequestRate;
-use thymeshift_dispatch::RateShare;
 use thymeshift_organisations::Admission;
 use thymeshift_organisations::QuotaCounter;
 use thymeshift_organisations::QuotaHolder;
@@ -33,6 +33,7 @@
 use tokio::time::timeout;
 
 use crate::organisations::QuotaReply;
+use crate::organisations::grant_log::GrantLog;
 use crate::organisations::pending_asks::PendingQuotaAsks;
 use crate::shared::RankedProcesses;
 use crate::shared::Shared;
@@ -55,11 +56,17 @@
     /// Tokens that this process holds to admit requests.
     held: Mutex<HashMap<OrganisationName, Arc<HeldTokens>>>,
     /// Counters of the organisations that this process counts for.
-    counters: Mutex<HashMap<OrganisationName, QuotaCounter<VmName>>>,
+    counters: Mutex<HashMap<OrganisationName, LoggedCounter>>,
     rankings: Mutex<HashMap<OrganisationName, Ranking>>,
     pending_asks: PendingQuotaAsks,
 }
 
+/// Counter of one organisation, and the log of its grants.
+struct LoggedCounter {
+    counter: QuotaCounter<VmName>,
+    log: GrantLog,
+}
+
 /// Tokens of one organisation that this process holds.
 struct HeldTokens {
     holder: Mutex<QuotaHolder>,
@@ -71,8 +78,8 @@
 #[derive(Clone)]
 struct Ranking {
     ranked_processes: RankedProcesses,
-    /// Share of the rate limit that this process may grant as a counter.
-    share: RateShare,
+    /// Rank of this process among the counters.
+    rank: AllocatorRank,
     computed_at: Timestamp,
     /// Change count of the members that the ranking was computed from.
     member_changes: u64,
@@ -108,12 +115,7 @@
                 Admission::Ask { wanted, arrived } => {
                     let grant = self.ask(shared, organisation, limit, wanted, arrived).await;
                     let now = BootClock.now();
-                    let mut holder = held.holder.lock();
-                    match grant {
-                        Some(grant) => holder.apply_grant(&token_grant(grant), now),
-                        None => holder.start_fallback(now),
-                    }
-                    drop(holder);
+                    apply_reply(shared, organisation, &mut held.holder.lock(), grant, now);
                     held.ask_finished.notify_waiters();
                 }
             }
@@ -153,6 +155,15 @@
         self.pending_asks.deliver(number, reply);
     }
 
+    /// Logs what this process granted as a counter, as far as lines are due.
+    pub(crate) fn log_grants(&self, shared: &Shared, now: Timestamp) {
+        for (organisation, LoggedCounter { log, .. }) in &mut *self.counters.lock() {
+            if log.is_due(now) && shared.allows_request_log_line() {
+                log.write(organisation, now);
+            }
+        }
+    }
+
     /// Removes the state of organisations that the configuration no longer contains.
     pub(crate) fn retain_organisations(&self, organisations: &[Organisation]) {
         let is_known = |name: &OrganisationName| organisations.iter().any(|one| one.name == *name);
@@ -175,7 +186,7 @@
             key_digests: organisation.key_digests.clone(),
             tokens: held.as_ref().map_or(0, |holder| holder.tokens(now)),
             demand_per_s: held.as_ref().map_or(0.0, |holder| holder.demand_per_s(now)),
-            counted_per_s: self.counters.lock().get(name).map(QuotaCounter::demand_per_s),
+            counted_per_s: self.counters.lock().get(name).map(|one| one.counter.demand_per_s()),
         }
     }
 
@@ -260,15 +271,21 @@
         limit: QuotaLimit,
     ) -> QuotaGrant {
         let now = BootClock.now();
-        let share = self.ranking(shared, &ask.organisation).share;
+        let rank = self.ranking(shared, &ask.organisation).rank;
         let mut all = self.counters.lock();
-        let new = || QuotaCounter::new(limit, now);
-        let counter = all.entry(ask.organisation.clone()).or_insert_with(new);
+        let new =
+            || LoggedCounter { counter: QuotaCounter::new(limit, now), log: GrantLog::new(now) };
+        let LoggedCounter { counter, log } =
+            all.entry(ask.organisation.clone()).or_insert_with(new);
         counter.set_limit(limit, now);
-        counter.set_share(share.fraction(), now);
+        counter.set_share(rank.rate_share().fraction(), now);
         let request =
             TokenRequest { number: ask.number.0, wanted: ask.wanted, arrived: ask.arrived };
         let grant = counter.grant_tokens(holder_vm, request, now);
+        log.record(holder_vm, grant.tokens, rank, now);
+        if log.is_due(now) && shared.allows_request_log_line() {
+            log.write(&ask.organisation, now);
+        }
         QuotaGrant {
             tokens: grant.tokens,
             retry_after_ms: grant.retry_after.as_millis() as u32,
@@ -304,8 +321,8 @@
         }
         let task = counter_task(name);
         let ranked_processes = shared.ranked_contacts(&task, now).into();
-        let share = shared.rank_for(&task, now).rate_share();
-        let ranking = Ranking { ranked_processes, share, computed_at: now, member_changes };
+        let rank = shared.rank_for(&task, now);
+        let ranking = Ranking { ranked_processes, rank, computed_at: now, member_changes };
         self.rankings.lock().insert(name.clone(), ranking.clone());
         ranking
     }
@@ -316,6 +333,26 @@
     format!("count {name}")
 }
 
+/// Applies the grant of a counter, or starts the fallback period if no counter has granted.
+fn apply_reply(
+    shared: &Shared,
+    organisation: &Organisation,
+    holder: &mut QuotaHolder,
+    grant: Option<QuotaGrant>,
+    now: Timestamp,
+) {
+    if let Some(grant) = grant {
+        holder.apply_grant(&token_grant(grant), now);
+        return;
+    }
+    holder.start_fallback(now);
+    if shared.allows_request_log_line() {
+        info!("quota_fallback", kv: {
+            organisation: = organisation.name, own_rate_per_s = holder.own_rate_per_s()
+        });
+    }
+}
+
 fn token_grant(grant: QuotaGrant) -> TokenGrant {
     TokenGrant {
         tokens: grant.tokens,
--- a/crates/thymeshift_organisations/src/holder.rs
+++ b/crates/thymeshift_organisations/src/holder.rs
@@ -167,6 +167,12 @@
         self.demand.per_s(now)
     }
 
+    /// Returns the rate that this process admits while it reaches no counter, in requests per
+    /// second.
+    pub fn own_rate_per_s(&self) -> f64 {
+        self.own_share.rate_per_s()
+    }
+
     fn admit_in_fallback(&mut self, now: Timestamp) -> Admission {
         match self.own_share.take(1, now) {
             0 => Admission::Refused(self.own_share.time_to(1.0)),
