Assume a full fleet in a process that has just started and knows nobody

Rates that targets state were divided by the same rank.

Cause: a process that knows nobody ranks first of one and grants the whole limit as a counter. After a loss of all, each process does so until the first exchanges; groups that know each other follow. Ruled out: tokens of before the loss alone (one counter adds a quarter of a second of the rate), and a local counter of a process that does not serve yet.

Change: until a process is settled, its rank divides by the number of processes that may run: eight contacts a data hall (new setting data_halls), at most entry_vms_max. It is settled once a settled peer has answered with its members, 1.5 s after its start if five peers have answered, or after 5 s.

Why it works: the shares of processes that know disjoint parts of the fleet add up to at most one; a replaced process is settled by its first exchange.

--- a/crates/thymeshift_config/src/settings.rs
+++ b/crates/thymeshift_config/src/settings.rs
@@ -59,6 +59,9 @@
     pub vm: VmName,
     /// Data hall that this VM is located in.
     pub data_hall: DataHallName,
+    /// Names of all data halls with entry VMs; empty if unknown.
+    /// Bounds the number of processes that a process assumes until it knows the others.
+    pub data_halls: Vec<DataHallName>,
     /// Listen address for callers.
     pub caller_address: SocketAddr,
     /// Listen address for other entry processes.
@@ -130,6 +133,7 @@
         let mut map = MapReader::new(node, path, mistakes)?;
         let vm = map.required("vm");
         let data_hall = map.required("data_hall");
+        let data_halls = map.value_or("data_halls", Vec::new());
         let caller_address = map.required("caller_address");
         let peer_address = map.required("peer_address");
         let control_address = map.required("control_address");
@@ -155,6 +159,7 @@
         Some(Self {
             vm: vm?,
             data_hall: data_hall?,
+            data_halls: data_halls?,
             caller_address: caller_address?,
             peer_address: peer_address?,
             control_address: control_address?,
--- a/crates/thymeshift_entry/src/control_plane/peer_link.rs
+++ b/crates/thymeshift_entry/src/control_plane/peer_link.rs
@@ -233,7 +233,12 @@
     let mut summary = shared.fleet.lock().summary(scope, BootClock.now(), &mut rand::rng());
     summary.rate_limits = shared.rate_limit_updates();
     let answer = client.exchange(call_context(CALL_LIMIT), summary).await?;
-    apply_answer(shared, &client, &answer, address).await
+    let wanted = apply_summary(shared, &answer);
+    if answer.is_settled && scope == GossipScope::Regular {
+        // The answer to a regular summary contains the members that this process did not know.
+        shared.fleet.lock().members.record_settled_view();
+    }
+    fetch_documents(shared, &client, wanted, address).await
 }
 
 fn call_context(limit: Duration) -> context::Context {
@@ -242,14 +247,13 @@
     context
 }
 
-/// Applies a peer's summary and fetches the peer's newer documents.
-async fn apply_answer(
+/// Fetches documents of which the peer has a newer revision.
+async fn fetch_documents(
     shared: &Arc<Shared>,
     client: &PeerLinkClient,
-    exchange: &Exchange,
+    wanted: Vec<Document>,
     address: SocketAddr,
 ) -> Result<(), ExchangeError> {
-    let wanted = apply_summary(shared, exchange);
     for document in wanted {
         let is_delayed = document == Document::Targets && !shared.list_fetch_delay().is_zero();
         if is_delayed || !shared.links.begin_fetch(document, BootClock.now()) {
--- a/crates/thymeshift_entry/src/fleet.rs
+++ b/crates/thymeshift_entry/src/fleet.rs
@@ -120,7 +120,7 @@
             discovery: None,
             listed_targets: None,
             watcher_selection: WatcherSelection::new(settings.vm.clone(), boot),
-            members: Members::new(own, settings.peers.clone()),
+            members: Members::new(own, settings.peers.clone(), now),
             leaving: LeavingRegister::default(),
             orders: Orders::default(),
             quarantine: Quarantine::default(),
@@ -149,6 +149,7 @@
             orders: self.orders.list(now),
             suspects: self.suspects_to_send(REPEATED_SUSPECTS_MAX, now),
             rate_limits: Vec::new(),
+            is_settled: self.members.is_settled(now),
         }
     }
 
--- a/crates/thymeshift_entry/src/shared.rs
+++ b/crates/thymeshift_entry/src/shared.rs
@@ -19,6 +19,7 @@
 use thymeshift_allocation::Group;
 use thymeshift_config::Settings;
 use thymeshift_fleet::Boot;
+use thymeshift_fleet::FleetBounds;
 use thymeshift_fleet::ListPace;
 use thymeshift_fleet::Member;
 use thymeshift_fleet::Phase;
@@ -227,10 +228,11 @@
         group: &Group,
         now: Timestamp,
     ) -> AllocatorRank {
+        let bounds = self.fleet_bounds();
         let fleet = self.fleet.lock();
         let hall_candidates = match group {
             Group::All => None,
-            Group::Hall(hall) => Some(fleet.members.visible_in(hall, now)),
+            Group::Hall(hall) => Some(fleet.members.visible_in(hall, bounds, now)),
         };
         // Unreachable processes of a hall may still allocate the hall's group.
         // They count as one process that ranks before this process.
@@ -238,7 +240,7 @@
             .as_ref()
             .is_some_and(|candidates| candidates.visible.is_empty() && candidates.known_count > 0);
         let candidates = hall_candidates.filter(|candidates| !candidates.visible.is_empty());
-        let candidates = candidates.unwrap_or_else(|| fleet.members.visible_contacts(now));
+        let candidates = candidates.unwrap_or_else(|| fleet.members.visible_contacts(bounds, now));
         let rank = rank_in(&fleet, &allocator_task(service, group), &candidates);
         AllocatorRank {
             better_ranked: rank.better_ranked + usize::from(is_hall_unreachable),
@@ -248,11 +250,22 @@
 
     /// Returns the rank of this process among all processes for a fleet-wide task.
     pub(crate) fn rank_for(&self, task: &str, now: Timestamp) -> AllocatorRank {
+        let bounds = self.fleet_bounds();
         let fleet = self.fleet.lock();
-        let candidates = fleet.members.visible_contacts(now);
+        let candidates = fleet.members.visible_contacts(bounds, now);
         rank_in(&fleet, task, &candidates)
     }
 
+    /// Returns the upper bounds of the number of processes.
+    fn fleet_bounds(&self) -> FleetBounds {
+        let vms_max = self.routing().map_or(1, |routing| routing.configuration.entry_vms_max);
+        let halls = self.settings().data_halls.len();
+        FleetBounds {
+            vms_max: usize::try_from(vms_max).unwrap_or(usize::MAX),
+            halls: (halls > 0).then_some(halls),
+        }
+    }
+
     /// Returns the contacts of all data halls ranked for a fleet-wide task.
     /// `None` stands for this process.
     pub(crate) fn ranked_contacts(
--- a/crates/thymeshift_fleet/src/lib.rs
+++ b/crates/thymeshift_fleet/src/lib.rs
@@ -51,6 +51,7 @@
 pub use member::Member;
 pub use member::MemberDump;
 pub use member::Phase;
+pub use members::FleetBounds;
 pub use members::GossipMember;
 pub use members::GossipScope;
 pub use members::Members;
--- a/crates/thymeshift_fleet/src/members.rs
+++ b/crates/thymeshift_fleet/src/members.rs
@@ -23,6 +23,7 @@
 mod contacts;
 mod gossip;
 mod known;
+mod settling;
 mod visibility;
 
 use std::collections::BTreeMap;
@@ -47,6 +48,7 @@
 pub use gossip::GossipMember;
 pub use gossip::GossipScope;
 pub use gossip::ReceivedSummary;
+pub use settling::FleetBounds;
 pub use visibility::VisibleMembers;
 
 /// Maximum number of other processes that a process remembers.
@@ -70,12 +72,24 @@
     changes: u64,
     /// Peer answers received since this process started.
     answer_count: u32,
+    started_at: Timestamp,
+    /// Whether a settled process has answered with the members that it knows.
+    has_settled_view: bool,
 }
 
 impl Members {
-    /// Creates the membership of the process `own`, with `hints` as the first addresses to try.
-    pub fn new(own: Member, hints: Vec<SocketAddr>) -> Self {
-        Self { own, known: BTreeMap::new(), hints, changes: 0, answer_count: 0 }
+    /// Creates the membership of the process `own`, which starts now, with `hints` as the first
+    /// addresses to try.
+    pub fn new(own: Member, hints: Vec<SocketAddr>, now: Timestamp) -> Self {
+        Self {
+            own,
+            known: BTreeMap::new(),
+            hints,
+            changes: 0,
+            answer_count: 0,
+            started_at: now,
+            has_settled_view: false,
+        }
     }
 
     fn timeout_factor(&self) -> u32 {
@@ -158,7 +172,7 @@
     }
 
     /// Returns a counter that increases whenever another process appears, restarts,
-    /// or changes its phase or datagram address. Results derived from an earlier state of the
+    /// or changes its phase or datagram address, and when this process becomes settled by an answer. Results derived from an earlier state of the
     /// members are outdated when the counter has changed.
     pub fn changes(&self) -> u64 {
         self.changes
--- a/crates/thymeshift_fleet/src/members/contacts.rs
+++ b/crates/thymeshift_fleet/src/members/contacts.rs
@@ -13,7 +13,7 @@
 
 /// Members of one data hall that processes of other halls know.
 /// Eight cover a small hall completely, and leave live contacts when several are dead.
-const CONTACTS_PER_HALL: usize = 8;
+pub(super) const CONTACTS_PER_HALL: usize = 8;
 /// Contacts of a hall that receive announcements for the whole hall and relay them to its members.
 const HUBS_PER_HALL: usize = 2;
 
--- a/crates/thymeshift_fleet/tests/agreement.rs
+++ b/crates/thymeshift_fleet/tests/agreement.rs
@@ -250,7 +250,7 @@
 
 #[test]
 fn a_member_is_alive_while_its_heartbeat_advances() {
-    let mut members = Members::new(member(0), Vec::new());
+    let mut members = Members::new(member(0), Vec::new(), at(0));
     let beat = |members: &mut Members, heartbeat: u64, now| {
         members.record_announcement(&Member { heartbeat, ..member(1) }, now);
     };
@@ -272,7 +272,7 @@
 
 #[test]
 fn a_process_that_was_paused_does_not_suspect_the_others() {
-    let mut members = Members::new(member(0), Vec::new());
+    let mut members = Members::new(member(0), Vec::new(), at(0));
     members.record_announcement(&Member { heartbeat: 1, ..member(1) }, at(0));
     members.paused(Duration::from_mins(1));
     assert_eq!(liveness(&members, 1, at(61_000)), Some(Liveness::Alive));
@@ -281,7 +281,8 @@
 #[test]
 fn hints_are_tried_only_while_nobody_is_known_there() {
     let mut rng = SmallRng::seed_from_u64(1);
-    let mut members = Members::new(member(0), vec![member(0).peer_address, member(1).peer_address]);
+    let mut members =
+        Members::new(member(0), vec![member(0).peer_address, member(1).peer_address], at(0));
     assert_eq!(
         members.pick_peers(5, at(0), &mut rng),
         [member(1).peer_address],
@@ -414,7 +415,7 @@
         },
     ];
     for Case { note, answer_count, is_other_new, knows_same_members, sent_count } in cases {
-        let mut members = Members::new(member(0), Vec::new());
+        let mut members = Members::new(member(0), Vec::new(), at(0));
         for number in 1..=30 {
             members.record_announcement(&member(number), at(0));
         }
@@ -473,7 +474,7 @@
         },
         Case { note: "this process itself", announced: member(0), is_change: false },
     ];
-    let mut members = Members::new(member(0), Vec::new());
+    let mut members = Members::new(member(0), Vec::new(), at(0));
     for Case { note, announced, is_change } in cases {
         let before = members.changes();
         members.record_announcement(&announced, at(0));
--- a/crates/thymeshift_fleet/tests/membership.rs
+++ b/crates/thymeshift_fleet/tests/membership.rs
@@ -91,7 +91,7 @@
         // No process uses the last address.
         let hints = vec![address(1), address(count / 2), address(60_000)];
         let new = |number| Process {
-            members: Members::new(member(number, halls, 1), hints.clone()),
+            members: Members::new(member(number, halls, 1), hints.clone(), at(0)),
             is_up: true,
             started_ms: 0,
             next_ms: 0,
@@ -156,7 +156,7 @@
     fn restart(&mut self, number: usize, now_ms: u64) {
         let hints = vec![address(1), address(self.processes.len() / 2)];
         let own = member(number, self.halls, 2);
-        let members = Members::new(own, hints);
+        let members = Members::new(own, hints, at(now_ms));
         self.processes[number] =
             Process { members, is_up: true, started_ms: now_ms, next_ms: now_ms };
     }
--- a/crates/thymeshift_lab/src/main.rs
+++ b/crates/thymeshift_lab/src/main.rs
@@ -90,6 +90,7 @@
         Command::Replay { days } => {
             println!("{}", replay::crash_table(days)?);
             println!("{}", replay::quota_table(days));
+            println!("{}", replay::quota_start_table(days));
             println!("{}", replay::limit_table(days)?);
             print!("{}", replay::backoff_table(days)?);
             Ok(ExitCode::SUCCESS)
--- a/crates/thymeshift_lab/tests/replay.rs
+++ b/crates/thymeshift_lab/tests/replay.rs
@@ -17,9 +17,12 @@
 use thymeshift_lab::replay::QuotaPattern;
 use thymeshift_lab::replay::QuotaPolicy;
 use thymeshift_lab::replay::QuotaResult;
+use thymeshift_lab::replay::StartPattern;
+use thymeshift_lab::replay::StartPolicy;
 use thymeshift_lab::replay::replay_backoffs;
 use thymeshift_lab::replay::replay_crashes;
 use thymeshift_lab::replay::replay_limits;
+use thymeshift_lab::replay::replay_quota_starts;
 use thymeshift_lab::replay::replay_quotas;
 
 /// Number of simulated days of one minute for each crash pattern.
@@ -163,6 +166,58 @@
     assert!(result.worst_window > 1.25, "{result}");
 }
 
+/// Guards against processes that each grant the whole limit of an organisation because they have
+/// just started and know nobody: after a loss of all processes, and in a new fleet.
+#[test]
+fn an_organisations_limit_holds_while_processes_start() {
+    struct Case {
+        pattern: &'static str,
+        /// Maximum share of the requests below the limit that may be refused.
+        wrongly_refused_share_max: f64,
+        /// Maximum time after a start of all processes until the full rate is admitted.
+        full_rate_after_ms_max: u64,
+    }
+    const WINDOW_MAX: f64 = 1.25;
+    /// Time after which every process assumes to know the others, and its ranking is renewed.
+    const SETTLED_AFTER_MS: u64 = 2_700;
+    const CASE: Case = Case {
+        pattern: "",
+        wrongly_refused_share_max: 0.0,
+        full_rate_after_ms_max: SETTLED_AFTER_MS,
+    };
+    let cases = [
+        Case { pattern: "hot, all lost", ..CASE },
+        Case { pattern: "hot, all lost four times", ..CASE },
+        Case { pattern: "hot, all lost, slow exchanges", ..CASE },
+        Case { pattern: "hot, all lost, late starts", full_rate_after_ms_max: u64::MAX, ..CASE },
+        Case { pattern: "hot, new fleet", full_rate_after_ms_max: u64::MAX, ..CASE },
+        Case { pattern: "calm", wrongly_refused_share_max: 0.01, ..CASE },
+        Case { pattern: "calm, all lost", wrongly_refused_share_max: 0.04, ..CASE },
+        Case { pattern: "calm, all lost, few of 18", wrongly_refused_share_max: 0.14, ..CASE },
+        Case { pattern: "calm, all lost, one of one", wrongly_refused_share_max: 0.01, ..CASE },
+        Case { pattern: "calm, one replaced", wrongly_refused_share_max: 0.02, ..CASE },
+        Case { pattern: "calm, replaced in turn", wrongly_refused_share_max: 0.12, ..CASE },
+    ];
+    assert_eq!(cases.len(), StartPattern::ALL.len());
+    for (case, pattern) in cases.iter().zip(&StartPattern::ALL) {
+        assert_eq!(case.pattern, pattern.name);
+        for processes in pattern.sizes.iter().filter(|size| **size <= 30) {
+            let result = replay_quota_starts(pattern, StartPolicy::AssumedContacts, *processes, 2);
+            let note = format!("{}, {processes} processes: {result}", pattern.name);
+            assert!(result.worst_window <= WINDOW_MAX, "{note}");
+            assert!(result.wrongly_refused_share() <= case.wrongly_refused_share_max, "{note}");
+            assert!(result.full_rate_after_ms <= case.full_rate_after_ms_max, "{note}");
+        }
+    }
+}
+
+/// Checks the simulation itself: processes that count only those they know exceed the limit.
+#[test]
+fn counters_that_assume_only_known_processes_exceed_the_limit() {
+    let result = replay_quota_starts(&StartPattern::FOUR_LOSSES, StartPolicy::KnownOnly, 30, 2);
+    assert!(result.worst_window > 1.25, "{result}");
+}
+
 fn run_limits(pattern: &LimitPattern, policy: LimitPolicy, processes: usize) -> LimitResult {
     replay_limits(pattern, policy, processes, 1).expect("the generated configuration is valid")
 }
--- a/crates/thymeshift_wire/src/peer.rs
+++ b/crates/thymeshift_wire/src/peer.rs
@@ -53,6 +53,8 @@
     pub suspects: Vec<SuspectReport>,
     /// Page of the limits that rate-limited targets have stated.
     pub rate_limits: Vec<TargetRateLimit>,
+    /// Whether the sender knows the other processes as well as they know each other.
+    pub is_settled: bool,
 }
 
 /// Stated rate limit of one target.
