Charge the counter for requests that a process admitted on its own

Seen by callers: a limit exceeded while processes are short of processor time.

Cause: a process whose counter replies later than 105 ms admits its own share for half a second. The counter did receive the token request, so the process does not count as silent, nothing is withheld, and the counter grants the whole rate besides.

Change: the token request reports what the process admitted on its own since a counter last answered, and the counter subtracts it, as far as it did not withhold it. The debt is at most one second of the rate, so that nobody is refused long after.

--- a/crates/thymeshift_entry/src/organisations/quota.rs
+++ b/crates/thymeshift_entry/src/organisations/quota.rs
@@ -15,6 +15,7 @@
 use thymeshift_organisations::QuotaCounter;
 use thymeshift_organisations::QuotaHolder;
 use thymeshift_organisations::QuotaLimit;
+use thymeshift_organisations::TokenDemand;
 use thymeshift_organisations::TokenGrant;
 use thymeshift_organisations::TokenRequest;
 use thymeshift_telemetry::metric;
@@ -114,8 +115,8 @@
                     // This request therefore sends a quota request itself after the timeout.
                     let _ = timeout(PENDING_ASK_WAIT_MAX, ask_finished).await;
                 }
-                Admission::Ask { wanted, arrived } => {
-                    let grant = self.ask(shared, organisation, limit, wanted, arrived).await;
+                Admission::Ask(demand) => {
+                    let grant = self.ask(shared, organisation, limit, demand).await;
                     let now = BootClock.now();
                     apply_reply(shared, organisation, &mut held.holder.lock(), grant, now);
                     held.ask_finished.notify_waiters();
@@ -214,14 +215,14 @@
         shared: &Shared,
         organisation: &Organisation,
         limit: QuotaLimit,
-        wanted: u32,
-        arrived: u32,
+        demand: TokenDemand,
     ) -> Option<QuotaGrant> {
         let ask = QuotaAsk {
             number: self.pending_asks.next_number(),
             organisation: organisation.name.clone(),
-            wanted,
-            arrived,
+            wanted: demand.wanted,
+            arrived: demand.arrived,
+            own_admitted: demand.own_admitted,
         };
         let ranked_processes = self.ranked_processes(shared, &organisation.name);
         let now = BootClock.now();
@@ -287,8 +288,9 @@
             all.entry(ask.organisation.clone()).or_insert_with(new);
         counter.set_limit(limit, now);
         counter.set_share(rank.rate_share().fraction(), now);
-        let request =
-            TokenRequest { number: ask.number.0, wanted: ask.wanted, arrived: ask.arrived };
+        let QuotaAsk { number, wanted, arrived, own_admitted, .. } = *ask;
+        let demand = TokenDemand { wanted, arrived, own_admitted };
+        let request = TokenRequest { number: number.0, demand };
         let is_duplicate = counter.is_duplicate(holder_vm, request.number);
         let grant = counter.grant_tokens(holder_vm, request, now);
         if !is_duplicate {
--- a/crates/thymeshift_lab/src/replay/quota_starts/pattern.rs
+++ b/crates/thymeshift_lab/src/replay/quota_starts/pattern.rs
@@ -9,6 +9,8 @@
     pub sizes: &'static [usize],
     /// Number of entry VMs that the configuration allows, per running process.
     pub vms_max_factor: f64,
+    /// Rate limit of the organisation in requests per second, and its burst in requests.
+    pub limit: f64,
     /// Demand, divided by the rate limit, from `demand_from_ms` on.
     pub demand_factor: f64,
     /// Time at which the organisation sends its first request, in milliseconds.
@@ -36,6 +38,7 @@
         name: "hot, all lost",
         sizes: &[3, 30, 117, 300, 1_000],
         vms_max_factor: 1.4,
+        limit: 80.0,
         demand_factor: 7.5,
         demand_from_ms: 8_000,
         losses_ms: &[8_000],
@@ -50,9 +53,15 @@
         losses_ms: &[8_000, 9_200, 10_400, 11_600],
         ..Self::ONE_LOSS
     };
-    /// Processes that stand still again and again, under demand of 7.5 times the limit.
-    pub const STARVED: Self =
-        Self { name: "hot, starved", losses_ms: &[], is_starved: true, ..Self::ONE_LOSS };
+    /// Processes that stand still again and again, under demand of 7.5 times a low limit.
+    pub const STARVED: Self = Self {
+        name: "hot, starved",
+        sizes: &[3, 12, 30],
+        limit: 20.0,
+        losses_ms: &[],
+        is_starved: true,
+        ..Self::ONE_LOSS
+    };
     const CALM: Self = Self {
         name: "calm",
         demand_factor: 0.6,
@@ -62,7 +71,7 @@
     };
 
     /// Patterns of the result table.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 13] = [
         Self::ONE_LOSS,
         Self::FOUR_LOSSES,
         Self {
@@ -79,7 +88,9 @@
             start_spread_ms: 3_000,
             ..Self::ONE_LOSS
         },
+        Self::STARVED,
         Self::CALM,
+        Self { name: "calm, starved", is_starved: true, ..Self::CALM },
         Self { name: "calm, all lost", losses_ms: &[10_000], ..Self::CALM },
         Self {
             name: "calm, all lost, few of 18",
--- a/crates/thymeshift_lab/src/replay/quota_starts/process.rs
+++ b/crates/thymeshift_lab/src/replay/quota_starts/process.rs
@@ -9,6 +9,10 @@
 use thymeshift_fleet::ranked;
 use thymeshift_organisations::QuotaCounter;
 use thymeshift_organisations::QuotaHolder;
+use thymeshift_organisations::QuotaLimit;
+use thymeshift_organisations::TokenDemand;
+use thymeshift_organisations::TokenGrant;
+use thymeshift_organisations::TokenRequest;
 use thymeshift_types::Timestamp;
 
 use crate::replay::quota_starts::StartPolicy;
@@ -18,12 +22,20 @@
 /// Task that the processes are ranked for.
 const TASK: &str = "count birds";
 
+/// What all processes know of the limit and of the fleet.
+#[derive(Clone, Copy)]
+pub(super) struct GrantRules {
+    pub(super) limit: QuotaLimit,
+    pub(super) policy: StartPolicy,
+    /// Number of entry VMs that the configuration allows.
+    pub(super) vms_max: usize,
+}
+
 /// Token request whose reply is pending.
 pub(super) struct PendingTokenRequest {
     pub(super) number: u64,
     pub(super) counter: usize,
-    pub(super) wanted: u32,
-    pub(super) arrived: u32,
+    pub(super) demand: TokenDemand,
     /// Counters that were asked before this one.
     pub(super) asked: Vec<usize>,
 }
@@ -72,12 +84,7 @@
     }
 
     /// Returns the ranking of the counters, at most one second old.
-    pub(super) fn ranking(
-        &mut self,
-        policy: StartPolicy,
-        vms_max: usize,
-        now: Timestamp,
-    ) -> Ranking {
+    pub(super) fn ranking(&mut self, rules: GrantRules, now: Timestamp) -> Ranking {
         let member_changes = self.members.changes();
         let is_fresh = |known: &&Ranking| {
             known.member_changes == member_changes && now.since(known.computed_at).as_secs() < 1
@@ -90,14 +97,15 @@
             contacts.iter().map(|member| (member.vm.clone(), member.peer_address)).collect();
         let order = ranked(TASK, contacts.into_iter().map(Member::candidate));
         let order = order.into_iter().map(|vm| index_of(addresses[vm])).collect();
-        let share = self.share(policy, vms_max, now);
+        let share = self.share(rules, now);
         let ranking = Ranking { order, share, computed_at: now, member_changes };
         self.ranking = Some(ranking.clone());
         ranking
     }
 
     /// Returns the share of the limit that this process may grant.
-    fn share(&self, policy: StartPolicy, vms_max: usize, now: Timestamp) -> f64 {
+    fn share(&self, rules: GrantRules, now: Timestamp) -> f64 {
+        let GrantRules { policy, vms_max, .. } = rules;
         let bounds = match policy {
             StartPolicy::AssumedFleet => FleetBounds { vms_max, halls: None },
             StartPolicy::AssumedContacts => FleetBounds { vms_max, halls: Some(HALL_COUNT) },
@@ -119,6 +127,27 @@
         rank.rate_share().fraction()
     }
 
+    /// Grants tokens as the counter.
+    pub(super) fn grant(
+        &mut self,
+        holder: (usize, u64),
+        request: TokenRequest,
+        rules: GrantRules,
+        now: Timestamp,
+    ) -> TokenGrant {
+        let share = self.ranking(rules, now).share;
+        let is_settled = rules.policy == StartPolicy::KnownOnly || self.members.is_settled(now);
+        let counter = self.counter.get_or_insert_with(|| {
+            if is_settled {
+                QuotaCounter::new(rules.limit, now)
+            } else {
+                QuotaCounter::with_empty_bucket(rules.limit, now)
+            }
+        });
+        counter.set_share(share, now);
+        counter.grant_tokens(&holder, request, now)
+    }
+
     /// Returns whether a process is currently skipped as unresponsive.
     pub(super) fn is_skipped(&self, index: usize, now: Timestamp) -> bool {
         self.skipped_until.get(&index).is_some_and(|until| now < *until)
--- a/crates/thymeshift_lab/src/replay/quota_starts/simulation.rs
+++ b/crates/thymeshift_lab/src/replay/quota_starts/simulation.rs
@@ -8,9 +8,9 @@
 use rand_distr::Distribution;
 use rand_distr::Exp;
 use thymeshift_organisations::Admission;
-use thymeshift_organisations::QuotaCounter;
 use thymeshift_organisations::QuotaHolder;
 use thymeshift_organisations::QuotaLimit;
+use thymeshift_organisations::TokenDemand;
 use thymeshift_organisations::TokenGrant;
 use thymeshift_organisations::TokenRequest;
 use thymeshift_types::Timestamp;
@@ -22,11 +22,10 @@
 use crate::replay::quota_starts::fleet::exchange;
 use crate::replay::quota_starts::fleet::index_of;
 use crate::replay::quota_starts::fleet::new_members;
+use crate::replay::quota_starts::process::GrantRules;
 use crate::replay::quota_starts::process::PendingTokenRequest;
 use crate::replay::quota_starts::process::Process;
 
-/// Rate limit of the organisation.
-const LIMIT: QuotaLimit = QuotaLimit { rate_per_s: 80.0, burst: 80.0 };
 /// Number of callers; each is connected to one process until that process ends.
 const CALLERS: usize = 240;
 /// Length of a simulated day, in milliseconds.
@@ -44,8 +43,8 @@
 const STARTUP_MS: u64 = 4_000;
 /// Time for which a starved process stands still, and the time until it does so again, in
 /// milliseconds.
-const STALL_MS: std::ops::Range<u64> = 50..400;
-const STALL_PAUSE_MS: std::ops::Range<u64> = 50..700;
+const STALL_MS: std::ops::Range<u64> = 20..150;
+const STALL_PAUSE_MS: std::ops::Range<u64> = 5..30;
 /// Delay of a message between two processes, in milliseconds.
 const MESSAGE_DELAY_MS: std::ops::Range<u64> = 1..4;
 /// Probability that a message or an exchange between two processes is lost.
@@ -75,8 +74,7 @@
 
 pub(super) struct StartSimulation {
     pattern: StartPattern,
-    policy: StartPolicy,
-    vms_max: usize,
+    rules: GrantRules,
     /// Processes by index; `None` while a process is down.
     processes: Vec<Option<Process>>,
     /// Process that each caller is connected to.
@@ -101,8 +99,11 @@
         let connected_to = (0..CALLERS).map(|_| rng.random_range(0..count)).collect();
         let mut simulation = Self {
             pattern: *pattern,
-            policy,
-            vms_max: (count as f64 * pattern.vms_max_factor).ceil() as usize,
+            rules: GrantRules {
+                limit: QuotaLimit { rate_per_s: pattern.limit, burst: pattern.limit },
+                policy,
+                vms_max: (count as f64 * pattern.vms_max_factor).ceil() as usize,
+            },
             processes: (0..count).map(|_| None).collect(),
             connected_to,
             events: EventQueue::default(),
@@ -151,7 +152,7 @@
     }
 
     fn schedule_arrival(&mut self, caller: usize, after_ms: u64) {
-        let per_s = LIMIT.rate_per_s * self.pattern.demand_factor / CALLERS as f64;
+        let per_s = self.rules.limit.rate_per_s * self.pattern.demand_factor / CALLERS as f64;
         let Ok(gaps) = Exp::new(per_s) else { return };
         let gap_ms = (gaps.sample(&mut self.rng) * 1_000.0) as u64;
         self.schedule(after_ms + gap_ms.clamp(1, DAY_MS), Event::Arrival { caller });
@@ -224,7 +225,7 @@
         self.next_number += 1;
         let boot = self.next_number;
         let Some(members) = new_members(index, boot, self.processes.len(), now) else { return };
-        let holder = QuotaHolder::new(LIMIT, self.vms_max as u64, now);
+        let holder = QuotaHolder::new(self.rules.limit, self.rules.vms_max as u64, now);
         self.processes[index] = Some(Process::new(boot, members, holder, now));
         self.last_start_ms = self.now_ms;
         self.schedule(self.now_ms, Event::ExchangeDue { index, boot });
@@ -310,8 +311,8 @@
                     self.record_refusal();
                 }
                 Admission::AnswerPending => return,
-                Admission::Ask { wanted, arrived } => {
-                    return self.request_tokens(index, wanted, arrived, Vec::new());
+                Admission::Ask(demand) => {
+                    return self.request_tokens(index, demand, Vec::new());
                 }
             }
         }
@@ -326,25 +327,25 @@
     }
 
     /// Requests tokens from the best-ranked counter that is not skipped.
-    fn request_tokens(&mut self, index: usize, wanted: u32, arrived: u32, asked: Vec<usize>) {
-        let (now, policy, vms_max) = (self.now(), self.policy, self.vms_max);
+    fn request_tokens(&mut self, index: usize, demand: TokenDemand, asked: Vec<usize>) {
+        let (now, rules) = (self.now(), self.rules);
         self.next_number += 1;
         let number = self.next_number;
         let Some(process) = &mut self.processes[index] else { return };
-        let order = process.ranking(policy, vms_max, now).order;
+        let order = process.ranking(rules, now).order;
         let mut usable = order.into_iter().filter(|other| !process.is_skipped(*other, now));
         let counter = usable.find(|other| !asked.contains(other));
         let Some(counter) = counter.filter(|_| asked.len() < COUNTERS_PER_REQUEST_MAX) else {
             process.holder.start_fallback(now);
             return self.decide_waiting(index);
         };
-        let request = TokenRequest { number, wanted, arrived };
+        let request = TokenRequest { number, demand };
         if counter == index {
-            let grant = Self::grant(process, (index, process.boot), request, policy, vms_max, now);
+            let grant = process.grant((index, process.boot), request, rules, now);
             process.holder.apply_grant(&grant, now);
             return self.decide_waiting(index);
         }
-        process.pending = Some(PendingTokenRequest { number, counter, wanted, arrived, asked });
+        process.pending = Some(PendingTokenRequest { number, counter, demand, asked });
         self.resend(index, number);
         for again_ms in RESEND_AFTER_MS {
             self.schedule(self.now_ms + again_ms, Event::ResendTimer { at: index, number });
@@ -356,9 +357,9 @@
         let Some(process) = &self.processes[index] else { return };
         let pending = process.pending.as_ref().filter(|pending| pending.number == number);
         let Some(pending) = pending else { return };
-        let PendingTokenRequest { counter, wanted, arrived, .. } = *pending;
+        let PendingTokenRequest { counter, demand, .. } = *pending;
         let (from, to, boot) = (index, counter, process.boot);
-        let request = TokenRequest { number, wanted, arrived };
+        let request = TokenRequest { number, demand };
         self.send(Event::TokenRequested { from, to, boot, request });
     }
 
@@ -378,31 +379,11 @@
         to: usize,
         request: TokenRequest,
     ) -> Option<TokenGrant> {
-        let (now, policy, vms_max) = (self.now(), self.policy, self.vms_max);
+        let (now, rules) = (self.now(), self.rules);
         let process = self.processes[to].as_mut()?;
-        let order = process.ranking(policy, vms_max, now).order;
+        let order = process.ranking(rules, now).order;
         let first = order.into_iter().find(|other| !process.is_skipped(*other, now));
-        (first == Some(to))
-            .then(|| Self::grant(process, (from, boot), request, policy, vms_max, now))
-    }
-
-    fn grant(
-        process: &mut Process,
-        holder: (usize, u64),
-        request: TokenRequest,
-        policy: StartPolicy,
-        vms_max: usize,
-        now: Timestamp,
-    ) -> TokenGrant {
-        let share = process.ranking(policy, vms_max, now).share;
-        let is_settled = process.members.is_settled(now);
-        let counter = process.counter.get_or_insert_with(|| match policy {
-            StartPolicy::KnownOnly => QuotaCounter::new(LIMIT, now),
-            _ if is_settled => QuotaCounter::new(LIMIT, now),
-            _ => QuotaCounter::with_empty_bucket(LIMIT, now),
-        });
-        counter.set_share(share, now);
-        counter.grant_tokens(&holder, request, now)
+        (first == Some(to)).then(|| process.grant((from, boot), request, rules, now))
     }
 
     fn handle_token_reply(&mut self, index: usize, number: u64, grant: Option<TokenGrant>) {
@@ -429,20 +410,22 @@
     }
 
     fn ask_next(&mut self, index: usize, pending: PendingTokenRequest) {
-        let PendingTokenRequest { counter, wanted, arrived, mut asked, .. } = pending;
+        let PendingTokenRequest { counter, demand, mut asked, .. } = pending;
         asked.push(counter);
-        self.request_tokens(index, wanted, arrived, asked);
+        self.request_tokens(index, demand, asked);
     }
 
     fn evaluate(&mut self) {
-        let allowed = LIMIT.rate_per_s * WINDOW_MS as f64 / 1_000.0 + LIMIT.burst;
+        let allowed =
+            self.rules.limit.rate_per_s * WINDOW_MS as f64 / 1_000.0 + self.rules.limit.burst;
         for start in (0..DAY_MS - WINDOW_MS).step_by(100) {
             let admitted = count_in(&self.admitted_ms, start..start + WINDOW_MS) as f64;
             self.result.worst_window = self.result.worst_window.max(admitted / allowed);
         }
         if self.pattern.demand_factor > 1.0 {
             let last_loss_ms = self.pattern.losses_ms.last().copied().unwrap_or_default();
-            let full = LIMIT.rate_per_s * FULL_RATE_WINDOW_MS as f64 / 1_000.0 * FULL_RATE_SHARE;
+            let full = self.rules.limit.rate_per_s * FULL_RATE_WINDOW_MS as f64 / 1_000.0
+                * FULL_RATE_SHARE;
             let is_full = |start: &u64| {
                 count_in(&self.admitted_ms, *start..*start + FULL_RATE_WINDOW_MS) as f64 >= full
             };
--- a/crates/thymeshift_lab/src/replay/quotas/process.rs
+++ b/crates/thymeshift_lab/src/replay/quotas/process.rs
@@ -2,6 +2,7 @@
 
 use thymeshift_organisations::QuotaCounter;
 use thymeshift_organisations::QuotaHolder;
+use thymeshift_organisations::TokenDemand;
 use thymeshift_types::Timestamp;
 
 use crate::replay::quotas::simulation::LIMIT;
@@ -13,8 +14,7 @@
 pub(super) struct PendingTokenRequest {
     pub(super) number: u64,
     pub(super) counter_index: usize,
-    pub(super) wanted: u32,
-    pub(super) arrived: u32,
+    pub(super) demand: TokenDemand,
 }
 
 /// Process with the quota state of the load balancer and of the alternative policies.
--- a/crates/thymeshift_lab/src/replay/quotas/simulation.rs
+++ b/crates/thymeshift_lab/src/replay/quotas/simulation.rs
@@ -11,6 +11,7 @@
 use thymeshift_organisations::Admission;
 use thymeshift_organisations::QuotaCounter;
 use thymeshift_organisations::QuotaLimit;
+use thymeshift_organisations::TokenDemand;
 use thymeshift_organisations::TokenGrant;
 use thymeshift_organisations::TokenRequest;
 use thymeshift_types::Timestamp;
@@ -72,7 +73,7 @@
 #[derive(Clone, Copy)]
 enum Event {
     Arrival { caller: usize },
-    TokenRequested { from: usize, to: usize, number: u64, wanted: u32, arrived: u32 },
+    TokenRequested { from: usize, to: usize, number: u64, demand: TokenDemand },
     TokenReply { to: usize, number: u64, grant: Option<TokenGrant> },
     ResendTimer { at: usize, number: u64 },
     ReplyTimeout { at: usize, number: u64 },
@@ -236,8 +237,8 @@
                 let process_index = if is_down { self.processes.len() - 1 } else { process_index };
                 self.handle_arrival(process_index);
             }
-            Event::TokenRequested { from, to, number, wanted, arrived } => {
-                let request = TokenRequest { number, wanted, arrived };
+            Event::TokenRequested { from, to, number, demand } => {
+                let request = TokenRequest { number, demand };
                 let grant = self.handle_token_request(from, to, request);
                 self.send(to, from, || Event::TokenReply { to: from, number, grant });
             }
@@ -289,8 +290,8 @@
             let decision = self.processes[process_index].holder.admit(now);
             match decision {
                 Admission::AnswerPending => return,
-                Admission::Ask { wanted, arrived } => {
-                    return self.request_tokens(process_index, wanted, arrived);
+                Admission::Ask(demand) => {
+                    return self.request_tokens(process_index, demand);
                 }
                 Admission::Admitted | Admission::Refused(_) => {
                     self.processes[process_index].waiting -= 1;
@@ -301,7 +302,7 @@
     }
 
     /// Requests tokens from the first of the two counters that is not passed over.
-    fn request_tokens(&mut self, process_index: usize, wanted: u32, arrived: u32) {
+    fn request_tokens(&mut self, process_index: usize, demand: TokenDemand) {
         self.next_number += 1;
         let number = self.next_number;
         let passed_over_until_ms = self.processes[process_index].passed_over_until_ms;
@@ -312,11 +313,11 @@
             return self.decide_waiting(process_index);
         };
         if counter_index == process_index {
-            let request = TokenRequest { number, wanted, arrived };
+            let request = TokenRequest { number, demand };
             let grant = self.handle_token_request(process_index, process_index, request);
             return self.apply_token_reply(process_index, grant);
         }
-        let pending_request = PendingTokenRequest { number, counter_index, wanted, arrived };
+        let pending_request = PendingTokenRequest { number, counter_index, demand };
         self.processes[process_index].pending_request = Some(pending_request);
         self.send_token_request(process_index);
         for again in RESEND_AFTER_MS {
@@ -329,8 +330,8 @@
 
     fn send_token_request(&mut self, from: usize) {
         let Some(pending_request) = &self.processes[from].pending_request else { return };
-        let PendingTokenRequest { number, counter_index: to, wanted, arrived } = *pending_request;
-        self.send(from, to, || Event::TokenRequested { from, to, number, wanted, arrived });
+        let PendingTokenRequest { number, counter_index: to, demand } = *pending_request;
+        self.send(from, to, || Event::TokenRequested { from, to, number, demand });
     }
 
     fn resend_token_request(&mut self, process_index: usize, number: u64) {
@@ -405,7 +406,7 @@
         if let Some(pending_request) = pending_request {
             self.processes[process_index].passed_over_until_ms[pending_request.counter_index] =
                 self.now_ms + PASSED_OVER_MS;
-            self.request_tokens(process_index, pending_request.wanted, pending_request.arrived);
+            self.request_tokens(process_index, pending_request.demand);
         }
     }
 
--- a/crates/thymeshift_lab/tests/replay.rs
+++ b/crates/thymeshift_lab/tests/replay.rs
@@ -176,6 +176,7 @@
         wrongly_refused_share_max: f64,
         /// Maximum time after a start of all processes until the full rate is admitted.
         full_rate_after_ms_max: u64,
+        days: u64,
     }
     const WINDOW_MAX: f64 = 1.25;
     /// Time after which every process assumes to know the others, and its ranking is renewed.
@@ -184,6 +185,7 @@
         pattern: "",
         wrongly_refused_share_max: 0.0,
         full_rate_after_ms_max: SETTLED_AFTER_MS,
+        days: 2,
     };
     let cases = [
         Case { pattern: "hot, all lost", ..CASE },
@@ -191,7 +193,9 @@
         Case { pattern: "hot, all lost, slow exchanges", ..CASE },
         Case { pattern: "hot, all lost, late starts", full_rate_after_ms_max: u64::MAX, ..CASE },
         Case { pattern: "hot, new fleet", full_rate_after_ms_max: u64::MAX, ..CASE },
+        Case { pattern: "hot, starved", full_rate_after_ms_max: u64::MAX, days: 40, ..CASE },
         Case { pattern: "calm", wrongly_refused_share_max: 0.01, ..CASE },
+        Case { pattern: "calm, starved", wrongly_refused_share_max: 0.2, ..CASE },
         Case { pattern: "calm, all lost", wrongly_refused_share_max: 0.04, ..CASE },
         Case { pattern: "calm, all lost, few of 18", wrongly_refused_share_max: 0.14, ..CASE },
         Case { pattern: "calm, all lost, one of one", wrongly_refused_share_max: 0.01, ..CASE },
@@ -202,7 +206,8 @@
     for (case, pattern) in cases.iter().zip(&StartPattern::ALL) {
         assert_eq!(case.pattern, pattern.name);
         for processes in pattern.sizes.iter().filter(|size| **size <= 117) {
-            let result = replay_quota_starts(pattern, StartPolicy::AssumedContacts, *processes, 2);
+            let result =
+                replay_quota_starts(pattern, StartPolicy::AssumedContacts, *processes, case.days);
             let note = format!("{}, {processes} processes: {result}", pattern.name);
             assert!(result.worst_window <= WINDOW_MAX, "{note}");
             assert!(result.wrongly_refused_share() <= case.wrongly_refused_share_max, "{note}");
--- a/crates/thymeshift_organisations/src/counter.rs
+++ b/crates/thymeshift_organisations/src/counter.rs
@@ -44,15 +44,24 @@
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(100);
 const RETRY_AFTER_MAX: Duration = Duration::from_secs(5);
 
-/// Token request of a process.
+/// Demand of a process for tokens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct TokenRequest {
-    /// Request number, assigned by the process.
-    pub number: u64,
+pub struct TokenDemand {
     /// Number of tokens requested.
     pub wanted: u32,
     /// Number of requests that arrived at the process since its last token request.
     pub arrived: u32,
+    /// Number of requests that the process admitted on its own since a counter last answered.
+    pub own_admitted: u32,
+}
+
+/// Token request of a process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TokenRequest {
+    /// Request number, assigned by the process.
+    pub number: u64,
+    /// Tokens that the process needs, and what it has admitted.
+    pub demand: TokenDemand,
 }
 
 /// Response of the counter to a token request.
@@ -160,12 +169,15 @@
         if let Some((_, grant)) = known.last.filter(|(number, _)| *number == request.number) {
             return grant;
         }
-        known.demand.add(request.arrived, now);
+        let TokenDemand { wanted, arrived, own_admitted } = request.demand;
+        let own_per_s = known.own_share * self.limit.rate_per_s;
+        self.bucket.charge(uncounted(own_admitted, own_per_s, &known.demand, now), now);
+        known.demand.add(arrived, now);
         // An approximation until the next update sums the demand of all processes.
-        self.demand_per_s += f64::from(request.arrived) / DEMAND_TIME_CONSTANT.as_secs_f64();
-        self.current_demand.add(request.arrived, now);
+        self.demand_per_s += f64::from(arrived) / DEMAND_TIME_CONSTANT.as_secs_f64();
+        self.current_demand.add(arrived, now);
         let holder_per_s = known.demand.per_s(now);
-        let grant = self.grant(request.wanted, holder_per_s, now);
+        let grant = self.grant(wanted, holder_per_s, now);
         if let Some(known) = self.holders.get_mut(holder) {
             known.last = Some((request.number, grant));
             let own_rate_per_s = grant.own_rate_per_s.unwrap_or_default();
@@ -249,6 +261,18 @@
     (limit.burst * share).max(1.0)
 }
 
+/// Returns how many of the requests that a process admitted on its own no withheld share covers.
+/// The share of a process whose requests arrive is not withheld, although the process admits it on
+/// its own while the replies are late.
+fn uncounted(own_admitted: u32, own_per_s: f64, demand: &Demand, now: Timestamp) -> f64 {
+    let own_admitted = f64::from(own_admitted);
+    if is_silent(demand, now) {
+        own_admitted.min(own_per_s * SILENT_AFTER.as_secs_f64())
+    } else {
+        own_admitted
+    }
+}
+
 fn is_silent(demand: &Demand, now: Timestamp) -> bool {
     let silent = demand.silent_for(now);
     let gaps = silent.as_secs_f64() * demand.per_s(now);
--- a/crates/thymeshift_organisations/src/holder.rs
+++ b/crates/thymeshift_organisations/src/holder.rs
@@ -5,6 +5,7 @@
 use thymeshift_types::Timestamp;
 
 use crate::TOKEN_TTL;
+use crate::TokenDemand;
 use crate::TokenGrant;
 use crate::demand::Demand;
 use crate::limit::QuotaLimit;
@@ -34,12 +35,7 @@
     /// The request exceeds the quota; the caller may retry after this time.
     Refused(Duration),
     /// The process holds no tokens and must request tokens from the counter.
-    Ask {
-        /// Number of tokens to request.
-        wanted: u32,
-        /// Number of requests that arrived since the last token request.
-        arrived: u32,
-    },
+    Ask(TokenDemand),
     /// A token request is already in flight; the decision depends on its response.
     AnswerPending,
 }
@@ -68,6 +64,8 @@
     demand: Demand,
     /// Arrivals that are not yet reported to the counter.
     arrived: u32,
+    /// Requests admitted in fallback since a counter last answered.
+    own_admitted: u32,
 }
 
 impl QuotaHolder {
@@ -85,6 +83,7 @@
             own_share: TokenBucket::new(own_rate_per_s, 1.0, 1.0, now),
             demand: Demand::new(DEMAND_TIME_CONSTANT, now),
             arrived: 0,
+            own_admitted: 0,
         }
     }
 
@@ -124,13 +123,18 @@
             return Admission::AnswerPending;
         }
         self.requested_at = Some(now);
-        Admission::Ask { wanted: self.batch_size(now), arrived: std::mem::take(&mut self.arrived) }
+        Admission::Ask(TokenDemand {
+            wanted: self.batch_size(now),
+            arrived: std::mem::take(&mut self.arrived),
+            own_admitted: self.own_admitted,
+        })
     }
 
     /// Applies a response of the counter.
     pub fn apply_grant(&mut self, grant: &TokenGrant, now: Timestamp) {
         self.requested_at = None;
         self.fallback_until = None;
+        self.own_admitted = 0;
         if let Some(rate_per_s) = grant.own_rate_per_s {
             self.set_own_share_rate(rate_per_s, now);
         }
@@ -174,10 +178,11 @@
     }
 
     fn admit_in_fallback(&mut self, now: Timestamp) -> Admission {
-        match self.own_share.take(1, now) {
-            0 => Admission::Refused(self.own_share.time_to(1.0)),
-            _ => Admission::Admitted,
+        if self.own_share.take(1, now) == 0 {
+            return Admission::Refused(self.own_share.time_to(1.0));
         }
+        self.own_admitted = self.own_admitted.saturating_add(1);
+        Admission::Admitted
     }
 
     fn batch_size(&self, now: Timestamp) -> u32 {
--- a/crates/thymeshift_organisations/src/lib.rs
+++ b/crates/thymeshift_organisations/src/lib.rs
@@ -20,6 +20,8 @@
 //! * A process that reaches no counter admits the share that the last counter assigned to it: the
 //!   limit, divided in proportion to demand. The counter withholds this share from other processes
 //!   while the process is silent although its requests arrived regularly before.
+//! * A process reports what it admitted on its own, and the counter subtracts what it did not
+//!   withhold, as the replies may be late while the requests arrive.
 //! * A process without an assigned share admits the limit divided by the number of VMs.
 
 mod counter;
@@ -31,6 +33,7 @@
 
 pub use counter::QuotaCounter;
 pub use counter::TOKEN_TTL;
+pub use counter::TokenDemand;
 pub use counter::TokenGrant;
 pub use counter::TokenRequest;
 pub use holder::Admission;
--- a/crates/thymeshift_organisations/src/token_bucket.rs
+++ b/crates/thymeshift_organisations/src/token_bucket.rs
@@ -7,6 +7,10 @@
 /// Upper bound of the reported time until the next tokens.
 const WAIT_MAX: Duration = Duration::from_mins(1);
 
+/// Time in which a bucket refills from its lowest level to zero. Longer debts would refuse requests
+/// long after the ones that caused the debt.
+const DEBT_MAX: Duration = Duration::from_secs(1);
+
 #[derive(Debug, Clone)]
 pub(crate) struct TokenBucket {
     rate_per_s: f64,
@@ -32,11 +36,19 @@
     /// Takes up to `wanted` whole tokens and returns the number taken.
     pub(crate) fn take(&mut self, wanted: u32, now: Timestamp) -> u32 {
         self.refill(now);
-        let taken = wanted.min(self.level as u32);
+        let taken = wanted.min(self.level.max(0.0) as u32);
         self.level -= f64::from(taken);
         taken
     }
 
+    /// Removes the tokens of requests that were admitted elsewhere. The level may become negative,
+    /// by the tokens of [`DEBT_MAX`] at most.
+    pub(crate) fn charge(&mut self, count: f64, now: Timestamp) {
+        self.refill(now);
+        let level_min = -self.rate_per_s * DEBT_MAX.as_secs_f64();
+        self.level = (self.level - count).max(level_min.min(self.level));
+    }
+
     /// Returns the refill rate in tokens per second.
     pub(crate) fn rate_per_s(&self) -> f64 {
         self.rate_per_s
--- a/crates/thymeshift_organisations/tests/counting.rs
+++ b/crates/thymeshift_organisations/tests/counting.rs
@@ -11,6 +11,7 @@
 use thymeshift_organisations::QuotaHolder;
 use thymeshift_organisations::QuotaLimit;
 use thymeshift_organisations::TOKEN_TTL;
+use thymeshift_organisations::TokenDemand;
 use thymeshift_organisations::TokenGrant;
 use thymeshift_organisations::TokenRequest;
 use thymeshift_types::KeyDigest;
@@ -20,7 +21,7 @@
 const START: Timestamp = Timestamp::from_millis(1_000);
 
 fn token_request(number: u64, wanted: u32) -> TokenRequest {
-    TokenRequest { number, wanted, arrived: wanted }
+    TokenRequest { number, demand: TokenDemand { wanted, arrived: wanted, own_admitted: 0 } }
 }
 
 fn later(seconds: u64) -> Timestamp {
@@ -77,7 +78,7 @@
     holder.return_token(START);
     assert_eq!(holder.tokens(START), 2);
     let late = START + TOKEN_TTL;
-    assert!(matches!(holder.admit(late), Admission::Ask { .. }));
+    assert!(matches!(holder.admit(late), Admission::Ask(_)));
     holder.return_token(late);
     assert_eq!(holder.tokens(late), 0);
 }
@@ -86,9 +87,12 @@
 fn one_token_request_is_in_flight_at_a_time_and_times_out_if_its_sender_has_left() {
     let mut holder = QuotaHolder::new(LIMIT, 100, START);
     holder.record_arrival(START);
-    assert_eq!(holder.admit(START), Admission::Ask { wanted: 1, arrived: 1 });
+    assert_eq!(
+        holder.admit(START),
+        Admission::Ask(TokenDemand { wanted: 1, arrived: 1, own_admitted: 0 })
+    );
     assert_eq!(holder.admit(START), Admission::AnswerPending);
-    assert!(matches!(holder.admit(later(1)), Admission::Ask { .. }));
+    assert!(matches!(holder.admit(later(1)), Admission::Ask(_)));
 }
 
 #[test]
@@ -116,6 +120,51 @@
     }
 }
 
+/// Guards against requests that a process admits on its own in addition to what the counter grants,
+/// because the replies arrive late while the token requests arrive.
+#[test]
+fn a_counter_subtracts_what_a_process_admitted_on_its_own() {
+    struct Case {
+        note: &'static str,
+        own_admitted: u32,
+        tokens: u32,
+    }
+    let cases = [
+        Case { note: "nothing admitted", own_admitted: 0, tokens: 10 },
+        Case { note: "a few admitted", own_admitted: 4, tokens: 6 },
+        Case { note: "debt of at most a second of the rate", own_admitted: 1_000, tokens: 0 },
+    ];
+    for Case { note, own_admitted, tokens } in cases {
+        let mut counter = QuotaCounter::new(LIMIT, START);
+        let demand = TokenDemand { wanted: 100, arrived: 100, own_admitted };
+        let request = TokenRequest { number: 1, demand };
+        assert_eq!(counter.grant_tokens(&"a", request, later(10)).tokens, tokens, "{note}");
+        // A repeated request is charged once.
+        assert_eq!(counter.grant_tokens(&"a", request, later(10)).tokens, tokens, "{note}");
+        let granted = counter.grant_tokens(&"a", token_request(2, 100), later(12)).tokens;
+        assert!(granted >= 10, "{note}: {granted} two seconds later");
+    }
+}
+
+#[test]
+fn a_process_reports_what_it_admitted_on_its_own_until_a_counter_answers() {
+    let mut holder = QuotaHolder::new(LIMIT, 1, START);
+    let mut now = later(10);
+    holder.start_fallback(now);
+    assert_eq!(holder.admit(now), Admission::Admitted);
+    let reported = |holder: &mut QuotaHolder, now| match holder.admit(now) {
+        Admission::Ask(demand) => demand.own_admitted,
+        admission => panic!("{admission:?}"),
+    };
+    for _ in 0..2 {
+        now = now + Duration::from_secs(1);
+        assert_eq!(reported(&mut holder, now), 1, "no counter has answered");
+    }
+    let grant = TokenGrant { tokens: 0, retry_after: Duration::ZERO, own_rate_per_s: None };
+    holder.apply_grant(&grant, now);
+    assert_eq!(reported(&mut holder, now), 0);
+}
+
 #[test]
 fn a_new_counter_assigns_no_share_because_it_does_not_know_the_total_demand() {
     let mut counter = QuotaCounter::new(LIMIT, START);
--- a/crates/thymeshift_wire/src/datagram.rs
+++ b/crates/thymeshift_wire/src/datagram.rs
@@ -120,6 +120,9 @@
     pub wanted: u32,
     /// Requests of the organisation that arrived at the sender since its last quota request.
     pub arrived: u32,
+    /// Requests of the organisation that the sender admitted on its own since a counter last
+    /// answered.
+    pub own_admitted: u32,
 }
 
 /// Tokens that the counter of an organisation grants to one process.
