Start a process without an own token of an organisation's limit

Cause: each started process could admit one request on its own before any counter answered, 117 at once after a loss of all processes, whatever the limit.

Change: the own share begins empty and fills at the limit divided by entry_vms_max.

Test: processes_that_have_just_started_admit_nothing_on_their_own_at_once (117 before, 0 after).

--- a/crates/thymeshift_organisations/src/holder.rs
+++ b/crates/thymeshift_organisations/src/holder.rs
@@ -70,7 +70,7 @@
 
 impl QuotaHolder {
     /// Creates a holder without tokens. Until the counter assigns a share, the own share is the
-    /// limit divided by `vms_max`.
+    /// limit divided by `vms_max`; it also begins empty, because many processes may start together.
     pub fn new(limit: QuotaLimit, vms_max: u64, now: Timestamp) -> Self {
         let own_rate_per_s = limit.rate_per_s / vms_max.max(1) as f64;
         Self {
@@ -80,7 +80,7 @@
             refusal: None,
             requested_at: None,
             fallback_until: None,
-            own_share: TokenBucket::new(own_rate_per_s, 1.0, 1.0, now),
+            own_share: TokenBucket::new(own_rate_per_s, 1.0, 0.0, now),
             demand: Demand::new(DEMAND_TIME_CONSTANT, now),
             arrived: 0,
             own_admitted: 0,
--- a/crates/thymeshift_organisations/tests/counting.rs
+++ b/crates/thymeshift_organisations/tests/counting.rs
@@ -165,6 +165,23 @@
     assert_eq!(reported(&mut holder, now), 0);
 }
 
+/// Guards against processes that start together and each admit a request that no counter granted.
+#[test]
+fn processes_that_have_just_started_admit_nothing_on_their_own_at_once() {
+    const PROCESSES: u64 = 117;
+    let mut holders: Vec<_> =
+        (0..PROCESSES).map(|_| QuotaHolder::new(LIMIT, PROCESSES, START)).collect();
+    let mut admitted_at = |now| {
+        let admits = |holder: &mut QuotaHolder| {
+            holder.start_fallback(now);
+            usize::from(holder.admit(now) == Admission::Admitted)
+        };
+        holders.iter_mut().map(admits).sum::<usize>()
+    };
+    assert_eq!(admitted_at(START), 0);
+    assert_eq!(admitted_at(later(12)), 117, "each has gained its first token by then");
+}
+
 #[test]
 fn a_new_counter_assigns_no_share_because_it_does_not_know_the_total_demand() {
     let mut counter = QuotaCounter::new(LIMIT, START);
