--- a/crates/thymeshift_fleet/src/members.rs
+++ b/crates/thymeshift_fleet/src/members.rs
@@ -172,8 +172,9 @@
     }
 
     /// Returns a counter that increases whenever another process appears, restarts,
-    /// or changes its phase or datagram address, and when this process becomes settled by an answer. Results derived from an earlier state of the
-    /// members are outdated when the counter has changed.
+    /// or changes its phase or datagram address, and when an answer settles this process.
+    /// Results derived from an earlier state of the members are outdated when the counter has
+    /// changed.
     pub fn changes(&self) -> u64 {
         self.changes
     }
