--- a/crates/thymeshift_lab/src/replay/quota_starts/pattern.rs
+++ b/crates/thymeshift_lab/src/replay/quota_starts/pattern.rs
@@ -5,8 +5,7 @@
 pub struct StartPattern {
     /// Name of the pattern in the result table.
     pub name: &'static str,
-    /// Fleet sizes to simulate. A day with 1,000 processes takes most of a minute, and every policy
-    /// simulates every pattern, so the table ends at 300.
+    /// Fleet sizes to simulate, up to those that every policy can simulate in a short time.
     pub sizes: &'static [usize],
     /// Number of entry VMs that the configuration allows, per running process.
     pub vms_max_factor: f64,
