--- a/crates/thymeshift_entry/src/shared/in_force.rs
+++ b/crates/thymeshift_entry/src/shared/in_force.rs
@@ -11,6 +11,7 @@
 use thymeshift_config::Configuration;
 use thymeshift_config::Discovery;
 use thymeshift_config::TargetState;
+use thymeshift_fleet::Adoption;
 use thymeshift_fleet::OfferOutcome;
 use thymeshift_fleet::OrderSubject;
 use thymeshift_fleet::Published;
@@ -42,9 +43,8 @@
             fleet.base_configuration = Some(configuration);
             self.rebuild_routing(&mut fleet, now);
         }
-        let rejection = fleet.configuration.rejection().map(|rejection| rejection.mistakes.clone());
+        log_offer("configuration", offer, published, source, &fleet.configuration);
         drop(fleet);
-        log_offer("configuration", offer, published, source, rejection);
         if offer == OfferOutcome::Adopted {
             gauge!(metric::CONFIGURATION_REVISION).set(published.head().revision.as_u64() as f64);
             self.announce_document();
@@ -65,9 +65,8 @@
             }
             self.rebuild_routing(&mut fleet, now);
         }
-        let rejection = fleet.targets.rejection().map(|rejection| rejection.mistakes.clone());
+        log_offer("targets", offer, published, source, &fleet.targets);
         drop(fleet);
-        log_offer("targets", offer, published, source, rejection);
         if offer == OfferOutcome::Adopted {
             let ended = BootClock.now();
             self.list_pace.lock().record_applied(ended.since(now), ended);
@@ -243,9 +242,10 @@
     offer: OfferOutcome,
     published: &Published,
     source: &str,
-    rejection: Option<String>,
+    adoption: &Adoption,
 ) {
     let head = published.head();
+    let revision_in_force = adoption.head().map(|head| head.revision).unwrap_or_default();
     match offer {
         OfferOutcome::Adopted => {
             info!("document_in_force", kv: {
@@ -255,16 +255,24 @@
         OfferOutcome::Conflicting => {
             counter!(metric::DOCUMENTS_REFUSED, "offer" => "conflicting").increment(1);
             error!("document_conflicting", kv: {
-                document, revision: = head.revision, digest: = head.digest, source
+                document, revision: = head.revision, digest: = head.digest, source,
+                revision_in_force: = revision_in_force
             });
         }
         OfferOutcome::Rejected => {
             counter!(metric::DOCUMENTS_REFUSED, "offer" => "rejected").increment(1);
-            let mistakes = rejection.unwrap_or_default();
+            let mistakes = adoption.rejection().map_or("", |rejection| &rejection.mistakes);
             error!("document_rejected", kv: {
                 document, revision: = head.revision, source, mistakes
             });
         }
-        OfferOutcome::Confirmed | OfferOutcome::Older => {}
+        OfferOutcome::Older => {
+            counter!(metric::DOCUMENTS_REFUSED, "offer" => "older").increment(1);
+            info!("document_older", kv: {
+                document, revision: = head.revision, digest: = head.digest, source,
+                revision_in_force: = revision_in_force
+            });
+        }
+        OfferOutcome::Confirmed => {}
     }
 }
--- a/crates/thymeshift_telemetry/src/metric.rs
+++ b/crates/thymeshift_telemetry/src/metric.rs
@@ -46,8 +46,10 @@
 pub const DRAINED_HALLS: &str = "thymeshift_drained_halls";
 /// Number of invalid entries in the list of discovered targets; such entries are skipped.
 pub const ENTRIES_LEFT_OUT: &str = "thymeshift_entries_left_out";
-/// Documents refused, by `offer` (`conflicting`, `rejected`).
+/// Documents refused, by `offer` (`conflicting`, `older`, `rejected`).
 pub const DOCUMENTS_REFUSED: &str = "thymeshift_documents_refused_total";
+/// Answers of the source whose epoch cannot be read.
+pub const SOURCE_EPOCHS_UNREADABLE: &str = "thymeshift_source_epochs_unreadable_total";
 /// Calls to the platform, by `result` (`changed`, `unchanged`, `failed`).
 pub const PLATFORM_CALLS: &str = "thymeshift_platform_calls_total";
 /// Datagrams to other processes, by `result` (`sent`, `dropped`).
--- a/crates/thymeshift_types/src/lib.rs
+++ b/crates/thymeshift_types/src/lib.rs
@@ -38,4 +38,5 @@
 pub use name::VmName;
 pub use revision::Digest;
 pub use revision::DigestError;
+pub use revision::Epoch;
 pub use revision::Revision;
--- a/crates/thymeshift_types/src/revision.rs
+++ b/crates/thymeshift_types/src/revision.rs
@@ -8,6 +8,39 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_128;
 
+/// Number of a source's history of changes.
+///
+/// A source that is restored from an older copy continues with another history: it loses its latest
+/// changes and assigns their revisions again. It increases the epoch each time.
+/// Sources that never lose changes state no epoch and stay at 0.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Default,
+    Display,
+    Serialize,
+    Deserialize,
+)]
+pub struct Epoch(u64);
+
+impl Epoch {
+    /// Creates the epoch with this number.
+    pub const fn new(number: u64) -> Self {
+        Self(number)
+    }
+
+    /// Returns the epoch number.
+    pub const fn as_u64(self) -> u64 {
+        self.0
+    }
+}
+
 /// Revision number that the platform assigns to a published document. Larger is newer.
 #[derive(
     Debug,
