--- a/crates/thymeshift_query/src/table.rs
+++ b/crates/thymeshift_query/src/table.rs
@@ -5,6 +5,20 @@
 
 use derive_more::Display;
 
+/// Columns of the table `configuration`.
+const CONFIGURATION_COLUMNS: [&str; 10] = [
+    "vm",
+    "revision",
+    "epoch",
+    "digest",
+    "in_force_ms",
+    "conflict",
+    "rejected",
+    "mistakes",
+    "targets_revision",
+    "targets_epoch",
+];
+
 /// Value of one column in one row of a table.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Cell {
@@ -186,18 +200,7 @@
                 "peer_received",
                 "peer_sent",
             ],
-            Self::Configuration => &[
-                "vm",
-                "revision",
-                "epoch",
-                "digest",
-                "in_force_ms",
-                "conflict",
-                "rejected",
-                "mistakes",
-                "targets_revision",
-                "targets_epoch",
-            ],
+            Self::Configuration => &CONFIGURATION_COLUMNS,
             Self::Halls => &["vm", "hall", "drained", "targets", "members"],
             Self::Services => &[
                 "vm",
