Keep what a restored copy lacks, and do not use the targets that it brings back

Cause, of the same class: a list is taken as the state of now, although after a restoration it is the state of some seconds ago. Change: after the first list of a later epoch, targets that it lacks and the evacuated zones of before stay for 2.3 s, the time in which entries are written again after an outage. A target that had left within the last minute and is listed by the copy is withheld for 6 s, longer than the source keeps the entry of a silent target; an entry that goes and comes back ends that, an entry that stays belongs to a running target. Marks of leaving targets already outlive the list.

Ruled out: a mark of leaving for each target that leaves the list. Entries also lapse while the source is away, and a mark would keep a running target out for ten minutes.

--- a/crates/thymeshift_config/src/discovery.rs
+++ b/crates/thymeshift_config/src/discovery.rs
@@ -84,9 +84,7 @@
     /// and are missing here, and the number of targets added. A missing target is not added
     /// if its address is in use again or if an entry with its name was skipped.
     pub fn retaining_missing(&self, previous: &Self) -> (Self, usize) {
-        let listed = self.targets.iter().map(|listed| listed.target.name.as_str());
-        let left_out = self.left_out.iter().map(|left| left.name.as_str());
-        let names: HashSet<&str> = listed.chain(left_out).collect();
+        let names = self.names();
         let addresses: HashSet<SocketAddr> =
             self.targets.iter().map(|listed| listed.target.address).collect();
         let is_listed = |kept: &DiscoveredTarget| {
@@ -102,6 +100,25 @@
     }
 }
 
+impl Discovery {
+    /// Returns the names of all listed targets, including those whose entry was skipped.
+    pub fn names(&self) -> HashSet<&str> {
+        let listed = self.targets.iter().map(|listed| listed.target.name.as_str());
+        listed.chain(self.left_out.iter().map(|left| left.name.as_str())).collect()
+    }
+
+    /// Returns this list with the data halls drained that were drained in `previous`.
+    #[must_use]
+    pub fn retaining_drained_halls(mut self, previous: &Self) -> Self {
+        for hall in &previous.drained_halls {
+            if !self.drained_halls.contains(hall) {
+                self.drained_halls.push(hall.clone());
+            }
+        }
+        self
+    }
+}
+
 impl FromIterator<Item> for Discovery {
     fn from_iter<I: IntoIterator<Item = Item>>(items: I) -> Self {
         let mut discovery = Self::default();
--- a/crates/thymeshift_entry/src/control_plane/dump.rs
+++ b/crates/thymeshift_entry/src/control_plane/dump.rs
@@ -78,7 +78,7 @@
 }
 
 fn left_out(fleet: &Fleet) -> Vec<LeftOutDump> {
-    let entries = fleet.discovery.iter().flat_map(|discovery| &discovery.left_out);
+    let entries = fleet.discovered.in_force().into_iter().flat_map(|discovery| &discovery.left_out);
     let dump = entries
         .take(SKIPPED_ENTRIES_MAX)
         .map(|entry| LeftOutDump { name: entry.name.clone(), mistake: entry.mistake.clone() });
--- a/crates/thymeshift_entry/src/control_plane/ticker.rs
+++ b/crates/thymeshift_entry/src/control_plane/ticker.rs
@@ -89,7 +89,7 @@
         warn!("log_lines_unwritten", kv: { count = dropped_lines });
     }
     shared.metrics_text.run_upkeep();
-    shared.drop_kept_targets(now);
+    shared.settle_targets(now);
     shared.quotas.log_grants(shared, now);
     let has_expired = {
         let mut fleet = shared.fleet.lock();
--- a/crates/thymeshift_entry/src/fleet.rs
+++ b/crates/thymeshift_entry/src/fleet.rs
@@ -6,7 +6,6 @@
 use rand::Rng;
 use spdlog::warn;
 use thymeshift_config::Configuration;
-use thymeshift_config::Discovery;
 use thymeshift_config::DiscoveryReader;
 use thymeshift_config::Settings;
 use thymeshift_config::Target;
@@ -37,6 +36,10 @@
 use thymeshift_wire::Exchange;
 use thymeshift_wire::Heads;
 
+use crate::discovered::Difference;
+use crate::discovered::DiscoveredTargets;
+use crate::discovered::SourceState;
+
 /// Number of leaving marks per message that are repeated for processes that missed them.
 /// Successive messages rotate through all leaving marks.
 const REPEATED_MARKS_MAX: usize = 4;
@@ -61,10 +64,8 @@
     pub(crate) news_forwarding: ForwardingFilter<Heads>,
     /// Configuration in force, without discovered targets.
     pub(crate) base_configuration: Option<Configuration>,
-    /// Discovered targets in force, including unlisted targets kept after an outage of the source.
-    pub(crate) discovery: Option<Discovery>,
-    /// Latest list of discovered targets; `None` unless unlisted targets are kept in addition.
-    listed_targets: Option<Discovery>,
+    /// Discovered targets in force.
+    pub(crate) discovered: DiscoveredTargets,
     pub(crate) watcher_selection: WatcherSelection,
     pub(crate) members: Members,
     pub(crate) leaving: LeavingRegister,
@@ -117,8 +118,7 @@
             readers: Readers::new(settings.vm.clone(), settings.processor_share, now),
             news_forwarding: ForwardingFilter::default(),
             base_configuration: None,
-            discovery: None,
-            listed_targets: None,
+            discovered: DiscoveredTargets::default(),
             watcher_selection: WatcherSelection::new(settings.vm.clone(), boot),
             members: Members::new(own, settings.peers.clone(), now),
             leaving: LeavingRegister::default(),
@@ -207,44 +207,44 @@
         recent.cloned().chain(repeated.iter().cloned()).collect()
     }
 
-    /// Offers a published list of discovered targets; returns the parsed list if it is adopted.
+    /// Offers a published list of discovered targets and puts it in force if it is adopted.
+    ///
+    /// Shortly after an outage of the source, or after it was restored from a copy, the targets in
+    /// force differ from its list; the difference is returned.
     pub(crate) fn offer_targets(
         &mut self,
         published: &Published,
         now: Timestamp,
-    ) -> (OfferOutcome, Option<Discovery>) {
+    ) -> (OfferOutcome, Option<Difference>) {
+        let held = self.targets.head();
         let reader = &mut self.discovery_reader;
-        self.targets.offer(published, now, |text| reader.parse(text))
-    }
-
-    /// Puts a list of discovered targets in force and returns how many unlisted targets are kept.
-    ///
-    /// Shortly after an outage of the source, targets that are missing from its list stay in force.
-    /// The source may have lost its state, and targets that still run are listed again soon.
-    pub(crate) fn adopt_discovery(&mut self, listed: Discovery, now: Timestamp) -> usize {
-        let previous = self.discovery.take().filter(|_| self.readers.has_just_recovered(now));
-        let Some(previous) = previous else {
-            self.listed_targets = None;
-            self.discovery = Some(listed);
-            return 0;
+        let (outcome, listed) = self.targets.offer(published, now, |text| reader.parse(text));
+        let Some(listed) = listed else {
+            return (outcome, None);
+        };
+        let epoch = published.head().revision.epoch();
+        let state = if held.is_some_and(|held| held.revision.epoch() < epoch) {
+            self.readers.restored(now);
+            SourceState::Restored
+        } else if self.readers.has_just_been_restored(now) {
+            SourceState::RecoveringFromCopy
+        } else if self.readers.has_just_recovered(now) {
+            SourceState::Recovering
+        } else {
+            SourceState::Stable
         };
-        let (merged, kept_count) = listed.retaining_missing(&previous);
-        self.discovery = Some(merged);
-        self.listed_targets = (kept_count > 0).then_some(listed);
-        kept_count
+        let difference = self.discovered.adopt(listed, state, now);
+        if let Some(held) = held.filter(|_| state == SourceState::Restored) {
+            log_restored(held, published.head(), difference);
+        }
+        (outcome, Some(difference))
     }
 
-    /// Drops the kept, unlisted targets once the recovery period of the source is over.
-    /// Returns whether any targets had been kept.
-    pub(crate) fn drop_kept_targets(&mut self, now: Timestamp) -> bool {
-        if self.readers.has_just_recovered(now) {
-            return false;
-        }
-        let Some(listed) = self.listed_targets.take() else {
-            return false;
-        };
-        self.discovery = Some(listed);
-        true
+    /// Settles the targets in force that differ from the source's list.
+    /// Returns whether any target was dropped or taken.
+    pub(crate) fn settle_targets(&mut self, now: Timestamp) -> bool {
+        let is_recovering = self.readers.has_just_recovered(now);
+        self.discovered.settle(is_recovering, now)
     }
 
     /// Adds a leaving mark. Returns whether the mark was not known before.
@@ -306,7 +306,7 @@
             // Marks that are already recorded skip the search through the long list of targets.
             return true;
         }
-        let Some(discovery) = &self.discovery else {
+        let Some(discovery) = self.discovered.in_force() else {
             return true;
         };
         let is_named = |target: &Target| target.name == mark.target;
@@ -346,6 +346,14 @@
     }
 }
 
+fn log_restored(held: Head, adopted: Head, difference: Difference) {
+    warn!("source_restored", kv: {
+        epoch_held: = held.revision.epoch(), revision_held: = held.revision,
+        epoch: = adopted.revision.epoch(), revision: = adopted.revision,
+        kept = difference.kept, withheld = difference.withheld
+    });
+}
+
 /// Returns whether the peer's revision is larger than this process's revision.
 fn is_newer(theirs: Option<Head>, ours: Option<Head>) -> bool {
     match (theirs, ours) {
--- a/crates/thymeshift_entry/src/lib.rs
+++ b/crates/thymeshift_entry/src/lib.rs
@@ -16,6 +16,7 @@
 mod allocation_client;
 mod caller;
 mod control_plane;
+mod discovered;
 mod environment;
 mod fleet;
 mod native;
--- a/crates/thymeshift_entry/src/shared/in_force.rs
+++ b/crates/thymeshift_entry/src/shared/in_force.rs
@@ -10,6 +10,7 @@
 use spdlog::warn;
 use thymeshift_config::Configuration;
 use thymeshift_config::Discovery;
+use thymeshift_config::SkippedEntry;
 use thymeshift_config::TargetState;
 use thymeshift_fleet::Adoption;
 use thymeshift_fleet::OfferOutcome;
@@ -25,6 +26,7 @@
 use thymeshift_types::Timestamp;
 
 use crate::control_plane::notify_relay_children;
+use crate::discovered::Difference;
 use crate::fleet::Fleet;
 use crate::routing::Routing;
 use crate::service::ServiceRuntime;
@@ -56,12 +58,13 @@
     pub(crate) fn offer_targets(&self, published: &Published, source: &str) -> OfferOutcome {
         let now = BootClock.now();
         let mut fleet = self.fleet.lock();
+        let previous = fleet.discovered.in_force().map(|known| known.left_out.clone());
         let (offer, adopted) = fleet.offer_targets(published, now);
-        if let Some(discovery) = adopted {
-            log_skipped_entries(fleet.discovery.as_ref(), &discovery);
-            let kept_count = fleet.adopt_discovery(discovery, now);
-            if kept_count > 0 {
-                info!("targets_kept", kv: { kept = kept_count, revision: = published.head().revision });
+        if let Some(difference) = adopted {
+            log_skipped_entries(&previous.unwrap_or_default(), fleet.discovered.in_force());
+            if difference != Difference::default() {
+                let Difference { kept, withheld } = difference;
+                info!("targets_kept", kv: { kept, withheld, revision: = published.head().revision });
             }
             self.rebuild_routing(&mut fleet, now);
         }
@@ -75,10 +78,11 @@
         offer
     }
 
-    /// Drops targets that were kept after an outage of the source and are still not listed.
-    pub(crate) fn drop_kept_targets(&self, now: Timestamp) {
+    /// Drops targets that were kept after an outage of the source and are still not listed,
+    /// and takes targets that were withheld and are still listed.
+    pub(crate) fn settle_targets(&self, now: Timestamp) {
         let mut fleet = self.fleet.lock();
-        if fleet.drop_kept_targets(now) {
+        if fleet.settle_targets(now) {
             info!("kept_targets_dropped");
             self.rebuild_routing(&mut fleet, now);
         }
@@ -98,7 +102,7 @@
     ///
     /// The caller holds the fleet's lock, so routings take effect in the order of their revisions.
     fn rebuild_routing(&self, fleet: &mut Fleet, now: Timestamp) {
-        let configuration = match (&fleet.base_configuration, &fleet.discovery) {
+        let configuration = match (&fleet.base_configuration, fleet.discovered.in_force()) {
             (None, _) => return,
             (Some(_), None) if self.has_discovery => return,
             (Some(base), None) => base.clone(),
@@ -214,8 +218,10 @@
 
 /// Logs up to [`SKIPPED_ENTRY_LOG_LINES_MAX`] newly skipped entries of the target list.
 /// Also sets the gauge that counts all skipped entries.
-fn log_skipped_entries(previous: Option<&Discovery>, now: &Discovery) {
-    let previous = previous.map_or(&[][..], |previous| &previous.left_out);
+fn log_skipped_entries(previous: &[SkippedEntry], now: Option<&Discovery>) {
+    let Some(now) = now else {
+        return;
+    };
     let new_entries = now.left_out.iter().filter(|entry| !previous.contains(entry));
     for entry in new_entries.take(SKIPPED_ENTRY_LOG_LINES_MAX) {
         let (name, mistake) = (entry.name.as_str(), entry.mistake.as_str());
--- a/crates/thymeshift_fleet/src/lib.rs
+++ b/crates/thymeshift_fleet/src/lib.rs
@@ -3,6 +3,7 @@
 //! * [`Adoption`]: the revision of a document that is in force; the revision never decreases.
 //! * [`History`] and [`Delta`]: transfers to processes that run an older revision.
 //! * [`WatcherSelection`]: the few processes that watch the platform, without an election.
+//! * [`DepartedTargets`]: targets that a restored copy of the source lists although they have left.
 //! * [`LeavingRegister`]: targets that receive no new work, marked per incarnation.
 //! * [`Members`]: the known processes, from direct contact and gossiped heartbeats:
 //!   all members of the own data hall, and a few of every other hall.
@@ -20,6 +21,7 @@
 
 mod adoption;
 mod delta;
+mod departed;
 mod digest;
 mod forwarding;
 mod history;
@@ -42,6 +44,8 @@
 pub use adoption::Rejection;
 pub use delta::Delta;
 pub use delta::DeltaError;
+pub use departed::DepartedTargets;
+pub use departed::ListedTarget;
 pub use digest::FleetDigest;
 pub use digest::MembersDigest;
 pub use forwarding::ForwardingFilter;
--- a/crates/thymeshift_fleet/src/readers.rs
+++ b/crates/thymeshift_fleet/src/readers.rs
@@ -91,6 +91,8 @@
     confirmed_at: Option<Timestamp>,
     /// Time at which the source answered again after its last outage.
     returned_at: Option<Timestamp>,
+    /// Time at which the source was seen to be restored from a copy.
+    restored_at: Option<Timestamp>,
     excluded_until: BTreeMap<VmName, Timestamp>,
     /// Time of the last report that another process's call failed.
     failure_seen_at: Option<Timestamp>,
@@ -107,6 +109,7 @@
             started_at: now,
             confirmed_at: None,
             returned_at: None,
+            restored_at: None,
             excluded_until: BTreeMap::new(),
             failure_seen_at: None,
             failures: 0,
@@ -173,6 +176,18 @@
         self.returned_at.is_some_and(|at| now.since(at) < LISTED_AGAIN_WITHIN)
     }
 
+    /// Records that the source has been restored from a copy, which may lack entries of targets
+    /// that still run, like a source that has recovered from an outage.
+    pub fn restored(&mut self, now: Timestamp) {
+        self.returned_at = Some(now);
+        self.restored_at = Some(now);
+    }
+
+    /// Returns whether the source has just been restored from a copy.
+    pub fn has_just_been_restored(&self, now: Timestamp) -> bool {
+        self.restored_at.is_some_and(|at| now.since(at) < LISTED_AGAIN_WITHIN)
+    }
+
     /// Shifts the last answer by `gap`, the time that this process was paused,
     /// so that its own pause does not count as silence of the source.
     pub fn paused(&mut self, gap: Duration) {
