Raise a process's boot above the one that its peers remember

A process numbers its boots by the wall clock. If the clock steps back, or was ahead at the earlier start, the new process's descriptions are taken for those of an earlier one: after a planned stop its peers never count it as serving, so it allocates nothing and gets no news, until the clock has passed the old number.

Change: a peer that is sent a description with a smaller boot than the one it knows returns what it knows, and the process takes the next larger number, as SWIM lets a member refute what is said of it. Leases that were requested under the first number end by their time limit.

--- a/crates/thymeshift_entry/src/allocation_client.rs
+++ b/crates/thymeshift_entry/src/allocation_client.rs
@@ -124,7 +124,8 @@
     socket: Option<Arc<UdpSocket>>,
     vm: VmName,
     data_hall: DataHallName,
-    boot: Boot,
+    /// Number of this process's boot in datagrams and leases.
+    boot: AtomicU64,
     next_number: AtomicU64,
     leases: Mutex<HashMap<LeaseNumber, OpenLease>>,
     skipped: Mutex<HashMap<VmName, SkippedProcess>>,
@@ -147,13 +148,23 @@
             socket,
             vm,
             data_hall,
-            boot,
+            boot: AtomicU64::new(boot.as_u64()),
             next_number: AtomicU64::new(1),
             leases: Mutex::default(),
             skipped: Mutex::default(),
         })
     }
 
+    fn boot(&self) -> Boot {
+        Boot::new(self.boot.load(Ordering::Relaxed))
+    }
+
+    /// Replaces the boot of this process. Leases that were requested under the former one end with
+    /// their time limit.
+    pub(crate) fn set_boot(&self, boot: Boot) {
+        self.boot.store(boot.as_u64(), Ordering::Relaxed);
+    }
+
     pub(crate) fn socket(&self) -> Option<&Arc<UdpSocket>> {
         self.socket.as_ref()
     }
@@ -165,7 +176,7 @@
         let Some(socket) = &self.socket else {
             return;
         };
-        let datagram = Datagram { sender: self.vm.clone(), boot: self.boot, message };
+        let datagram = Datagram { sender: self.vm.clone(), boot: self.boot(), message };
         let sent = match datagram.encode() {
             Ok(bytes) if bytes.len() <= DATAGRAM_BYTES_MAX => {
                 socket.try_send_to(&bytes, to).is_ok()
@@ -242,7 +253,7 @@
     }
 
     fn own_holder(&self) -> LeaseHolder {
-        LeaseHolder { vm: self.vm.clone(), boot: self.boot, address: None }
+        LeaseHolder { vm: self.vm.clone(), boot: self.boot(), address: None }
     }
 
     /// Sends the reply to an acquire request to its holder.
--- a/crates/thymeshift_entry/src/control_plane/peer_link.rs
+++ b/crates/thymeshift_entry/src/control_plane/peer_link.rs
@@ -18,6 +18,7 @@
 use rand::Rng;
 use spdlog::debug;
 use spdlog::error;
+use spdlog::warn;
 use tarpc::client::RpcError;
 use tarpc::context;
 use thymeshift_fleet::GossipScope;
@@ -279,6 +280,10 @@
     exchange: &Exchange,
 ) -> Vec<thymeshift_wire::Document> {
     let applied = shared.fleet.lock().apply_exchange(exchange, BootClock.now());
+    if let Some(boot) = applied.raised_boot {
+        shared.allocation.set_boot(boot);
+        warn!("boot_raised", kv: { boot: = boot });
+    }
     for mark in &applied.new_marks {
         shared.apply_mark(mark, "peer");
     }
--- a/crates/thymeshift_entry/src/fleet.rs
+++ b/crates/thymeshift_entry/src/fleet.rs
@@ -91,6 +91,8 @@
     pub(crate) has_new_orders: bool,
     /// Suspects that are new or have changed.
     pub(crate) new_suspects: Vec<Fingerprint>,
+    /// Boot of this process, if it was raised above a later boot of its VM.
+    pub(crate) raised_boot: Option<Boot>,
     /// Head of the sender's configuration, if its content differs under the revision in force here.
     /// Set only the first time that the conflict is seen.
     pub(crate) conflicting_head: Option<Head>,
@@ -170,6 +172,8 @@
             self.members.answer_scope(&received, now)
         });
         let mut answer = self.summary(scope, now, rng);
+        let sender = theirs.members.first().map(|sender| &sender.member);
+        answer.members.extend(sender.and_then(|sender| self.members.later_boot_of(sender, now)));
         if theirs.is_new {
             answer.suspects = self.quarantine.page(None, NEWCOMER_SUSPECTS_MAX, now);
         }
@@ -265,6 +269,7 @@
         exchange: &Exchange,
         now: Timestamp,
     ) -> ExchangeOutcome {
+        let boot = self.members.own().boot;
         if let Some((sender, others)) = exchange.members.split_first() {
             self.members.record_answer(&sender.member, now);
             for member in others {
@@ -294,6 +299,7 @@
             new_marks: marks,
             has_new_orders,
             new_suspects: suspects,
+            raised_boot: Some(self.members.own().boot).filter(|raised| *raised != boot),
             conflicting_head,
         }
     }
--- a/crates/thymeshift_fleet/src/member.rs
+++ b/crates/thymeshift_fleet/src/member.rs
@@ -19,7 +19,8 @@
 pub struct Boot(u64);
 
 impl Boot {
-    /// Creates a boot identifier; processes use the wall clock in milliseconds.
+    /// Creates a boot identifier; processes use the wall clock in milliseconds. The wall clock may
+    /// step back, so a process that learns of a later boot of its VM raises its own above it.
     pub const fn new(number: u64) -> Self {
         Self(number)
     }
@@ -28,6 +29,11 @@
     pub const fn as_u64(self) -> u64 {
         self.0
     }
+
+    /// Returns the smallest boot identifier that is later than this one.
+    pub(crate) const fn next(self) -> Self {
+        Self(self.0.saturating_add(1))
+    }
 }
 
 /// Lifecycle phase that a process reports about itself.
--- a/crates/thymeshift_fleet/src/members.rs
+++ b/crates/thymeshift_fleet/src/members.rs
@@ -123,6 +123,10 @@
     /// that age, so that gossip about a dead member does not make it look alive.
     fn merge_member(&mut self, member: &Member, silent: Duration, now: Timestamp) {
         if member.vm == self.own.vm {
+            if member.boot > self.own.boot {
+                self.own.boot = member.boot.next();
+                self.changes += 1;
+            }
             return;
         }
         if let Some(known) = self.known.get_mut(&member.vm) {
@@ -148,6 +152,13 @@
         }
     }
 
+    /// Returns the member of the same VM as `sender` that is known with a later boot. `sender` runs,
+    /// so the other one is from before its start, and the wall clock has stepped back in between.
+    pub fn later_boot_of(&self, sender: &Member, now: Timestamp) -> Option<GossipMember> {
+        let known = self.known.get(&sender.vm)?;
+        (known.member.boot > sender.boot).then(|| known.to_gossip(now))
+    }
+
     /// Records a self-description that was received directly from the member.
     pub fn record_announcement(&mut self, member: &Member, now: Timestamp) {
         self.merge_member(member, Duration::ZERO, now);
--- a/crates/thymeshift_fleet/src/members/gossip.rs
+++ b/crates/thymeshift_fleet/src/members/gossip.rs
@@ -124,11 +124,7 @@
             }
         };
         let own = GossipMember { member: self.own.clone(), silent_ms: 0 };
-        let others = others.into_iter().map(|known| {
-            let silent_ms = now.since(known.last_seen_at).as_millis();
-            let silent_ms = u32::try_from(silent_ms).unwrap_or(u32::MAX);
-            GossipMember { member: known.member.clone(), silent_ms }
-        });
+        let others = others.into_iter().map(|known| known.to_gossip(now));
         [own].into_iter().chain(others).collect()
     }
 }
--- a/crates/thymeshift_fleet/src/members/known.rs
+++ b/crates/thymeshift_fleet/src/members/known.rs
@@ -4,6 +4,7 @@
 
 use thymeshift_types::Timestamp;
 
+use crate::GossipMember;
 use crate::Liveness;
 use crate::Member;
 use crate::Phase;
@@ -34,6 +35,12 @@
         Self { member: member.clone(), last_seen_at: now, unanswered_calls: 0, contact_score }
     }
 
+    pub(super) fn to_gossip(&self, now: Timestamp) -> GossipMember {
+        let silent_ms = now.since(self.last_seen_at).as_millis();
+        let silent_ms = u32::try_from(silent_ms).unwrap_or(u32::MAX);
+        GossipMember { member: self.member.clone(), silent_ms }
+    }
+
     /// Returns the member's liveness; `timeout_factor` scales the timeouts to
     /// the number of known members.
     pub(super) fn liveness(&self, timeout_factor: u32, now: Timestamp) -> Liveness {
--- a/crates/thymeshift_fleet/tests/membership.rs
+++ b/crates/thymeshift_fleet/tests/membership.rs
@@ -142,7 +142,8 @@
             let members = &mut self.processes[other].members;
             merge_message(members, &summary, now);
             let scope = members.answer_scope(&received, now);
-            let answer = members.members_to_send(scope, now, &mut self.rng);
+            let mut answer = members.members_to_send(scope, now, &mut self.rng);
+            answer.extend(members.later_boot_of(received.sender, now));
             self.members_sent += (summary.len() + answer.len()) as u64;
             merge_message(&mut self.processes[number].members, &answer, now);
         }
@@ -153,9 +154,9 @@
     }
 
     /// Restarts a process, which loses all its state.
-    fn restart(&mut self, number: usize, now_ms: u64) {
+    fn restart(&mut self, number: usize, boot: u64, now_ms: u64) {
         let hints = vec![address(1), address(self.processes.len() / 2)];
-        let own = member(number, self.halls, 2);
+        let own = member(number, self.halls, boot);
         let members = Members::new(own, hints, at(now_ms));
         self.processes[number] =
             Process { members, is_up: true, started_ms: now_ms, next_ms: now_ms };
@@ -259,7 +260,7 @@
     let mut fleet = Fleet::new(473, 6);
     fleet.run(0, 5_000);
     let first = first_of_hall(&fleet, 5_000);
-    fleet.restart(first, 5_000);
+    fleet.restart(first, 2, 5_000);
     fleet.run(5_000, 5_300);
     fleet.announce_phase(first, 5_300);
     fleet.run(5_300, 6_500);
@@ -274,6 +275,47 @@
     assert_eq!(boots, BTreeSet::from([2]), "only the new boot is known");
 }
 
+/// The wall clock numbers the boots. After it had stepped back, the other processes took the new
+/// process for an earlier one, and did not count it as serving.
+#[test]
+fn a_process_that_restarts_after_its_clock_has_stepped_back_is_known_as_serving() {
+    struct Case {
+        note: &'static str,
+        count: usize,
+        /// Phase in which the process was last seen before the restart.
+        last_phase: Phase,
+    }
+    let cases = [
+        Case { note: "killed, small fleet", count: 30, last_phase: Phase::Serving },
+        Case { note: "stopped, small fleet", count: 30, last_phase: Phase::Stopping },
+        Case { note: "killed, large fleet", count: 473, last_phase: Phase::Serving },
+        Case { note: "stopped, large fleet", count: 473, last_phase: Phase::Stopping },
+    ];
+    for Case { note, count, last_phase } in cases {
+        let mut fleet = Fleet::new(count, 6);
+        fleet.run(0, 5_000);
+        let first = first_of_hall(&fleet, 5_000);
+        fleet.processes[first].members.advance_heartbeat(last_phase, None);
+        fleet.announce_phase(first, 5_000);
+        fleet.set_up(first, false);
+        fleet.run(5_000, 8_000);
+        fleet.restart(first, 0, 8_000);
+        fleet.run(8_000, 8_300);
+        fleet.announce_phase(first, 8_300);
+        fleet.run(8_300, 9_500);
+        let peers = fleet.processes.iter().filter(|process| {
+            let own = process.members.own();
+            own.data_hall == hall(first, 6) && own.vm != vm(first)
+        });
+        let unaware = peers.filter(|process| {
+            let serving = process.members.serving_in(&hall(first, 6), at(9_500));
+            let boot = fleet.processes[first].members.own().boot;
+            !serving.iter().any(|member| member.vm == vm(first) && member.boot == boot)
+        });
+        assert_eq!(unaware.count(), 0, "{note}: processes of its hall that do not know it");
+    }
+}
+
 #[test]
 fn a_hall_whose_first_members_are_dead_is_still_known_to_the_others() {
     let mut fleet = Fleet::new(300, 6);
