Count the token requests of a restarted process anew

Cause: a counter remembers the last request of each VM by its number, and a process that restarts numbers its requests from the start again. A request with the same number got the former grant once more, uncharged. Change: a request is identified by the start of its process as well, which every datagram carries. Test: with the start ignored it fails, 5 tokens charged of 10 granted.

--- a/crates/thymeshift_entry/src/control_plane/datagrams.rs
+++ b/crates/thymeshift_entry/src/control_plane/datagrams.rs
@@ -64,7 +64,7 @@
             }
         }
         Message::QuotaAsk(ask) => {
-            let message = match shared.quotas.handle_ask(shared, &sender, &ask) {
+            let message = match shared.quotas.handle_ask(shared, (&sender, boot), &ask) {
                 QuotaReply::Counted(count) => Message::QuotaCounted(ask.number, count),
                 QuotaReply::NotCounter => Message::QuotaElsewhere(ask.number),
             };
--- a/crates/thymeshift_entry/src/organisations/quota.rs
+++ b/crates/thymeshift_entry/src/organisations/quota.rs
@@ -11,6 +11,7 @@
 use thymeshift_allocation::AllocatorRank;
 use thymeshift_config::Organisation;
 use thymeshift_config::RequestRate;
+use thymeshift_fleet::Boot;
 use thymeshift_organisations::Admission;
 use thymeshift_organisations::QuotaCounter;
 use thymeshift_organisations::QuotaHolder;
@@ -137,7 +138,7 @@
     pub(crate) fn handle_ask(
         &self,
         shared: &Shared,
-        holder_vm: &VmName,
+        (holder_vm, holder_boot): (&VmName, Boot),
         ask: &QuotaAsk,
     ) -> QuotaReply {
         if !shared.is_serving() || !self.is_counter(shared, &ask.organisation) {
@@ -148,7 +149,10 @@
             QuotaLimit::of(organisations.find(|known| known.name == ask.organisation)?)
         });
         match limit {
-            Some(limit) => QuotaReply::Counted(self.grant_locally(shared, holder_vm, ask, limit)),
+            Some(limit) => {
+                let holder = (holder_vm, holder_boot);
+                QuotaReply::Counted(self.grant_locally(shared, holder, ask, limit))
+            }
             None => QuotaReply::NotCounter,
         }
     }
@@ -232,7 +236,8 @@
         };
         for process in ranked_processes.iter().filter(is_usable).take(COUNTERS_PER_REQUEST_MAX) {
             let Some(process) = process else {
-                return Some(self.grant_locally(shared, shared.allocation.vm(), &ask, limit));
+                let own = (shared.allocation.vm(), shared.boot);
+                return Some(self.grant_locally(shared, own, &ask, limit));
             };
             match self.ask_process(shared, process.address, &ask).await {
                 Some(QuotaReply::Counted(grant)) => return Some(grant),
@@ -269,7 +274,7 @@
     fn grant_locally(
         &self,
         shared: &Shared,
-        holder_vm: &VmName,
+        (holder_vm, holder_boot): (&VmName, Boot),
         ask: &QuotaAsk,
         limit: QuotaLimit,
     ) -> QuotaGrant {
@@ -290,8 +295,8 @@
         counter.set_share(rank.rate_share().fraction(), now);
         let QuotaAsk { number, wanted, arrived, own_admitted, .. } = *ask;
         let demand = TokenDemand { wanted, arrived, own_admitted };
-        let request = TokenRequest { number: number.0, demand };
-        let is_duplicate = counter.is_duplicate(holder_vm, request.number);
+        let request = TokenRequest { start: holder_boot.as_u64(), number: number.0, demand };
+        let is_duplicate = counter.is_duplicate(holder_vm, request);
         let grant = counter.grant_tokens(holder_vm, request, now);
         if !is_duplicate {
             log.record(holder_vm, grant.tokens, rank, now);
--- a/crates/thymeshift_lab/src/replay/quota_starts/simulation.rs
+++ b/crates/thymeshift_lab/src/replay/quota_starts/simulation.rs
@@ -339,7 +339,7 @@
             process.holder.start_fallback(now);
             return self.decide_waiting(index);
         };
-        let request = TokenRequest { number, demand };
+        let request = TokenRequest { start: process.boot, number, demand };
         if counter == index {
             let grant = process.grant((index, process.boot), request, rules, now);
             process.holder.apply_grant(&grant, now);
@@ -359,7 +359,7 @@
         let Some(pending) = pending else { return };
         let PendingTokenRequest { counter, demand, .. } = *pending;
         let (from, to, boot) = (index, counter, process.boot);
-        let request = TokenRequest { number, demand };
+        let request = TokenRequest { start: process.boot, number, demand };
         self.send(Event::TokenRequested { from, to, boot, request });
     }
 
--- a/crates/thymeshift_lab/src/replay/quotas/simulation.rs
+++ b/crates/thymeshift_lab/src/replay/quotas/simulation.rs
@@ -238,7 +238,7 @@
                 self.handle_arrival(process_index);
             }
             Event::TokenRequested { from, to, number, demand } => {
-                let request = TokenRequest { number, demand };
+                let request = TokenRequest { start: 0, number, demand };
                 let grant = self.handle_token_request(from, to, request);
                 self.send(to, from, || Event::TokenReply { to: from, number, grant });
             }
@@ -313,7 +313,7 @@
             return self.decide_waiting(process_index);
         };
         if counter_index == process_index {
-            let request = TokenRequest { number, demand };
+            let request = TokenRequest { start: 0, number, demand };
             let grant = self.handle_token_request(process_index, process_index, request);
             return self.apply_token_reply(process_index, grant);
         }
--- a/crates/thymeshift_organisations/src/counter.rs
+++ b/crates/thymeshift_organisations/src/counter.rs
@@ -58,12 +58,20 @@
 /// Token request of a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TokenRequest {
+    /// Start of the process. A process that starts again assigns the same numbers again.
+    pub start: u64,
     /// Request number, assigned by the process.
     pub number: u64,
     /// Tokens that the process needs, and what it has admitted.
     pub demand: TokenDemand,
 }
 
+impl TokenRequest {
+    fn id(self) -> (u64, u64) {
+        (self.start, self.number)
+    }
+}
+
 /// Response of the counter to a token request.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct TokenGrant {
@@ -80,8 +88,8 @@
 #[derive(Debug)]
 struct Holder {
     demand: Demand,
-    /// Number of the last token request, and the response to it.
-    last: Option<(u64, TokenGrant)>,
+    /// Start and number of the last token request, and the response to it.
+    last: Option<((u64, u64), TokenGrant)>,
     /// Share of the quota assigned to the process, from 0 to 1.
     own_share: f64,
 }
@@ -166,7 +174,7 @@
             own_share: 0.0,
         };
         let known = self.holders.entry(holder.clone()).or_insert_with(new);
-        if let Some((_, grant)) = known.last.filter(|(number, _)| *number == request.number) {
+        if let Some((_, grant)) = known.last.filter(|(id, _)| *id == request.id()) {
             return grant;
         }
         let TokenDemand { wanted, arrived, own_admitted } = request.demand;
@@ -179,17 +187,17 @@
         let holder_per_s = known.demand.per_s(now);
         let grant = self.grant(wanted, holder_per_s, now);
         if let Some(known) = self.holders.get_mut(holder) {
-            known.last = Some((request.number, grant));
+            known.last = Some((request.id(), grant));
             let own_rate_per_s = grant.own_rate_per_s.unwrap_or_default();
             known.own_share = own_rate_per_s / self.limit.rate_per_s;
         }
         grant
     }
 
-    /// Returns whether the token request with this number is the last one of the process.
-    pub fn is_duplicate(&self, holder: &H, number: u64) -> bool {
+    /// Returns whether the token request is the last one of the process.
+    pub fn is_duplicate(&self, holder: &H, request: TokenRequest) -> bool {
         let last = self.holders.get(holder).and_then(|known| known.last);
-        last.is_some_and(|(last_number, _)| last_number == number)
+        last.is_some_and(|(id, _)| id == request.id())
     }
 
     fn grant(&mut self, wanted: u32, holder_per_s: f64, now: Timestamp) -> TokenGrant {
--- a/crates/thymeshift_organisations/tests/counting.rs
+++ b/crates/thymeshift_organisations/tests/counting.rs
@@ -21,7 +21,11 @@
 const START: Timestamp = Timestamp::from_millis(1_000);
 
 fn token_request(number: u64, wanted: u32) -> TokenRequest {
-    TokenRequest { number, demand: TokenDemand { wanted, arrived: wanted, own_admitted: 0 } }
+    TokenRequest {
+        start: 1,
+        number,
+        demand: TokenDemand { wanted, arrived: wanted, own_admitted: 0 },
+    }
 }
 
 fn later(seconds: u64) -> Timestamp {
@@ -137,7 +141,7 @@
     for Case { note, own_admitted, tokens } in cases {
         let mut counter = QuotaCounter::new(LIMIT, START);
         let demand = TokenDemand { wanted: 100, arrived: 100, own_admitted };
-        let request = TokenRequest { number: 1, demand };
+        let request = TokenRequest { start: 1, number: 1, demand };
         assert_eq!(counter.grant_tokens(&"a", request, later(10)).tokens, tokens, "{note}");
         // A repeated request is charged once.
         assert_eq!(counter.grant_tokens(&"a", request, later(10)).tokens, tokens, "{note}");
@@ -146,6 +150,21 @@
     }
 }
 
+/// A restarted process numbers its requests from the start again. It got the grant of its former
+/// start once more, which was not charged.
+#[test]
+fn a_restarted_process_is_not_granted_the_tokens_of_its_former_start_again() {
+    let mut counter = QuotaCounter::new(LIMIT, START);
+    let request = token_request(1, 5);
+    let before = counter.level(later(10));
+    assert_eq!(counter.grant_tokens(&"a", request, later(10)).tokens, 5);
+    let restarted = TokenRequest { start: 2, ..request };
+    assert!(!counter.is_duplicate(&"a", restarted));
+    assert_eq!(counter.grant_tokens(&"a", restarted, later(10)).tokens, 5);
+    let spent = before - counter.level(later(10));
+    assert!((spent - 10.0).abs() < 0.01, "{spent} tokens charged, 10 granted");
+}
+
 #[test]
 fn a_process_reports_what_it_admitted_on_its_own_until_a_counter_answers() {
     let mut holder = QuotaHolder::new(LIMIT, 1, START);
