Log unread bytes of closed caller connections, waiting connections at a stop, and the failed calls of a soak

Neither the entry process's log nor the soak told which connection a lost request was on, whether its bytes had reached the process, or whether the connection had ever been accepted.

Change: the end of a caller connection is logged with its cause, the stage of the stop and the bytes that arrived and were never read (`caller_connection_closed`, and a counter); the end of accepting says whether a connection was waiting, and the end of the process warns if one still is. The soak prints for each failed request the entry process, the caller's address, the number of earlier requests on the connection, when it was sent, and the error.

No behaviour changes; the checks of the soak are as they were.

--- a/crates/thymeshift_entry/src/caller/connection.rs
+++ b/crates/thymeshift_entry/src/caller/connection.rs
@@ -18,8 +18,15 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::conn::auto;
+use metrics::counter;
+use rustix::io::ioctl_fionread;
 use spdlog::debug;
+use spdlog::info;
 use thymeshift_config::Limits;
+use thymeshift_telemetry::metric;
+use thymeshift_types::BootClock;
+use thymeshift_types::Clock;
+use thymeshift_types::Timestamp;
 use thymeshift_wire::Dialect;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -46,6 +53,11 @@
     let request_flag = Arc::new(AtomicBool::new(false));
     let has_received_request = request_flag.clone();
     let pipelined = PipelinedConnection::new(Arc::new(stream), limits.header_bytes_max as usize);
+    let accepted_at = BootClock.now();
+    let log_shared = shared.clone();
+    let log_end = |cause: &str, stage: ShutdownStage| {
+        log_connection_end(&log_shared, &pipelined, caller, accepted_at, cause, stage);
+    };
     let disconnect = Arc::new(Notify::new());
     let (service_pipelined, service_disconnect) = (pipelined.clone(), disconnect.clone());
     let service = service_fn(move |request: Request<Incoming>| {
@@ -78,20 +90,20 @@
         tokio::select! {
             biased;
             ended = connection.as_mut() => {
-                if let Err(error) = ended {
-                    let caller = caller.to_string();
-                    debug!("caller_connection_broken", kv: { caller, error: = error });
+                match ended {
+                    Ok(()) => log_end("completed", stage),
+                    Err(error) => log_end(&format!("broken: {error}"), stage),
                 }
                 return;
             }
             // Dropping the connection cancels the requests in progress on it.
-            () = &mut disconnected => return,
+            () = &mut disconnected => return log_end("caller disconnected", stage),
             () = &mut closing, if stage == ShutdownStage::Open => stage = ShutdownStage::Draining,
             () = pipelined.wait_until_answered(), if stage == ShutdownStage::Draining => {}
             () = &mut first_request_timeout, if is_awaiting_first_request => {
                 is_awaiting_first_request = false;
                 if !has_received_request.load(Ordering::Relaxed) {
-                    return;
+                    return log_end("no request in time", stage);
                 }
             }
         }
@@ -103,6 +115,33 @@
     }
 }
 
+/// Logs the end of a connection. Bytes that the caller sent and this process never read may be a
+/// request that the caller believes to be served.
+fn log_connection_end(
+    shared: &Shared,
+    connection: &PipelinedConnection,
+    caller: SocketAddr,
+    accepted_at: Timestamp,
+    cause: &str,
+    stage: ShutdownStage,
+) {
+    let unread_bytes = ioctl_fionread(&**connection.stream()).unwrap_or(0);
+    let open_ms = BootClock.now().since(accepted_at).as_millis() as u64;
+    let answered = connection.answered_count();
+    if unread_bytes == 0 {
+        debug!("caller_connection_closed", kv: {
+            caller: = caller, cause, stage: ? = stage, answered, unread_bytes, open_ms
+        });
+        return;
+    }
+    counter!(metric::CALLER_CONNECTIONS_CLOSED_UNREAD).increment(1);
+    if shared.allows_request_log_line() {
+        info!("caller_connection_closed", kv: {
+            caller: = caller, cause, stage: ? = stage, answered, unread_bytes, open_ms
+        });
+    }
+}
+
 /// Stage of the graceful shutdown of a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ShutdownStage {
--- a/crates/thymeshift_entry/src/caller/handler.rs
+++ b/crates/thymeshift_entry/src/caller/handler.rs
@@ -277,7 +277,9 @@
         match result {
             Ok(response) => {
                 let status = response.status().as_u16();
-                debug!("request_answered", kv: { request_id, kind, status, taken_us });
+                debug!("request_answered", kv: {
+                    request_id, caller: = self.caller, kind, status, taken_us
+                });
             }
             Err(_) if !self.shared.allows_request_log_line() => {}
             Err(failure) => info!("request_failed", kv: {
--- a/crates/thymeshift_entry/src/caller/listener.rs
+++ b/crates/thymeshift_entry/src/caller/listener.rs
@@ -5,6 +5,11 @@
 use std::time::Duration;
 
 use metrics::counter;
+use rustix::event::PollFd;
+use rustix::event::PollFlags;
+use rustix::event::Timespec;
+use rustix::event::poll;
+use spdlog::info;
 use spdlog::warn;
 use thymeshift_config::Limits;
 use thymeshift_fleet::Phase;
@@ -38,10 +43,15 @@
     // A caller that connects during the start waits in the accept queue instead of being refused.
     // Without a configuration after `START_WAIT_MAX`, callers receive a `not_ready` refusal.
     let _ = timeout(START_WAIT_MAX, phase.wait_for(|phase| *phase != Phase::Starting)).await;
+    let mut accepted_count = 0_u64;
     loop {
         let accepted = tokio::select! {
             biased;
-            _ = stop.wait_for(|is_closing| *is_closing) => return Ok(()),
+            _ = stop.wait_for(|is_closing| *is_closing) => {
+                let has_waiting = has_waiting_connection(&listener);
+                info!("accepting_stopped", kv: { accepted: = accepted_count, has_waiting });
+                return Ok(());
+            }
             accepted = listener.accept() => accepted,
         };
         let (stream, caller) = match accepted {
@@ -52,6 +62,7 @@
                 continue;
             }
         };
+        accepted_count += 1;
         let limits = limits(&shared);
         let Some(guard) = ConnectionGuard::new(&shared, &limits) else {
             counter!(metric::CALLER_CONNECTIONS_REJECTED).increment(1);
@@ -74,6 +85,12 @@
     }
 }
 
+/// Returns whether a connection waits to be accepted.
+pub(crate) fn has_waiting_connection(listener: &TcpListener) -> bool {
+    let mut listeners = [PollFd::new(listener, PollFlags::IN)];
+    poll(&mut listeners, Some(&Timespec { tv_sec: 0, tv_nsec: 0 })).is_ok_and(|ready| ready > 0)
+}
+
 fn configure(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)
 }
--- a/crates/thymeshift_entry/src/caller/mod.rs
+++ b/crates/thymeshift_entry/src/caller/mod.rs
@@ -14,4 +14,5 @@
 mod response;
 mod write_timeout;
 
+pub(crate) use listener::has_waiting_connection;
 pub(crate) use listener::run_listener;
--- a/crates/thymeshift_entry/src/caller/pipelining.rs
+++ b/crates/thymeshift_entry/src/caller/pipelining.rs
@@ -8,6 +8,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
@@ -55,6 +56,8 @@
     bytes_arrived: Notify,
     /// Notified when a request of the connection has been answered.
     request_answered: Notify,
+    /// Number of requests of the connection that have been answered.
+    answered: AtomicU64,
 }
 
 struct State {
@@ -104,6 +107,7 @@
             state: Mutex::new(state),
             bytes_arrived: Notify::new(),
             request_answered: Notify::new(),
+            answered: AtomicU64::new(0),
         })
     }
 
@@ -117,6 +121,11 @@
         self.state.lock().pipeline.has_more()
     }
 
+    /// Returns the number of requests of the connection that have been answered.
+    pub(crate) fn answered_count(&self) -> u64 {
+        self.answered.load(Ordering::Relaxed)
+    }
+
     /// Waits until a request of the connection has been answered.
     pub(crate) async fn wait_until_answered(&self) {
         self.request_answered.notified().await;
@@ -184,6 +193,7 @@
             response = responding => Some(response),
             () = self.start_pipelined_requests::<D>(shared, caller), if is_safe => None,
         };
+        self.answered.fetch_add(1, Ordering::Relaxed);
         self.request_answered.notify_one();
         response
     }
--- a/crates/thymeshift_entry/src/process.rs
+++ b/crates/thymeshift_entry/src/process.rs
@@ -33,6 +33,7 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::caller::has_waiting_connection;
 use crate::caller::run_listener;
 use crate::control_plane::announce_shutdown;
 use crate::control_plane::bootstrap;
@@ -158,6 +159,7 @@
     let (closing, is_closing) = watch::channel(false);
     let source = Arc::new(Mutex::new(E::Source::new(shared.settings().platform_address)));
     let supervisor_tree = supervisor_tree::<E>(&shared, &source, &listeners, &is_closing);
+    let caller_listener = listeners.caller.clone();
     drop(listeners);
     let mut running = tokio::spawn(supervisor_tree.run());
     let serving = async {
@@ -172,6 +174,9 @@
         () = serving => {}
     }
     let exit = stop(&shared, &closing, &mut stop_signals, &mut running).await;
+    if has_waiting_connection(&caller_listener) {
+        warn!("connections_never_accepted");
+    }
     running.abort();
     Ok(exit)
 }
--- a/crates/thymeshift_lab/src/experiment/soak.rs
+++ b/crates/thymeshift_lab/src/experiment/soak.rs
@@ -149,7 +149,11 @@
             self.post_fault_load.pressure
         )?;
         if !self.is_clean() {
-            write!(f, "\nafter the faults:\n{}faults:", self.post_fault_load.result)?;
+            write!(f, "\nunder the faults:")?;
+            write_failed_calls(f, &self.result)?;
+            write!(f, "\nafter the faults:\n{}", self.post_fault_load.result)?;
+            write_failed_calls(f, &self.post_fault_load.result)?;
+            write!(f, "\nfaults:")?;
             for TimedFault { at, fault } in &self.faults {
                 write!(f, "\n  {:>5} ms {fault}", at.as_millis())?;
             }
@@ -158,6 +162,16 @@
     }
 }
 
+/// Writes a line for each request without a complete answer.
+fn write_failed_calls(f: &mut fmt::Formatter<'_>, result: &LoadResult) -> fmt::Result {
+    for kind in &result.kinds {
+        for call in &kind.failed_calls {
+            write!(f, "\n  {} {call}", kind.name)?;
+        }
+    }
+    Ok(())
+}
+
 /// Runs the soak with the seed of the plan.
 pub async fn soak(plan: SoakPlan) -> Result<SoakReport, FleetError> {
     let SoakPlan { seed, entries, duration, folder } = plan;
--- a/crates/thymeshift_lab/src/load/caller.rs
+++ b/crates/thymeshift_lab/src/load/caller.rs
@@ -1,9 +1,11 @@
 //! HTTP/1.1 callers with pooled connections, which verify the answer to each request.
 
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http::Request;
@@ -19,12 +21,28 @@
 use tokio::sync::Semaphore;
 use tokio::time::sleep;
 
+use crate::load::CallConnection;
 use crate::load::CallResult;
 use crate::load::KindLoad;
 use crate::standin::CALLED_PROCESS_HEADER;
 use crate::standin::expected_answer;
 
-type Sender = SendRequest<Full<Bytes>>;
+/// Open connection to an entry process.
+struct Sender {
+    requests: SendRequest<Full<Bytes>>,
+    connection: CallConnection,
+}
+
+/// Course of a call that the caller has not given up.
+#[derive(Default)]
+pub(crate) struct CallTrace {
+    /// Connection that carried the request, once it is open.
+    pub(crate) connection: Option<CallConnection>,
+    /// Time at which the request was sent on the connection.
+    pub(crate) sent_at: Option<Instant>,
+    /// Error of the connection.
+    pub(crate) error: String,
+}
 
 /// Maximum number of connections to one entry process, as the platform's balancer limits them.
 /// Further requests wait for a free connection, and the wait counts towards their latency.
@@ -61,7 +79,7 @@
         for entry in entries {
             let pool = self.pool(*entry);
             for _ in 0..count {
-                if let Some(sender) = connect(*entry).await {
+                if let Ok(sender) = connect(*entry).await {
                     pool.return_idle(sender);
                 }
             }
@@ -69,8 +87,14 @@
     }
 
     /// Sends a request of this kind to `entry` and returns its verified result. The request and
-    /// its answer are each delayed by the one-way network delay.
-    pub(crate) async fn call(&self, entry: SocketAddr, kind: &KindLoad, nonce: &str) -> CallResult {
+    /// its answer are each delayed by the one-way network delay. Records its course in `trace`.
+    pub(crate) async fn call(
+        &self,
+        entry: SocketAddr,
+        kind: &KindLoad,
+        nonce: &str,
+        trace: &mut CallTrace,
+    ) -> CallResult {
         let path = format!("{}?nonce={nonce}&bytes={}", kind.path, kind.answer_bytes);
         let body = Bytes::from(vec![b'x'; kind.request_bytes]);
         let request = Request::builder()
@@ -85,7 +109,7 @@
         if !self.one_way.is_zero() {
             sleep(self.one_way).await;
         }
-        let result = self.exchange(entry, request, kind, &path, &body).await;
+        let result = self.exchange(entry, request, kind, (&path, &body), trace).await;
         if !self.one_way.is_zero() {
             sleep(self.one_way).await;
         }
@@ -97,13 +121,28 @@
         entry: SocketAddr,
         request: Request<Full<Bytes>>,
         kind: &KindLoad,
-        path: &str,
-        body: &[u8],
+        (path, body): (&str, &[u8]),
+        trace: &mut CallTrace,
     ) -> Option<CallResult> {
         let pool = self.pool(entry);
         let _permit = pool.permits.acquire().await.ok()?;
-        let mut sender = pool.sender(entry).await?;
-        let response = sender.send_request(request).await.ok()?;
+        let mut sender = match pool.sender(entry).await {
+            Ok(sender) => sender,
+            Err(error) => {
+                trace.error = format!("connecting: {error}");
+                return None;
+            }
+        };
+        trace.connection = Some(sender.connection);
+        trace.sent_at = Some(Instant::now());
+        sender.connection.earlier_requests += 1;
+        let response = match sender.requests.send_request(request).await {
+            Ok(response) => response,
+            Err(error) => {
+                trace.error = format!("{error:?}");
+                return None;
+            }
+        };
         let (parts, incoming) = response.into_parts();
         let body_result = incoming.collect().await;
         if let Some(outcome) = parts.headers.get(headers::OUTCOME) {
@@ -114,8 +153,12 @@
                 _ => CallResult::Outcome(Outcome::Failed),
             });
         }
-        let Ok(body_result) = body_result else {
-            return Some(CallResult::BrokenAnswer);
+        let body_result = match body_result {
+            Ok(body_result) => body_result,
+            Err(error) => {
+                trace.error = format!("{error:?}");
+                return Some(CallResult::BrokenAnswer);
+            }
         };
         pool.return_idle(sender);
         if !parts.status.is_success() {
@@ -127,12 +170,12 @@
 }
 
 impl ConnectionPool {
-    async fn sender(&self, entry: SocketAddr) -> Option<Sender> {
+    async fn sender(&self, entry: SocketAddr) -> io::Result<Sender> {
         loop {
             let idle = self.idle.lock().pop();
             let Some(mut sender) = idle else { break };
-            if sender.ready().await.is_ok() {
-                return Some(sender);
+            if sender.requests.ready().await.is_ok() {
+                return Ok(sender);
             }
         }
         connect(entry).await
@@ -143,11 +186,12 @@
     }
 }
 
-async fn connect(entry: SocketAddr) -> Option<Sender> {
-    let stream = TcpStream::connect(entry).await.ok()?;
-    stream.set_nodelay(true).ok()?;
+async fn connect(entry: SocketAddr) -> io::Result<Sender> {
+    let stream = TcpStream::connect(entry).await?;
+    stream.set_nodelay(true)?;
+    let connection = CallConnection { local: stream.local_addr()?, earlier_requests: 0 };
     let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
-    let (sender, connection) = handshake.ok()?;
-    tokio::spawn(connection);
-    Some(sender)
+    let (requests, driver) = handshake.map_err(io::Error::other)?;
+    tokio::spawn(driver);
+    Ok(Sender { requests, connection })
 }
--- a/crates/thymeshift_lab/src/load/closed.rs
+++ b/crates/thymeshift_lab/src/load/closed.rs
@@ -12,6 +12,7 @@
 
 use crate::load::CallResult;
 use crate::load::KindLoad;
+use crate::load::caller::CallTrace;
 use crate::load::caller::Callers;
 
 /// Runs a closed loop for `duration` over `connections` connections and returns the number of
@@ -30,7 +31,9 @@
         let (answered, callers, kind) = (answered.clone(), callers.clone(), kind.clone());
         loops.spawn(async move {
             while Instant::now() < end {
-                if callers.call(address, &kind, "0").await == CallResult::Answered {
+                if callers.call(address, &kind, "0", &mut CallTrace::default()).await
+                    == CallResult::Answered
+                {
                     answered.fetch_add(1, Ordering::Relaxed);
                 }
             }
--- a/crates/thymeshift_lab/src/load/mod.rs
+++ b/crates/thymeshift_lab/src/load/mod.rs
@@ -7,6 +7,7 @@
 mod arrivals;
 mod caller;
 mod closed;
+mod failed_call;
 mod plan;
 mod plot;
 mod result;
@@ -14,6 +15,8 @@
 
 pub use arrivals::arrival_times;
 pub use closed::run_closed;
+pub use failed_call::CallConnection;
+pub use failed_call::FailedCall;
 pub use plan::EntryAddresses;
 pub use plan::KindLoad;
 pub use plan::LoadPlan;
--- a/crates/thymeshift_lab/src/load/result.rs
+++ b/crates/thymeshift_lab/src/load/result.rs
@@ -9,6 +9,8 @@
 use serde_json::json;
 use thymeshift_types::Outcome;
 
+use crate::load::FailedCall;
+
 /// Largest latency that the histograms record, in microseconds; larger ones count as this value.
 const LATENCY_US_MAX: u64 = 120_000_000;
 /// Significant decimal digits that the latency histograms keep.
@@ -59,6 +61,8 @@
     refusal_us: Histogram<u64>,
     /// Result of each request, by its nonce.
     pub results_by_nonce: BTreeMap<String, CallResult>,
+    /// Requests without a complete answer, in the order of their results.
+    pub failed_calls: Vec<FailedCall>,
 }
 
 impl KindResult {
@@ -78,6 +82,7 @@
             latency_us: histogram(),
             refusal_us: histogram(),
             results_by_nonce: BTreeMap::new(),
+            failed_calls: Vec::new(),
         }
     }
 
--- a/crates/thymeshift_lab/src/load/run.rs
+++ b/crates/thymeshift_lab/src/load/run.rs
@@ -11,11 +11,13 @@
 use tokio::time::timeout;
 
 use crate::load::CallResult;
+use crate::load::FailedCall;
 use crate::load::KindResult;
 use crate::load::LoadPlan;
 use crate::load::LoadResult;
 use crate::load::arrivals::Arrival;
 use crate::load::arrivals::arrivals;
+use crate::load::caller::CallTrace;
 use crate::load::caller::Callers;
 
 /// Time after which a caller gives up waiting for an answer.
@@ -83,9 +85,24 @@
             return;
         };
         let nonce = format!("{}-{request_number}", plan.seed);
-        let called = timeout(CALL_TIMEOUT, callers.call(entry, kind, &nonce)).await;
+        let mut trace = CallTrace::default();
+        let calling = callers.call(entry, kind, &nonce, &mut trace);
+        let called = timeout(CALL_TIMEOUT, calling).await;
         let result = called.unwrap_or(CallResult::NoAnswer);
         let taken = due_at.elapsed();
-        results.lock()[arrival.kind].record(nonce, result, taken, kind.in_time_ms);
+        let results = &mut results.lock()[arrival.kind];
+        if result != CallResult::Answered {
+            results.failed_calls.push(FailedCall {
+                nonce: nonce.clone(),
+                entry,
+                result,
+                connection: trace.connection,
+                error: trace.error,
+                due: arrival.at,
+                sent_after: trace.sent_at.map(|sent_at| sent_at.duration_since(due_at)),
+                taken,
+            });
+        }
+        results.record(nonce, result, taken, kind.in_time_ms);
     }
 }
--- a/crates/thymeshift_telemetry/src/metric.rs
+++ b/crates/thymeshift_telemetry/src/metric.rs
@@ -18,6 +18,8 @@
 pub const CALLER_CONNECTIONS: &str = "thymeshift_caller_connections";
 /// Connections from callers that were closed immediately because the connection limit was reached.
 pub const CALLER_CONNECTIONS_REJECTED: &str = "thymeshift_callers_turned_away_total";
+/// Connections that were closed while bytes from their callers had arrived and were not read.
+pub const CALLER_CONNECTIONS_CLOSED_UNREAD: &str = "thymeshift_caller_closed_unread_total";
 /// Connections opened to targets, by `service`.
 pub const TARGET_CONNECTIONS_OPENED: &str = "thymeshift_target_connections_opened_total";
 /// Connections to targets that were lost while a request was in flight on them, by `service`.
