Print wall-clock times of failed calls and planned stops of a soak

The soak's lines had only times since the start of the load, which cannot be compared with the entry process's log.

Change: failed calls carry their due time on the wall clock, and a red soak prints for each planned stop when SIGTERM was sent, when the balancer's list no longer had the process, and when the process had exited. The checks are unchanged.

--- a/crates/thymeshift_lab/src/experiment/soak.rs
+++ b/crates/thymeshift_lab/src/experiment/soak.rs
@@ -10,10 +10,12 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
 
 use parking_lot::Mutex;
 use rand::Rng;
@@ -50,6 +52,7 @@
 use crate::load::EntryAddresses;
 use crate::load::LoadPlan;
 use crate::load::LoadResult;
+use crate::load::unix_ms;
 use crate::standin::Behaviour;
 use crate::standin::PlatformMode;
 use crate::standin::Proxy;
@@ -93,6 +96,7 @@
 pub struct SoakReport {
     seed: u64,
     faults: Vec<TimedFault>,
+    planned_stops: Vec<PlannedStop>,
     result: LoadResult,
     /// Promises broken by the load under faults.
     pub violations: Violations,
@@ -112,6 +116,31 @@
     post_fault_load: PostFaultLoad,
 }
 
+/// Times of a planned stop on the wall clock, which the entry process's log uses too.
+#[derive(Debug, Clone, Copy)]
+struct PlannedStop {
+    /// Caller address of the stopped entry process.
+    entry: SocketAddr,
+    signalled_at: SystemTime,
+    /// Time at which the balancer's list of addresses no longer had the entry process.
+    removed_at: SystemTime,
+    exited_at: SystemTime,
+}
+
+impl fmt::Display for PlannedStop {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { entry, signalled_at, removed_at, exited_at } = *self;
+        let since = |time: SystemTime| time.duration_since(signalled_at).unwrap_or_default();
+        write!(
+            f,
+            "entry={entry} signalled_unix_ms={} removed_after_ms={} exited_after_ms={}",
+            unix_ms(signalled_at),
+            since(removed_at).as_millis(),
+            since(exited_at).as_millis()
+        )
+    }
+}
+
 impl SoakReport {
     /// Returns whether every promise held.
     pub fn is_clean(&self) -> bool {
@@ -157,6 +186,10 @@
             for TimedFault { at, fault } in &self.faults {
                 write!(f, "\n  {:>5} ms {fault}", at.as_millis())?;
             }
+            write!(f, "\nplanned stops:")?;
+            for stop in &self.planned_stops {
+                write!(f, "\n  {stop}")?;
+            }
         }
         Ok(())
     }
@@ -200,7 +233,7 @@
         load::run(load_plan(&balancer, duration, rng.random())),
         inject_faults(&mut fleet, &proxy, &balancer, &faults, &mut revision, &revision_monitor)
     );
-    injected?;
+    let planned_stops = injected?;
     fleet.set_platform_mode(PlatformMode::Normal).await?;
     proxy.set_mode(ProxyMode::Pass);
     let disregarded = disregarded(&fleet, &statements, &logs).await?;
@@ -223,6 +256,7 @@
         in_force_after,
         post_fault_load,
         faults,
+        planned_stops,
         result,
     })
 }
@@ -297,7 +331,7 @@
 }
 
 /// Begins each fault at its time and ends the faults that have a duration. Returns when all faults
-/// have ended.
+/// have ended, with the times of the planned stops.
 async fn inject_faults(
     fleet: &mut Fleet,
     proxy: &Proxy,
@@ -305,7 +339,8 @@
     faults: &[TimedFault],
     revision: &mut u64,
     revision_monitor: &RevisionMonitor,
-) -> Result<(), FleetError> {
+) -> Result<Vec<PlannedStop>, FleetError> {
+    let mut planned_stops = Vec::new();
     let start = tokio::time::Instant::now();
     let mut ends: Vec<(tokio::time::Instant, SoakFault)> = Vec::new();
     let mut pending: Vec<TimedFault> = faults.to_vec();
@@ -318,7 +353,8 @@
             (Some(begin), end) if end.is_none_or(|end| begin <= end) => {
                 sleep_until(begin).await;
                 let Some(TimedFault { fault, .. }) = pending.pop() else { break };
-                if let Some(duration) = begin_fault(fleet, proxy, balancer, fault, revision).await?
+                if let Some(duration) =
+                    begin_fault(fleet, proxy, balancer, fault, revision, &mut planned_stops).await?
                 {
                     ends.push((tokio::time::Instant::now() + duration, fault));
                 }
@@ -334,7 +370,7 @@
             revision_monitor.check(entry).await;
         }
     }
-    Ok(())
+    Ok(planned_stops)
 }
 
 /// Begins a fault. Returns its duration if [`end_fault`] has to end it.
@@ -344,6 +380,7 @@
     balancer: &EntryAddresses,
     fault: SoakFault,
     revision: &mut u64,
+    planned_stops: &mut Vec<PlannedStop>,
 ) -> Result<Option<Duration>, FleetError> {
     match fault {
         SoakFault::PauseEntry { entry, duration } => {
@@ -366,12 +403,17 @@
             let mut old = fleet.entries.remove(entry);
             // A paused process does not handle SIGTERM until SIGCONT resumes it.
             old.signal(Signal::CONT);
+            let signalled_at = SystemTime::now();
             old.signal(Signal::TERM);
             sleep(BALANCER_LAG).await;
             balancer.set(fleet.caller_addresses()?);
+            let removed_at = SystemTime::now();
             if timeout(EXIT_TIMEOUT, old.wait()).await.is_err() {
                 return Err(FleetError::NotReady);
             }
+            let entry = old.address("caller")?;
+            let exited_at = SystemTime::now();
+            planned_stops.push(PlannedStop { entry, signalled_at, removed_at, exited_at });
             Ok(None)
         }
         SoakFault::ReloadEntry { entry } => {
--- a/crates/thymeshift_lab/src/load/failed_call.rs
+++ b/crates/thymeshift_lab/src/load/failed_call.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use crate::load::CallResult;
 
@@ -28,6 +30,8 @@
     pub connection: Option<CallConnection>,
     /// Error of the connection; empty if the entry process answered.
     pub error: String,
+    /// Due time of the request on the wall clock, which the entry process's log uses too.
+    pub due_at: SystemTime,
     /// Time from the start of the load to the due time of the request.
     pub due: Duration,
     /// Time from the due time to the sending on an open connection; none if it was not sent.
@@ -48,10 +52,16 @@
         let sent_ms = self.sent_after.map(|after| after.as_millis());
         write!(
             f,
-            "due_ms={} sent_after_ms={sent_ms:?} taken_ms={} error={:?}",
+            "due_unix_ms={} due_ms={} sent_after_ms={sent_ms:?} taken_ms={} error={:?}",
+            unix_ms(self.due_at),
             self.due.as_millis(),
             self.taken.as_millis(),
             self.error
         )
     }
 }
+
+/// Returns a time on the wall clock as milliseconds since the Unix epoch.
+pub(crate) fn unix_ms(time: SystemTime) -> u128 {
+    time.duration_since(UNIX_EPOCH).unwrap_or_default().as_millis()
+}
--- a/crates/thymeshift_lab/src/load/mod.rs
+++ b/crates/thymeshift_lab/src/load/mod.rs
@@ -17,6 +17,7 @@
 pub use closed::run_closed;
 pub use failed_call::CallConnection;
 pub use failed_call::FailedCall;
+pub(crate) use failed_call::unix_ms;
 pub use plan::EntryAddresses;
 pub use plan::KindLoad;
 pub use plan::LoadPlan;
--- a/crates/thymeshift_lab/src/load/run.rs
+++ b/crates/thymeshift_lab/src/load/run.rs
@@ -4,6 +4,7 @@
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
 
 use parking_lot::Mutex;
 use tokio::sync::mpsc;
@@ -98,6 +99,7 @@
                 result,
                 connection: trace.connection,
                 error: trace.error,
+                due_at: SystemTime::now() - taken,
                 due: arrival.at,
                 sent_after: trace.sent_at.map(|sent_at| sent_at.duration_since(due_at)),
                 taken,
