Serve the connections in the accept queue at a planned stop, and refuse later ones

What callers saw: a request on a new connection to a stopping process got no answer; the connection hung for up to 2.2 s and was reset when the process ended.

Cause: the loop that accepts looked at the end of accepting first and returned, although connections whose handshakes were complete lay in the accept queue. A process that has had no processor for a while finds the end of its lag and a full queue at the same moment. The listening socket, shared with the closure that restarts the task, stayed open until the process ended, so that the kernel went on taking connections that nobody would accept; and the wait for open connections counted accepted ones only, so that it could end before the listener had looked.

Change: at the end of accepting the queue is emptied, asking the kernel and not the runtime's readiness; then the socket is shut down, so that a connect is refused at once and a caller can go elsewhere. The wait for open connections begins after that.

--- a/crates/thymeshift_entry/src/caller/listener.rs
+++ b/crates/thymeshift_entry/src/caller/listener.rs
@@ -1,5 +1,7 @@
 //! Accepts caller connections, up to a limit, until the process stops.
 
+use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -9,6 +11,8 @@
 use rustix::event::PollFlags;
 use rustix::event::Timespec;
 use rustix::event::poll;
+use rustix::net::Shutdown;
+use rustix::net::shutdown;
 use spdlog::info;
 use spdlog::warn;
 use thymeshift_config::Limits;
@@ -32,7 +36,8 @@
 /// Maximum time for which a process without a configuration defers accepting connections.
 const START_WAIT_MAX: Duration = Duration::from_millis(400);
 
-/// Accepts connections until `closing` becomes true.
+/// Accepts connections until `closing` becomes true, then serves the ones that wait in the accept
+/// queue and refuses later ones.
 pub(crate) async fn run_listener<D: Dialect>(
     shared: Arc<Shared>,
     listener: Arc<TcpListener>,
@@ -43,50 +48,71 @@
     // A caller that connects during the start waits in the accept queue instead of being refused.
     // Without a configuration after `START_WAIT_MAX`, callers receive a `not_ready` refusal.
     let _ = timeout(START_WAIT_MAX, phase.wait_for(|phase| *phase != Phase::Starting)).await;
-    let mut accepted_count = 0_u64;
     loop {
         let accepted = tokio::select! {
             biased;
-            _ = stop.wait_for(|is_closing| *is_closing) => {
-                let has_waiting = has_waiting_connection(&listener);
-                info!("accepting_stopped", kv: { accepted: = accepted_count, has_waiting });
-                return Ok(());
-            }
+            _ = stop.wait_for(|is_closing| *is_closing) => break,
             accepted = listener.accept() => accepted,
         };
-        let (stream, caller) = match accepted {
-            Ok(accepted) => accepted,
-            Err(error) => {
-                warn!("accept_failed", kv: { error: = error });
-                sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
-            }
-        };
-        accepted_count += 1;
-        let limits = limits(&shared);
-        let Some(guard) = ConnectionGuard::new(&shared, &limits) else {
-            counter!(metric::CALLER_CONNECTIONS_REJECTED).increment(1);
-            continue;
-        };
-        if let Err(error) = configure(&stream) {
+        serve_accepted::<D>(&shared, accepted, &closing).await;
+    }
+    // The handshake of a waiting connection is complete, so its caller may have sent a request.
+    let mut waiting_count = 0_u64;
+    while has_waiting_connection(&listener) {
+        waiting_count += 1;
+        serve_accepted::<D>(&shared, listener.accept().await, &closing).await;
+    }
+    refuse_connections(&listener);
+    info!("accepting_stopped", kv: { waiting: = waiting_count });
+    shared.is_accepting.send_replace(false);
+    Ok(())
+}
+
+/// Starts a task that serves the accepted connection, if the limits allow another one.
+async fn serve_accepted<D: Dialect>(
+    shared: &Arc<Shared>,
+    accepted: io::Result<(TcpStream, SocketAddr)>,
+    closing: &watch::Receiver<bool>,
+) {
+    let (stream, caller) = match accepted {
+        Ok(accepted) => accepted,
+        Err(error) => {
             warn!("accept_failed", kv: { error: = error });
-            continue;
+            sleep(ACCEPT_RETRY_DELAY).await;
+            return;
         }
-        let shared = shared.clone();
-        let mut closing = closing.clone();
-        tokio::spawn(async move {
-            let _guard = guard;
-            let closing = async move {
-                // An error means that the process is ending, which also closes the connection.
-                let _ = closing.wait_for(|is_closing| *is_closing).await;
-            };
-            serve::<D>(shared, stream, caller, limits, closing).await;
-        });
+    };
+    let limits = limits(shared);
+    let Some(guard) = ConnectionGuard::new(shared, &limits) else {
+        counter!(metric::CALLER_CONNECTIONS_REJECTED).increment(1);
+        return;
+    };
+    if let Err(error) = configure(&stream) {
+        warn!("accept_failed", kv: { error: = error });
+        return;
+    }
+    let shared = shared.clone();
+    let mut closing = closing.clone();
+    tokio::spawn(async move {
+        let _guard = guard;
+        let closing = async move {
+            // An error means that the process is ending, which also closes the connection.
+            let _ = closing.wait_for(|is_closing| *is_closing).await;
+        };
+        serve::<D>(shared, stream, caller, limits, closing).await;
+    });
+}
+
+/// Stops listening, so that a caller that connects from now on is refused at once. Other handles of
+/// the socket would keep it listening if this one were only closed.
+fn refuse_connections(listener: &TcpListener) {
+    if let Err(error) = shutdown(listener, Shutdown::Read) {
+        warn!("accept_failed", kv: { error: = io::Error::from(error) });
     }
 }
 
 /// Returns whether a connection waits to be accepted.
-pub(crate) fn has_waiting_connection(listener: &TcpListener) -> bool {
+fn has_waiting_connection(listener: &TcpListener) -> bool {
     let mut listeners = [PollFd::new(listener, PollFlags::IN)];
     poll(&mut listeners, Some(&Timespec { tv_sec: 0, tv_nsec: 0 })).is_ok_and(|ready| ready > 0)
 }
--- a/crates/thymeshift_entry/src/caller/mod.rs
+++ b/crates/thymeshift_entry/src/caller/mod.rs
@@ -14,5 +14,4 @@
 mod response;
 mod write_timeout;
 
-pub(crate) use listener::has_waiting_connection;
 pub(crate) use listener::run_listener;
--- a/crates/thymeshift_entry/src/process.rs
+++ b/crates/thymeshift_entry/src/process.rs
@@ -33,7 +33,6 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
-use crate::caller::has_waiting_connection;
 use crate::caller::run_listener;
 use crate::control_plane::announce_shutdown;
 use crate::control_plane::bootstrap;
@@ -159,7 +158,6 @@
     let (closing, is_closing) = watch::channel(false);
     let source = Arc::new(Mutex::new(E::Source::new(shared.settings().platform_address)));
     let supervisor_tree = supervisor_tree::<E>(&shared, &source, &listeners, &is_closing);
-    let caller_listener = listeners.caller.clone();
     drop(listeners);
     let mut running = tokio::spawn(supervisor_tree.run());
     let serving = async {
@@ -174,9 +172,6 @@
         () = serving => {}
     }
     let exit = stop(&shared, &closing, &mut stop_signals, &mut running).await;
-    if has_waiting_connection(&caller_listener) {
-        warn!("connections_never_accepted");
-    }
     running.abort();
     Ok(exit)
 }
@@ -206,7 +201,8 @@
 ///
 /// 1. Readiness fails, and callers are asked to close their connections.
 /// 2. Callers are still accepted for a while: the platform's load balancer reacts with a delay.
-/// 3. No new connections are accepted, and queued and running requests complete.
+/// 3. Connections that wait in the accept queue are accepted, later ones are refused. Requests that
+///    have arrived, queued and running ones complete.
 /// 4. Peers are notified.
 async fn stop(
     shared: &Arc<Shared>,
@@ -235,9 +231,12 @@
     Exit::DrainTimedOut { open }
 }
 
-/// Waits until all caller connections are closed.
+/// Waits until no more connections are accepted and all caller connections are closed.
 /// A response counts as delivered only when its last byte has been sent.
 async fn drained(shared: &Shared) {
+    let mut is_accepting = shared.is_accepting.subscribe();
+    // The sender lives as long as `shared`, so the wait cannot fail.
+    let _ = is_accepting.wait_for(|is_accepting| !is_accepting).await;
     while shared.metrics.caller_connections.load(Ordering::Relaxed) > 0 {
         sleep(DRAIN_CHECK_INTERVAL).await;
     }
--- a/crates/thymeshift_entry/src/shared.rs
+++ b/crates/thymeshift_entry/src/shared.rs
@@ -82,6 +82,8 @@
     /// Whether a configuration is in force.
     pub(crate) has_configuration: watch::Sender<bool>,
     pub(crate) phase: watch::Sender<Phase>,
+    /// Whether connections of callers are still accepted.
+    pub(crate) is_accepting: watch::Sender<bool>,
     /// Wakes the peer task to exchange state with a few peers at once.
     pub(crate) peer_exchange_due: Notify,
     pub(crate) platform_answered_at: Mutex<Option<Timestamp>>,
@@ -154,6 +156,7 @@
             pause_notifier: PauseNotifier::default(),
             has_configuration: watch::Sender::new(false),
             phase: watch::Sender::new(Phase::Starting),
+            is_accepting: watch::Sender::new(true),
             peer_exchange_due: Notify::new(),
             platform_answered_at: Mutex::new(None),
             statuses: Statuses::default(),
