Answer the requests that have arrived on open connections before a planned stop closes them

What callers saw: a request that arrived on an open connection shortly before a stopping process closed it, or behind a request in progress, got no answer: the connection was closed or reset.

Cause: the same as for the accept queue: the close was decided by what the process had read, not by what had arrived. hyper's graceful shutdown closes a connection whose bytes lie unread in the socket, or before its protocol is detected; and once begun it reads no further request behind the one in progress.

Change: an HTTP/1.1 connection of a stopping process is closed by the connection task itself, right after the kernel has been asked whether bytes have arrived, once nothing is in progress (the body of the answer included) and the connection has been idle for 200 ms, so that a caller that has just connected or been answered can send its next request. An answer says `connection: close` only if no bytes behind its request have arrived.

A request that crosses the close on its way cannot be seen by any check.

The rows of the tests send what comes behind a request only while its answer has not arrived: with an answer that says `connection: close` at hand, the caller knows that the connection ends.

--- a/crates/thymeshift_entry/src/caller/connection.rs
+++ b/crates/thymeshift_entry/src/caller/connection.rs
@@ -4,8 +4,6 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use http::HeaderValue;
@@ -19,7 +17,8 @@
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::conn::auto;
 use metrics::counter;
-use rustix::io::ioctl_fionread;
+use rustix::net::Shutdown;
+use rustix::net::shutdown;
 use spdlog::debug;
 use spdlog::info;
 use thymeshift_config::Limits;
@@ -37,6 +36,8 @@
 use crate::caller::write_timeout::WriteTimeoutStream;
 use crate::shared::Shared;
 
+/// Interval between two checks whether a connection that is being drained may close.
+const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum number of concurrent streams on an HTTP/2 connection.
 const HTTP2_STREAMS_MAX: u32 = 256;
 
@@ -50,8 +51,6 @@
 ) {
     let head_timeout = Duration::from_millis(limits.header_read_timeout_ms);
     let write_timeout = Duration::from_millis(limits.body_stall_timeout_ms);
-    let request_flag = Arc::new(AtomicBool::new(false));
-    let has_received_request = request_flag.clone();
     let pipelined = PipelinedConnection::new(Arc::new(stream), limits.header_bytes_max as usize);
     let accepted_at = BootClock.now();
     let log_shared = shared.clone();
@@ -61,7 +60,6 @@
     let disconnect = Arc::new(Notify::new());
     let (service_pipelined, service_disconnect) = (pipelined.clone(), disconnect.clone());
     let service = service_fn(move |request: Request<Incoming>| {
-        request_flag.store(true, Ordering::Relaxed);
         let (shared, pipelined, disconnect) =
             (shared.clone(), service_pipelined.clone(), service_disconnect.clone());
         async move {
@@ -90,27 +88,34 @@
         tokio::select! {
             biased;
             ended = connection.as_mut() => {
-                match ended {
-                    Ok(()) => log_end("completed", stage),
-                    Err(error) => log_end(&format!("broken: {error}"), stage),
-                }
-                return;
+                let cause = match ended {
+                    Ok(()) => "completed".to_owned(),
+                    Err(error) => format!("broken: {error}"),
+                };
+                return log_end(&cause, stage);
             }
             // Dropping the connection cancels the requests in progress on it.
             () = &mut disconnected => return log_end("caller disconnected", stage),
             () = &mut closing, if stage == ShutdownStage::Open => stage = ShutdownStage::Draining,
-            () = pipelined.wait_until_answered(), if stage == ShutdownStage::Draining => {}
+            () = sleep(DRAIN_CHECK_INTERVAL), if stage == ShutdownStage::Draining => {}
             () = &mut first_request_timeout, if is_awaiting_first_request => {
                 is_awaiting_first_request = false;
-                if !has_received_request.load(Ordering::Relaxed) {
+                if !pipelined.has_received_request() {
                     return log_end("no request in time", stage);
                 }
             }
         }
-        // Requests that have already arrived are answered before the connection closes.
-        if stage == ShutdownStage::Draining && !pipelined.has_pipelined_bytes() {
+        if stage != ShutdownStage::Draining {
+            continue;
+        }
+        if pipelined.is_http2() {
+            // HTTP/2 tells the caller which of the requests on their way are still served.
             stage = ShutdownStage::Closing;
             connection.as_mut().graceful_shutdown();
+        } else if pipelined.is_drained() {
+            // Closing right after the check leaves no time for a request to arrive in between.
+            let _ = shutdown(&**pipelined.stream(), Shutdown::Write);
+            return log_end("drained", stage);
         }
     }
 }
@@ -125,7 +130,7 @@
     cause: &str,
     stage: ShutdownStage,
 ) {
-    let unread_bytes = ioctl_fionread(&**connection.stream()).unwrap_or(0);
+    let unread_bytes = connection.unread_bytes();
     let open_ms = BootClock.now().since(accepted_at).as_millis() as u64;
     let answered = connection.answered_count();
     if unread_bytes == 0 {
--- a/crates/thymeshift_entry/src/caller/pipelining.rs
+++ b/crates/thymeshift_entry/src/caller/pipelining.rs
@@ -8,24 +8,31 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
+use std::time::Duration;
 
 use bytes::Buf;
 use bytes::BytesMut;
 use http::Request;
 use http::Response;
+use http::Version;
 use http::request::Parts;
 use metrics::counter;
 use parking_lot::Mutex;
+use rustix::io::ioctl_fionread;
 use spdlog::error;
 use thymeshift_config::Repeat;
 use thymeshift_pipeline::Pipeline;
 use thymeshift_pipeline::RequestMatch;
 use thymeshift_telemetry::metric;
+use thymeshift_types::BootClock;
+use thymeshift_types::Clock;
+use thymeshift_types::Timestamp;
 use thymeshift_wire::Dialect;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
@@ -34,9 +41,13 @@
 
 use crate::caller::handler::handle;
 use crate::caller::head::Head;
+use crate::caller::response::GuardedBody;
 use crate::caller::response::ResponseBody;
 use crate::shared::Shared;
 
+/// Minimum time for which a connection must have been idle before a planned stop closes it. A caller
+/// that has just connected or received an answer may be sending its next request.
+const IDLE_MIN: Duration = Duration::from_millis(200);
 /// Maximum number of bytes that are read from the socket before hyper asks for them.
 /// Further bytes of pipelined requests stay in the receive buffer of the socket.
 const READ_AHEAD_BYTES_MAX: usize = 16 * 1_024;
@@ -54,10 +65,32 @@
     state: Mutex<State>,
     /// Notified when hyper has read bytes from the socket, which may hold pipelined requests.
     bytes_arrived: Notify,
-    /// Notified when a request of the connection has been answered.
-    request_answered: Notify,
+    /// Number of requests of the connection that have been read and not answered completely.
+    in_progress: AtomicU64,
+    has_received_request: AtomicBool,
+    is_http2: AtomicBool,
+    /// Whether bytes of an answer wait until the socket takes more.
+    is_write_blocked: AtomicBool,
     /// Number of requests of the connection that have been answered.
     answered: AtomicU64,
+    /// Time at which the connection was accepted, or bytes were read or written last.
+    active_at: Mutex<Timestamp>,
+}
+
+/// Counts a request of a connection as in progress until the guard is dropped.
+pub(crate) struct InProgressGuard(Arc<PipelinedConnection>);
+
+impl InProgressGuard {
+    fn new(connection: &Arc<PipelinedConnection>) -> Self {
+        connection.in_progress.fetch_add(1, Ordering::Relaxed);
+        Self(connection.clone())
+    }
+}
+
+impl Drop for InProgressGuard {
+    fn drop(&mut self) {
+        self.0.in_progress.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 struct State {
@@ -106,8 +139,12 @@
             stream,
             state: Mutex::new(state),
             bytes_arrived: Notify::new(),
-            request_answered: Notify::new(),
+            in_progress: AtomicU64::new(0),
+            has_received_request: AtomicBool::new(false),
+            is_http2: AtomicBool::new(false),
+            is_write_blocked: AtomicBool::new(false),
             answered: AtomicU64::new(0),
+            active_at: Mutex::new(BootClock.now()),
         })
     }
 
@@ -115,10 +152,62 @@
         &self.stream
     }
 
-    /// Returns whether bytes of further requests have arrived.
+    /// Returns whether bytes of further requests have arrived, read or not.
     /// These requests are served before a planned stop closes the connection.
     pub(crate) fn has_pipelined_bytes(&self) -> bool {
-        self.state.lock().pipeline.has_more()
+        let state = self.state.lock();
+        state.pipeline.has_more()
+            || (state.pipeline.is_between_requests() && self.has_unread_bytes())
+    }
+
+    /// Returns whether the caller has sent bytes that nobody has read from the socket yet. The async
+    /// runtime may not have noticed them, so the kernel is asked.
+    pub(crate) fn has_unread_bytes(&self) -> bool {
+        self.unread_bytes() > 0
+    }
+
+    /// Returns the number of bytes in the receive buffer of the socket.
+    pub(crate) fn unread_bytes(&self) -> u64 {
+        // An error means that the connection is broken, so that no request can be served on it.
+        ioctl_fionread(&*self.stream).unwrap_or(0)
+    }
+
+    /// Returns whether a planned stop may close the connection: no request is in progress or has
+    /// arrived, and none is to be expected, because the connection has been idle for a while.
+    pub(crate) fn is_drained(&self) -> bool {
+        self.idle_time() >= IDLE_MIN
+            && self.in_progress.load(Ordering::Relaxed) == 0
+            && !self.is_write_blocked.load(Ordering::Relaxed)
+            && !self.state.lock().pipeline.has_more()
+            && !self.has_unread_bytes()
+    }
+
+    /// Returns how long no bytes have been read or written.
+    fn idle_time(&self) -> Duration {
+        BootClock.now().since(*self.active_at.lock())
+    }
+
+    /// Returns whether hyper has read a request on the connection.
+    pub(crate) fn has_received_request(&self) -> bool {
+        self.has_received_request.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether the requests of the connection are HTTP/2 streams.
+    pub(crate) fn is_http2(&self) -> bool {
+        self.is_http2.load(Ordering::Relaxed)
+    }
+
+    /// Records whether the socket took the bytes that were written to it.
+    pub(crate) fn record_write(&self, is_blocked: bool) {
+        self.is_write_blocked.store(is_blocked, Ordering::Relaxed);
+        if !is_blocked {
+            self.record_activity();
+        }
+    }
+
+    /// Records that bytes were read or written.
+    fn record_activity(&self) {
+        *self.active_at.lock() = BootClock.now();
     }
 
     /// Returns the number of requests of the connection that have been answered.
@@ -126,11 +215,6 @@
         self.answered.load(Ordering::Relaxed)
     }
 
-    /// Waits until a request of the connection has been answered.
-    pub(crate) async fn wait_until_answered(&self) {
-        self.request_answered.notified().await;
-    }
-
     /// Reads for hyper: first the buffered bytes, then from the socket.
     pub(crate) fn poll_read(
         &self,
@@ -147,7 +231,10 @@
                 Err(error) => return Poll::Ready(Err(error)),
                 Ok(length) => {
                     let bytes = &buffer.initialize_unfilled()[..length];
-                    self.state.lock().pipeline.push_bytes(bytes);
+                    let state = &mut *self.state.lock();
+                    state.pipeline.push_bytes(bytes);
+                    state.is_eof |= length == 0;
+                    self.record_activity();
                     buffer.advance(length);
                     self.bytes_arrived.notify_one();
                     return Poll::Ready(Ok(()));
@@ -173,7 +260,10 @@
         shared: &Arc<Shared>,
         caller: SocketAddr,
         request: Request<hyper::body::Incoming>,
-    ) -> Option<Response<ResponseBody>> {
+    ) -> Option<Response<GuardedBody<InProgressGuard>>> {
+        let guard = InProgressGuard::new(self);
+        self.has_received_request.store(true, Ordering::Relaxed);
+        self.is_http2.store(request.version() == Version::HTTP_2, Ordering::Relaxed);
         let (parts, incoming) = request.into_parts();
         let started = self.take_started(&parts);
         let is_safe = parts.method.is_safe();
@@ -194,8 +284,7 @@
             () = self.start_pipelined_requests::<D>(shared, caller), if is_safe => None,
         };
         self.answered.fetch_add(1, Ordering::Relaxed);
-        self.request_answered.notify_one();
-        response
+        Some(response?.map(|body| GuardedBody::new(body, guard)))
     }
 
     /// Removes and returns the started request that hyper has now read.
@@ -257,6 +346,7 @@
             Ok(length) => {
                 let state = &mut *self.state.lock();
                 state.pipeline.push_bytes(&bytes[..length]);
+                self.record_activity();
                 state.buffered.extend_from_slice(&bytes[..length]);
                 Ok(())
             }
--- a/crates/thymeshift_entry/src/caller/response.rs
+++ b/crates/thymeshift_entry/src/caller/response.rs
@@ -54,6 +54,38 @@
     }
 }
 
+/// Body of a response that keeps a guard until the body has been sent or dropped.
+pub(crate) struct GuardedBody<G> {
+    body: ResponseBody,
+    _guard: G,
+}
+
+impl<G> GuardedBody<G> {
+    pub(crate) fn new(body: ResponseBody, guard: G) -> Self {
+        Self { body, _guard: guard }
+    }
+}
+
+impl<G: Unpin> Body for GuardedBody<G> {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        Pin::new(&mut self.get_mut().body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// Returns the response that reports `failure` to the caller.
 pub(crate) fn failure_response<D: Dialect>(
     failure: &Failure,
--- a/crates/thymeshift_lab/tests/planned_stop/forced.rs
+++ b/crates/thymeshift_lab/tests/planned_stop/forced.rs
@@ -7,6 +7,9 @@
 use std::time::Instant;
 
 use http::Method;
+use rustix::io::Errno;
+use rustix::net::RecvFlags;
+use rustix::net::recv;
 use rustix::process::Signal;
 use thymeshift_lab::experiment::SingleEntry;
 use thymeshift_lab::http_client::send_request;
@@ -50,6 +53,9 @@
     /// Sends a request and reads its whole answer.
     Serve,
     Send(&'static str),
+    /// Sends a further request; fails the attempt if an answer has already arrived, as the caller
+    /// could then know that the connection closes.
+    SendBeforeAnswer(&'static str),
     Wait(u64),
     /// Starts a request on a connection of its own, which keeps the process draining.
     Hold,
@@ -210,6 +216,13 @@
                 // The end that the caller reads tells whether the connection was closed.
                 let _ = stream.write_all(text.as_bytes()).await;
             }
+            Step::SendBeforeAnswer(text) => {
+                let stream = stream.as_mut().expect("a connection");
+                let _ = stream.write_all(text.as_bytes()).await;
+                if has_bytes(stream) {
+                    return Err(Missed);
+                }
+            }
             Step::Wait(wait_ms) => sleep(Duration::from_millis(*wait_ms)).await,
             Step::Hold => {
                 held.spawn(send_request(caller, Method::GET, "/r?nonce=hold&bytes=20", ""));
@@ -250,6 +263,12 @@
     Ok(Seen { bytes, end, taken })
 }
 
+/// Returns whether bytes or the end of the stream have arrived.
+fn has_bytes(stream: &TcpStream) -> bool {
+    let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
+    recv(stream, &mut [0][..], flags) != Err(Errno::AGAIN)
+}
+
 /// Sends a request and reads its answer on a connection that stays open.
 pub(crate) async fn serve_one(stream: &mut TcpStream) {
     stream.write_all(READ_1.as_bytes()).await.expect("sent");
--- a/crates/thymeshift_pipeline/src/pipeline.rs
+++ b/crates/thymeshift_pipeline/src/pipeline.rs
@@ -120,6 +120,12 @@
         !self.yielded.is_empty() || !self.buffer.is_empty()
     }
 
+    /// Whether all bytes of the requests parsed so far have arrived, so that the next bytes from the
+    /// caller belong to another request. `false` if parsing has stopped.
+    pub fn is_between_requests(&self) -> bool {
+        !self.is_stopped && self.body_left == 0
+    }
+
     /// Whether parsing has stopped for the rest of the connection.
     pub fn is_stopped(&self) -> bool {
         self.is_stopped
