Keep a closing connection readable until its caller has read the answer

What callers saw: the rest of a large answer cut by a reset, if bytes of a further request arrived while it was sent.

Cause: a socket that is closed with unread bytes, or that receives bytes after the close, resets the connection, and the kernel discards what it has not delivered yet (RFC 9112, 9.6).

Change: after the last byte the stream towards the caller is ended, and what arrives is discarded until the caller closes too, for at most a second; the log counts it with the bytes that were never served. A connection whose caller has closed first is dropped at once, so ordinary closes cost nothing.

--- a/crates/thymeshift_entry/src/caller/connection.rs
+++ b/crates/thymeshift_entry/src/caller/connection.rs
@@ -17,8 +17,6 @@
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::conn::auto;
 use metrics::counter;
-use rustix::net::Shutdown;
-use rustix::net::shutdown;
 use spdlog::debug;
 use spdlog::info;
 use thymeshift_config::Limits;
@@ -32,6 +30,7 @@
 use tokio::time::sleep;
 
 use crate::caller::disconnect::caller_disconnected;
+use crate::caller::linger::linger;
 use crate::caller::pipelining::PipelinedConnection;
 use crate::caller::write_timeout::WriteTimeoutStream;
 use crate::shared::Shared;
@@ -54,8 +53,17 @@
     let pipelined = PipelinedConnection::new(Arc::new(stream), limits.header_bytes_max as usize);
     let accepted_at = BootClock.now();
     let log_shared = shared.clone();
-    let log_end = |cause: &str, stage: ShutdownStage| {
-        log_connection_end(&log_shared, &pipelined, caller, accepted_at, cause, stage);
+    let log_end = |cause: &str, stage: ShutdownStage, discarded_bytes: u64| {
+        let unread_bytes = discarded_bytes + pipelined.unread_bytes();
+        log_connection_end(
+            &log_shared,
+            &pipelined,
+            caller,
+            accepted_at,
+            cause,
+            stage,
+            unread_bytes,
+        );
     };
     let disconnect = Arc::new(Notify::new());
     let (service_pipelined, service_disconnect) = (pipelined.clone(), disconnect.clone());
@@ -92,16 +100,18 @@
                     Ok(()) => "completed".to_owned(),
                     Err(error) => format!("broken: {error}"),
                 };
-                return log_end(&cause, stage);
+                let has_to_linger = !pipelined.is_eof();
+                let discarded_bytes = if has_to_linger { linger(pipelined.stream()).await } else { 0 };
+                return log_end(&cause, stage, discarded_bytes);
             }
             // Dropping the connection cancels the requests in progress on it.
-            () = &mut disconnected => return log_end("caller disconnected", stage),
+            () = &mut disconnected => return log_end("caller disconnected", stage, 0),
             () = &mut closing, if stage == ShutdownStage::Open => stage = ShutdownStage::Draining,
             () = sleep(DRAIN_CHECK_INTERVAL), if stage == ShutdownStage::Draining => {}
             () = &mut first_request_timeout, if is_awaiting_first_request => {
                 is_awaiting_first_request = false;
                 if !pipelined.has_received_request() {
-                    return log_end("no request in time", stage);
+                    return log_end("no request in time", stage, 0);
                 }
             }
         }
@@ -114,8 +124,8 @@
             connection.as_mut().graceful_shutdown();
         } else if pipelined.is_drained() {
             // Closing right after the check leaves no time for a request to arrive in between.
-            let _ = shutdown(&**pipelined.stream(), Shutdown::Write);
-            return log_end("drained", stage);
+            let discarded_bytes = linger(pipelined.stream()).await;
+            return log_end("drained", stage, discarded_bytes);
         }
     }
 }
@@ -129,8 +139,8 @@
     accepted_at: Timestamp,
     cause: &str,
     stage: ShutdownStage,
+    unread_bytes: u64,
 ) {
-    let unread_bytes = connection.unread_bytes();
     let open_ms = BootClock.now().since(accepted_at).as_millis() as u64;
     let answered = connection.answered_count();
     if unread_bytes == 0 {
--- /dev/null
+++ b/crates/thymeshift_entry/src/caller/linger.rs
@@ -0,0 +1,42 @@
+//! Lingering close: keeps a connection readable until its caller has read the answer.
+//!
+//! If a socket is closed with unread bytes, or receives bytes afterwards, the kernel resets the
+//! connection, and the caller loses the part of the answer that it has not read yet (RFC 9112, 9.6).
+
+use std::io;
+use std::time::Duration;
+
+use rustix::net::Shutdown;
+use rustix::net::shutdown;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Maximum time for which a connection is kept after the last byte was sent on it. A caller that
+/// reads slowly needs this time for the bytes in the send buffer.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Maximum number of bytes of one read from the socket.
+const READ_BYTES: usize = 4 * 1_024;
+
+/// Ends the stream towards the caller, then discards what arrives until the caller closes too.
+/// Returns the number of discarded bytes.
+pub(crate) async fn linger(stream: &TcpStream) -> u64 {
+    let mut discarded_bytes = 0;
+    // An error means that the connection is broken, or that hyper has ended the stream already.
+    let _ = shutdown(stream, Shutdown::Write);
+    // After the timeout or an error the caller cannot or does not read the answer.
+    let _ = timeout(LINGER_TIMEOUT, discard(stream, &mut discarded_bytes)).await;
+    discarded_bytes
+}
+
+async fn discard(stream: &TcpStream, discarded_bytes: &mut u64) -> io::Result<()> {
+    let mut bytes = [0; READ_BYTES];
+    loop {
+        stream.readable().await?;
+        match stream.try_read(&mut bytes) {
+            Ok(0) => return Ok(()),
+            Ok(length) => *discarded_bytes += length as u64,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(error) => return Err(error),
+        }
+    }
+}
--- a/crates/thymeshift_entry/src/caller/mod.rs
+++ b/crates/thymeshift_entry/src/caller/mod.rs
@@ -7,6 +7,7 @@
 mod handler;
 mod head;
 mod hop_by_hop;
+mod linger;
 mod listener;
 mod pipelining;
 mod quarantine;
--- a/crates/thymeshift_entry/src/caller/pipelining.rs
+++ b/crates/thymeshift_entry/src/caller/pipelining.rs
@@ -197,6 +197,11 @@
         self.is_http2.load(Ordering::Relaxed)
     }
 
+    /// Returns whether the caller has ended its side of the connection.
+    pub(crate) fn is_eof(&self) -> bool {
+        self.state.lock().is_eof
+    }
+
     /// Records whether the socket took the bytes that were written to it.
     pub(crate) fn record_write(&self, is_blocked: bool) {
         self.is_write_blocked.store(is_blocked, Ordering::Relaxed);
