Read what has arrived before an idle timeout closes a connection

What callers saw: a request on an open connection reset without an answer, outside any stop, if the connection's idle time ended while the process had no processor and the request came in that time.

At waking the runtime lets the timer end before it has noticed the bytes that arrived before, and the connection is closed by what was read.

Connections in use are not asked: no further system call per request.

--- a/crates/thymeshift_entry/src/caller/pipelining.rs
+++ b/crates/thymeshift_entry/src/caller/pipelining.rs
@@ -25,6 +25,8 @@
 use metrics::counter;
 use parking_lot::Mutex;
 use rustix::io::ioctl_fionread;
+use rustix::net::RecvFlags;
+use rustix::net::recv;
 use spdlog::error;
 use thymeshift_config::Repeat;
 use thymeshift_pipeline::Pipeline;
@@ -47,6 +49,7 @@
 
 /// Minimum time for which a connection must have been idle before a planned stop closes it. A caller
 /// that has just connected or received an answer may be sending its next request.
+/// Also the time after which the kernel is asked for bytes that the runtime has not noticed.
 const IDLE_MIN: Duration = Duration::from_millis(200);
 /// Maximum number of bytes that are read from the socket before hyper asks for them.
 /// Further bytes of pipelined requests stay in the receive buffer of the socket.
@@ -230,8 +233,11 @@
             if self.read_buffered(buffer) {
                 return Poll::Ready(Ok(()));
             }
-            ready!(self.stream.poll_read_ready(context))?;
-            match self.stream.try_read(buffer.initialize_unfilled()) {
+            let read = match self.stream.poll_read_ready(context)? {
+                Poll::Ready(()) => self.stream.try_read(buffer.initialize_unfilled()),
+                Poll::Pending => ready!(self.read_unnoticed(buffer.initialize_unfilled())),
+            };
+            match read {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => return Poll::Ready(Err(error)),
                 Ok(length) => {
@@ -248,6 +254,17 @@
         }
     }
 
+    /// Reads bytes that the async runtime has not noticed yet, if the connection has been idle for a
+    /// while. Without this, the idle timeout of a process that had no processor for some time closes
+    /// the connection before the request that has arrived on it is read.
+    fn read_unnoticed(&self, bytes: &mut [u8]) -> Poll<io::Result<usize>> {
+        if self.idle_time() < IDLE_MIN || !self.has_unread_bytes() {
+            return Poll::Pending;
+        }
+        let received = recv(&*self.stream, bytes, RecvFlags::DONTWAIT);
+        Poll::Ready(received.map(|(length, _)| length).map_err(io::Error::from))
+    }
+
     /// Copies buffered bytes into `buffer`.
     /// Returns whether the read is complete: bytes were copied, or the stream has ended.
     fn read_buffered(&self, buffer: &mut ReadBuf<'_>) -> bool {
