Count requests that arrived behind a chunked one, and follow chunked bodies to their end

Cause: `Pipeline` stopped for the rest of the connection at a chunked request, and a stopped pipeline keeps no bytes, so `has_more()` was false. Ruled out: the match with hyper's head and the bound on buffered bytes.

Change: `chunked.rs` follows a chunked body in pieces of any size and keeps none of its bytes. This happens only with one Transfer-Encoding header, `chunked`, without Content-Length, on HTTP/1.1; everything else and every malformed body stop the pipeline as before. Line ends other than CR LF, blanks behind a size without an extension and lines above 8 KiB are malformed. `body.rs` joins both kinds of body. `is_between_requests` tells whether the parsed requests have arrived. Nothing is yielded behind a chunked request before hyper has parsed its successor; then early starts go on, whereas they ended for the rest of the connection before.

Not run: the entry process with a planned stop.

Why it works: the position behind the last chunk and its trailers is known, so later bytes are another request's. Should the two parsers disagree, a head from hyper that differs from the bytes kept stops the pipeline, and nothing has been yielded before.

--- a/crates/thymeshift_pipeline/src/lib.rs
+++ b/crates/thymeshift_pipeline/src/lib.rs
@@ -15,9 +15,15 @@
 //! * the request and all unanswered requests before it are safe to repeat, because early work is
 //!   discarded if the caller disconnects or if a response closes the connection.
 //!
+//! A chunked body is followed up to its end, so that the bytes behind it are known to belong to
+//! another request. Nothing is yielded behind it until hyper has parsed the next request itself.
+//!
 //! If the bytes can be parsed in more than one way, the pipeline stops for the rest of the
-//! connection.
+//! connection. This includes a malformed chunked body, other transfer codings, and a request that
+//! states both a coding and a length.
 
+mod body;
+mod chunked;
 mod head;
 mod pipeline;
 
--- a/crates/thymeshift_pipeline/src/pipeline.rs
+++ b/crates/thymeshift_pipeline/src/pipeline.rs
@@ -7,6 +7,7 @@
 use http::header;
 use http::request::Parts;
 
+use crate::body::Body;
 use crate::head::HeadParse;
 use crate::head::allows_pipelining;
 use crate::head::content_length;
@@ -31,8 +32,8 @@
     /// Bytes after the last request that hyper has parsed or that was yielded.
     buffer: BytesMut,
     buffer_bytes_max: usize,
-    /// Bytes of the current request body that have not arrived yet.
-    body_left: u64,
+    /// Body of the last request that hyper has parsed.
+    body: Body,
     /// Yielded requests that hyper has not parsed yet.
     yielded: VecDeque<Parts>,
     /// Whether hyper must parse the next request before further requests are yielded.
@@ -48,7 +49,7 @@
         Self {
             buffer: BytesMut::new(),
             buffer_bytes_max,
-            body_left: 0,
+            body: Body::EMPTY,
             yielded: VecDeque::new(),
             waits_for_hyper: true,
             is_stopped: false,
@@ -60,9 +61,10 @@
         if self.is_stopped {
             return;
         }
-        let body = usize::try_from(self.body_left).unwrap_or(usize::MAX).min(bytes.len());
-        self.body_left -= body as u64;
-        let rest = &bytes[body..];
+        let Some(body_bytes) = self.body.skip(bytes) else {
+            return self.stop();
+        };
+        let rest = &bytes[body_bytes..];
         if self.buffer.len() + rest.len() > self.buffer_bytes_max {
             self.stop();
             return;
@@ -88,7 +90,7 @@
 
     /// Yields the next pipelined request if it is complete and `may_start` accepts it.
     pub fn next_request(&mut self, may_start: impl FnOnce(&Parts) -> bool) -> Option<Parts> {
-        if self.is_stopped || self.waits_for_hyper || self.body_left > 0 || self.buffer.is_empty() {
+        if self.is_stopped || self.waits_for_hyper || self.buffer.is_empty() {
             return None;
         }
         let head = match parse_head(&self.buffer) {
@@ -120,6 +122,12 @@
         !self.yielded.is_empty() || !self.buffer.is_empty()
     }
 
+    /// Whether all bytes of the requests parsed so far have arrived, so that the next bytes from the
+    /// caller belong to another request. `false` if parsing has stopped.
+    pub fn is_between_requests(&self) -> bool {
+        !self.is_stopped && self.body.is_complete()
+    }
+
     /// Whether parsing has stopped for the rest of the connection.
     pub fn is_stopped(&self) -> bool {
         self.is_stopped
@@ -131,16 +139,18 @@
             HeadParse::Complete(head) if is_same_head(&head.parts, parts) => head.length,
             HeadParse::Complete(_) | HeadParse::Partial | HeadParse::Invalid => return self.stop(),
         };
-        let Some(content_length) =
-            content_length(&parts.headers).filter(|_| allows_pipelining(parts))
+        let Some(body) = Body::of_request(&parts.headers).filter(|_| allows_pipelining(parts))
         else {
             return self.stop();
         };
+        // Behind a chunked body, hyper's next head must confirm that both parsers found the same end.
+        self.waits_for_hyper = matches!(body, Body::Chunked(_));
+        self.body = body;
         self.buffer.advance(length);
-        let body = usize::try_from(content_length).unwrap_or(usize::MAX).min(self.buffer.len());
-        self.buffer.advance(body);
-        self.body_left = content_length - body as u64;
-        self.waits_for_hyper = false;
+        match self.body.skip(&self.buffer) {
+            Some(body_bytes) => self.buffer.advance(body_bytes),
+            None => self.stop(),
+        }
     }
 
     fn stop(&mut self) {
