--- a/crates/thymeshift_entry/src/caller/listener.rs
+++ b/crates/thymeshift_entry/src/caller/listener.rs
@@ -57,13 +57,15 @@
         serve_accepted::<D>(&shared, accepted, &closing).await;
     }
     // The handshake of a waiting connection is complete, so its caller may have sent a request.
-    let mut waiting_count = 0_u64;
+    let accepted_late = &shared.metrics.accepted_late;
     while has_waiting_connection(&listener) {
-        waiting_count += 1;
+        accepted_late.fetch_add(1, Ordering::Relaxed);
+        counter!(metric::CALLERS_ACCEPTED_LATE).increment(1);
         serve_accepted::<D>(&shared, listener.accept().await, &closing).await;
     }
     refuse_connections(&listener);
-    info!("accepting_stopped", kv: { waiting: = waiting_count });
+    let waiting = accepted_late.load(Ordering::Relaxed);
+    info!("accepting_stopped", kv: { waiting });
     shared.is_accepting.send_replace(false);
     Ok(())
 }
--- a/crates/thymeshift_entry/src/caller/pipelining.rs
+++ b/crates/thymeshift_entry/src/caller/pipelining.rs
@@ -284,6 +284,10 @@
         request: Request<hyper::body::Incoming>,
     ) -> Option<Response<GuardedBody<InProgressGuard>>> {
         let guard = InProgressGuard::new(self);
+        if !*shared.is_accepting.borrow() {
+            shared.metrics.served_late.fetch_add(1, Ordering::Relaxed);
+            counter!(metric::REQUESTS_SERVED_LATE).increment(1);
+        }
         self.has_received_request.store(true, Ordering::Relaxed);
         self.is_http2.store(request.version() == Version::HTTP_2, Ordering::Relaxed);
         let (parts, incoming) = request.into_parts();
--- a/crates/thymeshift_entry/src/process.rs
+++ b/crates/thymeshift_entry/src/process.rs
@@ -222,12 +222,14 @@
     let is_drained = timeout(bound, drained(shared)).await.is_ok();
     // Peers detect the stop without this notice too, so the stop bound does not wait for it.
     let _ = timeout(STOP_NOTICE_TIMEOUT, announce_shutdown(shared)).await;
+    let accepted_late = shared.metrics.accepted_late.load(Ordering::Relaxed);
+    let served_late = shared.metrics.served_late.load(Ordering::Relaxed);
     if is_drained {
-        info!("stopped");
+        info!("stopped", kv: { accepted_late, served_late });
         return Exit::Stopped;
     }
     let open = shared.metrics.caller_connections.load(Ordering::Relaxed);
-    warn!("stop_bound_passed", kv: { open });
+    warn!("stop_bound_passed", kv: { open, accepted_late, served_late });
     Exit::DrainTimedOut { open }
 }
 
--- a/crates/thymeshift_entry/src/shared.rs
+++ b/crates/thymeshift_entry/src/shared.rs
@@ -66,6 +66,10 @@
     pub(crate) pipelined_requests: AtomicU64,
     pub(crate) caller_connections: AtomicU64,
     pub(crate) platform_calls: AtomicU64,
+    /// Connections that a planned stop took from the accept queue when it ended accepting.
+    pub(crate) accepted_late: AtomicU64,
+    /// Requests that a planned stop served after it had ended accepting.
+    pub(crate) served_late: AtomicU64,
 }
 
 /// Shared state of an entry process.
--- a/crates/thymeshift_lab/tests/planned_stop/cases.rs
+++ b/crates/thymeshift_lab/tests/planned_stop/cases.rs
@@ -125,6 +125,21 @@
         expected: &[read_of(READ_1_PATH, 20)],
         may_refuse: false,
     },
+    Case {
+        name: "b5 fresh, request after closing began",
+        note: "connected in the lag; the request follows when the process closes connections",
+        service_ms: 1,
+        steps: &[
+            Step::Stop,
+            Step::Wait(50),
+            Step::Connect,
+            Step::AwaitClosing,
+            Step::Wait(50),
+            Step::Send(READ_1),
+        ],
+        expected: &[read_of(READ_1_PATH, 20)],
+        may_refuse: true,
+    },
     Case {
         name: "d1 head in two parts, idle",
         note: "the first part is read before the stop, the rest after closing began",
--- a/crates/thymeshift_telemetry/src/metric.rs
+++ b/crates/thymeshift_telemetry/src/metric.rs
@@ -20,6 +20,10 @@
 pub const CALLER_CONNECTIONS_REJECTED: &str = "thymeshift_callers_turned_away_total";
 /// Connections that were closed while bytes from their callers had arrived and were not read.
 pub const CALLER_CONNECTIONS_CLOSED_UNREAD: &str = "thymeshift_caller_closed_unread_total";
+/// Connections that a planned stop took from the accept queue when it ended accepting.
+pub const CALLERS_ACCEPTED_LATE: &str = "thymeshift_callers_accepted_late_total";
+/// Requests that a planned stop served after it had ended accepting.
+pub const REQUESTS_SERVED_LATE: &str = "thymeshift_requests_served_late_total";
 /// Connections opened to targets, by `service`.
 pub const TARGET_CONNECTIONS_OPENED: &str = "thymeshift_target_connections_opened_total";
 /// Connections to targets that were lost while a request was in flight on them, by `service`.
