Answer the calls that have arrived on the other ports before a planned stop ends

Seen: around a planned stop, operators lost dumps and the answers to orders that had been taken (`Err(Shutdown)`), and collectors lost `/metrics`. A connect after the last accept hung until the exit and was reset.

Cause: after the callers had drained and peers had been notified, the process ended. Nothing waited for calls on the ports of peers, operators and collectors, in progress, unread in the kernel or in the accept queue. Evidence: an order is lost although `order_taken` is logged; 17 operators behind 16 idle connections get resets, with no process suspended.

Ruled out: a read limited by tokio's readiness alone (the order had been read).

Change: `accept()`, which serves the three ports, takes part in the stop. It accepts what the kernel still has, shuts the listening socket down (other owners hold it, so that dropping it would not close it), and ends the input of every connection with shutdown(2) for reading: Linux still delivers the bytes received before. The servers answer what has arrived, then see the end of the input and close. The process waits for this until the stop bound, at most 1 s, and at least as long as the notice to peers, which runs at the same time. An order that still waits for confirmations is answered 0.1 s before the end; the rest of the peers are listed as unconfirmed. Listener tasks may now finish, as the callers' task may.

Peers' calls are answered alike. Datagrams unread at the exit stay unread (by reading, not run): a process asks the next allocator or counter when no reply comes, leases end, and state is exchanged again.

Remains: a connection that comes up between the last accept and the shutdown is reset.

--- a/crates/thymeshift_entry/src/control_plane/accept.rs
+++ b/crates/thymeshift_entry/src/control_plane/accept.rs
@@ -3,52 +3,112 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rustix::io::Errno;
+use rustix::net::Shutdown;
+use rustix::net::SocketFlags;
+use rustix::net::accept_with;
+use rustix::net::shutdown;
 use spdlog::debug;
 use spdlog::warn;
 use thymeshift_supervisor::TaskError;
 use thymeshift_wire::set_dead_peer_timeouts;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
 use tokio::time::sleep;
 
+use crate::control_plane::port_stop::PortStop;
+use crate::control_plane::port_stream::PortStream;
+
 /// Delay after a failed accept.
 /// The usual cause is too many open files, which resolves only as other connections close.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Accepts connections in an endless loop and serves each one in its own task.
+/// Properties of a port.
+pub(super) struct Port {
+    /// Maximum number of connections that are open at a time.
+    pub(super) connections_max: usize,
+    /// Name under which a failed accept is logged.
+    pub(super) failed_event: &'static str,
+}
+
+/// Accepts connections until the process stops, and serves each one in its own task.
 ///
-/// At most `connections_max` connections are open at a time.
-/// A failed accept is logged as `failed_event`.
+/// At a planned stop, the connections in the accept queue are served too, and later ones refused.
 /// Returns an error only if the semaphore that limits the connections is closed.
-pub(crate) async fn accept<F>(
+pub(super) async fn accept<F>(
     listener: &TcpListener,
-    connections_max: usize,
-    failed_event: &'static str,
-    serve: impl Fn(TcpStream) -> F,
+    port: Port,
+    stop: &Arc<PortStop>,
+    serve: impl Fn(PortStream) -> F,
 ) -> Result<(), TaskError>
 where
     F: Future<Output = ()> + Send + 'static,
 {
-    let permits = Arc::new(Semaphore::new(connections_max));
-    loop {
-        let permit = permits.clone().acquire_owned().await?;
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                warn!("{}", failed_event, kv: { error: = error });
-                sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
+    let _open = stop.open_guard();
+    let permits = Arc::new(Semaphore::new(port.connections_max));
+    let spawn = |stream: TcpStream, permit| {
         if let Err(error) = set_dead_peer_timeouts(&stream) {
             // The peer has just disconnected, or the connection is served without this timeout.
             debug!("silence_unbounded", kv: { error: = error });
         }
-        let serving = serve(stream);
+        let open = stop.open_guard();
+        let serving = serve(PortStream::new(stream, stop));
         tokio::spawn(async move {
-            let _permit = permit;
+            let _held = (permit, open);
             serving.await;
         });
+    };
+    loop {
+        let (permit, accepted) = tokio::select! {
+            biased;
+            () = stop.closing().cancelled() => break,
+            accepted = accept_one(listener, &permits) => accepted?,
+        };
+        match accepted {
+            Ok(stream) => spawn(stream, permit),
+            Err(error) => {
+                warn!("{}", port.failed_event, kv: { error: = error });
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+    for stream in close(listener, &port) {
+        spawn(stream, permits.clone().acquire_owned().await?);
+    }
+    Ok(())
+}
+
+/// Waits until another connection is allowed, and accepts it.
+async fn accept_one(
+    listener: &TcpListener,
+    permits: &Arc<Semaphore>,
+) -> Result<(OwnedSemaphorePermit, std::io::Result<TcpStream>), TaskError> {
+    let permit = permits.clone().acquire_owned().await?;
+    let accepted = listener.accept().await;
+    Ok((permit, accepted.map(|(stream, _)| stream)))
+}
+
+/// Stops listening, and returns the connections from the accept queue.
+fn close(listener: &TcpListener, port: &Port) -> Vec<TcpStream> {
+    let mut waiting = Vec::new();
+    // tokio's accept may not yet know of the latest connections.
+    loop {
+        let accepted = accept_with(listener, SocketFlags::NONBLOCK | SocketFlags::CLOEXEC);
+        match accepted {
+            Ok(socket) => waiting.extend(TcpStream::from_std(socket.into())),
+            Err(Errno::INTR | Errno::CONNABORTED) => {}
+            Err(Errno::AGAIN) => break,
+            Err(error) => {
+                warn!("{}", port.failed_event, kv: { error: = error });
+                break;
+            }
+        }
+    }
+    // Other owners keep the socket open; after this, the kernel refuses connections to it.
+    if let Err(error) = shutdown(listener, Shutdown::Both) {
+        debug!("port_not_closed", kv: { error: = error });
     }
+    waiting
 }
--- a/crates/thymeshift_entry/src/control_plane/observe.rs
+++ b/crates/thymeshift_entry/src/control_plane/observe.rs
@@ -22,6 +22,7 @@
 use thymeshift_supervisor::TaskError;
 use tokio::net::TcpListener;
 
+use crate::control_plane::accept::Port;
 use crate::control_plane::accept::accept;
 use crate::shared::Shared;
 
@@ -30,12 +31,13 @@
 /// Maximum time for a client to send a request head; also closes idle connections.
 const HEAD_READ_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Serves the observe port in an endless loop.
+/// Serves the observe port until the process stops.
 pub(crate) async fn run_observe(
     shared: Arc<Shared>,
     listener: Arc<TcpListener>,
 ) -> Result<(), TaskError> {
-    accept(&listener, CONNECTIONS_MAX, "observe_accept_failed", |stream| {
+    let port = Port { connections_max: CONNECTIONS_MAX, failed_event: "observe_accept_failed" };
+    accept(&listener, port, &shared.port_stop, |stream| {
         let shared = shared.clone();
         async move {
             let service = service_fn(move |request| {
@@ -44,6 +46,8 @@
             });
             let mut builder = http1::Builder::new();
             let builder = builder.timer(TokioTimer::new()).header_read_timeout(HEAD_READ_TIMEOUT);
+            // The input may end while a request is unanswered, see `PortStream`.
+            let builder = builder.half_close(true);
             // A connection error concerns only the collector and needs no handling here.
             let _ = builder.serve_connection(TokioIo::new(stream), service).await;
         }
--- a/crates/thymeshift_entry/src/control_plane/operators.rs
+++ b/crates/thymeshift_entry/src/control_plane/operators.rs
@@ -1,5 +1,6 @@
 //! RPC server for the operators' command-line program, on a separate port.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -27,6 +28,7 @@
 use thymeshift_wire::control_channel;
 use tokio::net::TcpListener;
 
+use crate::control_plane::accept::Port;
 use crate::control_plane::accept::accept;
 use crate::control_plane::dump::dump;
 use crate::control_plane::dump::halls;
@@ -37,12 +39,13 @@
 /// Maximum number of concurrent operator connections.
 const OPERATORS_MAX: usize = 16;
 
-/// Serves operator connections in an endless loop.
+/// Serves operator connections until the process stops.
 pub(crate) async fn run_operators(
     shared: Arc<Shared>,
     listener: Arc<TcpListener>,
 ) -> Result<(), TaskError> {
-    accept(&listener, OPERATORS_MAX, "operator_accept_failed", |stream| {
+    let port = Port { connections_max: OPERATORS_MAX, failed_event: "operator_accept_failed" };
+    accept(&listener, port, &shared.port_stop, |stream| {
         let server = ControlServer { shared: shared.clone() };
         let calls = control_channel(stream).execute(server.serve());
         calls.for_each_concurrent(CALLS_PER_CONNECTION_MAX, |call| call)
@@ -100,17 +103,25 @@
         let is_present = |member: &MemberDump| member.liveness != Liveness::Gone;
         let present: Vec<MemberDump> = members.into_iter().filter(is_present).collect();
         let addresses = present.iter().map(|known| known.member.peer_address);
-        let exchanges =
-            addresses.map(|address| exchange_once(&self.shared, address, GossipScope::SenderOnly));
-        let answers = join_all(exchanges).await;
+        let confirmations = join_all(addresses.map(|address| self.is_confirmed_by(address))).await;
         let mut confirmed = vec![self.shared.settings().vm.clone()];
         let mut unconfirmed = Vec::new();
-        for (known, answer) in present.into_iter().zip(answers) {
-            let list = if answer.is_ok() { &mut confirmed } else { &mut unconfirmed };
+        for (known, is_confirmed) in present.into_iter().zip(confirmations) {
+            let list = if is_confirmed { &mut confirmed } else { &mut unconfirmed };
             list.push(known.member.vm);
         }
         OrderAnswer::Taken { order, confirmed, unconfirmed }
     }
+
+    /// Sends the orders to a peer. A planned stop ends the wait for the confirmation.
+    async fn is_confirmed_by(&self, address: SocketAddr) -> bool {
+        tokio::select! {
+            answered = exchange_once(&self.shared, address, GossipScope::SenderOnly) => {
+                answered.is_ok()
+            }
+            () = self.shared.port_stop.answers_due() => false,
+        }
+    }
 }
 
 /// Returns an error message if the data hall has no known target or process and is not drained.
--- a/crates/thymeshift_entry/src/control_plane/peer_server.rs
+++ b/crates/thymeshift_entry/src/control_plane/peer_server.rs
@@ -19,6 +19,7 @@
 use thymeshift_wire::peer_channel;
 use tokio::net::TcpListener;
 
+use crate::control_plane::accept::Port;
 use crate::control_plane::accept::accept;
 use crate::control_plane::peer_link::apply_summary;
 use crate::control_plane::peer_link::exchange_once;
@@ -27,12 +28,13 @@
 /// Maximum number of concurrent peer connections.
 const PEER_CONNECTIONS_MAX: usize = 1_024;
 
-/// Serves peer connections in an endless loop.
+/// Serves peer connections until the process stops.
 pub(crate) async fn run_peer_server(
     shared: Arc<Shared>,
     listener: Arc<TcpListener>,
 ) -> Result<(), TaskError> {
-    accept(&listener, PEER_CONNECTIONS_MAX, "peer_accept_failed", |stream| {
+    let port = Port { connections_max: PEER_CONNECTIONS_MAX, failed_event: "peer_accept_failed" };
+    accept(&listener, port, &shared.port_stop, |stream| {
         let server = PeerServer { shared: shared.clone() };
         let channel = peer_channel(stream, server.shared.links.bytes());
         let calls = channel.execute(server.serve());
--- a/crates/thymeshift_entry/src/process.rs
+++ b/crates/thymeshift_entry/src/process.rs
@@ -30,6 +30,7 @@
 use tokio::signal::unix::signal;
 use tokio::sync::Mutex;
 use tokio::sync::watch;
+use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -207,7 +208,7 @@
 /// 1. Readiness fails, and callers are asked to close their connections.
 /// 2. Callers are still accepted for a while: the platform's load balancer reacts with a delay.
 /// 3. No new connections are accepted, and queued and running requests complete.
-/// 4. Peers are notified.
+/// 4. Peers are notified, and calls that have arrived on the other ports are answered.
 async fn stop(
     shared: &Arc<Shared>,
     closing: &watch::Sender<bool>,
@@ -223,9 +224,11 @@
         exit = wait_for_escalation(running) => return exit,
     }
     closing.send_replace(true);
+    let bound_ends_at = Instant::now() + bound;
     let is_drained = timeout(bound, drained(shared)).await.is_ok();
     // Peers detect the stop without this notice too, so the stop bound does not wait for it.
-    let _ = timeout(STOP_NOTICE_TIMEOUT, announce_shutdown(shared)).await;
+    let notice = timeout(STOP_NOTICE_TIMEOUT, announce_shutdown(shared));
+    let _ = tokio::join!(notice, close_ports(shared, bound_ends_at));
     if is_drained {
         info!("stopped");
         return Exit::Stopped;
@@ -235,6 +238,16 @@
     Exit::DrainTimedOut { open }
 }
 
+/// Closes the ports of peers, operators and collectors once the arrived calls are answered.
+/// Past the stop bound, the calls have the time of the notice to peers.
+async fn close_ports(shared: &Shared, bound_ends_at: Instant) {
+    let earliest = Instant::now() + STOP_NOTICE_TIMEOUT;
+    let closed = shared.port_stop.run(bound_ends_at.max(earliest)).await;
+    if closed.answered > 0 || closed.open > 0 {
+        info!("ports_closed", kv: { answered = closed.answered, open = closed.open });
+    }
+}
+
 /// Waits until all caller connections are closed.
 /// A response counts as delivered only when its last byte has been sent.
 async fn drained(shared: &Shared) {
@@ -312,7 +325,7 @@
     F: Future<Output = Result<(), thymeshift_supervisor::TaskError>> + Send + 'static,
 {
     let (shared, listener) = (shared.clone(), listener.clone());
-    Task::new(name, RestartPolicy::always(), move || run(shared.clone(), listener.clone()))
+    Task::new(name, RestartPolicy::on_failure(), move || run(shared.clone(), listener.clone()))
 }
 
 impl Listeners {
--- a/crates/thymeshift_entry/src/shared.rs
+++ b/crates/thymeshift_entry/src/shared.rs
@@ -44,6 +44,7 @@
 
 use crate::allocation_client::AllocationClient;
 use crate::control_plane::PeerLinks;
+use crate::control_plane::PortStop;
 use crate::fleet::Fleet;
 use crate::organisations::Quotas;
 use crate::pauses::PauseNotifier;
@@ -87,6 +88,8 @@
     pub(crate) platform_answered_at: Mutex<Option<Timestamp>>,
     pub(crate) statuses: Statuses,
     pub(crate) links: PeerLinks,
+    /// Planned stop of the ports of peers, operators and collectors.
+    pub(crate) port_stop: Arc<PortStop>,
     pub(crate) allocation: Arc<AllocationClient>,
     pub(crate) quotas: Quotas,
     /// Wakes the ticker when a request is queued.
@@ -158,6 +161,7 @@
             platform_answered_at: Mutex::new(None),
             statuses: Statuses::default(),
             links: PeerLinks::default(),
+            port_stop: Arc::default(),
             metrics_text,
             routing: RwLock::new(None),
             drained_by_order: Mutex::default(),
--- a/crates/thymeshift_wire/src/counted.rs
+++ b/crates/thymeshift_wire/src/counted.rs
@@ -11,7 +11,6 @@
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
-use tokio::net::TcpStream;
 
 /// Byte counters over all peer connections of a process, without TCP and IP headers.
 #[derive(Debug, Default)]
@@ -32,20 +31,20 @@
     }
 }
 
-/// TCP stream that adds the transferred bytes to shared counters.
+/// Stream that adds the transferred bytes to shared counters.
 #[derive(Debug)]
-pub struct ByteCountingStream {
-    stream: TcpStream,
+pub struct ByteCountingStream<S> {
+    stream: S,
     bytes: Arc<LinkBytes>,
 }
 
-impl ByteCountingStream {
-    pub(crate) fn new(stream: TcpStream, bytes: Arc<LinkBytes>) -> Self {
+impl<S> ByteCountingStream<S> {
+    pub(crate) fn new(stream: S, bytes: Arc<LinkBytes>) -> Self {
         Self { stream, bytes }
     }
 }
 
-impl AsyncRead for ByteCountingStream {
+impl<S: AsyncRead + Unpin> AsyncRead for ByteCountingStream<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -59,7 +58,7 @@
     }
 }
 
-impl AsyncWrite for ByteCountingStream {
+impl<S: AsyncWrite + Unpin> AsyncWrite for ByteCountingStream<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
--- a/crates/thymeshift_wire/src/transport.rs
+++ b/crates/thymeshift_wire/src/transport.rs
@@ -110,20 +110,26 @@
 
 /// Returns the server side of a peer connection, to be served by a [`crate::PeerLink`].
 /// The bytes transferred are added to `bytes`.
-pub fn peer_channel(stream: TcpStream, bytes: &Arc<LinkBytes>) -> PeerChannel {
+pub fn peer_channel<S>(stream: S, bytes: &Arc<LinkBytes>) -> PeerChannel<S>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
     let stream = ByteCountingStream::new(stream, bytes.clone());
     BaseChannel::new(server_config(), transport(stream))
 }
 
 /// Returns the server side of an operator's connection, to be served by a [`crate::Control`].
-pub fn control_channel(stream: TcpStream) -> ControlChannel {
+pub fn control_channel<S>(stream: S) -> ControlChannel<S>
+where
+    S: AsyncRead + AsyncWrite,
+{
     BaseChannel::new(server_config(), transport(stream))
 }
 
 /// Type of the server side of a peer connection, see [`peer_channel`].
-pub type PeerChannel = ServerChannel<PeerLinkRequest, PeerLinkResponse, ByteCountingStream>;
+pub type PeerChannel<S> = ServerChannel<PeerLinkRequest, PeerLinkResponse, ByteCountingStream<S>>;
 /// Type of the server side of an operator's connection, see [`control_channel`].
-pub type ControlChannel = ServerChannel<ControlRequest, ControlResponse, TcpStream>;
+pub type ControlChannel<S> = ServerChannel<ControlRequest, ControlResponse, S>;
 
 type ServerChannel<Req, Resp, S> =
     BaseChannel<Req, Resp, Transport<S, ClientMessage<Req>, Response<Resp>, Postcard>>;
