--- a/crates/thymeshift_entry/src/caller/listener.rs
+++ b/crates/thymeshift_entry/src/caller/listener.rs
@@ -1,18 +1,11 @@
 //! Accepts caller connections, up to a limit, until the process stops.
 
-use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use metrics::counter;
-use rustix::event::PollFd;
-use rustix::event::PollFlags;
-use rustix::event::Timespec;
-use rustix::event::poll;
-use rustix::net::Shutdown;
-use rustix::net::shutdown;
 use spdlog::info;
 use spdlog::warn;
 use thymeshift_config::Limits;
@@ -26,9 +19,13 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::accept_queue::close_listener;
 use crate::caller::connection::serve;
 use crate::shared::Shared;
 
+/// Name of the event of a failed accept.
+const ACCEPT_FAILED: &str = "accept_failed";
+
 /// Delay after a failed accept.
 /// The usual cause is too many open files, which resolves only as other connections close.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -54,43 +51,38 @@
             _ = stop.wait_for(|is_closing| *is_closing) => break,
             accepted = listener.accept() => accepted,
         };
-        serve_accepted::<D>(&shared, accepted, &closing).await;
+        match accepted {
+            Ok(accepted) => serve_accepted::<D>(&shared, accepted, &closing),
+            Err(error) => {
+                warn!("{}", ACCEPT_FAILED, kv: { error: = error });
+                sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
     }
-    // The handshake of a waiting connection is complete, so its caller may have sent a request.
-    let accepted_late = &shared.metrics.accepted_late;
-    while has_waiting_connection(&listener) {
-        accepted_late.fetch_add(1, Ordering::Relaxed);
+    for waiting in close_listener(&listener, ACCEPT_FAILED) {
+        shared.metrics.accepted_late.fetch_add(1, Ordering::Relaxed);
         counter!(metric::CALLERS_ACCEPTED_LATE).increment(1);
-        serve_accepted::<D>(&shared, listener.accept().await, &closing).await;
+        serve_accepted::<D>(&shared, waiting, &closing);
     }
-    refuse_connections(&listener);
-    let waiting = accepted_late.load(Ordering::Relaxed);
+    let waiting = shared.metrics.accepted_late.load(Ordering::Relaxed);
     info!("accepting_stopped", kv: { waiting });
     shared.is_accepting.send_replace(false);
     Ok(())
 }
 
 /// Starts a task that serves the accepted connection, if the limits allow another one.
-async fn serve_accepted<D: Dialect>(
+fn serve_accepted<D: Dialect>(
     shared: &Arc<Shared>,
-    accepted: io::Result<(TcpStream, SocketAddr)>,
+    (stream, caller): (TcpStream, SocketAddr),
     closing: &watch::Receiver<bool>,
 ) {
-    let (stream, caller) = match accepted {
-        Ok(accepted) => accepted,
-        Err(error) => {
-            warn!("accept_failed", kv: { error: = error });
-            sleep(ACCEPT_RETRY_DELAY).await;
-            return;
-        }
-    };
     let limits = limits(shared);
     let Some(guard) = ConnectionGuard::new(shared, &limits) else {
         counter!(metric::CALLER_CONNECTIONS_REJECTED).increment(1);
         return;
     };
     if let Err(error) = configure(&stream) {
-        warn!("accept_failed", kv: { error: = error });
+        warn!("{}", ACCEPT_FAILED, kv: { error: = error });
         return;
     }
     let shared = shared.clone();
@@ -105,20 +97,6 @@
     });
 }
 
-/// Stops listening, so that a caller that connects from now on is refused at once. Other handles of
-/// the socket would keep it listening if this one were only closed.
-fn refuse_connections(listener: &TcpListener) {
-    if let Err(error) = shutdown(listener, Shutdown::Read) {
-        warn!("accept_failed", kv: { error: = io::Error::from(error) });
-    }
-}
-
-/// Returns whether a connection waits to be accepted.
-fn has_waiting_connection(listener: &TcpListener) -> bool {
-    let mut listeners = [PollFd::new(listener, PollFlags::IN)];
-    poll(&mut listeners, Some(&Timespec { tv_sec: 0, tv_nsec: 0 })).is_ok_and(|ready| ready > 0)
-}
-
 fn configure(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)
 }
--- a/crates/thymeshift_entry/src/lib.rs
+++ b/crates/thymeshift_entry/src/lib.rs
@@ -13,6 +13,7 @@
 //! * `organisations`: identifies the organisation of a request and enforces its rate limit.
 //! * `process`: supervisor tree, start and planned stop of the entry process.
 
+mod accept_queue;
 mod allocation_client;
 mod caller;
 mod control_plane;
