Log when the request of a timed-out attempt was sent

A request that ends unknown by its deadline left no line that tells how long it had waited in this process, how much time it had left when it was sent, what its target was expected to need, and how late its timer was handled. The line attempt_timed_out holds them, within the limit of request lines.

--- a/crates/thymeshift_dispatch/src/grant.rs
+++ b/crates/thymeshift_dispatch/src/grant.rs
@@ -58,6 +58,11 @@
         self.incarnation
     }
 
+    /// Returns the expected time from the choice to the answer.
+    pub fn expected(&self) -> Duration {
+        self.expected
+    }
+
     /// Returns the time of the choice.
     pub fn sent_at(&self) -> Timestamp {
         self.sent_at
--- a/crates/thymeshift_entry/src/caller/forward.rs
+++ b/crates/thymeshift_entry/src/caller/forward.rs
@@ -67,6 +67,8 @@
     /// Maximum length of a response that is buffered completely before it is sent to the caller.
     pub(crate) answer_buffer_bytes: u64,
     pub(crate) head: Parts,
+    /// Time at which the head of the request had been read.
+    pub(crate) accepted_at: Timestamp,
     pub(crate) deadline: Timestamp,
     /// Deadline of the latency objective; later responses have less value for the caller.
     pub(crate) objective: Timestamp,
@@ -287,6 +289,7 @@
         let plan = AttemptPlan {
             head: self.head.clone(),
             body,
+            accepted_at: self.accepted_at,
             deadline: self.deadline,
             context,
             id: attempt_id(),
--- a/crates/thymeshift_entry/src/caller/handler.rs
+++ b/crates/thymeshift_entry/src/caller/handler.rs
@@ -232,6 +232,7 @@
             answer_buffer_bytes: limits.answer_buffer_bytes,
             shared: self.shared.clone(),
             head: forwarded_head(parts, self.caller, &self.request_id),
+            accepted_at: self.accepted_at,
             deadline,
             objective,
             attempts_max: attempts_max.max(1),
--- a/crates/thymeshift_entry/src/service/guards.rs
+++ b/crates/thymeshift_entry/src/service/guards.rs
@@ -68,6 +68,11 @@
         self.grant.as_ref().map(Grant::incarnation)
     }
 
+    /// Returns the time that the target was expected to need when it was chosen.
+    pub(crate) fn expected(&self) -> Duration {
+        self.grant.as_ref().map_or(Duration::ZERO, Grant::expected)
+    }
+
     /// Returns whether the request may still be sent; called immediately before its first byte.
     ///
     /// Since the grant, the target may have started to leave, or the process may have been paused.
--- a/crates/thymeshift_entry/src/target_client/attempt.rs
+++ b/crates/thymeshift_entry/src/target_client/attempt.rs
@@ -10,6 +10,7 @@
 use http::Response;
 use metrics::counter;
 use spdlog::debug;
+use spdlog::info;
 use thymeshift_dispatch::LoadReport;
 use thymeshift_dispatch::Observation;
 use thymeshift_dispatch::TargetIndex;
@@ -56,6 +57,8 @@
 pub(crate) struct AttemptPlan {
     pub(crate) head: http::request::Parts,
     pub(crate) body: RequestBody,
+    /// Time at which the head of the caller's request had been read.
+    pub(crate) accepted_at: Timestamp,
     pub(crate) deadline: Timestamp,
     /// Call context sent to the target, except for the remaining time.
     pub(crate) context: CallContext,
@@ -176,7 +179,11 @@
         let sending = sender.try_send_request(request);
         let sent = self.shared.pause_notifier.timeout_at(&BootClock, deadline, sending).await;
         let response = match sent {
-            None => return Err(self.timed_out(&destination).into()),
+            None => {
+                let waited = began_at.since(plan.accepted_at);
+                self.log_time_out(&plan.request_id, &destination, waited, left, began_at);
+                return Err(self.timed_out(&destination).into());
+            }
             Some(Err(mut error)) => {
                 let unsent = error.take_message().map(Request::into_body);
                 return Err(self
@@ -310,6 +317,28 @@
         AttemptFailure { is_sent: false, ..self.failure(failure, Some(body)) }
     }
 
+    /// Logs when the request of a timed-out attempt was sent, and how much time it had left then.
+    fn log_time_out(
+        &self,
+        request_id: &HeaderValue,
+        destination: &Destination,
+        waited: Duration,
+        left: Duration,
+        began_at: Timestamp,
+    ) {
+        if !self.shared.allows_request_log_line() {
+            return;
+        }
+        let request_id = request_id.to_str().unwrap_or_default();
+        let late = BootClock.now().since(began_at + left);
+        info!("attempt_timed_out", kv: {
+            request_id, target: = destination.name, obtained_by = self.grant.obtained_by(),
+            waited_us = waited.as_micros() as u64, left_at_send_us = left.as_micros() as u64,
+            expected_us = self.grant.expected().as_micros() as u64,
+            late_us = late.as_micros() as u64
+        });
+    }
+
     /// Returns the failure of an attempt that got no answer before its deadline.
     fn timed_out(mut self, destination: &Destination) -> AttemptFailure {
         self.apply_observation(Observation::TimedOut);
