Deliver an answer that is in the socket when its deadline passes

What callers saw: on a busy machine, requests ended `unknown` at their deadline although the target had answered and the answer was in the entry process's socket.

Cause: the wait for an answer looks at the answer before the timer, but bytes in the socket become an answer only after the runtime has seen that the socket is readable and the connection's task has run. A timer can end before that: other tasks run between the runtime's look at the sockets and the waiting task, and a signal ends that look without any event. With several threads, the waiting task can run on another thread than the connection's task.

Ruled out: one or two turns of the runtime before giving up (tried): enough for one thread, not for two threads, where the test still failed.

Change: at the deadline, the waiting task asks the connection's task for a run that reads the socket directly, waits for the end of that run and looks at the answer a last time. The same holds for each part of a buffered body. Nothing is decided by a time.

Test: answers_that_arrived_during_a_pause_are_delivered_after_the_deadline stops a real process over the deadline.

--- a/crates/thymeshift_entry/src/target_client/answer.rs
+++ b/crates/thymeshift_entry/src/target_client/answer.rs
@@ -12,6 +12,7 @@
 use crate::target_client::AnswerResources;
 use crate::target_client::BodyError;
 use crate::target_client::TargetBody;
+use crate::target_client::arrival::Arrival;
 
 /// Answer of a target whose body is still arriving.
 pub(crate) struct Answer {
@@ -30,23 +31,30 @@
 
     /// Returns the answer once its body is complete, or once `bytes_max` of the body have arrived.
     ///
-    /// Returns an error if the body breaks or stalls while it is buffered.
-    pub(crate) async fn buffered(self, bytes_max: u64) -> Result<Response<TargetBody>, BodyError> {
+    /// Returns an error if the body breaks or stalls while it is buffered, and `None` if it had not
+    /// arrived when the deadline passed.
+    pub(crate) async fn buffered(
+        self,
+        bytes_max: u64,
+        arrival: &Arrival<'_>,
+    ) -> Option<Result<Response<TargetBody>, BodyError>> {
         let mut body = TargetBody::new(self.incoming, self.resources, self.body_stall);
         let mut buffer = BytesMut::new();
         while (buffer.len() as u64) < bytes_max {
-            let Some(frame) = body.frame().await else {
-                return Ok(Response::from_parts(
-                    self.parts,
-                    TargetBody::from_buffered(buffer.freeze()),
-                ));
+            let frame = match arrival.of(body.frame()).await? {
+                Some(Ok(frame)) => frame,
+                Some(Err(error)) => return Some(Err(error)),
+                None => {
+                    let body = TargetBody::from_buffered(buffer.freeze());
+                    return Some(Ok(Response::from_parts(self.parts, body)));
+                }
             };
             // Trailers of buffered answers are dropped.
-            if let Ok(data) = frame?.into_data() {
+            if let Ok(data) = frame.into_data() {
                 buffer.extend_from_slice(&data);
             }
         }
         let body = body.with_prefix(Bytes::from(buffer));
-        Ok(Response::from_parts(self.parts, body))
+        Some(Ok(Response::from_parts(self.parts, body)))
     }
 }
--- a/crates/thymeshift_entry/src/target_client/attempt.rs
+++ b/crates/thymeshift_entry/src/target_client/attempt.rs
@@ -38,6 +38,7 @@
 use crate::target_client::RequestBody;
 use crate::target_client::TargetBody;
 use crate::target_client::TargetCrash;
+use crate::target_client::arrival::Arrival;
 use crate::target_client::crash::detect_crash;
 use crate::target_client::pool::ConnectError;
 use crate::target_client::pool::Connection;
@@ -173,11 +174,14 @@
             organisation: plan.organisation.as_ref(),
         };
         D::write_attempt(request.headers_mut(), &attempt);
+        let task = connection.task();
         let Some(sender) = connection.sender() else {
             return Err(self.not_sent(request.into_body()).into());
         };
         let sending = sender.try_send_request(request);
-        let sent = self.shared.pause_notifier.timeout_at(&BootClock, deadline, sending).await;
+        let shared = self.shared.clone();
+        let arrival = Arrival { notifier: &shared.pause_notifier, task, deadline };
+        let sent = arrival.of(sending).await;
         let response = match sent {
             None => {
                 let waited = began_at.since(plan.accepted_at);
@@ -212,8 +216,7 @@
         if plan.answer_buffer_bytes == 0 {
             return Ok(answer.streamed());
         }
-        let buffering = answer.buffered(plan.answer_buffer_bytes);
-        let buffered = self.shared.pause_notifier.timeout_at(&BootClock, deadline, buffering).await;
+        let buffered = answer.buffered(plan.answer_buffer_bytes, &arrival).await;
         let peer = Peer::Target(destination.service.clone(), destination.name.clone());
         let mut crash = None;
         let failure = match buffered {
--- a/crates/thymeshift_entry/src/target_client/mod.rs
+++ b/crates/thymeshift_entry/src/target_client/mod.rs
@@ -1,14 +1,17 @@
 //! Client side towards targets: connections, single attempts of requests, probes.
 
 mod answer;
+mod arrival;
 mod attempt;
 mod body;
+mod connection_task;
 mod crash;
 mod pace_probe;
 mod pool;
 mod probe;
 mod stall;
 mod statements;
+mod target_stream;
 mod unknown_headers;
 
 pub(crate) use answer::Answer;
--- a/crates/thymeshift_entry/src/target_client/pool.rs
+++ b/crates/thymeshift_entry/src/target_client/pool.rs
@@ -27,10 +27,12 @@
 use thymeshift_types::Timestamp;
 use thymeshift_wire::set_dead_peer_timeouts;
 use tokio::net::TcpStream;
-use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
 use crate::target_client::RequestBody;
+use crate::target_client::connection_task::ConnectionTask;
+use crate::target_client::target_stream::DirectReads;
+use crate::target_client::target_stream::TargetStream;
 
 /// Maximum wait for an idle connection to become ready for the next request.
 const READY_LIMIT: Duration = Duration::from_millis(5);
@@ -75,7 +77,7 @@
 
 struct RawConnection {
     sender: SendRequest<RequestBody>,
-    driver: AbortHandle,
+    task: ConnectionTask,
 }
 
 /// Connection pool of one service.
@@ -139,14 +141,12 @@
             return Err(ConnectError::TimedOut { limit });
         };
         let stream = opened.map_err(|source| ConnectError::Refused { source })?;
+        let direct_reads = DirectReads::default();
+        let stream = TargetStream::new(stream, direct_reads.clone());
         let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
-        let (sender, connection_task) =
-            handshake.map_err(|source| ConnectError::Handshake { source })?;
-        let driver = tokio::spawn(async move {
-            // The sender of a request on this connection receives the error, too.
-            let _ = connection_task.await;
-        });
-        connection.raw = Some(RawConnection { sender, driver: driver.abort_handle() });
+        let (sender, driver) = handshake.map_err(|source| ConnectError::Handshake { source })?;
+        let task = ConnectionTask::spawn(driver, direct_reads);
+        connection.raw = Some(RawConnection { sender, task });
         self.opened.increment(1);
         Ok(connection)
     }
@@ -161,7 +161,7 @@
             return Err(ConnectError::ShareInUse { share });
         }
         if let Some(idle) = evicted {
-            idle.connection.driver.abort();
+            idle.connection.task.abort();
             target.open -= 1;
         }
         target.open += 1;
@@ -181,7 +181,7 @@
                 let is_kept =
                     now.since(idle.since) < idle_max && !idle.connection.sender.is_closed();
                 if !is_kept {
-                    idle.connection.driver.abort();
+                    idle.connection.task.abort();
                 }
                 is_kept
             });
@@ -203,6 +203,11 @@
         self.raw.as_mut().map(|raw| &mut raw.sender)
     }
 
+    /// Returns the task that reads and writes the connection.
+    pub(crate) fn task(&self) -> Option<ConnectionTask> {
+        self.raw.as_ref().map(|raw| raw.task.clone())
+    }
+
     /// Limits the connection's idle time according to the `keep-alive` header of an answer.
     pub(crate) fn record_keep_alive(&mut self, headers: &HeaderMap) {
         let header = headers.get(KEEP_ALIVE).and_then(|value| value.to_str().ok());
@@ -247,7 +252,7 @@
             return;
         }
         if let Some(raw) = &self.raw {
-            raw.driver.abort();
+            raw.task.abort();
         }
         self.pool.record_closed(self.address);
     }
--- a/crates/thymeshift_lab/tests/stop_and_pause.rs
+++ b/crates/thymeshift_lab/tests/stop_and_pause.rs
@@ -152,6 +152,40 @@
     assert_serves(caller, "after").await;
 }
 
+/// Answers that arrived in time were lost if the process read them after the deadline.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answers_that_arrived_during_a_pause_are_delivered_after_the_deadline() {
+    let settings = TargetSettings {
+        service_us: 300_000,
+        has_random_service_time: false,
+        ..Default::default()
+    };
+    for answer_buffer_bytes in [0, 1024 * 1024] {
+        let stand_in = target(settings.clone()).await;
+        let mut configuration = configuration(&[stand_in.ports.address], "", "");
+        configuration.limits.answer_buffer_bytes = answer_buffer_bytes;
+        let single = SingleEntry::start(&configuration).await.expect("a process");
+        let caller = single.entry.address("caller").expect("an address");
+        let mut answers = JoinSet::new();
+        for number in 0..3 {
+            answers.spawn(async move { (number, read(caller, number).await) });
+        }
+        wait_until("the target works on all requests", async || {
+            stand_in.target.ledger.entries().len() == 3
+        })
+        .await;
+        single.entry.signal(Signal::STOP);
+        tokio::time::sleep(Duration::from_millis(2_500)).await;
+        single.entry.signal(Signal::CONT);
+        while let Some(answered) = answers.join_next().await {
+            let (number, answer) = answered.expect("no panic");
+            let answer = answer.expect("a complete answer");
+            assert_eq!(answer.status(), 200, "buffer of {answer_buffer_bytes} bytes");
+            assert_eq!(answer.body().as_ref(), expected_answer(&path(number), b"", 200_000));
+        }
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_killed_process_loses_its_own_requests_and_nothing_runs_twice() {
     let settings = TargetSettings {
