Tests: bodies that had arrived or were being read are cut by stall timers at waking

They force the order with SIGSTOP and SIGCONT and a stall limit of 500 ms: the process is suspended 380 ms after the last progress, the body goes on before the limit has passed, and the process is resumed after 620 ms. A round whose body went on too late does not count and is repeated.

Cause (read, not proven by a change): `StallTimer` is polled when hyper's channel or the runtime's readiness is pending. At waking the timer can be seen before the runtime has noticed what the kernel holds.

--- a/crates/thymeshift_lab/tests/planned_stop/main.rs
+++ b/crates/thymeshift_lab/tests/planned_stop/main.rs
@@ -5,12 +5,16 @@
 mod crowd;
 mod forced;
 mod http2;
+mod stalls;
 #[path = "../support/mod.rs"]
 mod support;
 
 use crate::crowd::crowd_failures;
 use crate::forced::failures_of;
 use crate::http2::http2_failures;
+use crate::stalls::answer_failures;
+use crate::stalls::late_reader_failures;
+use crate::stalls::request_failures;
 
 /// The process left connections in its accept queue at a planned stop, and reset them at its exit.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -60,3 +64,24 @@
     let failures = failures_of(cases::IDLE_TIMEOUTS).await;
     assert!(failures.is_empty(), "lost answers:\n{failures}");
 }
+
+/// The stall timer cut a target's answer whose rest had arrived while the process was suspended.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answers_that_had_arrived_were_cut_by_the_stall_timer() {
+    let failures = answer_failures().await;
+    assert!(failures.is_empty(), "cut answers:\n{failures}");
+}
+
+/// The write timer cut an answer whose caller had read on while the process was suspended.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answers_were_cut_by_the_write_timer_though_their_callers_had_read_on() {
+    let failures = late_reader_failures().await;
+    assert!(failures.is_empty(), "cut answers:\n{failures}");
+}
+
+/// The stall timer ended a streamed request whose rest had arrived while the process was suspended.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn streamed_requests_that_had_arrived_were_ended_by_the_stall_timer() {
+    let failures = request_failures().await;
+    assert!(failures.is_empty(), "lost requests:\n{failures}");
+}
