Log the organisation and Retry-After of a request that its limit refuses

Nothing said when the caller was told to come back. Change: the organisation is set before the limit is applied; request_failed has retry_after_ms.

--- a/crates/thymeshift_entry/src/caller/handler.rs
+++ b/crates/thymeshift_entry/src/caller/handler.rs
@@ -161,8 +161,9 @@
         let kind = kind.ok_or_else(|| self.refused(Reason::UnknownKind, Step::Match))?.clone();
         kind.metrics.accepted.fetch_add(1, Ordering::Relaxed);
         self.kind = Some(kind.clone());
-        let identity = self.admit::<D>(&mut parts, &routing.keys, &kind).await?;
+        let identity = self.identify::<D>(&mut parts, &routing.keys, &kind)?;
         self.identity.clone_from(&identity);
+        self.admit().await?;
         let body = read_body(incoming, body_limits(limits), self.caller).await?;
         let key = identity.as_ref().map(|identity| identity.digest);
         let fingerprint = fingerprint_of(&parts, key, &body);
@@ -184,26 +185,28 @@
         Ok(Response::from_parts(parts, ResponseBody::Target(Box::new(body))))
     }
 
-    /// Identifies the organisation that sent the request and applies its rate limit.
-    /// Only the head of the request has been read at this point.
-    async fn admit<D: Dialect>(
+    /// Identifies the organisation that sent the request.
+    fn identify<D: Dialect>(
         &self,
         parts: &mut Parts,
         keys: &KeyRing,
         kind: &KindRuntime,
     ) -> Result<Option<Identity>, Failure> {
-        let identity = identify::<D>(&mut parts.headers, keys, &kind.kind).map_err(|_| {
+        identify::<D>(&mut parts.headers, keys, &kind.kind).map_err(|_| {
             counter!(metric::UNKNOWN_KEYS).increment(1);
             self.refused(Reason::UnknownKey, Step::Match)
-        })?;
-        if let Some(identity) = &identity {
-            let admission = self.shared.quotas.admit(&self.shared, &identity.organisation).await;
-            admission.map_err(|retry_after| {
-                let jittered = retry_after.mul_f64(rand::rng().random_range(1.0..RETRY_JITTER_MAX));
-                self.refused(Reason::OverQuota, Step::Match).with_retry_after(jittered)
-            })?;
-        }
-        Ok(identity)
+        })
+    }
+
+    /// Applies the rate limit of the organisation that sent the request.
+    /// Only the head of the request has been read at this point.
+    async fn admit(&self) -> Result<(), Failure> {
+        let Some(identity) = &self.identity else { return Ok(()) };
+        let admission = self.shared.quotas.admit(&self.shared, &identity.organisation).await;
+        admission.map_err(|retry_after| {
+            let jittered = retry_after.mul_f64(rand::rng().random_range(1.0..RETRY_JITTER_MAX));
+            self.refused(Reason::OverQuota, Step::Match).with_retry_after(jittered)
+        })
     }
 
     /// Prepares forwarding with the deadline and attempt limit that remain for the request.
@@ -287,7 +290,8 @@
                 request_id, fingerprint = self.fingerprint_text(), kind,
                 organisation = self.organisation(), taken_us,
                 outcome: = failure.outcome, reason: = failure.reason,
-                step: = failure.step, peer: = failure.peer
+                step: = failure.step, peer: = failure.peer,
+                retry_after_ms = failure.retry_after.map_or(0, |after| after.as_millis() as u64)
             }),
         }
     }
