--- a/crates/thymeshift_lab/tests/planned_stop/forced.rs
+++ b/crates/thymeshift_lab/tests/planned_stop/forced.rs
@@ -70,6 +70,8 @@
     Terminate,
     /// Resumes the process once the lag of the stop has passed.
     Resume,
+    /// Resumes the process after a time in milliseconds.
+    ResumeAfter(u64),
 }
 
 /// Request whose answer the promise demands.
@@ -247,6 +249,10 @@
                 sleep(SUSPENDED).await;
                 single.entry.signal(Signal::CONT);
             }
+            Step::ResumeAfter(wait_ms) => {
+                sleep(Duration::from_millis(*wait_ms)).await;
+                single.entry.signal(Signal::CONT);
+            }
         }
     }
     let started = Instant::now();
