--- a/crates/thymeshift_entry/src/caller/connection.rs
+++ b/crates/thymeshift_entry/src/caller/connection.rs
@@ -16,19 +16,13 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::conn::auto;
-use metrics::counter;
-use spdlog::debug;
-use spdlog::info;
 use thymeshift_config::Limits;
-use thymeshift_telemetry::metric;
-use thymeshift_types::BootClock;
-use thymeshift_types::Clock;
-use thymeshift_types::Timestamp;
 use thymeshift_wire::Dialect;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
+use crate::caller::connection_log::ConnectionLog;
 use crate::caller::disconnect::caller_disconnected;
 use crate::caller::linger::linger;
 use crate::caller::pipelining::PipelinedConnection;
@@ -51,20 +45,7 @@
     let head_timeout = Duration::from_millis(limits.header_read_timeout_ms);
     let write_timeout = Duration::from_millis(limits.body_stall_timeout_ms);
     let pipelined = PipelinedConnection::new(Arc::new(stream), limits.header_bytes_max as usize);
-    let accepted_at = BootClock.now();
-    let log_shared = shared.clone();
-    let log_end = |cause: &str, stage: ShutdownStage, discarded_bytes: u64| {
-        let unread_bytes = discarded_bytes + pipelined.unread_bytes();
-        log_connection_end(
-            &log_shared,
-            &pipelined,
-            caller,
-            accepted_at,
-            cause,
-            stage,
-            unread_bytes,
-        );
-    };
+    let log = ConnectionLog { shared: shared.clone(), connection: pipelined.clone(), caller };
     let disconnect = Arc::new(Notify::new());
     let (service_pipelined, service_disconnect) = (pipelined.clone(), disconnect.clone());
     let service = service_fn(move |request: Request<Incoming>| {
@@ -101,64 +82,37 @@
                     Ok(()) => ("completed".to_owned(), linger(&pipelined).await),
                     Err(error) => (format!("broken: {error}"), 0),
                 };
-                return log_end(&cause, stage, discarded_bytes);
+                return log.write_end(&cause, stage, discarded_bytes);
             }
             // Dropping the connection cancels the requests in progress on it.
-            () = &mut disconnected => return log_end("caller disconnected", stage, 0),
+            () = &mut disconnected => return log.write_end("caller disconnected", stage, 0),
             () = &mut closing, if stage == ShutdownStage::Open => stage = ShutdownStage::Draining,
             () = sleep(DRAIN_CHECK_INTERVAL), if stage == ShutdownStage::Draining => {}
             () = &mut first_request_timeout, if is_awaiting_first_request => {
                 is_awaiting_first_request = false;
-                if !pipelined.has_received_request() {
-                    return log_end("no request in time", stage, 0);
+                if !pipelined.activity().has_received_request() {
+                    return log.write_end("no request in time", stage, 0);
                 }
             }
         }
         if stage != ShutdownStage::Draining {
             continue;
         }
-        if pipelined.is_http2() {
+        if pipelined.activity().is_http2() {
             // HTTP/2 tells the caller which of the requests on their way are still served.
             stage = ShutdownStage::Closing;
             connection.as_mut().graceful_shutdown();
         } else if pipelined.is_drained() {
             // Closing right after the check leaves no time for a request to arrive in between.
             let discarded_bytes = linger(&pipelined).await;
-            return log_end("drained", stage, discarded_bytes);
+            return log.write_end("drained", stage, discarded_bytes);
         }
     }
 }
 
-/// Logs the end of a connection. Bytes that the caller sent and this process never read may be a
-/// request that the caller believes to be served.
-fn log_connection_end(
-    shared: &Shared,
-    connection: &PipelinedConnection,
-    caller: SocketAddr,
-    accepted_at: Timestamp,
-    cause: &str,
-    stage: ShutdownStage,
-    unread_bytes: u64,
-) {
-    let open_ms = BootClock.now().since(accepted_at).as_millis() as u64;
-    let answered = connection.answered_count();
-    if unread_bytes == 0 {
-        debug!("caller_connection_closed", kv: {
-            caller: = caller, cause, stage: ? = stage, answered, unread_bytes, open_ms
-        });
-        return;
-    }
-    counter!(metric::CALLER_CONNECTIONS_CLOSED_UNREAD).increment(1);
-    if shared.allows_request_log_line() {
-        info!("caller_connection_closed", kv: {
-            caller: = caller, cause, stage: ? = stage, answered, unread_bytes, open_ms
-        });
-    }
-}
-
 /// Stage of the graceful shutdown of a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum ShutdownStage {
+pub(crate) enum ShutdownStage {
     /// The connection is not being shut down.
     Open,
     /// The connection closes once all requests that have arrived are answered.
--- a/crates/thymeshift_entry/src/caller/linger.rs
+++ b/crates/thymeshift_entry/src/caller/linger.rs
@@ -26,7 +26,7 @@
     let mut discarded_bytes = 0;
     // An error means that the connection is broken, or that hyper has ended the stream already.
     let _ = shutdown(stream, Shutdown::Write);
-    if !connection.is_eof() && connection.has_written_within(LINGER_TIMEOUT) {
+    if !connection.is_eof() && connection.activity().has_written_within(LINGER_TIMEOUT) {
         // After the timeout or an error the caller cannot or does not read the answer.
         let _ = timeout(LINGER_TIMEOUT, discard(stream, &mut discarded_bytes)).await;
     }
--- a/crates/thymeshift_entry/src/caller/mod.rs
+++ b/crates/thymeshift_entry/src/caller/mod.rs
@@ -1,6 +1,8 @@
 //! HTTP server for callers: from an accepted connection to the response.
 
+mod activity;
 mod connection;
+mod connection_log;
 mod disconnect;
 mod fingerprint;
 mod forward;
--- a/crates/thymeshift_entry/src/caller/pipelining.rs
+++ b/crates/thymeshift_entry/src/caller/pipelining.rs
@@ -8,8 +8,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
@@ -32,15 +30,14 @@
 use thymeshift_pipeline::Pipeline;
 use thymeshift_pipeline::RequestMatch;
 use thymeshift_telemetry::metric;
-use thymeshift_types::BootClock;
-use thymeshift_types::Clock;
-use thymeshift_types::Timestamp;
 use thymeshift_wire::Dialect;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
+use crate::caller::activity::ConnectionActivity;
+use crate::caller::activity::InProgressGuard;
 use crate::caller::handler::handle;
 use crate::caller::head::Head;
 use crate::caller::response::GuardedBody;
@@ -72,34 +69,7 @@
     state: Mutex<State>,
     /// Notified when hyper has read bytes from the socket, which may hold pipelined requests.
     bytes_arrived: Notify,
-    /// Number of requests of the connection that have been read and not answered completely.
-    in_progress: AtomicU64,
-    has_received_request: AtomicBool,
-    is_http2: AtomicBool,
-    /// Whether bytes of an answer wait until the socket takes more.
-    is_write_blocked: AtomicBool,
-    /// Number of requests of the connection that have been answered.
-    answered: AtomicU64,
-    /// Time at which the connection was accepted, or bytes were read or written last.
-    active_at: Mutex<Timestamp>,
-    /// Time at which bytes were written last; `None` if none were.
-    written_at: Mutex<Option<Timestamp>>,
-}
-
-/// Counts a request of a connection as in progress until the guard is dropped.
-pub(crate) struct InProgressGuard(Arc<PipelinedConnection>);
-
-impl InProgressGuard {
-    fn new(connection: &Arc<PipelinedConnection>) -> Self {
-        connection.in_progress.fetch_add(1, Ordering::Relaxed);
-        Self(connection.clone())
-    }
-}
-
-impl Drop for InProgressGuard {
-    fn drop(&mut self) {
-        self.0.in_progress.fetch_sub(1, Ordering::Relaxed);
-    }
+    activity: Arc<ConnectionActivity>,
 }
 
 struct State {
@@ -148,13 +118,7 @@
             stream,
             state: Mutex::new(state),
             bytes_arrived: Notify::new(),
-            in_progress: AtomicU64::new(0),
-            has_received_request: AtomicBool::new(false),
-            is_http2: AtomicBool::new(false),
-            is_write_blocked: AtomicBool::new(false),
-            answered: AtomicU64::new(0),
-            active_at: Mutex::new(BootClock.now()),
-            written_at: Mutex::new(None),
+            activity: ConnectionActivity::new(),
         })
     }
 
@@ -162,6 +126,10 @@
         &self.stream
     }
 
+    pub(crate) fn activity(&self) -> &ConnectionActivity {
+        &self.activity
+    }
+
     /// Returns whether bytes of further requests have arrived, read or not.
     /// These requests are served before a planned stop closes the connection.
     pub(crate) fn has_pipelined_bytes(&self) -> bool {
@@ -185,58 +153,17 @@
     /// Returns whether a planned stop may close the connection: no request is in progress or has
     /// arrived, and none is to be expected, because the connection has been idle for a while.
     pub(crate) fn is_drained(&self) -> bool {
-        self.idle_time() >= IDLE_MIN
-            && self.in_progress.load(Ordering::Relaxed) == 0
-            && !self.is_write_blocked.load(Ordering::Relaxed)
+        self.activity.idle_time() >= IDLE_MIN
+            && self.activity.is_idle()
             && !self.state.lock().pipeline.has_more()
             && !self.has_unread_bytes()
     }
 
-    /// Returns how long no bytes have been read or written.
-    fn idle_time(&self) -> Duration {
-        BootClock.now().since(*self.active_at.lock())
-    }
-
-    /// Returns whether hyper has read a request on the connection.
-    pub(crate) fn has_received_request(&self) -> bool {
-        self.has_received_request.load(Ordering::Relaxed)
-    }
-
-    /// Returns whether the requests of the connection are HTTP/2 streams.
-    pub(crate) fn is_http2(&self) -> bool {
-        self.is_http2.load(Ordering::Relaxed)
-    }
-
     /// Returns whether the caller has ended its side of the connection.
     pub(crate) fn is_eof(&self) -> bool {
         self.state.lock().is_eof
     }
 
-    /// Returns whether the caller may still be reading an answer that was sent within `period`.
-    pub(crate) fn has_written_within(&self, period: Duration) -> bool {
-        self.written_at.lock().is_some_and(|written_at| BootClock.now().since(written_at) < period)
-    }
-
-    /// Records whether the socket took the bytes that were written to it.
-    pub(crate) fn record_write(&self, is_blocked: bool) {
-        self.is_write_blocked.store(is_blocked, Ordering::Relaxed);
-        if !is_blocked {
-            let now = BootClock.now();
-            *self.active_at.lock() = now;
-            *self.written_at.lock() = Some(now);
-        }
-    }
-
-    /// Records that bytes were read or written.
-    fn record_activity(&self) {
-        *self.active_at.lock() = BootClock.now();
-    }
-
-    /// Returns the number of requests of the connection that have been answered.
-    pub(crate) fn answered_count(&self) -> u64 {
-        self.answered.load(Ordering::Relaxed)
-    }
-
     /// Reads for hyper: first the buffered bytes, then from the socket.
     pub(crate) fn poll_read(
         &self,
@@ -249,7 +176,7 @@
             }
             let read = match self.stream.poll_read_ready(context)? {
                 Poll::Ready(()) => {
-                    self.record_activity();
+                    self.activity.record_read();
                     self.stream.try_read(buffer.initialize_unfilled())
                 }
                 Poll::Pending => ready!(self.read_unnoticed(buffer.initialize_unfilled())),
@@ -260,8 +187,8 @@
                 Ok(length) => {
                     let bytes = &buffer.initialize_unfilled()[..length];
                     let state = &mut *self.state.lock();
-                    if bytes.starts_with(HTTP2_PREFACE) && !self.has_received_request() {
-                        self.is_http2.store(true, Ordering::Relaxed);
+                    if bytes.starts_with(HTTP2_PREFACE) && !self.activity.has_received_request() {
+                        self.activity.record_http2_preface();
                     }
                     state.pipeline.push_bytes(bytes);
                     state.is_eof |= length == 0;
@@ -279,7 +206,7 @@
     ///
     /// Such a read does not end the idle time, as a request may need several reads.
     fn read_unnoticed(&self, bytes: &mut [u8]) -> Poll<io::Result<usize>> {
-        if self.idle_time() < UNNOTICED_MIN || !self.has_unread_bytes() {
+        if self.activity.idle_time() < UNNOTICED_MIN || !self.has_unread_bytes() {
             return Poll::Pending;
         }
         let received = recv(&*self.stream, bytes, RecvFlags::DONTWAIT);
@@ -304,13 +231,11 @@
         caller: SocketAddr,
         request: Request<hyper::body::Incoming>,
     ) -> Option<Response<GuardedBody<InProgressGuard>>> {
-        let guard = InProgressGuard::new(self);
+        let guard = self.activity.begin_request(request.version() == Version::HTTP_2);
         if !*shared.is_accepting.borrow() {
             shared.metrics.served_late.fetch_add(1, Ordering::Relaxed);
             counter!(metric::REQUESTS_SERVED_LATE).increment(1);
         }
-        self.has_received_request.store(true, Ordering::Relaxed);
-        self.is_http2.store(request.version() == Version::HTTP_2, Ordering::Relaxed);
         let (parts, incoming) = request.into_parts();
         let started = self.take_started(&parts);
         let is_safe = parts.method.is_safe();
@@ -330,7 +255,7 @@
             response = responding => Some(response),
             () = self.start_pipelined_requests::<D>(shared, caller), if is_safe => None,
         };
-        self.answered.fetch_add(1, Ordering::Relaxed);
+        self.activity.record_answer();
         Some(response?.map(|body| GuardedBody::new(body, guard)))
     }
 
@@ -393,7 +318,7 @@
             Ok(length) => {
                 let state = &mut *self.state.lock();
                 state.pipeline.push_bytes(&bytes[..length]);
-                self.record_activity();
+                self.activity.record_read();
                 state.buffered.extend_from_slice(&bytes[..length]);
                 Ok(())
             }
--- a/crates/thymeshift_entry/src/caller/write_timeout.rs
+++ b/crates/thymeshift_entry/src/caller/write_timeout.rs
@@ -38,10 +38,10 @@
     ) -> Poll<io::Result<T>> {
         if result.is_ready() {
             self.stall.reset();
-            self.connection.record_write(false);
+            self.connection.activity().record_write(false);
             return result;
         }
-        self.connection.record_write(true);
+        self.connection.activity().record_write(true);
         match self.stall.poll_stalled(context) {
             Poll::Ready(()) => Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
             Poll::Pending => Poll::Pending,
