Give the entry processes of each lab program a loopback address of their own

What was seen: several soaks on one machine mix. The port of a stopped process was given to a process of the other soak, and the stopped one's peers took that for it.

Change: the lab's fleets listen on 127.1.x.y, from the process id of the program that starts them. The product is unchanged; no check changes.

--- a/crates/thymeshift_lab/src/experiment/fleet.rs
+++ b/crates/thymeshift_lab/src/experiment/fleet.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::fs;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -218,12 +219,16 @@
             Some(address) => address,
             None => self.platform.address("data")?,
         };
-        let datagrams =
-            if self.plan.has_datagrams { "datagram_address: 127.0.0.1:0\n" } else { "" };
+        let ip = entry_address();
+        let datagrams = if self.plan.has_datagrams {
+            format!("datagram_address: {ip}:0\n")
+        } else {
+            String::new()
+        };
         let settings = format!(
-            "vm: entry-{number:03}\ndata_hall: {hall}\ncaller_address: 127.0.0.1:0\n\
-             peer_address: 127.0.0.1:0\ncontrol_address: 127.0.0.1:0\n\
-             observe_address: 127.0.0.1:0\nplatform_address: {}\npeers: [{}]\n\
+            "vm: entry-{number:03}\ndata_hall: {hall}\ncaller_address: {ip}:0\n\
+             peer_address: {ip}:0\ncontrol_address: {ip}:0\n\
+             observe_address: {ip}:0\nplatform_address: {}\npeers: [{}]\n\
              worker_threads: {}\nstop_readiness_lag_ms: 300\nstop_bound_ms: 20000\n{datagrams}",
             platform,
             peers?.join(", "),
@@ -287,6 +292,14 @@
     }
 }
 
+/// Returns the loopback address of the entry processes of all fleets of this program. Each program has
+/// its own, because the port of a stopped process may be given to a process of another program's
+/// fleet, which the peers of the stopped one would then take for it.
+fn entry_address() -> Ipv4Addr {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 1, high, low)
+}
+
 /// Waits until the readiness endpoint of an entry process reports success, or fails after 15 s.
 pub async fn wait_ready(entry: &Child) -> Result<(), FleetError> {
     let observe = entry.address("observe")?;
