--- a/review/1/run.py
+++ b/review/1/run.py
@@ -13,7 +13,7 @@
 MACHINES = 4
 REQUESTS_PER_MACHINE = 5
 #: What the operator changes besides the routes: `idle` raises the idle timeout to 75 s, `size` adds
-#: routes until the value has some 0.93 MB, below the `value_bytes` of 1,048,576.
+#: routes until the value has 1,004,460 bytes, below the `value_bytes` of 1,048,576.
 CHANGE = os.environ.get("CHANGE", "idle")
 IDLE_TIMEOUT_MS, IDLE_TIMEOUT_CALM_MS = 75_000, 20_000
 MORE_ROUTES, MORE_ROUTES_CALM = 5_800, 350
