--- a/review/standins.py
+++ b/review/standins.py
@@ -108,15 +108,13 @@
 class Store:
     """The platform's store, seen by the system: it can be read and watched."""
 
-    def __init__(self, record, page_items=PAGE_ITEMS_MAX):
+    def __init__(self, record):
         self.record = record
-        self.page_items = page_items
         self.revision = 100
         self.items = {}
         self.events = []
         self.forgotten = 0
         self.changed = asyncio.Event()
-        self.calls = 0
         self.address = None
 
     async def start(self):
@@ -131,29 +129,16 @@
         self.items[key] = item
         self.add_event(item)
 
-    def remove(self, key):
-        self.revision += 1
-        self.items.pop(key, None)
-        self.add_event({"key": key, "revision": self.revision, "gone": True})
-
     def add_event(self, event):
         self.events.append((time.monotonic(), event))
         self.changed.set()
         self.changed = asyncio.Event()
 
-    def forget_history(self):
-        """Forgets the history and cuts the watches, as `platform_compact` does."""
-        self.forgotten = self.revision
-        self.events.clear()
-        self.changed.set()
-        self.changed = asyncio.Event()
-
     async def serve(self, reader, writer):
         try:
             while (head := await read_head(reader)) is not None:
                 target = urllib.parse.urlsplit(head[0].split(" ")[1])
                 query = dict(urllib.parse.parse_qsl(target.query, keep_blank_values=True))
-                self.calls += 1
                 status, body = await self.answer(target.path, query)
                 text = json.dumps(body).encode()
                 writer.write(
@@ -180,7 +165,7 @@
         keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
         page, size = [], 0
         for key in keys:
-            if len(page) >= self.page_items or (page and size >= PAGE_BYTES_MAX):
+            if len(page) >= PAGE_ITEMS_MAX or (page and size >= PAGE_BYTES_MAX):
                 break
             page.append(self.items[key])
             size += len(self.items[key]["value"]) * 3 // 4
@@ -222,8 +207,6 @@
         #: Request ids in the order in which their runs began, and how the runs ended.
         self.runs = []
         self.ended = {}
-        #: Called with the id and path of a run; returns how its answer goes wrong, or None.
-        self.fault = lambda request_id, path: None
 
     async def start(self):
         server = await asyncio.start_server(self.serve, "127.0.0.1", 0, backlog=512)
@@ -297,16 +280,6 @@
         body = (text * (int(size.group(1)) // len(text) + 1))[:int(size.group(1))] if size else text
         head = (f"200 OK\r\nX-Request-Id: {request_id}\r\nX-Response-Seal: {self.name}.{request_id}\r\n"
                 + self.load())
-        fault = self.fault(request_id, path)
-        if fault == "cut":
-            full = f"HTTP/1.1 {head}Content-Length: {len(body)}\r\n\r\n".encode() + body
-            writer.write(full[:len(full) * 3 // 4])
-            await writer.drain()
-            await asyncio.sleep(0.3)
-            self.ended[request_id] = "cut"
-            self.record.write(f"{self.name} breaks off its answer to {request_id}")
-            writer.transport.abort()
-            return False
         self.ended[request_id] = "answered"
         sent = await self.send(writer, head, body)
         self.record.write(f"{self.name} has answered {request_id}")
@@ -319,7 +292,7 @@
 
 
 def fill(template, fields):
-    """Fills a settings template as the users' page on deployment describes."""
+    """Fills a settings template as the users' page on deployment describes, as far as it is used."""
 
     def lookup(name, entry):
         if name == ".":
