A configuration that the store has taken takes effect

Cause: a text that its source had validated was validated again by narrower rules, and one mistake refused the whole. Shown by `document_rejected`: the field out of its range, or the length of the translation, 1,167,303 bytes, against a bound of 1 MiB that is the store's bound on another text. Ruled out: a failed translation, an answer too long to read, a failed transfer to peers, a late adoption (no log line of theirs; nothing adopted anywhere).

Change: configurations of a source that validates are read part by part. Log line, gauge, `show left_out` and `explain` tell what is not as published.

Why it works: the only refusals left are texts whose parts cannot be told apart; no value and no length that the store takes leads to one.

--- a/crates/thymeshift_config/src/configuration.rs
+++ b/crates/thymeshift_config/src/configuration.rs
@@ -8,6 +8,7 @@
 use thymeshift_types::ServiceName;
 use thymeshift_types::TargetName;
 
+use crate::Adjustment;
 use crate::DiscoveredTarget;
 use crate::Discovery;
 use crate::Kind;
@@ -22,6 +23,9 @@
 use crate::check;
 use crate::decode::Decode;
 use crate::decode::MapReader;
+use crate::decode::add_mistake;
+use crate::published::Completion;
+use crate::published::LeftOutPart;
 use crate::tree::Node;
 use crate::tree::json_lines;
 
@@ -30,8 +34,10 @@
 /// and the counting windows of processes differ.
 const RETRY_LIMIT_USED_TENTHS: u64 = 9;
 
-/// Maximum size of a published text, in bytes; the platform stores values of up to 1 MiB.
-pub(crate) const TEXT_BYTES_MAX: usize = 1_024 * 1_024;
+/// Maximum size of a published text, in bytes. A source may store values of 1 MiB in another
+/// language, and the text that they are translated to is several times as long: up to eight times for
+/// the shortest services, six times for the shortest keys, two times for the shortest routes.
+pub const TEXT_BYTES_MAX: usize = 8 * 1_024 * 1_024;
 
 /// Complete configuration that passed all checks.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
@@ -68,11 +74,7 @@
 impl Configuration {
     /// Parses and checks a configuration from YAML; returns all mistakes if the text is invalid.
     pub fn parse(text: &str) -> Result<Self, Mistakes> {
-        let mut mistakes = Mistakes::default();
-        if text.len() > TEXT_BYTES_MAX {
-            mistakes.add(check::text_too_long(text.len()));
-            return Err(mistakes);
-        }
+        check_length(text)?;
         // A text with a mistake is parsed again
         // by the general reader, which knows the exact locations.
         let fast_result = json_lines::parse(text).map(|node| Self::decode_and_check(&node));
@@ -81,10 +83,34 @@
         }
         match Node::parse(text) {
             Ok(node) => Self::decode_and_check(&node),
-            Err(mistake) => {
-                mistakes.add(mistake);
-                Err(mistakes)
+            Err(mistake) => Err(Mistakes::from(mistake)),
+        }
+    }
+
+    /// Parses a configuration that its source has validated, so that it must take effect. Values that
+    /// this program cannot use are adjusted, and what a part that cannot be read names keeps its form
+    /// in `previous`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the mistakes of a text that is no map of services and kinds, or that is too long.
+    pub fn parse_published(
+        text: &str,
+        previous: Option<&Self>,
+    ) -> Result<(Self, Vec<Adjustment>), Mistakes> {
+        check_length(text)?;
+        let node = json_lines::parse(text).map_or_else(|| Node::parse(text), Ok);
+        let node = node.map_err(Mistakes::from)?;
+        let mut mistakes = Mistakes::with_adjustments();
+        let decoded = Self::decode(&node, "", &mut mistakes);
+        let adjustments = mistakes.take_adjustments();
+        match decoded {
+            Some(mut configuration) if mistakes.is_empty() => {
+                let completion = Completion::new(&mut configuration, previous, adjustments);
+                let adjustments = completion.complete();
+                Ok((configuration, adjustments))
             }
+            _ => Err(mistakes),
         }
     }
 
@@ -183,6 +209,13 @@
     RequestRate::per_1000_s(bound_per_1000_s)
 }
 
+fn check_length(text: &str) -> Result<(), Mistakes> {
+    if text.len() > TEXT_BYTES_MAX {
+        return Err(Mistakes::from(check::text_too_long(text.len())));
+    }
+    Ok(())
+}
+
 impl Decode for Configuration {
     fn decode(node: &Node, path: &str, mistakes: &mut Mistakes) -> Option<Self> {
         let mut map = MapReader::new(node, path, mistakes)?;
@@ -193,10 +226,23 @@
         let data_hall_detour_us = map.number_or("data_hall_detour_us", 0..=1_000_000, 0);
         let hall_crossing_us_per_kib = map.number_or("hall_crossing_us_per_kib", 0..=1_000_000, 0);
         let limits = map.value_or("limits", Limits::default());
-        let services = map.required("services");
-        let kinds = map.required("kinds");
-        let organisations = map.value_or("organisations", Vec::new());
+        let services = map.required_entries("services");
+        let kinds = map.required_entries("kinds");
+        let organisations = map.entries("organisations");
+        let left_out: Option<Vec<LeftOutPart>> = map.entries("left_out");
         map.finish();
+        for part in left_out? {
+            let Adjustment { place, found, used } = part.adjustment();
+            if !mistakes.adjust(&place, &found, &used) {
+                add_mistake(
+                    node.location,
+                    &place,
+                    found,
+                    "a part that can be read".into(),
+                    mistakes,
+                );
+            }
+        }
         Some(Self {
             entry_vms_max: entry_vms_max?,
             data_halls: data_halls?,
--- a/crates/thymeshift_config/src/decode.rs
+++ b/crates/thymeshift_config/src/decode.rs
@@ -17,6 +17,7 @@
 use thymeshift_types::TargetName;
 use thymeshift_types::VmName;
 
+use crate::Adjustment;
 use crate::Mistake;
 use crate::Mistakes;
 use crate::tree::Content;
@@ -27,6 +28,11 @@
 /// Minimum Jaro-Winkler similarity at which a known field name is suggested for an unknown one.
 const SUGGESTION_SIMILARITY_MIN: f64 = 0.7;
 
+/// What is in force in place of a part that cannot be read.
+pub(crate) const LEFT_OUT: &str = "left out";
+/// Upper bound of configured times, in milliseconds: 30 days. Sums of such times fit every clock.
+pub(crate) const TIME_MS_MAX: u64 = 30 * 24 * 3_600 * 1_000;
+
 /// Value that can be decoded from a node of the tree.
 pub(crate) trait Decode: Sized {
     /// Decodes the value, or records a mistake and returns `None`.
@@ -36,13 +42,7 @@
 /// Parses a value from YAML; `path` is the prefix of field names in mistakes.
 pub(crate) fn parse<T: Decode>(text: &str, path: &str) -> Result<T, Mistakes> {
     let mut mistakes = Mistakes::default();
-    let node = match Node::parse(text) {
-        Ok(node) => node,
-        Err(mistake) => {
-            mistakes.add(mistake);
-            return Err(mistakes);
-        }
-    };
+    let node = Node::parse(text).map_err(Mistakes::from)?;
     match T::decode(&node, path, &mut mistakes) {
         Some(value) if mistakes.is_empty() => Ok(value),
         _ => Err(mistakes),
@@ -106,6 +106,11 @@
         Some(Self { entries, location: node.location, path: path.to_owned(), known, mistakes })
     }
 
+    /// Returns whether values are adjusted in place of a mistake.
+    pub(crate) fn is_adjusting(&self) -> bool {
+        self.mistakes.is_adjusting()
+    }
+
     /// Reads a mandatory field of the map.
     pub(crate) fn required<T: Decode>(&mut self, name: &'static str) -> Option<T> {
         let Some(node) = self.find_field(name) else {
@@ -125,6 +130,26 @@
         }
     }
 
+    /// Reads a mandatory list, see [`Self::entries`].
+    pub(crate) fn required_entries<T: Decode>(&mut self, name: &'static str) -> Option<Vec<T>> {
+        let is_adjusted = self.mistakes.is_adjusting() && self.find_field(name).is_some();
+        if is_adjusted { self.entries(name) } else { self.required(name) }
+    }
+
+    /// Reads a list. If values are adjusted, an entry with a mistake is left out alone.
+    pub(crate) fn entries<T: Decode>(&mut self, name: &'static str) -> Option<Vec<T>> {
+        match self.find_field(name) {
+            Some(node) if self.mistakes.is_adjusting() => {
+                let path = self.path_of(name);
+                decode_each(node, &path, self.mistakes)
+            }
+            Some(node) if !node.is_null() => {
+                Decode::decode(node, &self.path_of(name), self.mistakes)
+            }
+            _ => Some(Vec::new()),
+        }
+    }
+
     /// Reads an optional field. The outer option is `None` if a mistake was recorded,
     /// and the inner option is `None` if the field is missing or empty.
     #[expect(clippy::option_option, reason = "the two options answer different questions")]
@@ -182,9 +207,15 @@
         if range.contains(&value) {
             return Some(Some((value * parts).round() as u64));
         }
+        let path = self.path_of(name);
+        let nearest = value.clamp(*range.start(), *range.end());
+        let (found, used) = (format!("'{value}'"), format!("used {nearest}"));
+        if self.mistakes.adjust(&path, &found, &used) {
+            return Some(Some((nearest * parts).round() as u64));
+        }
         let expected = format!("a number from {} to {}", range.start(), range.end());
         let location = self.find_field(name).map_or(self.location, |node| node.location);
-        add_mistake(location, &self.path_of(name), format!("'{value}'"), expected, self.mistakes);
+        add_mistake(location, &path, found, expected, self.mistakes);
         None
     }
 
@@ -196,6 +227,9 @@
             }
             let path = join_path(&self.path, &entry.key);
             let found = format!("the unknown field '{}'", entry.key.escape_debug());
+            if self.mistakes.adjust(&path, &found, "ignored") {
+                continue;
+            }
             let expected = describe_expected_field(&entry.key, &self.known);
             add_mistake(entry.key_location, &path, found, expected, self.mistakes);
         }
@@ -212,8 +246,13 @@
         }
         let location = self.find_field(name).map_or(self.location, |node| node.location);
         let path = self.path_of(name);
+        let nearest = value.clamp(*range.start(), *range.end());
+        let (found, used) = (format!("'{value}'"), format!("used {nearest}"));
+        if self.mistakes.adjust(&path, &found, &used) {
+            return Some(nearest);
+        }
         let expected = format!("a number from {} to {}", range.start(), range.end());
-        add_mistake(location, &path, format!("'{value}'"), expected, self.mistakes);
+        add_mistake(location, &path, found, expected, self.mistakes);
         None
     }
 
@@ -229,6 +268,30 @@
     }
 }
 
+/// Decodes each entry of a list by itself, and leaves out those with a mistake. In paths, the entries
+/// go by their names.
+fn decode_each<T: Decode>(node: &Node, path: &str, mistakes: &mut Mistakes) -> Option<Vec<T>> {
+    let items = match &node.content {
+        Content::List(items) => items,
+        _ if node.is_null() => return Some(Vec::new()),
+        _ => return report_unexpected(node, path, "a list", mistakes),
+    };
+    let mut decoded = Vec::with_capacity(items.len());
+    for (index, item) in items.iter().enumerate() {
+        let name = item.text_of("name").map_or_else(|| index.to_string(), str::to_owned);
+        let path = join_path(path, &name);
+        let mut own_mistakes = Mistakes::with_adjustments();
+        decoded.extend(T::decode(item, &path, &mut own_mistakes));
+        for Adjustment { place, found, used } in own_mistakes.take_adjustments() {
+            mistakes.adjust(&place, &found, &used);
+        }
+        if let Some(mistake) = own_mistakes.listed().first() {
+            mistakes.adjust(&path, &mistake.without_location(), LEFT_OUT);
+        }
+    }
+    Some(decoded)
+}
+
 fn join_path(path: &str, name: &str) -> String {
     if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") }
 }
--- a/crates/thymeshift_config/src/kind.rs
+++ b/crates/thymeshift_config/src/kind.rs
@@ -8,9 +8,14 @@
 use crate::Mistakes;
 use crate::decode::Decode;
 use crate::decode::MapReader;
+use crate::decode::TIME_MS_MAX;
 use crate::decode::decode_keyword;
 use crate::tree::Node;
 
+/// Name of the service of kinds that cannot be read; it has no targets.
+const REFUSING_SERVICE: &str = "unreadable-kind";
+/// Deadline of requests that are refused at once.
+const REFUSED_DEADLINE_MS: u64 = 1_000;
 /// Upper bound of the weight of one part of a traffic split.
 const WEIGHT_MAX: u64 = 1_000_000;
 /// Divisor of the latency objective that gives the default maximum queue time. A request
@@ -159,6 +164,33 @@
     }
 }
 
+impl Kind {
+    /// Returns a kind whose requests are refused, because only its name and rules can be read. Without
+    /// it, a kind with wider rules would take the requests.
+    fn refused(name: KindName, rules: KindMatch) -> Option<Self> {
+        Some(Self {
+            name,
+            rules,
+            service: ServiceName::new(REFUSING_SERVICE).ok()?,
+            split: Vec::new(),
+            priority: 1,
+            deadline_ms: REFUSED_DEADLINE_MS,
+            objective_ms: 0,
+            wait_max_ms: 0,
+            queue_max: 0,
+            attempts_max: 1,
+            hedge_after_ms: 0,
+            repeat: Repeat::Unsafe,
+            is_public: false,
+        })
+    }
+
+    /// Returns whether the kind has only a name and rules, so that its requests are refused.
+    pub(crate) fn is_refused(&self) -> bool {
+        self.service.as_str() == REFUSING_SERVICE
+    }
+}
+
 impl Decode for SplitPart {
     fn decode(node: &Node, path: &str, mistakes: &mut Mistakes) -> Option<Self> {
         let mut map = MapReader::new(node, path, mistakes)?;
@@ -199,8 +231,8 @@
 impl Decode for Kind {
     fn decode(node: &Node, path: &str, mistakes: &mut Mistakes) -> Option<Self> {
         let mut map = MapReader::new(node, path, mistakes)?;
-        let name = map.required("name");
-        let rules = map.value_or("match", KindMatch::default());
+        let name: Option<KindName> = map.required("name");
+        let rules: Option<KindMatch> = map.value_or("match", KindMatch::default());
         let split: Option<Vec<SplitPart>> = map.value_or("split", Vec::new());
         let service = match split.as_ref().and_then(|parts| parts.first()) {
             // The service of the first part represents the kind where a single service is needed.
@@ -208,15 +240,15 @@
             None => map.required("service"),
         };
         let priority = map.number("priority", 1..=9);
-        let deadline_ms = map.number("deadline_ms", 1..=600_000);
-        let objective_ms = map.number_or("objective_ms", 0..=600_000, 0);
+        let deadline_ms = map.number("deadline_ms", 1..=TIME_MS_MAX);
+        let objective_ms = map.number_or("objective_ms", 0..=TIME_MS_MAX, 0);
         let wait_max_ms = match (objective_ms, deadline_ms) {
             (Some(objective), Some(deadline)) if objective > 0 => {
                 (objective / OBJECTIVE_TO_WAIT_DIVISOR).min(deadline)
             }
             (_, deadline) => deadline.unwrap_or(0),
         };
-        let wait_max_ms = map.number_or("wait_max_ms", 0..=600_000, wait_max_ms);
+        let wait_max_ms = map.number_or("wait_max_ms", 0..=TIME_MS_MAX, wait_max_ms);
         let queue_max = map.number_or("queue_max", 0..=1_000_000, 128);
         let attempts_max = map.number_or("attempts_max", 1..=10, 2);
         let repeat = map.required("repeat");
@@ -224,23 +256,32 @@
             (Some(Repeat::Safe), Some(objective)) => objective / OBJECTIVE_TO_HEDGE_DIVISOR,
             _ => 0,
         };
-        let hedge_after_ms = map.number_or("hedge_after_ms", 0..=600_000, hedge_after_ms);
+        let hedge_after_ms = map.number_or("hedge_after_ms", 0..=TIME_MS_MAX, hedge_after_ms);
         let is_public = map.value_or("public", false);
+        let is_adjusting = map.is_adjusting();
         map.finish();
-        Some(Self {
-            name: name?,
-            rules: rules?,
-            service: service?,
-            split: split?,
-            priority: priority?,
-            deadline_ms: deadline_ms?,
-            objective_ms: objective_ms?,
-            wait_max_ms: wait_max_ms?,
-            queue_max: queue_max?,
-            attempts_max: attempts_max?,
-            hedge_after_ms: hedge_after_ms?,
-            repeat: repeat?,
-            is_public: is_public?,
-        })
+        let (name, rules) = (name?, rules?);
+        let read = || {
+            Some(Self {
+                name: name.clone(),
+                rules: rules.clone(),
+                service: service?,
+                split: split?,
+                priority: priority?,
+                deadline_ms: deadline_ms?,
+                objective_ms: objective_ms?,
+                wait_max_ms: wait_max_ms?,
+                queue_max: queue_max?,
+                attempts_max: attempts_max?,
+                hedge_after_ms: hedge_after_ms?,
+                repeat: repeat?,
+                is_public: is_public?,
+            })
+        };
+        match read() {
+            Some(kind) => Some(kind),
+            None if is_adjusting => Self::refused(name, rules),
+            None => None,
+        }
     }
 }
--- a/crates/thymeshift_config/src/limits.rs
+++ b/crates/thymeshift_config/src/limits.rs
@@ -5,18 +5,24 @@
 use crate::Mistakes;
 use crate::decode::Decode;
 use crate::decode::MapReader;
+use crate::decode::TIME_MS_MAX;
 use crate::tree::Node;
 
 const KIB: u64 = 1_024;
 const MIB: u64 = 1_024 * KIB;
+/// Upper bound of the configured size of request bodies: 1 PiB. Bodies are counted, not stored.
+const BODY_BYTES_MAX: u64 = 1 << 50;
 
 /// Limits for the requests and connections of callers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Limits {
     /// Maximum size of a request head, in bytes.
     pub header_bytes_max: u64,
-    /// Maximum time for a caller to send a request head, in milliseconds.
+    /// Maximum time from the first byte of a request head to its last, in milliseconds.
     pub header_read_timeout_ms: u64,
+    /// Time for which a caller's connection may rest without a request, in milliseconds.
+    /// Defaults to the timeout of a request head.
+    pub idle_timeout_ms: u64,
     /// Maximum size of a request body, in bytes.
     pub body_bytes_max: u64,
     /// Maximum time without progress while a caller sends or receives a body, in milliseconds.
@@ -40,6 +46,7 @@
         Self {
             header_bytes_max: 16 * KIB,
             header_read_timeout_ms: 5_000,
+            idle_timeout_ms: 5_000,
             body_bytes_max: 4 * MIB,
             body_stall_timeout_ms: 10_000,
             answer_buffer_bytes: 0,
@@ -55,13 +62,21 @@
         let defaults = Self::default();
         let mut map = MapReader::new(node, path, mistakes)?;
         let header_bytes_max =
-            map.number_or("header_bytes_max", 8 * KIB..=256 * KIB, defaults.header_bytes_max);
-        let header_read_timeout_ms =
-            map.number_or("header_read_timeout_ms", 1..=60_000, defaults.header_read_timeout_ms);
+            map.number_or("header_bytes_max", 8 * KIB..=4 * MIB, defaults.header_bytes_max);
+        let header_read_timeout_ms = map.number_or(
+            "header_read_timeout_ms",
+            1..=TIME_MS_MAX,
+            defaults.header_read_timeout_ms,
+        );
+        let idle_timeout_ms = map.number_or(
+            "idle_timeout_ms",
+            1..=TIME_MS_MAX,
+            header_read_timeout_ms.unwrap_or(defaults.idle_timeout_ms),
+        );
         let body_bytes_max =
-            map.number_or("body_bytes_max", 0..=1_024 * MIB, defaults.body_bytes_max);
+            map.number_or("body_bytes_max", 0..=BODY_BYTES_MAX, defaults.body_bytes_max);
         let body_stall_timeout_ms =
-            map.number_or("body_stall_timeout_ms", 1..=600_000, defaults.body_stall_timeout_ms);
+            map.number_or("body_stall_timeout_ms", 1..=TIME_MS_MAX, defaults.body_stall_timeout_ms);
         let answer_buffer_bytes =
             map.number_or("answer_buffer_bytes", 0..=MIB, defaults.answer_buffer_bytes);
         let caller_connections_max =
@@ -73,6 +88,7 @@
         Some(Self {
             header_bytes_max: header_bytes_max?,
             header_read_timeout_ms: header_read_timeout_ms?,
+            idle_timeout_ms: idle_timeout_ms?,
             body_bytes_max: body_bytes_max?,
             body_stall_timeout_ms: body_stall_timeout_ms?,
             answer_buffer_bytes: answer_buffer_bytes?,
--- a/crates/thymeshift_config/src/organisation.rs
+++ b/crates/thymeshift_config/src/organisation.rs
@@ -35,7 +35,7 @@
     fn decode(node: &Node, path: &str, mistakes: &mut Mistakes) -> Option<Self> {
         let mut map = MapReader::new(node, path, mistakes)?;
         let name = map.required("name");
-        let key_digests = map.value_or("key_digests", Vec::new());
+        let key_digests = map.entries("key_digests");
         let rank = map.number_or("rank", 1..=9, 1);
         let rate_per_s = map.optional_decimal("rate_per_s", 0.001..=RATE_PER_S_MAX, 1_000.0);
         let burst = map.number_or("burst", 0..=BURST_MAX, 0);
--- a/crates/thymeshift_config/src/service.rs
+++ b/crates/thymeshift_config/src/service.rs
@@ -14,6 +14,7 @@
 use crate::Mistakes;
 use crate::decode::Decode;
 use crate::decode::MapReader;
+use crate::decode::TIME_MS_MAX;
 use crate::decode::decode_keyword;
 use crate::tree::Node;
 
@@ -21,8 +22,6 @@
 /// because a target slot provides no more time per second.
 const SECOND_US: u64 = 1_000_000;
 
-/// Upper bound of the time for which a target may be listed as cold, in milliseconds.
-const COLD_FOR_MS_MAX: u64 = 600_000;
 /// Upper bound of the configured rate of requests to a cold target, in requests per second.
 const COLD_REQUESTS_PER_S_MAX: f64 = 1_000_000.0;
 
@@ -198,7 +197,7 @@
         let data_hall = map.required("data_hall");
         let incarnation = map.value_or("incarnation", Incarnation::new(1));
         let state = map.value_or("state", TargetState::Serving);
-        let cold_for_ms = map.optional_number("cold_for_ms", 0..=COLD_FOR_MS_MAX);
+        let cold_for_ms = map.optional_number("cold_for_ms", 0..=TIME_MS_MAX);
         Some(Self {
             name: name?,
             address: address?,
@@ -258,14 +257,14 @@
         let slots_per_target = map.number_or("slots_per_target", 1..=100_000, 1);
         let connections_per_target = map.number("connections_per_target", 1..=1_000_000);
         let connect_timeout_ms = map.number_or("connect_timeout_ms", 1..=60_000, 50);
-        let idle_connection_ms = map.number_or("idle_connection_ms", 1..=3_600_000, 30_000);
+        let idle_connection_ms = map.number_or("idle_connection_ms", 1..=TIME_MS_MAX, 30_000);
         let shed_means_not_run = map.value_or("shed_means_not_run", false);
         let backoff_max_ms = map.number_or("backoff_max_ms", 0..=86_400_000, 3_600_000);
         let measuring_budget_us_per_s =
             map.number_or("measuring_budget_us_per_s", 0..=SECOND_US, 0);
         let probe = map.optional("probe");
         let ejection = map.value_or("ejection", Ejection::default());
-        let cold_start_ramp_ms = map.number_or("cold_start_ramp_ms", 0..=600_000, 2_000);
+        let cold_start_ramp_ms = map.number_or("cold_start_ramp_ms", 0..=TIME_MS_MAX, 2_000);
         let cold_requests_per_s =
             map.optional_decimal("cold_requests_per_s", 0.0..=COLD_REQUESTS_PER_S_MAX, 1_000.0);
         let retry_budget_percent = map.number_or("retry_budget_percent", 0..=100, 10);
--- a/crates/thymeshift_entry/src/caller/activity.rs
+++ b/crates/thymeshift_entry/src/caller/activity.rs
@@ -25,6 +25,8 @@
     /// Number of requests whose answers have begun.
     answered: AtomicU64,
     has_received_request: AtomicBool,
+    /// Whether hyper has read bytes other than empty lines since it read the last request head.
+    has_read_bytes: AtomicBool,
     is_http2: AtomicBool,
 }
 
@@ -49,6 +51,7 @@
             in_progress: AtomicU64::new(0),
             answered: AtomicU64::new(0),
             has_received_request: AtomicBool::new(false),
+            has_read_bytes: AtomicBool::new(false),
             is_http2: AtomicBool::new(false),
         })
     }
@@ -57,6 +60,7 @@
     pub(crate) fn begin_request(self: &Arc<Self>, is_http2: bool) -> InProgressGuard {
         self.in_progress.fetch_add(1, Ordering::Relaxed);
         self.has_received_request.store(true, Ordering::Relaxed);
+        self.has_read_bytes.store(false, Ordering::Relaxed);
         self.is_http2.store(is_http2, Ordering::Relaxed);
         InProgressGuard(self.clone())
     }
@@ -71,6 +75,20 @@
         *self.active_at.lock() = BootClock.now();
     }
 
+    /// Records bytes that hyper has read while no request is in progress. Empty lines before a request do
+    /// not count (RFC 9112, 2.2).
+    pub(crate) fn record_bytes(&self, bytes: &[u8]) {
+        let is_idle = self.in_progress.load(Ordering::Relaxed) == 0;
+        if is_idle && bytes.iter().any(|byte| !matches!(byte, b'\r' | b'\n')) {
+            self.has_read_bytes.store(true, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns whether hyper has read bytes that may belong to a head since it read the last one.
+    pub(crate) fn has_read_bytes(&self) -> bool {
+        self.has_read_bytes.load(Ordering::Relaxed)
+    }
+
     /// Records whether the socket took the bytes that were written to it.
     pub(crate) fn record_write(&self, is_blocked: bool) {
         self.is_write_blocked.store(is_blocked, Ordering::Relaxed);
--- a/crates/thymeshift_entry/src/caller/connection.rs
+++ b/crates/thymeshift_entry/src/caller/connection.rs
@@ -1,6 +1,7 @@
 //! Serves one caller connection: HTTP/1.1 or cleartext HTTP/2.
 
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
@@ -27,11 +28,15 @@
 use crate::caller::linger::end_if_drained;
 use crate::caller::linger::linger;
 use crate::caller::pipelining::PipelinedConnection;
+use crate::caller::rest_timers::Expired;
+use crate::caller::rest_timers::RestTimers;
 use crate::caller::write_timeout::WriteTimeoutStream;
 use crate::shared::Shared;
 
 /// Interval between two checks whether a connection that is being drained may close.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Maximum interval between two pings on an HTTP/2 connection, which detect callers that are gone.
+const HTTP2_PING_INTERVAL_MAX: Duration = Duration::from_mins(1);
 /// Maximum number of concurrent streams on an HTTP/2 connection.
 const HTTP2_STREAMS_MAX: u32 = 256;
 
@@ -43,7 +48,6 @@
     limits: Limits,
     closing: impl Future<Output = ()>,
 ) {
-    let head_timeout = Duration::from_millis(limits.header_read_timeout_ms);
     let write_timeout = Duration::from_millis(limits.body_stall_timeout_ms);
     let pipelined = PipelinedConnection::new(Arc::new(stream), limits.header_bytes_max as usize);
     let log = ConnectionLog { shared: shared.clone(), connection: pipelined.clone(), caller };
@@ -65,14 +69,12 @@
             Ok::<_, Infallible>(response)
         }
     });
-    let builder = builder(&limits, head_timeout);
+    let builder = builder(&limits);
     let stream = TokioIo::new(WriteTimeoutStream::new(pipelined.clone(), write_timeout));
     let mut connection = pin!(builder.serve_connection(stream, service));
     let mut closing = pin!(closing);
-    // Before the first request, hyper detects the protocol version and applies no timeout.
-    let mut first_request_timeout = pin!(sleep(head_timeout));
     let mut disconnected = pin!(disconnect.notified());
-    let mut is_awaiting_first_request = true;
+    let mut rest_timers = RestTimers::new(&limits);
     let mut stage = ShutdownStage::Open;
     loop {
         tokio::select! {
@@ -89,10 +91,16 @@
             () = &mut disconnected => return log.write_end("caller disconnected", stage, 0),
             () = &mut closing, if stage == ShutdownStage::Open => stage = ShutdownStage::Draining,
             () = sleep(DRAIN_CHECK_INTERVAL), if stage == ShutdownStage::Draining => {}
-            () = &mut first_request_timeout, if is_awaiting_first_request => {
-                is_awaiting_first_request = false;
-                if !pipelined.activity().has_received_request() {
-                    return log.write_end("no request in time", stage, 0);
+            expired = poll_fn(|context| rest_timers.poll_expired(&pipelined, context)) => {
+                match expired {
+                    // This process may have had no processor while the rest of the head arrived.
+                    Expired::Head if pipelined.has_unread_bytes() => rest_timers.restart(),
+                    Expired::Head => return log.write_end("no request in time", stage, 0),
+                    Expired::Idle if end_if_drained(&pipelined) => {
+                        let discarded_bytes = linger(&pipelined).await;
+                        return log.write_end("idle", stage, discarded_bytes);
+                    }
+                    Expired::Idle => rest_timers.restart(),
                 }
             }
         }
@@ -140,19 +148,25 @@
     std::future::pending().await
 }
 
-fn builder(limits: &Limits, head_timeout: Duration) -> auto::Builder<TokioExecutor> {
+fn builder(limits: &Limits) -> auto::Builder<TokioExecutor> {
     let head_bytes_max = limits.header_bytes_max as usize;
+    let idle_timeout = Duration::from_millis(limits.idle_timeout_ms);
+    // hyper's timeout runs from the end of the previous request. It is a backstop: `RestTimers` tells a
+    // head that arrives slowly from a connection that rests.
+    let head_timeout = Duration::from_millis(limits.header_read_timeout_ms);
+    let backstop = idle_timeout + head_timeout * 2;
+    let http2_ping_interval = idle_timeout.min(HTTP2_PING_INTERVAL_MAX);
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
         .http1()
         .timer(TokioTimer::new())
-        .header_read_timeout(head_timeout)
+        .header_read_timeout(backstop)
         .max_buf_size(head_bytes_max)
         .http2()
         .timer(TokioTimer::new())
         .max_concurrent_streams(HTTP2_STREAMS_MAX)
         .max_header_list_size(head_bytes_max as u32)
-        .keep_alive_interval(head_timeout)
-        .keep_alive_timeout(head_timeout);
+        .keep_alive_interval(http2_ping_interval)
+        .keep_alive_timeout(http2_ping_interval);
     builder
 }
--- a/crates/thymeshift_entry/src/caller/mod.rs
+++ b/crates/thymeshift_entry/src/caller/mod.rs
@@ -15,6 +15,7 @@
 mod quarantine;
 mod read_body;
 mod response;
+mod rest_timers;
 mod write_timeout;
 
 pub(crate) use listener::run_listener;
--- a/crates/thymeshift_entry/src/caller/pipelining.rs
+++ b/crates/thymeshift_entry/src/caller/pipelining.rs
@@ -159,6 +159,17 @@
             && !self.has_unread_bytes()
     }
 
+    /// Returns whether a request head has begun to arrive that hyper has not read completely. An early
+    /// start of the request does not count, as hyper reads its head later.
+    pub(crate) fn has_partial_head(&self) -> bool {
+        let state = self.state.lock();
+        if state.pipeline.is_stopped() {
+            self.activity.has_read_bytes()
+        } else {
+            state.pipeline.has_more()
+        }
+    }
+
     /// Returns whether the caller has ended its side of the connection.
     pub(crate) fn is_eof(&self) -> bool {
         self.state.lock().is_eof
@@ -192,6 +203,7 @@
                     }
                     state.pipeline.push_bytes(bytes);
                     state.is_eof |= length == 0;
+                    self.activity.record_bytes(bytes);
                     buffer.advance(length);
                     self.bytes_arrived.notify_one();
                     return Poll::Ready(Ok(()));
--- a/crates/thymeshift_entry/src/control_plane/dump.rs
+++ b/crates/thymeshift_entry/src/control_plane/dump.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use thymeshift_config::Adjustment;
 use thymeshift_types::BootClock;
 use thymeshift_types::Clock;
 use thymeshift_types::DataHallName;
@@ -21,7 +22,7 @@
 
 /// Maximum number of leaving marks listed in a state dump.
 const MARKS_MAX: usize = 1_000;
-/// Maximum number of skipped target list entries listed in a state dump.
+/// Maximum number of adjusted values and skipped target list entries listed in a state dump.
 const SKIPPED_ENTRIES_MAX: usize = 1_000;
 
 /// Returns the current state of this process.
@@ -101,11 +102,14 @@
 }
 
 fn left_out(fleet: &Fleet) -> Vec<LeftOutDump> {
+    let adjusted = fleet.adjustments.iter().map(|Adjustment { place, found, used }| LeftOutDump {
+        name: place.clone(),
+        mistake: format!("found {found}, {used}"),
+    });
     let entries = fleet.discovered.in_force().into_iter().flat_map(|discovery| &discovery.left_out);
-    let dump = entries
-        .take(SKIPPED_ENTRIES_MAX)
+    let entries = entries
         .map(|entry| LeftOutDump { name: entry.name.clone(), mistake: entry.mistake.clone() });
-    dump.collect()
+    adjusted.chain(entries).take(SKIPPED_ENTRIES_MAX).collect()
 }
 
 /// Returns the known data halls with their numbers of targets and processes.
--- a/crates/thymeshift_entry/src/control_plane/explain.rs
+++ b/crates/thymeshift_entry/src/control_plane/explain.rs
@@ -1,5 +1,6 @@
 //! Explanation of how a given request would be routed now, for operators.
 
+use thymeshift_config::Adjustment;
 use thymeshift_config::RequestHead;
 use thymeshift_dispatch::CallerSharesDump;
 use thymeshift_dispatch::ServiceDump;
@@ -36,8 +37,13 @@
     }
 }
 
-/// Returns the kind, service and targets that `request` would be routed to.
-pub(crate) fn explain(routing: Option<&Routing>, request: &ExplainRequest) -> Explanation {
+/// Returns the kind, service and targets that `request` would be routed to. `adjustments` are the values
+/// of the configuration that are not in force as published.
+pub(crate) fn explain(
+    routing: Option<&Routing>,
+    adjustments: &[Adjustment],
+    request: &ExplainRequest,
+) -> Explanation {
     let Some(routing) = routing else {
         return not_routed("refused: no configuration is in force yet");
     };
@@ -57,7 +63,9 @@
         kind: Some(kind.kind.name.clone()),
         passed_over,
         service: Some(kind.kind.service.clone()),
-        verdict: verdict(kind, &targets, callers, now) + &reserve_note(kind, now),
+        verdict: verdict(kind, &targets, callers, now)
+            + &reserve_note(kind, now)
+            + &adjustment_note(kind, adjustments),
         targets,
     }
 }
@@ -72,6 +80,21 @@
     note.unwrap_or_default()
 }
 
+/// Describes the values of the kind and its service that are not in force as published.
+fn adjustment_note(kind: &KindRuntime, adjustments: &[Adjustment]) -> String {
+    let kind_place = format!("kinds.{}", kind.kind.name);
+    let service_place = format!("services.{}", kind.kind.service);
+    let is_within = |place: &str, part: &str| {
+        place.strip_prefix(part).is_some_and(|rest| rest.is_empty() || rest.starts_with('.'))
+    };
+    let own = adjustments.iter().filter(|Adjustment { place, .. }| {
+        is_within(place, &kind_place) || is_within(place, &service_place)
+    });
+    let notes: Vec<String> =
+        own.map(|adjustment| format!("; not as published: {adjustment}")).collect();
+    notes.concat()
+}
+
 fn not_routed(verdict: &str) -> Explanation {
     Explanation {
         kind: None,
--- a/crates/thymeshift_entry/src/control_plane/http_get.rs
+++ b/crates/thymeshift_entry/src/control_plane/http_get.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use derive_more::Display;
 use derive_more::Error;
 use derive_more::From;
@@ -15,7 +16,7 @@
 use http::header::HOST;
 use http_body_util::BodyExt;
 use http_body_util::Empty;
-use http_body_util::Limited;
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -23,6 +24,10 @@
 
 /// Maximum time to open the connection of a GET.
 const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+/// Time without a byte of the body after which the answer counts as lost.
+const BODY_STALL_LIMIT: Duration = Duration::from_millis(700);
+/// Maximum time for the body of an answer: 4 MiB at 5 Mbit/s.
+const BODY_LIMIT: Duration = Duration::from_secs(7);
 
 /// Error of a GET that returned no complete answer.
 #[derive(Debug, Display, Error, From)]
@@ -46,18 +51,22 @@
         /// Time limit of the request and its answer.
         limit: Duration,
     },
-    #[display("the answer body is incomplete or longer than {bytes_max} bytes")]
+    #[display("the answer body is longer than {bytes_max} bytes")]
     #[from(ignore)]
-    /// The answer body is incomplete or longer than the limit.
-    Body {
+    /// The answer body is longer than the limit.
+    TooLong {
         /// Maximum size of an accepted body, in bytes.
         bytes_max: usize,
     },
+    /// The answer body stopped arriving before its end.
+    #[display("the answer body stalled for {BODY_STALL_LIMIT:?}")]
+    Stalled,
 }
 
 /// Sends `GET path` to `address` and returns the answer with its whole body.
 ///
-/// `limit` bounds the time of request and answer, and `bytes_max` the size of the body.
+/// `limit` bounds the time until the head of the answer, and `bytes_max` the size of the body. A body
+/// may take longer while it arrives, because the largest documents take over a second on a narrow link.
 /// Opening the connection has a separate time limit.
 /// Returns a [`GetError`] if no complete answer arrives within the limits.
 pub async fn http_get(
@@ -73,10 +82,9 @@
     let request = Request::get(path).header(HOST, address.to_string());
     let request = request.body(Empty::<Bytes>::new())?;
     let exchange = async {
-        let (parts, body) = sender.send_request(request).await?.into_parts();
-        let body = Limited::new(body, bytes_max).collect().await;
-        let body = body.map_err(|_| GetError::Body { bytes_max })?.to_bytes();
-        Ok(Response::from_parts(parts, body))
+        let head = timeout(limit, sender.send_request(request)).await;
+        let (parts, body) = head.map_err(|_| GetError::TimedOut { limit })??.into_parts();
+        Ok(Response::from_parts(parts, read_body(body, bytes_max).await?))
     };
     // The connection is driven in this future, so dropping the future closes the connection.
     let driven_exchange = async {
@@ -85,5 +93,21 @@
             Err(error) = connection => Err(GetError::Http(error)),
         }
     };
+    let limit = limit + BODY_LIMIT;
     timeout(limit, driven_exchange).await.unwrap_or(Err(GetError::TimedOut { limit }))
 }
+
+async fn read_body(mut body: Incoming, bytes_max: usize) -> Result<Bytes, GetError> {
+    let mut bytes = BytesMut::new();
+    loop {
+        let frame = timeout(BODY_STALL_LIMIT, body.frame()).await;
+        let Some(frame) = frame.map_err(|_| GetError::Stalled)? else {
+            return Ok(bytes.freeze());
+        };
+        let Ok(data) = frame?.into_data() else { continue };
+        if bytes.len() + data.len() > bytes_max {
+            return Err(GetError::TooLong { bytes_max });
+        }
+        bytes.extend_from_slice(&data);
+    }
+}
--- a/crates/thymeshift_entry/src/control_plane/operators.rs
+++ b/crates/thymeshift_entry/src/control_plane/operators.rs
@@ -64,7 +64,8 @@
     }
 
     async fn explain(self, _: Context, request: ExplainRequest) -> Explanation {
-        explain(self.shared.routing().as_deref(), &request)
+        let adjustments = self.shared.fleet.lock().adjustments.clone();
+        explain(self.shared.routing().as_deref(), &adjustments, &request)
     }
 
     async fn order(self, _: Context, request: OrderRequest) -> OrderAnswer {
--- a/crates/thymeshift_entry/src/environment.rs
+++ b/crates/thymeshift_entry/src/environment.rs
@@ -26,6 +26,9 @@
     /// Whether targets are discovered separately from the configuration.
     /// With discovery, a process serves only once it has received both configuration and targets.
     const HAS_TARGET_DISCOVERY: bool;
+    /// Whether the source takes only valid configurations, so that each of them must take effect. What
+    /// this program cannot use of one is then adjusted; otherwise, a mistake refuses the whole.
+    const SOURCE_IS_VALIDATED: bool;
 }
 
 /// The process's only reader of the source.
--- a/crates/thymeshift_entry/src/fleet.rs
+++ b/crates/thymeshift_entry/src/fleet.rs
@@ -5,6 +5,7 @@
 
 use rand::Rng;
 use spdlog::warn;
+use thymeshift_config::Adjustment;
 use thymeshift_config::Configuration;
 use thymeshift_config::DiscoveryReader;
 use thymeshift_config::Settings;
@@ -64,6 +65,8 @@
     pub(crate) news_forwarding: ForwardingFilter<Heads>,
     /// Configuration in force, without discovered targets.
     pub(crate) base_configuration: Option<Configuration>,
+    /// Values of the configuration in force that are not as published.
+    pub(crate) adjustments: Vec<Adjustment>,
     /// Discovered targets in force.
     pub(crate) discovered: DiscoveredTargets,
     pub(crate) watcher_selection: WatcherSelection,
@@ -120,6 +123,7 @@
             readers: Readers::new(settings.vm.clone(), settings.processor_share, now),
             news_forwarding: ForwardingFilter::default(),
             base_configuration: None,
+            adjustments: Vec::new(),
             discovered: DiscoveredTargets::default(),
             watcher_selection: WatcherSelection::new(settings.vm.clone(), boot),
             members: Members::new(own, settings.peers.clone(), now),
--- a/crates/thymeshift_entry/src/native.rs
+++ b/crates/thymeshift_entry/src/native.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use http::StatusCode;
+use thymeshift_config::TEXT_BYTES_MAX;
 use thymeshift_fleet::Published;
 use thymeshift_types::Revision;
 use thymeshift_wire::Document;
@@ -21,8 +22,8 @@
 
 /// Maximum time that an answer may take beyond the requested wait.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
-/// Maximum size in bytes of a response: a document of 1 MiB and 1 KiB of overhead.
-const RESPONSE_BYTES_MAX: usize = 1_024 * 1_024 + 1_024;
+/// Maximum size in bytes of a response: a document of the maximum size and 1 KiB of overhead.
+const RESPONSE_BYTES_MAX: usize = TEXT_BYTES_MAX + 1_024;
 
 /// Environment with the native dialect and configuration service.
 #[derive(Debug, Clone, Copy)]
@@ -33,6 +34,7 @@
     type Source = NativeSource;
     const SOURCE_IS_CURRENT: bool = false;
     const HAS_TARGET_DISCOVERY: bool = false;
+    const SOURCE_IS_VALIDATED: bool = false;
 }
 
 /// Reader of the platform's configuration service.
--- a/crates/thymeshift_entry/src/process.rs
+++ b/crates/thymeshift_entry/src/process.rs
@@ -122,6 +122,7 @@
         boot,
         socket,
         E::HAS_TARGET_DISCOVERY,
+        E::SOURCE_IS_VALIDATED,
         start_metrics(),
     );
     info!("started", kv: {
--- a/crates/thymeshift_entry/src/shared.rs
+++ b/crates/thymeshift_entry/src/shared.rs
@@ -125,6 +125,8 @@
     rate_limits_cursor: AtomicUsize,
     /// Whether targets are discovered separately from the configuration.
     has_discovery: bool,
+    /// Whether each configuration of the source must take effect.
+    is_source_validated: bool,
     pub(crate) metrics_text: MetricsText,
     routing: RwLock<Option<Arc<Routing>>>,
     /// Data halls drained by orders when the current routing was built.
@@ -138,6 +140,7 @@
         boot: Boot,
         socket: Option<Arc<UdpSocket>>,
         has_discovery: bool,
+        is_source_validated: bool,
         metrics_text: MetricsText,
     ) -> Arc<Self> {
         let (pending_acquires, pending_acquires_receiver) = mpsc::unbounded_channel();
@@ -164,6 +167,7 @@
             crashes_reported: AtomicU64::new(0),
             rate_limits_cursor: AtomicUsize::new(0),
             has_discovery,
+            is_source_validated,
             has_fair_callers: settings.fair_callers,
             settings_path,
             settings: RwLock::new(Arc::new(settings)),
--- a/crates/thymeshift_entry/src/shared/in_force.rs
+++ b/crates/thymeshift_entry/src/shared/in_force.rs
@@ -8,8 +8,10 @@
 use spdlog::error;
 use spdlog::info;
 use spdlog::warn;
+use thymeshift_config::Adjustment;
 use thymeshift_config::Configuration;
 use thymeshift_config::Discovery;
+use thymeshift_config::Mistakes;
 use thymeshift_config::SkippedEntry;
 use thymeshift_config::TargetState;
 use thymeshift_fleet::Adoption;
@@ -34,16 +36,24 @@
 
 /// Maximum number of log lines about skipped entries of one list of targets.
 const SKIPPED_ENTRY_LOG_LINES_MAX: usize = 10;
+/// Maximum number of log lines about adjusted values of one configuration.
+const ADJUSTMENT_LOG_LINES_MAX: usize = 10;
 
 impl Shared {
     /// Adopts a published configuration if it is newer than the configuration in force.
     pub(crate) fn offer_configuration(&self, published: &Published, source: &str) -> OfferOutcome {
         let now = BootClock.now();
         let mut fleet = self.fleet.lock();
-        let (offer, adopted) = fleet.configuration.offer(published, now, Configuration::parse);
-        if let Some(configuration) = adopted {
+        let previous = fleet.base_configuration.take();
+        let check = |text: &str| self.read_configuration(text, previous.as_ref());
+        let (offer, adopted) = fleet.configuration.offer(published, now, check);
+        if let Some((configuration, adjustments)) = adopted {
+            log_adjustments(&adjustments, published);
             fleet.base_configuration = Some(configuration);
+            fleet.adjustments = adjustments;
             self.rebuild_routing(&mut fleet, now);
+        } else {
+            fleet.base_configuration = previous;
         }
         log_offer("configuration", offer, published, source, &fleet.configuration);
         drop(fleet);
@@ -54,6 +64,19 @@
         offer
     }
 
+    /// Reads a configuration. One that the source has validated is adjusted where it must be, and what
+    /// cannot be read of it keeps its form in `previous`.
+    fn read_configuration(
+        &self,
+        text: &str,
+        previous: Option<&Configuration>,
+    ) -> Result<(Configuration, Vec<Adjustment>), Mistakes> {
+        if self.is_source_validated {
+            return Configuration::parse_published(text, previous);
+        }
+        Configuration::parse(text).map(|configuration| (configuration, Vec::new()))
+    }
+
     /// Adopts a published list of discovered targets if it is newer than the list in force.
     pub(crate) fn offer_targets(&self, published: &Published, source: &str) -> OfferOutcome {
         let now = BootClock.now();
@@ -230,6 +253,17 @@
     gauge!(metric::ENTRIES_LEFT_OUT).set(now.left_out.len() as f64);
 }
 
+/// Logs up to [`ADJUSTMENT_LOG_LINES_MAX`] values of a configuration that are not in force as published.
+/// Also sets the gauge that counts them all.
+fn log_adjustments(adjustments: &[Adjustment], published: &Published) {
+    let revision = published.head().revision;
+    for Adjustment { place, found, used } in adjustments.iter().take(ADJUSTMENT_LOG_LINES_MAX) {
+        let (place, found, used) = (place.as_str(), found.as_str(), used.as_str());
+        warn!("configuration_adjusted", kv: { place, found, used, revision: = revision });
+    }
+    gauge!(metric::CONFIGURATION_ADJUSTMENTS).set(adjustments.len() as f64);
+}
+
 /// Logs each data hall that is newly drained or no longer drained.
 /// Also sets the gauge of drained halls.
 fn log_halls(previous: Option<&Configuration>, now: &Configuration) {
@@ -255,7 +289,8 @@
     match offer {
         OfferOutcome::Adopted => {
             info!("document_in_force", kv: {
-                document, epoch: = head.revision.epoch(), revision: = head.revision, digest: = head.digest, source
+                document, epoch: = head.revision.epoch(), revision: = head.revision, digest: = head.digest, source,
+                bytes = published.text().len()
             });
         }
         OfferOutcome::Conflicting => {
@@ -269,7 +304,8 @@
             counter!(metric::DOCUMENTS_REFUSED, "offer" => "rejected").increment(1);
             let mistakes = adoption.rejection().map_or("", |rejection| &rejection.mistakes);
             error!("document_rejected", kv: {
-                document, epoch: = head.revision.epoch(), revision: = head.revision, source, mistakes
+                document, epoch: = head.revision.epoch(), revision: = head.revision, source, bytes = published.text().len(),
+                mistakes
             });
         }
         OfferOutcome::Older => {
--- a/crates/thymeshift_lab/tests/planned_stop/forced.rs
+++ b/crates/thymeshift_lab/tests/planned_stop/forced.rs
@@ -136,6 +136,7 @@
     let stand_in = target(settings).await;
     let mut configuration = configuration(&[stand_in.ports.address], "", "");
     configuration.limits.header_read_timeout_ms = head_timeout.as_millis() as u64;
+    configuration.limits.idle_timeout_ms = head_timeout.as_millis() as u64;
     for kind in &mut configuration.kinds {
         // A crowd is served, not refused for overload.
         kind.queue_max = QUEUE_MAX;
--- a/crates/thymeshift_telemetry/src/metric.rs
+++ b/crates/thymeshift_telemetry/src/metric.rs
@@ -75,6 +75,8 @@
 pub const MEASURING_US: &str = "thymeshift_measuring_us_total";
 /// Revision of the configuration in force.
 pub const CONFIGURATION_REVISION: &str = "thymeshift_configuration_revision";
+/// Number of values of the configuration in force that are not as published.
+pub const CONFIGURATION_ADJUSTMENTS: &str = "thymeshift_configuration_adjustments";
 /// Number of drained data halls, whose targets receive no new requests.
 pub const DRAINED_HALLS: &str = "thymeshift_drained_halls";
 /// Number of invalid entries in the list of discovered targets; such entries are skipped.
--- a/crates/thymeshift_types/src/name.rs
+++ b/crates/thymeshift_types/src/name.rs
@@ -35,7 +35,7 @@
     },
 }
 
-fn validate(text: &str) -> Result<(), NameError> {
+fn validate(text: &str, is_allowed: fn(char) -> bool) -> Result<(), NameError> {
     if text.is_empty() {
         return Err(NameError::Empty);
     }
@@ -43,16 +43,22 @@
     if length > NAME_BYTES_MAX {
         return Err(NameError::TooLong { length });
     }
-    let is_allowed =
-        |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || matches!(c, '-' | '_' | '.');
     match text.chars().find(|&c| !is_allowed(c)) {
         Some(character) => Err(NameError::BadCharacter { character }),
         None => Ok(()),
     }
 }
 
+fn is_name_character(c: char) -> bool {
+    c.is_ascii_lowercase() || c.is_ascii_digit() || matches!(c, '-' | '_' | '.')
+}
+
+fn is_header_character(c: char) -> bool {
+    c.is_ascii_graphic() && !matches!(c, '"' | '\'' | '\\' | ',')
+}
+
 macro_rules! name_type {
-    ($(#[$doc:meta])* $name:ident) => {
+    ($(#[$doc:meta])* $name:ident, $is_allowed:path) => {
         $(#[$doc])*
         #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
         #[serde(try_from = "String")]
@@ -61,7 +67,7 @@
         impl $name {
             /// Validates `text` and returns it as a name.
             pub fn new(text: &str) -> Result<Self, NameError> {
-                validate(text)?;
+                validate(text, $is_allowed)?;
                 Ok(Self(Arc::from(text)))
             }
 
@@ -95,25 +101,26 @@
 
 name_type! {
     /// Name of a service: a group of interchangeable targets.
-    ServiceName
+    ServiceName, is_name_character
 }
 name_type! {
     /// Name of a target: one backend server of a service.
-    TargetName
+    TargetName, is_name_character
 }
 name_type! {
     /// Name of a request kind: requests with the same priority, deadline and retry policy.
-    KindName
+    KindName, is_name_character
 }
 name_type! {
     /// Name of a VM that runs an entry process.
-    VmName
+    VmName, is_name_character
 }
 name_type! {
     /// Name of a data hall.
-    DataHallName
+    DataHallName, is_name_character
 }
 name_type! {
-    /// Name of an organisation: a customer with its own API keys and request quota.
-    OrganisationName
+    /// Name of an organisation: a customer with its own API keys and request quota. It is sent to targets
+    /// as it is, so it may hold any visible ASCII character but quotes, backslashes and commas.
+    OrganisationName, is_header_character
 }
--- a/crates/thymeshift_wire/src/codec.rs
+++ b/crates/thymeshift_wire/src/codec.rs
@@ -16,12 +16,13 @@
 use flate2::write::DeflateEncoder;
 use serde::Deserialize;
 use serde::Serialize;
+use thymeshift_config::TEXT_BYTES_MAX;
 use tokio_serde::Deserializer;
 use tokio_serde::Serializer;
 
 /// Maximum size of a message before compression, in bytes.
-/// A message holds a document of up to one MiB and the fields around the document.
-pub(crate) const MESSAGE_BYTES_MAX: usize = 2 * 1_024 * 1_024;
+/// A message holds a document of the maximum size and the fields around the document.
+pub(crate) const MESSAGE_BYTES_MAX: usize = TEXT_BYTES_MAX + 64 * 1_024;
 /// Size above which a message is compressed, in bytes.
 const COMPRESSED_FROM_BYTES: usize = 1_024;
 /// First byte of a frame with an uncompressed message.
