A quiet process no longer takes its quiet for lost links

Unsafe requests were answered, but the process counted its links as lost.

Cause: silence was taken for evidence where nothing was due to arrive (`evidence=unanswered failed_connects=0 answered_ago_ms=650`), and the judgement ended work whatever its evidence was. Ruled out: the stop itself (the same without one), and the peer's answer (it does reach the backend).

Lost links end no attempt: a second one goes another way and the first answer counts. An attempt is given up only if probes went unanswered, too, for a second.

Why it works: on a quiet machine the probe is answered, which clears the suspicion; where there is no probe, a wrong judgement costs a second attempt.

--- a/crates/thymeshift_entry/src/caller/forward.rs
+++ b/crates/thymeshift_entry/src/caller/forward.rs
@@ -31,7 +31,8 @@
 use thymeshift_types::Timestamp;
 use thymeshift_wire::CallContext;
 use thymeshift_wire::Dialect;
-use tokio::time::sleep;
+use tokio::sync::Notify;
+use tokio::time::timeout;
 
 use crate::caller::quarantine::RequestQuarantine;
 use crate::organisations::Identity;
@@ -289,7 +290,8 @@
         }
     }
 
-    /// Runs one attempt, and for kinds with hedging a second, parallel one after the hedge delay.
+    /// Runs one attempt, and a second, parallel one after the hedge delay of the kind, or if the links
+    /// over which the first was sent are judged lost.
     async fn attempt(
         &self,
         grant: GrantGuard,
@@ -297,14 +299,15 @@
         attempts: &mut u64,
         tried: Tried,
     ) -> AttemptResult {
-        let hedge_after = Duration::from_millis(self.kind.kind.hedge_after_ms);
-        let copy = if hedge_after.is_zero() { None } else { body.try_copy() };
+        let is_repeatable = self.kind.kind.repeat == Repeat::Safe;
+        let copy = if is_repeatable { body.try_copy() } else { None };
         let first_target = grant.target();
-        let first = Box::pin(self.send(grant, body, *attempts));
+        let other_path_due = Arc::new(Notify::new());
+        let first = Box::pin(self.send(grant, body, *attempts, &other_path_due));
         let Some(copy) = copy else {
             return first.await;
         };
-        let first = match select(first, Box::pin(sleep(hedge_after))).await {
+        let first = match select(first, Box::pin(self.second_attempt_due(&other_path_due))).await {
             Either::Left((answered, _)) => return answered,
             Either::Right(((), first)) => first,
         };
@@ -317,7 +320,7 @@
         };
         *attempts += 1;
         self.kind.metrics.retries.add_one();
-        let second = Box::pin(self.send(grant, copy, *attempts));
+        let second = Box::pin(self.send(grant, copy, *attempts, &other_path_due));
         // The first successful response wins; dropping the other attempt cancels it.
         let (failed, other_attempt) = match select(first, second).await {
             Either::Left((Err(failed), second)) => (failed, second),
@@ -327,6 +330,16 @@
         other_attempt.await.map_err(|last| if may_have_run(&last) { last } else { failed })
     }
 
+    /// Waits until the first attempt should be joined by a second one.
+    async fn second_attempt_due(&self, other_path_due: &Notify) {
+        let hedge_after = Duration::from_millis(self.kind.kind.hedge_after_ms);
+        if hedge_after.is_zero() {
+            return other_path_due.notified().await;
+        }
+        // Either event is reason enough.
+        let _ = timeout(hedge_after, other_path_due.notified()).await;
+    }
+
     /// Obtains a target for a hedged attempt, without waiting in the queue.
     async fn hedge_grant(&self, attempts: u64, tried: Tried) -> Option<GrantGuard> {
         let is_allowed = self.kind.kind.repeat == Repeat::Safe && attempts < self.attempts_max;
@@ -337,7 +350,13 @@
         self.service.obtain(&self.shared, &without_queue).await.ok()
     }
 
-    async fn send(&self, grant: GrantGuard, body: RequestBody, attempt: u64) -> AttemptResult {
+    async fn send(
+        &self,
+        grant: GrantGuard,
+        body: RequestBody,
+        attempt: u64,
+        other_path_due: &Arc<Notify>,
+    ) -> AttemptResult {
         let freshness = match self.kind.kind.repeat {
             Repeat::Safe => Freshness::Any,
             Repeat::Unsafe => Freshness::New,
@@ -354,6 +373,7 @@
             deadline: self.deadline,
             context,
             id: attempt_id(),
+            other_path_due: other_path_due.clone(),
             freshness,
             body_stall: self.body_stall,
             request_id: self.request_id.clone(),
--- a/crates/thymeshift_entry/src/process.rs
+++ b/crates/thymeshift_entry/src/process.rs
@@ -268,7 +268,7 @@
     let data = Supervisor::new("data", statuses.clone())
         .with_task(callers)
         .with_task(shared_task("ticker", shared, run_ticker))
-        .with_task(shared_task("link_trials", shared, run_link_trials))
+        .with_task(shared_task("link_trials", shared, run_link_trials::<E::Dialect>))
         .with_task(prober);
     // With a datagram socket, heartbeats assign the reader of the source; otherwise leases do.
     let reader = if shared.allocation.socket().is_some() {
--- a/crates/thymeshift_entry/src/target_client/attempt.rs
+++ b/crates/thymeshift_entry/src/target_client/attempt.rs
@@ -25,7 +25,8 @@
 use thymeshift_wire::AttemptHead;
 use thymeshift_wire::CallContext;
 use thymeshift_wire::Dialect;
-use tokio::time::sleep;
+use tokio::sync::Notify;
+use tokio::time::timeout;
 
 use crate::service::Destination;
 use crate::service::GrantGuard;
@@ -46,6 +47,10 @@
 use crate::target_client::pool::Connection;
 use crate::target_client::statements::TargetStatements;
 
+/// Time for which links must be silent until a request that may be repeated is given up. Two trials of
+/// the links, either of which ends a false alarm.
+const GIVE_UP_AFTER: Duration = Duration::from_secs(1);
+
 /// Whether an attempt may reuse an idle connection of the pool.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Freshness {
@@ -67,6 +72,8 @@
     pub(crate) context: CallContext,
     /// Identifier of this attempt, sent to the target.
     pub(crate) id: HeaderValue,
+    /// Notified when the attempt should be repeated over another path, while it goes on.
+    pub(crate) other_path_due: Arc<Notify>,
     pub(crate) freshness: Freshness,
     pub(crate) body_stall: Duration,
     /// Identifier of the caller's request, the same for all its attempts.
@@ -130,7 +137,7 @@
         let left = BootClock.now().until(plan.deadline);
         let limit = Duration::from_millis(service.settings().connect_timeout_ms).min(left);
         if self.takes_trial(plan)
-            && let Ok(connection) = service.pool().connect_trial(destination.address, limit).await
+            && let Ok(connection) = service.pool().connect_direct(destination.address, limit).await
         {
             return Ok(connection);
         }
@@ -196,13 +203,12 @@
         let arrival = Arrival { notifier: &shared.pause_notifier, task, deadline };
         let path = connection.path();
         let gives_up = plan.freshness == Freshness::Any && path == Path::Direct;
-        let is_trial = connection.is_trial();
         let waiting = (path == Path::Direct && is_whole)
             .then(|| record_sent(&shared, &destination, began_at, self.grant.expected()));
         let sent = tokio::select! {
             biased;
             sent = arrival.of(sending) => sent,
-            () = given_up(&shared, is_trial), if gives_up => {
+            () = given_up(&shared, &plan.other_path_due), if gives_up => {
                 return Err(self.abandoned(&destination).into());
             }
         };
@@ -341,22 +347,25 @@
     shared.connector.links().record_sent(request)
 }
 
-/// Waits until a request that may be repeated is given up.
-async fn given_up(shared: &Shared, is_trial: bool) {
-    if is_trial {
-        sleep(shared.connector.links().answer_patience()).await;
-    } else {
-        links_silent(shared).await;
+/// Waits until a request that may be repeated is given up: targets leave requests and checks unanswered,
+/// for [`GIVE_UP_AFTER`]. Before, and if there is only silence, asks for an attempt over another path and
+/// waits on: the links may have been misjudged, and then the target still works on the request.
+async fn given_up(shared: &Shared, other_path_due: &Notify) {
+    let links = shared.connector.links();
+    let mut state = links.state();
+    loop {
+        // The sender lives as long as `shared`, so the waits cannot fail.
+        let _ = state.wait_for(|state| *state == LinkState::Silent).await;
+        other_path_due.notify_one();
+        let restored = state.wait_for(|state| *state != LinkState::Silent);
+        if !links.is_silence_checked() {
+            let _ = restored.await;
+        } else if timeout(GIVE_UP_AFTER, restored).await.is_err() {
+            return;
+        }
     }
 }
 
-/// Waits until nothing arrives on any of this process's connections to targets.
-async fn links_silent(shared: &Shared) {
-    let mut state = shared.connector.links().state();
-    // The sender lives as long as `shared`, so the wait cannot fail.
-    let _ = state.wait_for(|state| *state == LinkState::Silent).await;
-}
-
 fn observation(
     answer_class: AnswerClass,
     statements: &TargetStatements,
--- a/crates/thymeshift_entry/src/target_client/connector.rs
+++ b/crates/thymeshift_entry/src/target_client/connector.rs
@@ -294,12 +294,11 @@
         }
     }
 
-    /// Asks peers whether they reach a target that does not answer this process.
-    pub(crate) async fn ask_about_silence(&self, connect: Connect<'_>) {
-        if let Ok(relayed) = self.relays.open(connect, &self.links).await {
-            let answer = PeerAnswer { took: relayed.took, limit: connect.limit };
-            self.links.record_silent_target_reached(connect.target, answer);
-        }
+    /// Asks peers whether they reach a target that does not answer this process. Returns the answer of
+    /// a peer that does.
+    pub(crate) async fn ask_about_silence(&self, connect: Connect<'_>) -> Option<PeerAnswer> {
+        let relayed = self.relays.open(connect, &self.links).await.ok()?;
+        Some(PeerAnswer { took: relayed.took, limit: connect.limit })
     }
 
     fn record_connected(&self) {
--- a/crates/thymeshift_entry/src/target_client/link_monitor.rs
+++ b/crates/thymeshift_entry/src/target_client/link_monitor.rs
@@ -1,6 +1,8 @@
 //! Records how this process's own connections to targets fare, and logs when it reaches no target.
 
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use metrics::counter;
@@ -57,6 +59,8 @@
 pub(crate) struct LinkMonitor {
     links: Mutex<TargetLinks>,
     state: watch::Sender<LinkState>,
+    /// Whether a target also left a check unanswered when the links were judged lost.
+    is_checked: AtomicBool,
     /// Time until which no path to a target is expected to exist.
     no_path_until: Mutex<Option<Timestamp>>,
 }
@@ -140,9 +144,16 @@
         self.links.lock().may_be_unanswered(BootClock.now())
     }
 
-    /// Records that a peer reached a target that does not answer.
-    pub(super) fn record_silent_target_reached(&self, target: SocketAddr, answer: PeerAnswer) {
+    /// Records that a peer reached a target that does not answer. `is_checked` tells whether the target
+    /// left a check unanswered, too.
+    pub(super) fn record_silent_target_reached(
+        &self,
+        target: SocketAddr,
+        answer: PeerAnswer,
+        is_checked: bool,
+    ) {
         let now = BootClock.now();
+        self.is_checked.store(is_checked, Ordering::Relaxed);
         let change = self.links.lock().record_silent_target_reached(target, answer, now);
         self.apply(change);
     }
@@ -152,11 +163,6 @@
         self.is_lost() && self.links.lock().take_answer_trial(by, BootClock.now())
     }
 
-    /// Returns the time for which a request that tries the links waits for its answer.
-    pub(super) fn answer_patience(&self) -> Duration {
-        self.links.lock().answer_patience()
-    }
-
     /// Returns whether an accepted connection restores the links.
     pub(super) fn is_restored_by_connect(&self) -> bool {
         self.links.lock().is_restored_by_connect(BootClock.now())
@@ -186,6 +192,13 @@
         *self.state.borrow() == LinkState::Silent
     }
 
+    /// Returns whether requests on open connections are known to wait in vain, from a check and not only
+    /// from silence. Open connections may live on while new ones fail.
+    pub(super) fn is_silence_checked(&self) -> bool {
+        let is_unanswered = self.links.lock().evidence_of_loss() == Some(LossEvidence::Unanswered);
+        is_unanswered && self.is_checked.load(Ordering::Relaxed)
+    }
+
     /// Returns the state, which changes are received from.
     pub(crate) fn state(&self) -> watch::Receiver<LinkState> {
         self.state.subscribe()
--- a/crates/thymeshift_entry/src/target_client/pool.rs
+++ b/crates/thymeshift_entry/src/target_client/pool.rs
@@ -89,8 +89,6 @@
     idle_max: Option<Duration>,
     /// Whether dropping this value closes the connection.
     is_in_use: bool,
-    /// Whether a request on the connection tries the own links, which count as lost.
-    is_trial: bool,
 }
 
 impl Pool {
@@ -151,17 +149,6 @@
         self.handshake(connection, OpenedConnection::direct(stream)).await
     }
 
-    /// Opens a connection over this process's own links for a request that tries them.
-    pub(crate) async fn connect_trial(
-        self: &Arc<Self>,
-        address: SocketAddr,
-        limit: Duration,
-    ) -> Result<Connection, ConnectError> {
-        let mut connection = self.connect_direct(address, limit).await?;
-        connection.is_trial = true;
-        Ok(connection)
-    }
-
     /// Tries this process's own links to a target, and keeps the connection if it lasts.
     pub(crate) async fn try_links(
         self: &Arc<Self>,
@@ -262,7 +249,6 @@
             path: Path::Direct,
             idle_max: None,
             is_in_use: true,
-            is_trial: false,
         }
     }
 
@@ -321,10 +307,6 @@
         matches!(timeout(READY_LIMIT, sender.ready()).await, Ok(Ok(())))
     }
 
-    pub(crate) fn is_trial(&self) -> bool {
-        self.is_trial
-    }
-
     /// Records that bytes of an answer's body arrived.
     pub(crate) fn record_body(&self) {
         self.pool.record_body(self);
--- a/crates/thymeshift_entry/src/target_client/probe.rs
+++ b/crates/thymeshift_entry/src/target_client/probe.rs
@@ -29,6 +29,7 @@
 use crate::service::ServiceRuntime;
 use crate::shared::Shared;
 use crate::target_client::RequestBody;
+use crate::target_client::pool::Connection;
 
 /// Interval between two scans for due probes.
 const PROBE_SCAN_INTERVAL: Duration = Duration::from_millis(20);
@@ -116,7 +117,7 @@
 }
 
 /// Returns whether an operator's order stops the probes of the service.
-fn is_paused(shared: &Shared, service: &ServiceName) -> bool {
+pub(super) fn is_paused(shared: &Shared, service: &ServiceName) -> bool {
     let subject = OrderSubject::Probing(service.clone());
     shared.fleet.lock().orders.is_stopped(&subject, BootClock.now())
 }
@@ -171,7 +172,6 @@
 /// lost its links, since the missing answer would say nothing about the target. Only links that were
 /// lost for missing answers are tried by a probe from time to time.
 /// Also returns `None` on any error, or if the answer reports no load.
-/// Records a backoff that the answer requests.
 pub(super) async fn send_probe<D: Dialect>(
     service: &Arc<ServiceRuntime>,
     destination: &Destination,
@@ -183,10 +183,43 @@
     }
     let address = destination.address;
     let pool = service.pool();
-    let mut connection = match pool.idle(address).await {
+    let connection = match pool.idle(address).await {
         Some(connection) => connection,
         None => pool.connect_direct(address, limit).await.ok()?,
     };
+    exchange::<D>(service, destination, probe, connection).await?
+}
+
+/// Sends one probe over a new connection of this process's own, to learn whether the target answers it.
+/// An open connection could have gone silent by itself.
+///
+/// Returns `None` if no connection opens or lasts, or if the target is in a backoff.
+pub(super) async fn send_check<D: Dialect>(
+    service: &Arc<ServiceRuntime>,
+    destination: &Destination,
+    probe: &Probe,
+) -> Option<()> {
+    if service.is_backing_off(&destination.name) {
+        return None;
+    }
+    let limit = Duration::from_millis(service.settings().connect_timeout_ms);
+    let connection = service.pool().connect_direct(destination.address, limit).await.ok()?;
+    let name = service.name().as_str().to_owned();
+    counter!(metric::PROBES, "service" => name.clone()).increment(1);
+    counter!(metric::MEASURING_US, "service" => name).increment(probe.cost_us);
+    exchange::<D>(service, destination, probe, connection).await.map(drop)
+}
+
+/// Sends a probe over `connection` and returns the load that the answer reports, or `None` if no answer
+/// arrives. Records a backoff that the answer requests.
+async fn exchange<D: Dialect>(
+    service: &ServiceRuntime,
+    destination: &Destination,
+    probe: &Probe,
+    mut connection: Connection,
+) -> Option<Option<LoadReport>> {
+    let pool = service.pool();
+    let address = destination.address;
     let host = HeaderValue::try_from(address.to_string()).ok()?;
     let request = Request::get(probe.path.as_str()).header(http::header::HOST, host);
     let request = request.body(RequestBody::Whole(Bytes::new())).ok()?;
@@ -199,5 +232,5 @@
     if http_body_util::BodyExt::collect(response.into_body()).await.is_ok() {
         connection.put_back();
     }
-    report
+    Some(report)
 }
--- a/crates/thymeshift_links/src/target_links.rs
+++ b/crates/thymeshift_links/src/target_links.rs
@@ -10,8 +10,10 @@
 //! for this process.
 //!
 //! A path may also accept connections and answer nothing. The links count as lost, too, if no target
-//! answers the requests sent to it, nothing at all arrives, and a peer reaches such a target. Then only
-//! an answer restores them, because connections are accepted all the time.
+//! answers the requests sent to it, nothing at all arrives, and a peer reaches such a target. A process
+//! without other traffic hears nothing either while targets work on slow requests, so the caller of this
+//! judgement first checks that the target answers no probe. Then only an answer restores the links,
+//! because connections are accepted all the time.
 //!
 //! Open connections may live on while new ones fail, so they are judged separately, by answers.
 
@@ -231,8 +233,9 @@
         self.record_arrival(now)
     }
 
-    /// Returns a target that a peer should now be asked about, because targets do not answer. If the
-    /// peer reaches it, [`TargetLinks::record_silent_target_reached`] decides.
+    /// Returns a target that should now be checked with a probe and that a peer should be asked about,
+    /// because targets do not answer. If the peer reaches it and it does not answer the probe,
+    /// [`TargetLinks::record_silent_target_reached`] decides.
     pub fn take_silent_target(&mut self, now: Timestamp) -> Option<SocketAddr> {
         if now < self.ask_due_at {
             return None;
@@ -291,11 +294,6 @@
         })
     }
 
-    /// Returns the time for which a request that tries the links waits for its answer.
-    pub fn answer_patience(&self) -> Duration {
-        self.unanswered.patience()
-    }
-
     /// Judges the links again, because a silence may have become long enough since the last record.
     pub fn judge(&mut self, now: Timestamp) -> Option<LinkChange> {
         if self.loss.is_some() {
@@ -311,6 +309,11 @@
         self.loss.is_some()
     }
 
+    /// Returns what decided that the links are lost, if they are.
+    pub fn evidence_of_loss(&self) -> Option<LossEvidence> {
+        self.loss.map(|loss| loss.evidence)
+    }
+
     /// Returns whether the links are lost for open connections, too, so that requests on them wait
     /// in vain. Open connections may live on while new ones are refused.
     pub fn are_open_silent(&self, now: Timestamp) -> bool {
