Bodies of unknown length reach the backend whatever the method

Cause: the framing of the caller's connection is removed with its headers and nothing states it for the connection to the backend; hyper's client then sends GET and HEAD without a body. Evidence: POST with the same bytes arrives whole. Ruled out by it: the caller's side losing or ending the body early.

Change: a body of unknown length is sent in stated chunks. A Content-Length beside a coding is not passed on.

Why it works: hyper takes the body's framing from the headers if they state it, for every method.

--- a/crates/thymeshift_entry/src/caller/handler.rs
+++ b/crates/thymeshift_entry/src/caller/handler.rs
@@ -165,6 +165,10 @@
         let identity = self.identify::<D>(&mut parts, &routing.keys, &kind)?;
         self.identity.clone_from(&identity);
         self.admit().await?;
+        if has_unknown_length(incoming.as_ref()) {
+            // The coding decides about the length (RFC 9112, 6.3), and the body may be sent without it.
+            parts.headers.remove(header::CONTENT_LENGTH);
+        }
         let body = read_body(incoming, body_limits(limits), self.caller).await?;
         let key = identity.as_ref().map(|identity| identity.digest);
         let fingerprint = fingerprint_of(&parts, key, &body);
@@ -329,6 +333,10 @@
     }
 }
 
+fn has_unknown_length(body: Option<&Incoming>) -> bool {
+    body.is_some_and(|body| body.size_hint().exact().is_none())
+}
+
 /// Returns whether the number of `Host` headers is valid: exactly one in HTTP/1.1 (RFC 9112, 3.2).
 /// With two `Host` headers, this process and the target might use different ones.
 fn has_one_host(parts: &Parts) -> bool {
--- a/crates/thymeshift_entry/src/target_client/attempt.rs
+++ b/crates/thymeshift_entry/src/target_client/attempt.rs
@@ -7,6 +7,7 @@
 use http::HeaderValue;
 use http::Request;
 use http::Response;
+use http::header::TRANSFER_ENCODING;
 use spdlog::info;
 use thymeshift_dispatch::LoadReport;
 use thymeshift_dispatch::Observation;
@@ -192,6 +193,10 @@
             context: CallContext { timeout: Some(left), ..context },
             organisation: plan.organisation.as_ref(),
         };
+        if request.body().is_of_unknown_length() {
+            // Without a stated framing, hyper sends GET and HEAD requests without their body.
+            request.headers_mut().insert(TRANSFER_ENCODING, HeaderValue::from_static("chunked"));
+        }
         D::write_attempt(request.headers_mut(), &attempt);
         let task = connection.task();
         let Some(sender) = connection.sender() else {
--- a/crates/thymeshift_entry/src/target_client/body.rs
+++ b/crates/thymeshift_entry/src/target_client/body.rs
@@ -48,6 +48,8 @@
 }
 
 pub(crate) struct StreamingBody {
+    /// Start of the body, which was read before; empty once it is sent.
+    start: Bytes,
     incoming: Incoming,
     limits: BodyLimits,
     remaining_bytes: u64,
@@ -55,10 +57,16 @@
 }
 
 impl RequestBody {
-    pub(crate) fn streaming(incoming: Incoming, limits: BodyLimits) -> Self {
-        let remaining_bytes = limits.bytes_max;
+    /// Returns the body that starts with `start` and goes on with `incoming`.
+    pub(crate) fn streaming(start: Bytes, incoming: Incoming, limits: BodyLimits) -> Self {
+        let remaining_bytes = limits.bytes_max.saturating_sub(start.len() as u64);
         let stall = StallTimer::new(limits.stall);
-        Self::Streaming(Box::new(StreamingBody { incoming, limits, remaining_bytes, stall }))
+        Self::Streaming(Box::new(StreamingBody { start, incoming, limits, remaining_bytes, stall }))
+    }
+
+    /// Returns whether the length is unknown, so that the body must be sent in chunks.
+    pub(crate) fn is_of_unknown_length(&self) -> bool {
+        self.size_hint().exact().is_none()
     }
 
     /// Returns a copy for another attempt, or `None` if the body can be sent only once.
@@ -75,6 +83,9 @@
         &mut self,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if !self.start.is_empty() {
+            return Poll::Ready(Some(Ok(Frame::data(std::mem::take(&mut self.start)))));
+        }
         let frame = match Pin::new(&mut self.incoming).poll_frame(context) {
             Poll::Ready(frame) => frame,
             Poll::Pending => {
@@ -121,14 +132,25 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Whole(bytes) => bytes.is_empty(),
-            Self::Streaming(streaming) => streaming.incoming.is_end_stream(),
+            Self::Streaming(streaming) => {
+                streaming.start.is_empty() && streaming.incoming.is_end_stream()
+            }
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
-            Self::Streaming(streaming) => streaming.incoming.size_hint(),
+            Self::Streaming(streaming) => {
+                let rest = streaming.incoming.size_hint();
+                let start_bytes = streaming.start.len() as u64;
+                let mut hint = SizeHint::new();
+                hint.set_lower(rest.lower() + start_bytes);
+                if let Some(upper) = rest.upper() {
+                    hint.set_upper(upper + start_bytes);
+                }
+                hint
+            }
         }
     }
 }
--- a/crates/thymeshift_lab/tests/http2.rs
+++ b/crates/thymeshift_lab/tests/http2.rs
@@ -2,10 +2,16 @@
 
 mod support;
 
+use std::convert::Infallible;
+
 use bytes::Bytes;
+use futures::stream::iter;
+use http::Method;
 use http::Request;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioIo;
 use thymeshift_lab::experiment::SingleEntry;
@@ -44,3 +50,35 @@
     });
     futures::future::join_all(calls).await;
 }
+
+/// Guards against a body without a stated length that does not reach the target, because the request to
+/// the target goes over HTTP/1.1, where the framing of the body must be stated.
+#[tokio::test]
+async fn a_body_without_a_length_reaches_the_target() {
+    let stand_in = quick_target().await;
+    let configuration = configuration(&[stand_in.ports.address], "", "");
+    let single = SingleEntry::start(&configuration).await.expect("a process");
+    let caller = single.entry.address("caller").expect("an address");
+    let stream = TcpStream::connect(caller).await.expect("a connection");
+    let handshake =
+        hyper::client::conn::http2::handshake(TokioExecutor::new(), TokioIo::new(stream));
+    let (mut sender, driving) = handshake.await.expect("HTTP/2");
+    tokio::spawn(driving);
+    for (method, path) in
+        [(Method::GET, "/r?nonce=1&bytes=30"), (Method::POST, "/w?nonce=2&bytes=30")]
+    {
+        for length in [5, 90_000] {
+            let body = vec![b'b'; length];
+            let frames = body
+                .chunks(4_096)
+                .map(|part| Ok::<_, Infallible>(Frame::data(part.to_vec().into())));
+            let frames: Vec<Result<Frame<Bytes>, Infallible>> = frames.collect();
+            let request = Request::builder().method(&method).uri(format!("http://{caller}{path}"));
+            let request = request.body(StreamBody::new(iter(frames))).expect("a request");
+            let response = sender.send_request(request).await.expect("an answer");
+            assert_eq!(response.status(), 200, "{method} {length}");
+            let answer = response.into_body().collect().await.expect("a body").to_bytes();
+            assert_eq!(answer.as_ref(), expected_answer(path, &body, 30), "{method} {length}");
+        }
+    }
+}
