A second stop signal leaves requests in flight their time

What callers saw: an unsafe request in flight got no answer, as the second SIGTERM skipped the lag and the time for requests began at once, so that the process ended earlier by the lag. Cause: the bound was counted from the end of the lag. Change: it is counted from the first signal, lag and time for requests together; the process still ends as soon as it is drained.

Test red before: a_second_stop_signal_shortened_the_time_of_requests_in_flight (no answer); green after. Why it works: a skipped lag moves no deadline.

--- a/crates/thymeshift_entry/src/process.rs
+++ b/crates/thymeshift_entry/src/process.rs
@@ -30,6 +30,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout;
+use tokio::time::timeout_at;
 
 use crate::caller::run_listener;
 use crate::control_plane::announce_shutdown;
@@ -188,15 +189,15 @@
 ) -> Exit {
     set_phase(shared, Phase::Stopping);
     let lag = Duration::from_millis(shared.settings().stop_readiness_lag_ms);
-    let bound = shared.settings().stop_wait();
+    // A skipped lag does not shorten the time for requests in flight.
+    let bound_ends_at = Instant::now() + lag + shared.settings().stop_wait();
     tokio::select! {
         () = sleep(lag) => {}
         () = stop_signals.next() => warn!("stop_lag_skipped"),
         exit = wait_for_escalation(running) => return exit,
     }
     closing.send_replace(true);
-    let bound_ends_at = Instant::now() + bound;
-    let is_drained = timeout(bound, drained(shared)).await.is_ok();
+    let is_drained = timeout_at(bound_ends_at, drained(shared)).await.is_ok();
     // Peers detect the stop without this notice too, so the stop bound does not wait for it.
     let notice = timeout(STOP_NOTICE_TIMEOUT, announce_shutdown(shared));
     let _ = tokio::join!(notice, close_ports(shared, bound_ends_at));
