Request ids reach the backend as they were sent

What callers saw: an id of more than 64 bytes, or with a byte that is not visible ASCII, was replaced by one of the process's own, and the backend ran an id that no client sent. Cause: the bound of log lines and messages between processes was applied to the id itself. Change: the id passes unaltered; only its visible start, 64 bytes at most, goes into log lines and messages.

--- a/crates/thymeshift_entry/src/caller/forward.rs
+++ b/crates/thymeshift_entry/src/caller/forward.rs
@@ -31,6 +31,7 @@
 use thymeshift_types::Timestamp;
 use thymeshift_wire::CallContext;
 use thymeshift_wire::Dialect;
+use thymeshift_wire::loggable_id;
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
@@ -164,7 +165,7 @@
         if !self.shared.allows_request_log_line() {
             return;
         }
-        let request_id = self.request_id.to_str().unwrap_or_default();
+        let request_id = loggable_id(&self.request_id);
         let left_ms = BootClock.now().until(self.deadline).as_millis() as u64;
         info!("attempt_failed", kv: {
             request_id, fingerprint: = self.quarantine.fingerprint(),
@@ -251,7 +252,7 @@
         self.kind.metrics.record_local_wait(result);
         let now = BootClock.now();
         if result != LocalWaitResult::Home && request.local_wait_left(now).is_zero() {
-            let request_id = self.request_id.to_str().unwrap_or_default();
+            let request_id = loggable_id(&self.request_id);
             debug!("local_wait_ended", kv: {
                 request_id, kind = self.kind.kind.name.as_str(),
                 service: = self.service.name(), result: = result,
--- a/crates/thymeshift_entry/src/caller/handler.rs
+++ b/crates/thymeshift_entry/src/caller/handler.rs
@@ -37,6 +37,7 @@
 use thymeshift_wire::CallContext;
 use thymeshift_wire::Dialect;
 use thymeshift_wire::headers;
+use thymeshift_wire::loggable_id;
 
 use crate::caller::fingerprint::fingerprint_of;
 use crate::caller::forward::Forward;
@@ -52,8 +53,6 @@
 use crate::shared::Shared;
 use crate::target_client::BodyLimits;
 
-/// Maximum length in bytes of a request id that is accepted from a caller.
-const REQUEST_ID_BYTES_MAX: usize = 64;
 /// Retry delay of callers that are refused because this process has no configuration yet.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(200);
 
@@ -99,7 +98,7 @@
             return;
         }
         let taken_us = BootClock.now().since(self.accepted_at).as_micros() as u64;
-        let request_id = self.request_id.to_str().unwrap_or_default();
+        let request_id = loggable_id(&self.request_id);
         let kind = self.kind.as_ref().map_or("", |kind| kind.kind.name.as_str());
         let fingerprint = self.fingerprint_text();
         let organisation = self.organisation();
@@ -286,7 +285,7 @@
     fn record(&mut self, result: &Result<Response<ResponseBody>, Failure>) {
         self.is_recorded = true;
         let taken = BootClock.now().since(self.accepted_at);
-        let request_id = self.request_id.to_str().unwrap_or_default();
+        let request_id = loggable_id(&self.request_id);
         let kind = self.kind.as_ref().map_or("", |kind| kind.kind.name.as_str());
         if let Some(kind) = &self.kind {
             kind.metrics.duration_seconds.record(taken);
@@ -347,15 +346,10 @@
     }
 }
 
-/// Returns the caller's request id if it is printable ASCII of bounded length, else a random one.
+/// Returns the caller's request id as it was sent, or a random one if the request has none.
 fn request_id(map: &HeaderMap) -> HeaderValue {
     let given = map.get(headers::REQUEST_ID);
-    let is_usable = |value: &&HeaderValue| {
-        let bytes = value.as_bytes();
-        let is_short = (1..=REQUEST_ID_BYTES_MAX).contains(&bytes.len());
-        is_short && bytes.iter().all(u8::is_ascii_graphic)
-    };
-    if let Some(value) = given.filter(is_usable) {
+    if let Some(value) = given.filter(|value| !value.is_empty()) {
         return value.clone();
     }
     let id = rand::rng().random::<u64>();
--- a/crates/thymeshift_entry/src/target_client/attempt.rs
+++ b/crates/thymeshift_entry/src/target_client/attempt.rs
@@ -26,6 +26,7 @@
 use thymeshift_wire::AttemptHead;
 use thymeshift_wire::CallContext;
 use thymeshift_wire::Dialect;
+use thymeshift_wire::loggable_id;
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
@@ -147,7 +148,7 @@
         {
             return Ok(connection);
         }
-        let request_id = plan.request_id.to_str().unwrap_or_default();
+        let request_id = loggable_id(&plan.request_id);
         let connected = service.pool().connect(destination.address, limit, request_id).await;
         if let Err(error) = &connected
             && self.shared.allows_request_log_line()
@@ -227,7 +228,7 @@
             Some(Err(mut error)) => {
                 let unsent = error.take_message().map(Request::into_body);
                 let broken = Broken { path, unsent, error: error.error(), began_at };
-                let request_id = plan.request_id.to_str().unwrap_or_default();
+                let request_id = loggable_id(&plan.request_id);
                 return Err(self.connection_broken(&destination, broken, request_id).await.into());
             }
             Some(Ok(response)) => response,
@@ -263,7 +264,7 @@
             }
             Some(Ok(response)) => return Ok(response),
             Some(Err(_)) => {
-                let request_id = plan.request_id.to_str().unwrap_or_default();
+                let request_id = loggable_id(&plan.request_id);
                 crash = detect_crash(&pool, &destination, incarnation, began_at, request_id).await;
                 Failure::new(Outcome::Unknown, Reason::ConnectionLost, Step::AnswerBody, peer)
             }
@@ -318,7 +319,7 @@
         if !self.shared.allows_request_log_line() {
             return;
         }
-        let request_id = request_id.to_str().unwrap_or_default();
+        let request_id = loggable_id(request_id);
         let late = BootClock.now().since(began_at + left);
         info!("attempt_timed_out", kv: {
             request_id, target: = destination.name, obtained_by = self.grant.obtained_by(),
--- a/crates/thymeshift_wire/src/native.rs
+++ b/crates/thymeshift_wire/src/native.rs
@@ -31,6 +31,7 @@
 use crate::key_header::take_bearer_key;
 use crate::load_header;
 use crate::rate_header::read_rate_limit;
+use crate::request_id::loggable_id;
 use crate::retry_after::read_retry_after;
 
 /// Dialect of callers and targets that use the `thymeshift-*` headers.
@@ -127,7 +128,7 @@
     fn failure(failure: &Failure, request_id: &HeaderValue) -> Response<Vec<u8>> {
         let retry_after_ms = failure.retry_after.map(|after| after.as_millis() as u64);
         let text = FailureBody {
-            request_id: request_id.to_str().unwrap_or_default(),
+            request_id: loggable_id(request_id),
             outcome: failure.outcome,
             reason: failure.reason,
             step: failure.step.to_string(),
