--- a/crates/thymeshift_config/src/published.rs
+++ b/crates/thymeshift_config/src/published.rs
@@ -3,7 +3,7 @@
 //! Such a configuration must take effect: a value beyond what this program can do is replaced by the
 //! nearest one it can, and a part that cannot be read is left out alone. What a part that was left out
 //! names keeps its previous form, if there is one. A text is refused as a whole only if its parts
-//! cannot be told apart, or if it exceeds the maximum size.
+//! cannot be separated, or if it exceeds the maximum size.
 
 use std::collections::HashMap;
 use std::collections::HashSet;
