Each process tells which newer documents it knows of and lacks

Sight for the incident of a configuration that is late at one process; no decision changes.

Nothing said that a process is behind: a failed exchange is a debug line, and the dump shows only what is in force. Now the newest revision that others have announced is kept, with the time from which the first one that is missing has been known: columns missing, behind_ms and targets_behind_ms of show configuration, a gauge, explain, and the lines document_behind, document_caught_up and document_fetch_failed. The time counts for the first missing revision, so that a process which applies each of many changes in time is never behind for long.

--- a/crates/thymeshift_entry/src/control_plane/dump.rs
+++ b/crates/thymeshift_entry/src/control_plane/dump.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use thymeshift_config::Adjustment;
+use thymeshift_fleet::Adoption;
 use thymeshift_types::BootClock;
 use thymeshift_types::Clock;
 use thymeshift_types::DataHallName;
@@ -47,6 +48,9 @@
     let answered_at = *shared.platform_answered_at.lock();
     let fleet = shared.fleet.lock();
     let adoption = &fleet.configuration;
+    let behind_for_ms = |adoption: &Adoption| {
+        adoption.behind_since().map(|since| now.since(since).as_millis() as u64)
+    };
     StateDump {
         vm: shared.settings().vm.clone(),
         boot: shared.boot,
@@ -64,6 +68,9 @@
             conflict: adoption.conflict().cloned(),
             rejection: adoption.rejection().cloned(),
             targets: fleet.targets.head(),
+            missing: adoption.missing(),
+            behind_for_ms: behind_for_ms(adoption),
+            targets_behind_for_ms: behind_for_ms(&fleet.targets),
         },
         platform: PlatformDump {
             is_watching: fleet.watcher_selection.is_watching(),
--- a/crates/thymeshift_entry/src/control_plane/explain.rs
+++ b/crates/thymeshift_entry/src/control_plane/explain.rs
@@ -1,5 +1,7 @@
 //! Explanation of how a given request would be routed now, for operators.
 
+use std::time::Duration;
+
 use thymeshift_config::Adjustment;
 use thymeshift_config::RequestHead;
 use thymeshift_dispatch::CallerSharesDump;
@@ -38,8 +40,25 @@
 }
 
 /// Returns the kind, service and targets that `request` would be routed to. `adjustments` are the values
-/// of the configuration that are not in force as published.
+/// of the configuration that are not in force as published, and `behind_for` is the time for which a
+/// newer configuration has been known.
 pub(crate) fn explain(
+    routing: Option<&Routing>,
+    adjustments: &[Adjustment],
+    behind_for: Option<Duration>,
+    request: &ExplainRequest,
+) -> Explanation {
+    let mut explanation = explain_in_force(routing, adjustments, request);
+    if let Some(behind_for) = behind_for {
+        let behind_ms = behind_for.as_millis();
+        explanation.verdict += &format!(
+            "; this process is behind: a newer configuration has been known for {behind_ms} ms"
+        );
+    }
+    explanation
+}
+
+fn explain_in_force(
     routing: Option<&Routing>,
     adjustments: &[Adjustment],
     request: &ExplainRequest,
--- a/crates/thymeshift_entry/src/control_plane/mod.rs
+++ b/crates/thymeshift_entry/src/control_plane/mod.rs
@@ -6,6 +6,7 @@
 mod dump;
 mod explain;
 mod http_get;
+mod lag_log;
 mod observe;
 mod operators;
 mod peer_link;
--- a/crates/thymeshift_entry/src/control_plane/operators.rs
+++ b/crates/thymeshift_entry/src/control_plane/operators.rs
@@ -64,8 +64,13 @@
     }
 
     async fn explain(self, _: Context, request: ExplainRequest) -> Explanation {
-        let adjustments = self.shared.fleet.lock().adjustments.clone();
-        explain(self.shared.routing().as_deref(), &adjustments, &request)
+        let now = BootClock.now();
+        let (adjustments, behind_for) = {
+            let fleet = self.shared.fleet.lock();
+            let behind_since = fleet.configuration.behind_since();
+            (fleet.adjustments.clone(), behind_since.map(|since| now.since(since)))
+        };
+        explain(self.shared.routing().as_deref(), &adjustments, behind_for, &request)
     }
 
     async fn order(self, _: Context, request: OrderRequest) -> OrderAnswer {
--- a/crates/thymeshift_entry/src/control_plane/relay.rs
+++ b/crates/thymeshift_entry/src/control_plane/relay.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::Ordering;
 
 use rand::Rng;
+use spdlog::info;
 use thymeshift_fleet::GossipScope;
 use thymeshift_fleet::Head;
 use thymeshift_fleet::Member;
@@ -49,6 +50,7 @@
 /// Handles the relay parent's announcement of adopted documents.
 /// Fetches the documents that are newer than those in force here.
 pub(crate) fn receive_relayed_heads(shared: &Arc<Shared>, sender: &VmName, theirs: Heads) {
+    shared.fleet.lock().record_announced(theirs, BootClock.now());
     if !has_newer(shared, theirs) {
         return;
     }
@@ -65,6 +67,7 @@
 /// They fetch from the sender only if the parent has not delivered the documents in time.
 pub(crate) fn receive_reader_heads(shared: &Arc<Shared>, heartbeat: &SourceHeartbeat) {
     let theirs = heartbeat.heads;
+    shared.fleet.lock().record_announced(theirs, BootClock.now());
     if !has_newer(shared, theirs) {
         return;
     }
@@ -99,8 +102,10 @@
     tokio::spawn(async move {
         sleep(shared.list_fetch_delay()).await;
         shared.is_list_fetch_delayed.store(false, Ordering::Relaxed);
-        // `exchange_once` counts and logs a failure; the next heartbeat of a reader retries.
-        let _ = exchange_once(&shared, address, GossipScope::SenderOnly).await;
+        if let Err(error) = exchange_once(&shared, address, GossipScope::SenderOnly).await {
+            // The next heartbeat of a reader retries.
+            info!("document_fetch_failed", kv: { peer: = address, error: = error });
+        }
     });
 }
 
--- a/crates/thymeshift_entry/src/control_plane/ticker.rs
+++ b/crates/thymeshift_entry/src/control_plane/ticker.rs
@@ -15,6 +15,7 @@
 use thymeshift_types::Timestamp;
 use tokio::time::timeout;
 
+use crate::control_plane::lag_log::LagLog;
 use crate::shared::Shared;
 
 /// Interval between two ticks while requests wait; a wait may exceed its limit by one interval.
@@ -33,6 +34,7 @@
     let mut housekeeping_at = last_tick_at;
     let mut settled_at = last_tick_at;
     let mut late_max = Duration::ZERO;
+    let mut lag_log = LagLog::default();
     loop {
         let wait = if has_waiting(&shared) { TICK_INTERVAL } else { IDLE_TICK_INTERVAL };
         // A request that starts to wait ends the interval early.
@@ -50,6 +52,7 @@
         if now.since(housekeeping_at) >= HOUSEKEEPING_INTERVAL {
             housekeeping_at = now;
             run_housekeeping(&shared, now);
+            lag_log.update(&shared.fleet.lock(), now);
             set_gauges(&shared, late_max);
             late_max = Duration::ZERO;
         }
--- a/crates/thymeshift_entry/src/fleet.rs
+++ b/crates/thymeshift_entry/src/fleet.rs
@@ -280,6 +280,8 @@
                 self.members.merge(member, now);
             }
         }
+        let announced = Heads { configuration: exchange.configuration, targets: exchange.targets };
+        self.record_announced(announced, now);
         for watcher in &exchange.watchers {
             self.watcher_selection.merge(watcher, now);
         }
@@ -325,6 +327,16 @@
         is_discovered || services.flat_map(|service| &service.targets).any(is_named)
     }
 
+    /// Records the documents that another process has in force. Returns whether this process is behind
+    /// from now on.
+    pub(crate) fn record_announced(&mut self, theirs: Heads, now: Timestamp) -> bool {
+        let announce = |adoption: &mut Adoption, head: Option<Head>| {
+            head.is_some_and(|head| adoption.record_announced(head, now))
+        };
+        let is_behind = announce(&mut self.configuration, theirs.configuration);
+        announce(&mut self.targets, theirs.targets) || is_behind
+    }
+
     /// Returns the documents of which the sender of `exchange` has a newer revision.
     fn newer_documents(&self, exchange: &Exchange) -> Vec<Document> {
         let mut wanted = Vec::new();
--- a/crates/thymeshift_fleet/src/adoption.rs
+++ b/crates/thymeshift_fleet/src/adoption.rs
@@ -20,6 +20,7 @@
 use crate::History;
 use crate::Published;
 use crate::Transfer;
+use crate::lag::Lag;
 
 /// Outcome of offering a document to [`Adoption`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -62,6 +63,7 @@
     history: History,
     conflict: Option<Conflict>,
     rejection: Option<Rejection>,
+    lag: Lag,
 }
 
 impl Adoption {
@@ -96,6 +98,8 @@
             }
             Err(mistakes) => {
                 let mistakes = mistakes.to_string();
+                // A document that is refused is not missing.
+                self.lag.record_settled(offered.head());
                 self.rejection = Some(Rejection { head: offered.head(), mistakes });
                 (OfferOutcome::Rejected, None)
             }
@@ -117,12 +121,30 @@
         is_new
     }
 
+    /// Records that another process has the document `theirs` in force. Returns whether this process
+    /// has been up to date until now and is behind from now on.
+    pub fn record_announced(&mut self, theirs: Head, now: Timestamp) -> bool {
+        let is_newer = self.head().is_none_or(|ours| theirs.revision > ours.revision);
+        is_newer && !self.is_rejected(theirs) && self.lag.record_newer(theirs, now)
+    }
+
+    /// Returns since when a newer document than the one in force has been known.
+    pub fn behind_since(&self) -> Option<Timestamp> {
+        self.lag.since()
+    }
+
+    /// Returns the newest document that others have in force, if it is newer than the one in force here.
+    pub fn missing(&self) -> Option<Head> {
+        self.lag.newest()
+    }
+
     fn adopt(&mut self, offered: &Published, now: Timestamp) {
         if let Some(old) = self.in_force.replace(offered.clone()) {
             self.history.record(&old, offered);
         }
         self.since = now;
         self.conflict = None;
+        self.lag.record_settled(offered.head());
         let is_superseded =
             |rejection: &Rejection| rejection.head.revision < offered.head().revision;
         if self.rejection.as_ref().is_some_and(is_superseded) {
--- a/crates/thymeshift_fleet/src/lib.rs
+++ b/crates/thymeshift_fleet/src/lib.rs
@@ -25,6 +25,7 @@
 mod digest;
 mod forwarding;
 mod history;
+mod lag;
 mod leaving;
 mod member;
 mod members;
--- a/crates/thymeshift_query/src/dump_tables.rs
+++ b/crates/thymeshift_query/src/dump_tables.rs
@@ -92,6 +92,9 @@
         rejection.map_or(Cell::Missing, |rejection| Cell::text(&rejection.mistakes)),
         Cell::number_or_missing(targets_revision.map(Revision::number)),
         Cell::number_or_missing(targets_revision.map(|revision| revision.epoch().as_u64())),
+        Cell::number_or_missing(configuration.missing.map(|head| head.revision.number())),
+        Cell::number_or_missing(configuration.behind_for_ms),
+        Cell::number_or_missing(configuration.targets_behind_for_ms),
     ]
 }
 
--- a/crates/thymeshift_query/src/table.rs
+++ b/crates/thymeshift_query/src/table.rs
@@ -6,7 +6,7 @@
 use derive_more::Display;
 
 /// Columns of the table `configuration`.
-const CONFIGURATION_COLUMNS: [&str; 10] = [
+const CONFIGURATION_COLUMNS: [&str; 13] = [
     "vm",
     "revision",
     "epoch",
@@ -17,6 +17,9 @@
     "mistakes",
     "targets_revision",
     "targets_epoch",
+    "missing",
+    "behind_ms",
+    "targets_behind_ms",
 ];
 
 /// Value of one column in one row of a table.
--- a/crates/thymeshift_telemetry/src/metric.rs
+++ b/crates/thymeshift_telemetry/src/metric.rs
@@ -81,6 +81,9 @@
 pub const DRAINED_HALLS: &str = "thymeshift_drained_halls";
 /// Number of invalid entries in the list of discovered targets; such entries are skipped.
 pub const ENTRIES_LEFT_OUT: &str = "thymeshift_entries_left_out";
+/// Time for which a newer document than the one in force has been known, in seconds, by `document`
+/// (`configuration`, `targets`).
+pub const DOCUMENTS_BEHIND_SECONDS: &str = "thymeshift_documents_behind_seconds";
 /// Documents refused, by `offer` (`conflicting`, `older`, `rejected`).
 pub const DOCUMENTS_REFUSED: &str = "thymeshift_documents_refused_total";
 /// Answers of the source whose epoch cannot be read.
--- a/crates/thymeshift_wire/src/dump.rs
+++ b/crates/thymeshift_wire/src/dump.rs
@@ -38,6 +38,15 @@
     pub rejection: Option<Rejection>,
     /// Revision and digest of the list of discovered targets in force.
     pub targets: Option<Head>,
+    /// Newest configuration that others have in force, if it is newer; missing in dumps of earlier builds.
+    #[serde(default)]
+    pub missing: Option<Head>,
+    /// Time for which a newer configuration has been known, in milliseconds.
+    #[serde(default)]
+    pub behind_for_ms: Option<u64>,
+    /// Time for which a newer list of targets has been known, in milliseconds.
+    #[serde(default)]
+    pub targets_behind_for_ms: Option<u64>,
 }
 
 /// State of the connection to the platform.
