A source that has lost its history is read again at once

What callers saw: confirmed configurations that were in force everywhere only after more than two seconds, when both readers of the source failed.

Cause: a process that takes over the reading goes on from the position of its last own call. After the store's history has passed that position, the store answers 410, which holds no documents. That answer counted as if the process had read what the source has: it reported to all others that the source answers, and all of them, itself included, waited for another 1.2 s of silence.

Change: such an answer proves that the source is there, not that its documents are known. The call is repeated at once, and only its result is reported.

--- a/crates/thymeshift_entry/src/control_plane/bootstrap.rs
+++ b/crates/thymeshift_entry/src/control_plane/bootstrap.rs
@@ -28,7 +28,7 @@
 use crate::control_plane::peer_link::exchange_once;
 use crate::control_plane::platform::fetch;
 use crate::control_plane::platform::offer;
-use crate::control_plane::source::read_once;
+use crate::control_plane::source::read_documents;
 use crate::environment::Environment;
 use crate::environment::FirstPage;
 use crate::environment::SharedSource;
@@ -249,7 +249,7 @@
     }
     let log_failure = |error: &SourceError| warn!("source_call_failed", kv: { error: = error });
     let mut source = source.lock().await;
-    read_once(shared, &mut *source, Duration::ZERO).await.inspect_err(log_failure).is_ok()
+    read_documents(shared, &mut *source, Duration::ZERO).await.inspect_err(log_failure).is_ok()
 }
 
 /// Fetches the configuration from the platform once; returns whether the platform answered.
--- a/crates/thymeshift_entry/src/control_plane/source.rs
+++ b/crates/thymeshift_entry/src/control_plane/source.rs
@@ -41,6 +41,9 @@
 const CHANGE_BATCH_DELAY: Duration = Duration::from_millis(150);
 /// Maximum interval between two checks whether this process is the assigned reader.
 const ASSIGNMENT_CHECK_INTERVAL_MAX: Duration = Duration::from_millis(800);
+/// Maximum number of calls in a row that read everything again. The second one may meet a source that
+/// has just been restored from a copy.
+const READS_AGAIN_MAX: u32 = 2;
 
 /// Reads the source in an endless loop, whenever this process is the assigned reader.
 pub(crate) async fn run_source<E: Environment>(
@@ -64,7 +67,7 @@
                 continue;
             }
         };
-        let read = read_once(&shared, &mut *source.lock().await, wait).await;
+        let read = read_documents(&shared, &mut *source.lock().await, wait).await;
         let is_answered = read.as_ref().map_or_else(SourceError::starts_over, |_| true);
         log_source_transition(&read, is_answered, &mut was_answered);
         send_heartbeat(&shared, is_answered);
@@ -87,10 +90,29 @@
     fleet.readers.next_action(&others, hall_rank, now)
 }
 
+/// Calls the source and offers the returned documents for adoption. An answer that makes this process
+/// read everything again holds no documents, so the call is repeated at once.
+///
+/// Returns the number of documents that changed, or the error of the last call.
+pub(crate) async fn read_documents<S: Source>(
+    shared: &Arc<Shared>,
+    source: &mut S,
+    wait: Duration,
+) -> Result<usize, SourceError> {
+    let mut read = read_once(shared, source, wait).await;
+    for _ in 0..READS_AGAIN_MAX {
+        if !read.as_ref().is_err_and(SourceError::starts_over) {
+            break;
+        }
+        read = read_once(shared, source, Duration::ZERO).await;
+    }
+    read
+}
+
 /// Calls the source once and offers the returned documents for adoption.
 ///
 /// Returns the number of documents that changed, or the error of the call.
-pub(crate) async fn read_once<S: Source>(
+async fn read_once<S: Source>(
     shared: &Arc<Shared>,
     source: &mut S,
     wait: Duration,
@@ -121,7 +143,7 @@
             Ok(changed.len())
         }
         Err(error) if error.starts_over() => {
-            fleet.readers.succeeded(now);
+            fleet.readers.answered(now);
             Err(error)
         }
         Err(error) => {
--- a/crates/thymeshift_fleet/src/readers.rs
+++ b/crates/thymeshift_fleet/src/readers.rs
@@ -88,6 +88,9 @@
     own: VmName,
     capacity: Capacity,
     started_at: Timestamp,
+    /// Time at which the source last answered any process.
+    answered_at: Option<Timestamp>,
+    /// Time at which the source last returned its documents to any process.
     confirmed_at: Option<Timestamp>,
     /// Time at which the source answered again after its last outage.
     returned_at: Option<Timestamp>,
@@ -107,6 +110,7 @@
             own,
             capacity,
             started_at: now,
+            answered_at: None,
             confirmed_at: None,
             returned_at: None,
             restored_at: None,
@@ -156,18 +160,25 @@
         order.iter().position(|vm| **vm == self.own).unwrap_or(0)
     }
 
-    /// Records that the source answered this process's own call.
+    /// Records that the source returned its documents to this process.
     pub fn succeeded(&mut self, now: Timestamp) {
+        self.answered(now);
+        self.confirmed_at = Some(now);
+    }
+
+    /// Records that the source answered this process without its documents: everything must be read
+    /// again.
+    pub fn answered(&mut self, now: Timestamp) {
         self.failures = 0;
-        self.confirm(now);
+        self.record_answer(now);
     }
 
-    fn confirm(&mut self, now: Timestamp) {
-        let last_confirmed_at = self.confirmed_at.unwrap_or(self.started_at);
-        if now.since(last_confirmed_at) >= OUTAGE_MIN {
+    fn record_answer(&mut self, now: Timestamp) {
+        let last_answered_at = self.answered_at.unwrap_or(self.started_at);
+        if now.since(last_answered_at) >= OUTAGE_MIN {
             self.returned_at = Some(now);
         }
-        self.confirmed_at = Some(now);
+        self.answered_at = Some(now);
     }
 
     /// Returns whether the source has just recovered from an outage,
@@ -191,6 +202,7 @@
     /// Shifts the last answer by `gap`, the time that this process was paused,
     /// so that its own pause does not count as silence of the source.
     pub fn paused(&mut self, gap: Duration) {
+        self.answered_at = self.answered_at.map(|at| at + gap);
         self.confirmed_at = self.confirmed_at.map(|at| at + gap);
     }
 
@@ -210,7 +222,8 @@
     /// Records another process's report that its call was answered or failed.
     pub fn record_report(&mut self, vm: &VmName, is_answered: bool, now: Timestamp) {
         if is_answered {
-            self.confirm(now);
+            self.record_answer(now);
+            self.confirmed_at = Some(now);
             self.excluded_until.remove(vm);
         } else {
             self.excluded_until.retain(|_, until| *until > now);
@@ -218,9 +231,4 @@
             self.failure_seen_at = Some(now);
         }
     }
-
-    /// Returns the time at which the source last answered any process, as far as known here.
-    pub fn confirmed_at(&self) -> Option<Timestamp> {
-        self.confirmed_at
-    }
 }
--- a/crates/thymeshift_fleet/tests/readers.rs
+++ b/crates/thymeshift_fleet/tests/readers.rs
@@ -363,3 +363,21 @@
     // stop waiting for their parents.
     assert!(waits[1].1 * 3 < waits[79].1, "{waits:?}");
 }
+
+/// Guards against a process that counts the answer that its position is too old as if it had read what the
+/// source has: nobody then read for another silence.
+#[test]
+fn an_answer_without_documents_does_not_count_as_read() {
+    let others: Vec<VmName> = (1..9).map(vm).collect();
+    let large = Capacity::from_processors(64.0).expect("a capacity");
+    let contacts: Vec<Candidate<'_>> =
+        others.iter().map(|vm| Candidate { vm, capacity: large }).collect();
+    let mut readers = Readers::new(vm(0), Capacity::default(), at(0));
+    readers.record_report(&vm(1), true, at(1_000));
+    let action = |readers: &Readers, now_ms| readers.next_action(&contacts, FIRST_RANK, at(now_ms));
+    assert_eq!(action(&readers, 2_200), ReadAction::Poll);
+    readers.answered(at(2_210));
+    assert_eq!(action(&readers, 2_210), ReadAction::Poll, "nothing has been read");
+    readers.succeeded(at(2_220));
+    assert_eq!(action(&readers, 2_230), ReadAction::Wait(Duration::from_millis(1_190)));
+}
