A process that is behind reads the source itself

Cause: reports that the source answers somebody kept every process from reading it. A process that receives its peers' datagrams and gets nothing over its connections to them was behind for as long as that lasted. Class: that the source answers another process is taken for having what it answered.

Change: a report counts as an answer only if the reader has no older documents than this process. A process that has known of a newer configuration for 0.6 s, or of a newer list for 1.2 s (each process on the list's way may hold it back for 0.4 s), reads the source, spread over 0.6 s by its rank in the hall; a reader whose own long poll hangs does so, too. If the source does not have what others announce, the next such read comes 5 s later. No report follows such a read, so that a hall which is behind does not send N times N datagrams.

Counted with the decision's code: 13, 123, 587 and 1,000 processes that are all behind at the same moment stay within the calls a second that the sources of such deployments bear.

--- a/crates/thymeshift_entry/src/control_plane/peer_link.rs
+++ b/crates/thymeshift_entry/src/control_plane/peer_link.rs
@@ -29,6 +29,7 @@
 use thymeshift_types::Timestamp;
 use thymeshift_wire::Document;
 use thymeshift_wire::Exchange;
+use thymeshift_wire::Heads;
 use thymeshift_wire::LinkBytes;
 use thymeshift_wire::LinkError;
 use thymeshift_wire::PeerLinkClient;
@@ -279,6 +280,10 @@
     shared: &Arc<Shared>,
     exchange: &Exchange,
 ) -> Vec<thymeshift_wire::Document> {
+    shared.record_announced(Heads {
+        configuration: exchange.configuration,
+        targets: exchange.targets,
+    });
     let applied = shared.fleet.lock().apply_exchange(exchange, BootClock.now());
     if let Some(boot) = applied.raised_boot {
         shared.allocation.set_boot(boot);
--- a/crates/thymeshift_entry/src/control_plane/source.rs
+++ b/crates/thymeshift_entry/src/control_plane/source.rs
@@ -15,6 +15,7 @@
 use thymeshift_fleet::Candidate;
 use thymeshift_fleet::HallRank;
 use thymeshift_fleet::ReadAction;
+use thymeshift_fleet::SourceReport;
 use thymeshift_supervisor::TaskError;
 use thymeshift_telemetry::metric;
 use thymeshift_types::BootClock;
@@ -23,6 +24,7 @@
 use thymeshift_wire::Message;
 use thymeshift_wire::SourceHeartbeat;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::control_plane::platform::offer;
 use crate::control_plane::relay::heads;
@@ -55,22 +57,32 @@
     // The watch channel fails only when the process shuts down.
     let _ = shared.has_configuration.subscribe().wait_for(|is_in_force| *is_in_force).await;
     loop {
-        let read_action = {
-            let now = BootClock.now();
-            read_action(&shared.fleet.lock(), now)
-        };
-        let wait = match read_action {
+        let action = next_action(&shared);
+        let wait = match action {
             ReadAction::LongPoll => LONG_POLL_LIMIT,
-            ReadAction::Poll => Duration::ZERO,
+            ReadAction::Poll | ReadAction::CatchUp => Duration::ZERO,
             ReadAction::Wait(delay) => {
-                sleep(delay.min(ASSIGNMENT_CHECK_INTERVAL_MAX)).await;
+                let wait = delay.min(ASSIGNMENT_CHECK_INTERVAL_MAX);
+                // A process that learns of a newer document decides anew.
+                let _ = timeout(wait, shared.is_behind.notified()).await;
                 continue;
             }
         };
-        let read = read_documents(&shared, &mut *source.lock().await, wait).await;
+        let mut locked = source.lock().await;
+        let read = tokio::select! {
+            biased;
+            read = read_documents(&shared, &mut *locked, wait) => read,
+            // The call may hang, or be answered with older documents than others have.
+            () = catch_up_due(&shared), if action == ReadAction::LongPoll => continue,
+        };
+        drop(locked);
         let is_answered = read.as_ref().map_or_else(SourceError::starts_over, |_| true);
         log_source_transition(&read, is_answered, &mut was_answered);
-        send_heartbeat(&shared, is_answered);
+        if action == ReadAction::CatchUp {
+            info!("source_read_to_catch_up", kv: { is_answered });
+        } else {
+            send_heartbeat(&shared, is_answered);
+        }
         if let Ok(1..) = read {
             sleep(CHANGE_BATCH_DELAY.max(shared.list_fetch_delay())).await;
         }
@@ -78,16 +90,35 @@
 }
 
 /// Returns whether this process reads the source now, and otherwise when to check again.
-fn read_action(fleet: &Fleet, now: Timestamp) -> ReadAction {
+fn next_action(shared: &Shared) -> ReadAction {
+    let now = BootClock.now();
+    let fleet = shared.fleet.lock();
     let own = &fleet.members.own().vm;
     let contacts = fleet.members.contacts(now);
     let others = contacts.iter().filter(|member| member.vm != *own);
     let others: Vec<Candidate<'_>> = others.map(|member| member.candidate()).collect();
-    let hall_rank = HallRank {
-        rank: fleet.members.rank_in_hall(now),
-        is_contact: fleet.members.is_contact(now),
-    };
-    fleet.readers.next_action(&others, hall_rank, now)
+    fleet.readers.next_action(&others, hall_rank(&fleet, now), fleet.behind(), now)
+}
+
+fn hall_rank(fleet: &Fleet, now: Timestamp) -> HallRank {
+    HallRank { rank: fleet.members.rank_in_hall(now), is_contact: fleet.members.is_contact(now) }
+}
+
+/// Waits until this process should read the source because others have newer documents.
+async fn catch_up_due(shared: &Shared) {
+    loop {
+        let behind = shared.is_behind.notified();
+        let now = BootClock.now();
+        let catch_up_at = {
+            let fleet = shared.fleet.lock();
+            fleet.readers.catch_up_at(fleet.behind(), hall_rank(&fleet, now))
+        };
+        match catch_up_at {
+            Some(catch_up_at) if now >= catch_up_at => return,
+            Some(catch_up_at) => sleep(now.until(catch_up_at)).await,
+            None => behind.await,
+        }
+    }
 }
 
 /// Calls the source and offers the returned documents for adoption. An answer that makes this process
@@ -198,7 +229,12 @@
         let mut fleet = shared.fleet.lock();
         let SourceHeartbeat { reader, is_answered, heads, .. } = heartbeat;
         let is_due = fleet.news_forwarding.is_due(*is_answered, *heads, now);
-        fleet.readers.record_report(reader, *is_answered, now);
+        let report = match *is_answered {
+            false => SourceReport::Failed,
+            true if fleet.has_newer_than(*heads) => SourceReport::Outdated,
+            true => SourceReport::Answered,
+        };
+        fleet.readers.record_report(reader, report, now);
         let own = fleet.members.own();
         (heartbeat.data_hall != own.data_hall && is_due).then(|| {
             let forwarded = SourceHeartbeat {
--- a/crates/thymeshift_entry/src/fleet.rs
+++ b/crates/thymeshift_entry/src/fleet.rs
@@ -11,6 +11,7 @@
 use thymeshift_config::Settings;
 use thymeshift_config::Target;
 use thymeshift_fleet::Adoption;
+use thymeshift_fleet::Behind;
 use thymeshift_fleet::Boot;
 use thymeshift_fleet::ForwardingFilter;
 use thymeshift_fleet::GossipScope;
@@ -280,8 +281,6 @@
                 self.members.merge(member, now);
             }
         }
-        let announced = Heads { configuration: exchange.configuration, targets: exchange.targets };
-        self.record_announced(announced, now);
         for watcher in &exchange.watchers {
             self.watcher_selection.merge(watcher, now);
         }
@@ -337,6 +336,20 @@
         announce(&mut self.targets, theirs.targets) || is_behind
     }
 
+    /// Returns since when newer documents than those in force have been known.
+    pub(crate) fn behind(&self) -> Behind {
+        Behind {
+            configuration_since: self.configuration.behind_since(),
+            targets_since: self.targets.behind_since(),
+        }
+    }
+
+    /// Returns whether a document in force here is newer than that of another process.
+    pub(crate) fn has_newer_than(&self, theirs: Heads) -> bool {
+        is_newer(self.configuration.head(), theirs.configuration)
+            || is_newer(self.targets.head(), theirs.targets)
+    }
+
     /// Returns the documents of which the sender of `exchange` has a newer revision.
     fn newer_documents(&self, exchange: &Exchange) -> Vec<Document> {
         let mut wanted = Vec::new();
@@ -376,11 +389,7 @@
     });
 }
 
-/// Returns whether the peer's revision is larger than this process's revision.
-fn is_newer(theirs: Option<Head>, ours: Option<Head>) -> bool {
-    match (theirs, ours) {
-        (None, _) => false,
-        (Some(_), None) => true,
-        (Some(theirs), Some(ours)) => theirs.revision > ours.revision,
-    }
+/// Returns whether `left` has a larger revision than `right`. Any revision is larger than none.
+fn is_newer(left: Option<Head>, right: Option<Head>) -> bool {
+    left.map(|head| head.revision) > right.map(|head| head.revision)
 }
--- a/crates/thymeshift_entry/src/shared.rs
+++ b/crates/thymeshift_entry/src/shared.rs
@@ -96,6 +96,8 @@
     pub(crate) is_accepting: watch::Sender<bool>,
     /// Wakes the peer task to exchange state with a few peers at once.
     pub(crate) peer_exchange_due: Notify,
+    /// Wakes the reader of the source when others have a newer document than this process.
+    pub(crate) is_behind: Notify,
     pub(crate) platform_answered_at: Mutex<Option<Timestamp>>,
     pub(crate) statuses: Statuses,
     pub(crate) links: PeerLinks,
@@ -179,6 +181,7 @@
             phase: watch::Sender::new(Phase::Starting),
             is_accepting: watch::Sender::new(true),
             peer_exchange_due: Notify::new(),
+            is_behind: Notify::new(),
             platform_answered_at: Mutex::new(None),
             statuses: Statuses::default(),
             links: PeerLinks::default(),
--- a/crates/thymeshift_entry/src/shared/in_force.rs
+++ b/crates/thymeshift_entry/src/shared/in_force.rs
@@ -26,6 +26,7 @@
 use thymeshift_types::ServiceName;
 use thymeshift_types::TargetName;
 use thymeshift_types::Timestamp;
+use thymeshift_wire::Heads;
 
 use crate::control_plane::notify_relay_children;
 use crate::discovered::Difference;
@@ -101,6 +102,13 @@
         offer
     }
 
+    /// Records the documents that another process has in force.
+    pub(crate) fn record_announced(&self, theirs: Heads) {
+        if self.fleet.lock().record_announced(theirs, BootClock.now()) {
+            self.is_behind.notify_one();
+        }
+    }
+
     /// Drops targets that were kept after an outage of the source and are still not listed,
     /// and takes targets that were withheld and are still listed.
     pub(crate) fn settle_targets(&self, now: Timestamp) {
--- a/crates/thymeshift_fleet/src/readers.rs
+++ b/crates/thymeshift_fleet/src/readers.rs
@@ -8,6 +8,11 @@
 //! a process with a higher rank in its hall waits a little longer. A reader whose call failed is
 //! excluded from the ranking for a while, so that the next process takes over.
 //!
+//! That the source answers another process does not mean that this one has what it answered. A report
+//! counts as an answer only if the reader has no older documents than this process, and a process that
+//! has known of a newer document for [`CONFIGURATION_BEHIND_MAX`] or [`TARGETS_BEHIND_MAX`] reads by
+//! itself, whatever kept the document from arriving.
+//!
 //! The ranking needs no agreement: two processes that rank differently
 //! cause only a few extra calls. Failed calls are retried after a
 //! backoff that grows with the failures and with the size of the fleet,
@@ -59,6 +64,18 @@
 /// Time after an outage within which the source lists again the targets that
 /// it forgot, if they still run.
 const LISTED_AGAIN_WITHIN: Duration = Duration::from_millis(2_300);
+/// Time for which a newer configuration may be known before a process reads the source itself. A
+/// configuration spreads in half of this time, also if a process waits for its parent in the relay tree.
+const CONFIGURATION_BEHIND_MAX: Duration = Duration::from_millis(600);
+/// The same for a list of targets, which each process on its way may hold back for up to 400 ms.
+const TARGETS_BEHIND_MAX: Duration = Duration::from_millis(1_200);
+/// Additional time by the rank in the data hall, so that a hall whose processes are all behind does not
+/// call the source at the same moment. Each rank has one of [`CATCH_UP_SLOTS`] moments.
+const CATCH_UP_SLOT: Duration = Duration::from_millis(10);
+const CATCH_UP_SLOTS: usize = 60;
+/// Time between two reads of a process that stays behind although the source has answered it: others
+/// announce what the source does not have.
+const CATCH_UP_INTERVAL_IN_VAIN: Duration = Duration::from_secs(5);
 /// Task name that ranks the readers.
 const RANKING_TASK: &str = "read the source";
 
@@ -69,6 +86,8 @@
     LongPoll,
     /// Call the source without waiting for a change.
     Poll,
+    /// The same, because others have newer documents than this process.
+    CatchUp,
     /// Wait this long before deciding again.
     Wait(Duration),
 }
@@ -82,6 +101,39 @@
     pub is_contact: bool,
 }
 
+/// Times from which newer documents than those in force have been known to a process.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Behind {
+    /// Since when a newer configuration has been known; `None` if the process has the newest one.
+    pub configuration_since: Option<Timestamp>,
+    /// The same for the list of targets.
+    pub targets_since: Option<Timestamp>,
+}
+
+impl Behind {
+    /// Returns when a process should read the source itself, before the delay by its rank.
+    fn read_at(self) -> Option<Timestamp> {
+        let configuration = self.configuration_since.map(|since| since + CONFIGURATION_BEHIND_MAX);
+        let targets = self.targets_since.map(|since| since + TARGETS_BEHIND_MAX);
+        configuration.into_iter().chain(targets).min()
+    }
+
+    fn since(self) -> Option<Timestamp> {
+        self.configuration_since.into_iter().chain(self.targets_since).min()
+    }
+}
+
+/// What a reader reports of its last call to the source.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SourceReport {
+    /// The source answered, and the reader has no older documents than this process.
+    Answered,
+    /// The source answered, but the reader has older documents than this process.
+    Outdated,
+    /// The source did not answer.
+    Failed,
+}
+
 /// State that one process keeps to decide when to read the source.
 #[derive(Debug, Clone)]
 pub struct Readers {
@@ -90,8 +142,10 @@
     started_at: Timestamp,
     /// Time at which the source last answered any process.
     answered_at: Option<Timestamp>,
-    /// Time at which the source last returned its documents to any process.
+    /// Time at which the source was last known to have no newer documents than this process.
     confirmed_at: Option<Timestamp>,
+    /// Time at which this process last read the source itself.
+    read_at: Option<Timestamp>,
     /// Time at which the source answered again after its last outage.
     returned_at: Option<Timestamp>,
     /// Time at which the source was seen to be restored from a copy.
@@ -112,6 +166,7 @@
             started_at: now,
             answered_at: None,
             confirmed_at: None,
+            read_at: None,
             returned_at: None,
             restored_at: None,
             excluded_until: BTreeMap::new(),
@@ -127,11 +182,16 @@
         &self,
         contacts: &[Candidate<'_>],
         hall_rank: HallRank,
+        behind: Behind,
         now: Timestamp,
     ) -> ReadAction {
         if now < self.not_before {
             return ReadAction::Wait(now.until(self.not_before));
         }
+        let catch_up_at = self.catch_up_at(behind, hall_rank);
+        if catch_up_at.is_some_and(|catch_up_at| now >= catch_up_at) {
+            return ReadAction::CatchUp;
+        }
         let is_starting = !contacts.is_empty() && now.since(self.started_at) < STARTUP_GRACE;
         let is_healthy = self.failures == 0 && !is_starting;
         if hall_rank.is_contact && is_healthy && self.rank(contacts, now) < READER_COUNT {
@@ -147,7 +207,20 @@
             last_seen_at = last_seen_at.max(self.failure_seen_at.unwrap_or(last_seen_at));
         }
         let read_at = last_seen_at + SILENCE_MAX + delay;
-        if now >= read_at { ReadAction::Poll } else { ReadAction::Wait(now.until(read_at)) }
+        if now >= read_at {
+            return ReadAction::Poll;
+        }
+        let next_at = catch_up_at.map_or(read_at, |catch_up_at| catch_up_at.min(read_at));
+        ReadAction::Wait(now.until(next_at))
+    }
+
+    /// Returns when this process reads the source because others have newer documents.
+    pub fn catch_up_at(&self, behind: Behind, hall_rank: HallRank) -> Option<Timestamp> {
+        let catch_up_at =
+            behind.read_at()? + CATCH_UP_SLOT * (hall_rank.rank % CATCH_UP_SLOTS) as u32;
+        let read_in_vain_at = self.read_at.filter(|read_at| Some(*read_at) > behind.since());
+        let again_at = read_in_vain_at.map(|read_at| read_at + CATCH_UP_INTERVAL_IN_VAIN);
+        Some(again_at.map_or(catch_up_at, |again_at| again_at.max(catch_up_at)))
     }
 
     fn rank(&self, contacts: &[Candidate<'_>], now: Timestamp) -> usize {
@@ -164,6 +237,7 @@
     pub fn succeeded(&mut self, now: Timestamp) {
         self.answered(now);
         self.confirmed_at = Some(now);
+        self.read_at = Some(now);
     }
 
     /// Records that the source answered this process without its documents: everything must be read
@@ -219,16 +293,18 @@
         self.not_before = now + backoff.mul_f64(0.5 + jitter);
     }
 
-    /// Records another process's report that its call was answered or failed.
-    pub fn record_report(&mut self, vm: &VmName, is_answered: bool, now: Timestamp) {
-        if is_answered {
-            self.record_answer(now);
-            self.confirmed_at = Some(now);
-            self.excluded_until.remove(vm);
-        } else {
+    /// Records another process's report of its call.
+    pub fn record_report(&mut self, vm: &VmName, report: SourceReport, now: Timestamp) {
+        if report == SourceReport::Failed {
             self.excluded_until.retain(|_, until| *until > now);
             self.excluded_until.insert(vm.clone(), now + READER_EXCLUSION);
             self.failure_seen_at = Some(now);
+            return;
+        }
+        self.record_answer(now);
+        self.excluded_until.remove(vm);
+        if report == SourceReport::Answered {
+            self.confirmed_at = Some(now);
         }
     }
 }
--- a/crates/thymeshift_fleet/tests/readers.rs
+++ b/crates/thymeshift_fleet/tests/readers.rs
@@ -6,12 +6,14 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use thymeshift_fleet::Behind;
 use thymeshift_fleet::Candidate;
 use thymeshift_fleet::FAN_OUT;
 use thymeshift_fleet::ForwardingFilter;
 use thymeshift_fleet::HallRank;
 use thymeshift_fleet::ReadAction;
 use thymeshift_fleet::Readers;
+use thymeshift_fleet::SourceReport;
 use thymeshift_fleet::ranked;
 use thymeshift_fleet::relay_position;
 use thymeshift_types::Capacity;
@@ -110,7 +112,9 @@
                 for other in (0..count).filter(|other| *other != index && is_up(*other, now_ms)) {
                     // One in twenty heartbeats is lost.
                     if !rng.random_ratio(1, 20) {
-                        processes[other].readers.record_report(&vm(index), is_good, at(now_ms));
+                        let report =
+                            if is_good { SourceReport::Answered } else { SourceReport::Failed };
+                        processes[other].readers.record_report(&vm(index), report, at(now_ms));
                     }
                 }
             }
@@ -124,16 +128,20 @@
             let others = alive.iter().take(CONTACTS_PER_HALL).filter(|other| **other != index);
             let others: Vec<VmName> = others.copied().map(vm).collect();
             let contacts: Vec<Candidate<'_>> = others.iter().map(candidate).collect();
-            let hold_ms =
-                match processes[index].readers.next_action(&contacts, position, at(now_ms)) {
-                    ReadAction::LongPoll => LONG_POLL_MS,
-                    ReadAction::Poll => 4,
-                    ReadAction::Wait(rest) => {
-                        let rest_ms = (rest.as_millis() as u64).clamp(STEP_MS, 250);
-                        processes[index].next_check_ms = now_ms + rest_ms;
-                        continue;
-                    }
-                };
+            let hold_ms = match processes[index].readers.next_action(
+                &contacts,
+                position,
+                Behind::default(),
+                at(now_ms),
+            ) {
+                ReadAction::LongPoll => LONG_POLL_MS,
+                ReadAction::Poll | ReadAction::CatchUp => 4,
+                ReadAction::Wait(rest) => {
+                    let rest_ms = (rest.as_millis() as u64).clamp(STEP_MS, 250);
+                    processes[index].next_check_ms = now_ms + rest_ms;
+                    continue;
+                }
+            };
             simulated.calls += 1;
             processes[index].call = Some(match source(index, now_ms) {
                 Answer::Good => (now_ms + hold_ms, true),
@@ -289,17 +297,17 @@
     for Case { note, silent_ms, paused_ms, is_back } in cases {
         for own in [true, false] {
             let mut readers = Readers::new(vm(0), Capacity::default(), at(0));
-            readers.record_report(&vm(1), true, at(1_000));
+            readers.record_report(&vm(1), SourceReport::Answered, at(1_000));
             readers.paused(Duration::from_millis(paused_ms));
             let answered = at(1_000 + silent_ms);
             if own {
                 readers.succeeded(answered);
             } else {
-                readers.record_report(&vm(1), true, answered);
+                readers.record_report(&vm(1), SourceReport::Answered, answered);
             }
             assert_eq!(readers.has_just_recovered(answered), is_back, "{note}, own call: {own}");
             let later = at(1_000 + silent_ms + 1_000);
-            readers.record_report(&vm(1), true, later);
+            readers.record_report(&vm(1), SourceReport::Answered, later);
             assert_eq!(readers.has_just_recovered(later), is_back, "{note}: still after a second");
             let too_late = at(1_000 + silent_ms + 2_500);
             assert!(!readers.has_just_recovered(too_late), "{note}: the recovery ends");
@@ -314,7 +322,8 @@
     let mut now = at(0);
     for _ in 0..6 {
         readers.failed(18, 0.5, now);
-        let ReadAction::Wait(rest) = readers.next_action(&[], FIRST_RANK, now) else {
+        let ReadAction::Wait(rest) = readers.next_action(&[], FIRST_RANK, Behind::default(), now)
+        else {
             panic!("no pause after a failure");
         };
         waits.push(rest);
@@ -323,7 +332,7 @@
     assert!(waits.is_sorted(), "{waits:?}");
     assert!(waits[5] <= Duration::from_millis(2_500), "{waits:?}");
     readers.succeeded(now);
-    assert_eq!(readers.next_action(&[], FIRST_RANK, now), ReadAction::LongPoll);
+    assert_eq!(readers.next_action(&[], FIRST_RANK, Behind::default(), now), ReadAction::LongPoll);
 }
 
 #[test]
@@ -364,6 +373,96 @@
     assert!(waits[1].1 * 3 < waits[79].1, "{waits:?}");
 }
 
+/// Behaviour of a process that reads nothing while readers that rank before it report.
+#[test]
+fn reports_of_others_do_not_keep_a_process_from_reading_what_it_lacks() {
+    struct Case {
+        note: &'static str,
+        report: SourceReport,
+        behind: Behind,
+        rank: usize,
+        /// Time of the first read after the first report, and of the one after it.
+        reads_ms: [u64; 2],
+    }
+    let behind = |configuration_ms: Option<u64>, targets_ms: Option<u64>| Behind {
+        configuration_since: configuration_ms.map(at),
+        targets_since: targets_ms.map(at),
+    };
+    let never = u64::MAX;
+    let cases = [
+        Case {
+            note: "up to date",
+            report: SourceReport::Answered,
+            behind: Behind::default(),
+            rank: 3,
+            reads_ms: [never, never],
+        },
+        Case {
+            note: "a newer configuration",
+            report: SourceReport::Answered,
+            behind: behind(Some(2_000), None),
+            rank: 3,
+            // The source does not have what others announce, so the next read comes later.
+            reads_ms: [2_630, 7_630],
+        },
+        Case {
+            note: "a newer list of targets",
+            report: SourceReport::Answered,
+            behind: behind(None, Some(2_000)),
+            rank: 3,
+            reads_ms: [3_230, 8_230],
+        },
+        Case {
+            note: "the last one of a large hall",
+            report: SourceReport::Answered,
+            behind: behind(Some(2_000), Some(2_000)),
+            rank: 299,
+            reads_ms: [3_190, 8_190],
+        },
+        Case {
+            note: "readers with older documents",
+            report: SourceReport::Outdated,
+            behind: Behind::default(),
+            rank: 0,
+            reads_ms: [1_200, 2_400],
+        },
+    ];
+    for Case { note, report, behind, rank, reads_ms } in cases {
+        let hall_rank = HallRank { rank, is_contact: true };
+        let others: Vec<VmName> = (1..9).map(vm).collect();
+        let contacts: Vec<Candidate<'_>> = others
+            .iter()
+            .map(|vm| Candidate {
+                vm,
+                capacity: Capacity::from_processors(64.0).expect("a capacity"),
+            })
+            .collect();
+        let mut readers = Readers::new(vm(0), Capacity::default(), at(0));
+        let mut reads = Vec::new();
+        for now_ms in (0..10_000).step_by(STEP_MS as usize) {
+            let now = at(now_ms);
+            if now_ms % 300 == 0 {
+                readers.record_report(&vm(1), report, now);
+            }
+            let known = |since: Option<Timestamp>| since.filter(|since| *since <= now);
+            let behind = Behind {
+                configuration_since: known(behind.configuration_since),
+                targets_since: known(behind.targets_since),
+            };
+            match readers.next_action(&contacts, hall_rank, behind, now) {
+                ReadAction::Wait(_) => {}
+                ReadAction::CatchUp | ReadAction::Poll => {
+                    reads.push(now_ms);
+                    readers.succeeded(now);
+                }
+                ReadAction::LongPoll => panic!("{note}: a reader"),
+            }
+        }
+        let mut read = reads.into_iter().chain([never, never]);
+        assert_eq!([read.next(), read.next()], reads_ms.map(Some), "{note}");
+    }
+}
+
 /// Guards against a process that counts the answer that its position is too old as if it had read what the
 /// source has: nobody then read for another silence.
 #[test]
@@ -373,11 +472,47 @@
     let contacts: Vec<Candidate<'_>> =
         others.iter().map(|vm| Candidate { vm, capacity: large }).collect();
     let mut readers = Readers::new(vm(0), Capacity::default(), at(0));
-    readers.record_report(&vm(1), true, at(1_000));
-    let action = |readers: &Readers, now_ms| readers.next_action(&contacts, FIRST_RANK, at(now_ms));
+    readers.record_report(&vm(1), SourceReport::Answered, at(1_000));
+    let action = |readers: &Readers, now_ms| {
+        readers.next_action(&contacts, FIRST_RANK, Behind::default(), at(now_ms))
+    };
     assert_eq!(action(&readers, 2_200), ReadAction::Poll);
     readers.answered(at(2_210));
     assert_eq!(action(&readers, 2_210), ReadAction::Poll, "nothing has been read");
     readers.succeeded(at(2_220));
     assert_eq!(action(&readers, 2_230), ReadAction::Wait(Duration::from_millis(1_190)));
 }
+
+/// All processes learn of a configuration at the same moment, and none gets it from another one.
+#[test]
+fn processes_that_are_all_behind_do_not_call_the_source_at_once() {
+    struct Case {
+        count: usize,
+        /// Calls a second that the source of such a deployment bears.
+        calls_per_s: usize,
+    }
+    let cases = [
+        Case { count: 13, calls_per_s: 2_000 },
+        Case { count: 123, calls_per_s: 6_000 },
+        Case { count: 587, calls_per_s: 16_000 },
+        Case { count: 1_000, calls_per_s: 16_000 },
+    ];
+    for Case { count, calls_per_s } in cases {
+        // A read that begins with an outdated position takes two calls that count.
+        let reads_max = calls_per_s / 10 / 2;
+        let behind = Behind { configuration_since: Some(at(0)), targets_since: None };
+        let readers = Readers::new(vm(0), Capacity::default(), at(0));
+        let ranks = (0..count).map(|index| HallRank { rank: index / 3, is_contact: index < 24 });
+        let reads: Vec<Timestamp> =
+            ranks.filter_map(|rank| readers.catch_up_at(behind, rank)).collect();
+        assert_eq!(reads.len(), count);
+        let last = reads.iter().max().expect("a read");
+        assert!(*last <= at(1_200), "{count}: all in time");
+        let window = |from: &Timestamp| {
+            let until = *from + Duration::from_millis(100);
+            reads.iter().filter(|read| *read >= from && **read < until).count()
+        };
+        let most = reads.iter().map(window).max().unwrap_or(0);
+        assert!(most <= reads_max, "{count}: {most} reads in 100 ms");
+    }
+}
