A failed fetch of a configuration is repeated at once

Cause: a process fetches a new document over an open connection that may have been lost since its last use, and tried again only with the next report of a reader, up to a second later. A configuration also waited for the pace of target lists, and a fetch that failed kept its document marked as being fetched for 0.4 s.

Change: the exchange is repeated once, over a new connection; a configuration does not wait for a list; the mark ends with the fetch. A wait for the pace still holds lists back, and a configuration and a list are then fetched apart.

--- a/crates/thymeshift_entry/src/control_plane/peer_link.rs
+++ b/crates/thymeshift_entry/src/control_plane/peer_link.rs
@@ -97,6 +97,18 @@
     bytes: Arc<LinkBytes>,
 }
 
+/// Fetch of a document that is in progress until the guard is dropped.
+struct FetchGuard<'a> {
+    links: &'a PeerLinks,
+    document: Document,
+}
+
+impl Drop for FetchGuard<'_> {
+    fn drop(&mut self) {
+        self.links.fetching.lock().remove(&self.document);
+    }
+}
+
 /// Count of the whole documents sent to peers in the current window.
 #[derive(Default)]
 struct TransferWindow {
@@ -131,9 +143,10 @@
         !is_pending
     }
 
-    /// Records that a fetch has ended, so that the document may be fetched again.
-    fn end_fetch(&self, document: Document) {
-        self.fetching.lock().remove(&document);
+    /// Returns a guard of the fetch that has begun. The document may be fetched again once it is dropped,
+    /// whatever came of the fetch.
+    fn fetch_guard(&self, document: Document) -> FetchGuard<'_> {
+        FetchGuard { links: self, document }
     }
 
     /// Returns whether a whole document may be sent to a peer now, and counts the transfer.
@@ -261,9 +274,10 @@
         if is_delayed || !shared.links.begin_fetch(document, BootClock.now()) {
             continue;
         }
+        let guard = shared.links.fetch_guard(document);
         let have = shared.fleet.lock().document(document).head();
         let transfer = client.fetch(call_context(FETCH_LIMIT), document, have).await?;
-        shared.links.end_fetch(document);
+        drop(guard);
         let current = shared.fleet.lock().document(document).in_force().cloned();
         if let Some(published) = transfer.receive(current.as_ref()) {
             offer(shared, document, &published, "peer");
--- a/crates/thymeshift_entry/src/control_plane/relay.rs
+++ b/crates/thymeshift_entry/src/control_plane/relay.rs
@@ -28,6 +28,9 @@
 /// Maximum jitter added to the wait for the parent in the relay tree, as a fraction of the wait.
 const WAIT_JITTER_FRACTION_MAX: f64 = 0.5;
 
+/// Number of exchanges with a process that has announced a newer document.
+const FETCH_TRIES: u32 = 2;
+
 /// Sends the revisions in force here to this process's children in the relay tree.
 pub(crate) fn notify_relay_children(shared: &Shared) {
     let (heads, addresses) = {
@@ -50,13 +53,13 @@
 /// Handles the relay parent's announcement of adopted documents.
 /// Fetches the documents that are newer than those in force here.
 pub(crate) fn receive_relayed_heads(shared: &Arc<Shared>, sender: &VmName, theirs: Heads) {
-    shared.fleet.lock().record_announced(theirs, BootClock.now());
+    shared.record_announced(theirs);
     if !has_newer(shared, theirs) {
         return;
     }
     let address = shared.fleet.lock().members.find(sender).map(|member| member.peer_address);
     if let Some(address) = address {
-        fetch(shared, address);
+        fetch(shared, address, theirs);
     }
 }
 
@@ -67,13 +70,13 @@
 /// They fetch from the sender only if the parent has not delivered the documents in time.
 pub(crate) fn receive_reader_heads(shared: &Arc<Shared>, heartbeat: &SourceHeartbeat) {
     let theirs = heartbeat.heads;
-    shared.fleet.lock().record_announced(theirs, BootClock.now());
+    shared.record_announced(theirs);
     if !has_newer(shared, theirs) {
         return;
     }
     let wait_limit = own_position(&shared.fleet.lock()).wait_limit();
     if wait_limit.is_zero() {
-        fetch(shared, heartbeat.peer_address);
+        fetch(shared, heartbeat.peer_address, theirs);
         return;
     }
     if shared.is_awaiting_relay.swap(true, Ordering::Relaxed) {
@@ -85,30 +88,49 @@
         sleep(wait_limit.mul_f64(jitter)).await;
         shared.is_awaiting_relay.store(false, Ordering::Relaxed);
         if has_newer(&shared, theirs) {
-            fetch(&shared, address);
+            fetch(&shared, address, theirs);
         }
     });
 }
 
-/// Fetches newer documents from the process at `address`.
+/// Fetches newer documents from the process at `address`, which has `theirs` in force.
 ///
-/// The fetch waits for the minimum delay between two lists of targets.
-/// Does nothing if a delayed fetch is already pending.
-fn fetch(shared: &Arc<Shared>, address: SocketAddr) {
-    if shared.is_list_fetch_delayed.swap(true, Ordering::Relaxed) {
+/// A list of targets waits for the minimum delay between two lists, unless such a fetch is already
+/// pending. A configuration does not wait.
+fn fetch(shared: &Arc<Shared>, address: SocketAddr, theirs: Heads) {
+    let is_list_due = shared.list_fetch_delay().is_zero();
+    let ours = heads(&shared.fleet.lock());
+    if is_list_due || is_newer(theirs.configuration, ours.configuration) {
+        let shared = shared.clone();
+        tokio::spawn(async move { fetch_now(&shared, address, theirs).await });
+    }
+    let is_list_newer = is_newer(theirs.targets, ours.targets);
+    if is_list_due || !is_list_newer || shared.is_list_fetch_delayed.swap(true, Ordering::Relaxed) {
         return;
     }
     let shared = shared.clone();
     tokio::spawn(async move {
         sleep(shared.list_fetch_delay()).await;
         shared.is_list_fetch_delayed.store(false, Ordering::Relaxed);
-        if let Err(error) = exchange_once(&shared, address, GossipScope::SenderOnly).await {
-            // The next heartbeat of a reader retries.
-            info!("document_fetch_failed", kv: { peer: = address, error: = error });
-        }
+        fetch_now(&shared, address, theirs).await;
     });
 }
 
+/// Fetches newer documents from the process at `address`. An open connection may have been lost since it
+/// was last used, so that a failed exchange is repeated over a new one.
+async fn fetch_now(shared: &Arc<Shared>, address: SocketAddr, theirs: Heads) {
+    for _ in 0..FETCH_TRIES {
+        let exchanged = exchange_once(shared, address, GossipScope::SenderOnly).await;
+        let Err(error) = exchanged else {
+            return;
+        };
+        info!("document_fetch_failed", kv: { peer: = address, error: = error });
+        if !has_newer(shared, theirs) {
+            return;
+        }
+    }
+}
+
 /// Returns whether `theirs` includes a newer revision than those in force here.
 fn has_newer(shared: &Shared, theirs: Heads) -> bool {
     let ours = heads(&shared.fleet.lock());
