A planned stop ends the reading of callers that pipeline without end

What callers saw: requests at work were cut when a stopping process reached its bound (exit code 3).

Cause: an answer says connection: close only if no further request has arrived, and a connection is closed only when it is idle.

Change: 0.5 s after the end of accepting, the requests that have arrived by then become the last ones of a connection. They are answered, and the last answer says connection: close. What arrives later stays unread: it was not run, and the answer says so to the caller. Behind a request that the parser of pipelined requests does not follow (HTTP/1.0 keep-alive, other codings) nothing changes.

--- a/crates/thymeshift_entry/src/caller/activity.rs
+++ b/crates/thymeshift_entry/src/caller/activity.rs
@@ -114,10 +114,14 @@
         BootClock.now().since(self.accepted_at)
     }
 
+    /// Returns whether a request has been read and not been answered completely.
+    pub(crate) fn has_request_in_progress(&self) -> bool {
+        self.in_progress.load(Ordering::Relaxed) > 0
+    }
+
     /// Returns whether no request is in progress and no byte of an answer waits to be sent.
     pub(crate) fn is_idle(&self) -> bool {
-        self.in_progress.load(Ordering::Relaxed) == 0
-            && !self.is_write_blocked.load(Ordering::Relaxed)
+        !self.has_request_in_progress() && !self.is_write_blocked.load(Ordering::Relaxed)
     }
 
     /// Returns whether the caller may still be reading an answer that was sent within `period`.
--- a/crates/thymeshift_entry/src/caller/connection.rs
+++ b/crates/thymeshift_entry/src/caller/connection.rs
@@ -21,6 +21,7 @@
 use thymeshift_wire::Dialect;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 use tokio::time::sleep;
 
 use crate::caller::connection_log::ConnectionLog;
@@ -35,6 +36,9 @@
 
 /// Interval between two checks whether a connection that is being drained may close.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Time for which further requests are read on a connection that is being drained and is never idle.
+/// Later ones go to other processes, as the answer to the last one says so.
+const DRAIN_READ_TIME: Duration = Duration::from_millis(500);
 /// Maximum interval between two pings on an HTTP/2 connection, which detect callers that are gone.
 const HTTP2_PING_INTERVAL_MAX: Duration = Duration::from_mins(1);
 /// Maximum number of concurrent streams on an HTTP/2 connection.
@@ -76,6 +80,7 @@
     let mut disconnected = pin!(disconnect.notified());
     let mut rest_timers = RestTimers::new(&limits);
     let mut stage = ShutdownStage::Open;
+    let mut last_read_at: Option<Instant> = None;
     loop {
         tokio::select! {
             biased;
@@ -89,7 +94,10 @@
             }
             // Dropping the connection cancels the requests in progress on it.
             () = &mut disconnected => return log.write_end("caller disconnected", stage, 0),
-            () = &mut closing, if stage == ShutdownStage::Open => stage = ShutdownStage::Draining,
+            () = &mut closing, if stage == ShutdownStage::Open => {
+                stage = ShutdownStage::Draining;
+                last_read_at = Some(Instant::now() + DRAIN_READ_TIME);
+            }
             () = sleep(DRAIN_CHECK_INTERVAL), if stage == ShutdownStage::Draining => {}
             expired = poll_fn(|context| rest_timers.poll_expired(&pipelined, context)) => {
                 match expired {
@@ -107,6 +115,9 @@
         if stage != ShutdownStage::Draining {
             continue;
         }
+        if last_read_at.take_if(|last_read_at| Instant::now() >= *last_read_at).is_some() {
+            pipelined.end_reading();
+        }
         if pipelined.activity().is_http2() {
             // HTTP/2 tells the caller which of the requests on their way are still served.
             stage = ShutdownStage::Closing;
--- a/crates/thymeshift_entry/src/caller/pipelining.rs
+++ b/crates/thymeshift_entry/src/caller/pipelining.rs
@@ -8,6 +8,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
@@ -57,6 +58,8 @@
 const READ_AHEAD_BYTES_MAX: usize = 16 * 1_024;
 /// Maximum number of bytes of one read from the socket.
 const READ_BYTES: usize = 4 * 1_024;
+/// Value of [`PipelinedConnection::last_bytes`] while the connection is read without end.
+const READS_ON: u64 = u64::MAX;
 /// Maximum number of pipelined requests in progress in the whole process.
 ///
 /// Responses to pipelined requests stay in memory until the earlier responses are sent.
@@ -69,6 +72,8 @@
     state: Mutex<State>,
     /// Notified when hyper has read bytes from the socket, which may hold pipelined requests.
     bytes_arrived: Notify,
+    /// Number of bytes that are still read before the connection ends, or [`READS_ON`].
+    last_bytes: AtomicU64,
     activity: Arc<ConnectionActivity>,
 }
 
@@ -118,6 +123,7 @@
             stream,
             state: Mutex::new(state),
             bytes_arrived: Notify::new(),
+            last_bytes: AtomicU64::new(READS_ON),
             activity: ConnectionActivity::new(),
         })
     }
@@ -130,12 +136,41 @@
         &self.activity
     }
 
-    /// Returns whether bytes of further requests have arrived, read or not.
-    /// These requests are served before a planned stop closes the connection.
+    /// Makes the requests that have arrived the last ones of the connection. A caller that always has a
+    /// further request on its connection would otherwise keep it until the process ends, and its last
+    /// requests would be cut.
+    pub(crate) fn end_reading(&self) {
+        self.last_bytes.store(self.unread_bytes(), Ordering::Relaxed);
+    }
+
+    /// Returns whether nothing more is read, because the last requests have been read and not all of them
+    /// are answered. A connection without such requests is read until it is idle.
+    fn holds_back(&self) -> bool {
+        if self.last_bytes.load(Ordering::Relaxed) > 0 {
+            return false;
+        }
+        let pipeline = &self.state.lock().pipeline;
+        let has_requests = self.activity.has_request_in_progress() || pipeline.has_more();
+        has_requests && pipeline.ends_with_whole_request()
+    }
+
+    /// Records that bytes have been read from the socket.
+    fn count_last_bytes(&self, length: usize) {
+        let left = self.last_bytes.load(Ordering::Relaxed);
+        if left != READS_ON {
+            self.last_bytes.store(left.saturating_sub(length as u64), Ordering::Relaxed);
+        }
+    }
+
+    /// Returns whether bytes of further requests have arrived, read or not. These requests are served
+    /// before a planned stop closes the connection.
     pub(crate) fn has_pipelined_bytes(&self) -> bool {
         let state = self.state.lock();
-        state.pipeline.has_more()
-            || (state.pipeline.is_between_requests() && self.has_unread_bytes())
+        let is_unread_served = match self.last_bytes.load(Ordering::Relaxed) {
+            READS_ON => state.pipeline.is_between_requests() && self.has_unread_bytes(),
+            left => left > 0,
+        };
+        state.pipeline.has_more() || is_unread_served
     }
 
     /// Returns whether the caller has sent bytes that nobody has read from the socket yet. The async
@@ -185,6 +220,10 @@
             if self.read_buffered(buffer) {
                 return Poll::Ready(Ok(()));
             }
+            if self.holds_back() {
+                // The task of a connection that is being drained wakes up regularly.
+                return Poll::Pending;
+            }
             let read = match self.stream.poll_read_ready(context)? {
                 Poll::Ready(()) => {
                     self.activity.record_read();
@@ -196,6 +235,7 @@
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => return Poll::Ready(Err(error)),
                 Ok(length) => {
+                    self.count_last_bytes(length);
                     let bytes = &buffer.initialize_unfilled()[..length];
                     let state = &mut *self.state.lock();
                     if bytes.starts_with(HTTP2_PREFACE) && !self.activity.has_received_request() {
@@ -302,6 +342,9 @@
             tokio::select! {
                 () = self.bytes_arrived.notified() => {}
                 _ = self.stream.readable() => {
+                    if self.holds_back() {
+                        return std::future::pending().await;
+                    }
                     if self.read_ahead().is_err() {
                         return;
                     }
@@ -328,6 +371,7 @@
                 Err(io::ErrorKind::UnexpectedEof.into())
             }
             Ok(length) => {
+                self.count_last_bytes(length);
                 let state = &mut *self.state.lock();
                 state.pipeline.push_bytes(&bytes[..length]);
                 self.activity.record_read();
--- a/crates/thymeshift_pipeline/src/pipeline.rs
+++ b/crates/thymeshift_pipeline/src/pipeline.rs
@@ -130,6 +130,25 @@
         !self.is_stopped && self.body.is_complete()
     }
 
+    /// Whether the bytes that have arrived end with a whole request, so that none is left incomplete if
+    /// no further bytes are read. `false` if parsing has stopped.
+    pub fn ends_with_whole_request(&self) -> bool {
+        if !self.is_between_requests() {
+            return false;
+        }
+        let mut rest = &self.buffer[..];
+        loop {
+            rest = skip_empty_lines(rest);
+            if rest.is_empty() {
+                return true;
+            }
+            match whole_request_length(rest) {
+                Some(length) => rest = &rest[length..],
+                None => return false,
+            }
+        }
+    }
+
     /// Whether parsing has stopped for the rest of the connection.
     pub fn is_stopped(&self) -> bool {
         self.is_stopped
@@ -160,3 +179,19 @@
         self.buffer = BytesMut::new();
     }
 }
+
+/// Returns the bytes behind empty lines, which may precede a request (RFC 9112, 2.2).
+fn skip_empty_lines(bytes: &[u8]) -> &[u8] {
+    let start = bytes.iter().position(|byte| !matches!(byte, b'\r' | b'\n'));
+    &bytes[start.unwrap_or(bytes.len())..]
+}
+
+/// Returns the length of the request at the start of `bytes`, or `None` if it is not complete.
+fn whole_request_length(bytes: &[u8]) -> Option<usize> {
+    let HeadParse::Complete(head) = parse_head(bytes) else {
+        return None;
+    };
+    let mut body = Body::of_request(&head.parts.headers)?;
+    let body_length = body.skip(&bytes[head.length..])?;
+    body.is_complete().then_some(head.length + body_length)
+}
--- a/crates/thymeshift_pipeline/tests/pipelined_requests.rs
+++ b/crates/thymeshift_pipeline/tests/pipelined_requests.rs
@@ -271,3 +271,41 @@
         true
     }
 }
+
+#[test]
+fn the_end_of_a_whole_request_is_found_behind_any_number_of_requests() {
+    struct Case {
+        note: &'static str,
+        /// Bytes behind a first request that hyper has parsed.
+        bytes: String,
+        is_whole: bool,
+    }
+    let post = "POST /p HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nbody";
+    let chunked = "POST /p HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n\
+                   4\r\nbody\r\n0\r\n\r\n";
+    let cases = [
+        Case { note: "nothing", bytes: String::new(), is_whole: true },
+        Case { note: "an empty line", bytes: "\r\n".to_owned(), is_whole: true },
+        Case { note: "two", bytes: get("/2") + &get("/3"), is_whole: true },
+        Case { note: "a body", bytes: get("/2") + post, is_whole: true },
+        Case { note: "chunks", bytes: chunked.to_owned() + &get("/3"), is_whole: true },
+        Case { note: "a part of a head", bytes: get("/2") + "GET /3", is_whole: false },
+        Case {
+            note: "a part of a body",
+            bytes: post[..post.len() - 1].to_owned(),
+            is_whole: false,
+        },
+        Case {
+            note: "a part of the chunks",
+            bytes: chunked[..chunked.len() - 2].to_owned(),
+            is_whole: false,
+        },
+    ];
+    for Case { note, bytes, is_whole } in cases {
+        let mut pipeline = Pipeline::new(BYTES_MAX);
+        pipeline.push_bytes(get("/1").as_bytes());
+        assert_eq!(pipeline.match_request(&get_parts("/1")), RequestMatch::NotYielded);
+        pipeline.push_bytes(bytes.as_bytes());
+        assert_eq!(pipeline.ends_with_whole_request(), is_whole, "{note}");
+    }
+}
