Full targets that answer nobody no longer count as lost links

What callers saw: a stopping process broke off safe reads with 502 links_lost while sound backends worked on them.

Cause: a target that owes an answer is asked with a probe over the own links, and a peer connects to it. A target whose slots are all at work lets a probe wait as it lets requests wait, and accepts connections all the time. A quiet process whose few requests fill two targets took both for out of reach; one second later it gave its requests up, as the silence counted as checked.

Change: the target is asked a second time, through the peer's connection. Only a target that answers there, and not over the own links, speaks for lost ones. The second probe is sent if the first is not answered within 40 ms, and each check is charged for two probes.

--- a/crates/thymeshift_entry/src/target_client/connector.rs
+++ b/crates/thymeshift_entry/src/target_client/connector.rs
@@ -295,10 +295,14 @@
     }
 
     /// Asks peers whether they reach a target that does not answer this process. Returns the answer of
-    /// a peer that does.
-    pub(crate) async fn ask_about_silence(&self, connect: Connect<'_>) -> Option<PeerAnswer> {
+    /// a peer that does, with its connection to the target.
+    pub(crate) async fn ask_about_silence(
+        &self,
+        connect: Connect<'_>,
+    ) -> Option<(PeerAnswer, OpenedConnection)> {
         let relayed = self.relays.open(connect, &self.links).await.ok()?;
-        Some(PeerAnswer { took: relayed.took, limit: connect.limit })
+        let answer = PeerAnswer { took: relayed.took, limit: connect.limit };
+        Some((answer, OpenedConnection::relayed(relayed.stream)))
     }
 
     fn record_connected(&self) {
--- a/crates/thymeshift_entry/src/target_client/link_trials.rs
+++ b/crates/thymeshift_entry/src/target_client/link_trials.rs
@@ -2,11 +2,13 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use derive_more::Display;
-use futures::future::join;
+use futures::future::Either;
+use futures::future::select;
 use rand::seq::IndexedRandom;
 use spdlog::debug;
 use spdlog::info;
@@ -29,6 +31,7 @@
 use crate::target_client::link_monitor::LinkState;
 use crate::target_client::probe::is_paused;
 use crate::target_client::probe::send_check;
+use crate::target_client::probe::send_check_through_peer;
 
 /// Interval between two checks whether a silence has lasted long enough.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(25);
@@ -37,6 +40,11 @@
 /// Time in which a target must answer a check. Sound targets answer probes at once, and a loss of the
 /// links must be judged within a second.
 const CHECK_LIMIT: Duration = Duration::from_millis(150);
+/// Time that a check over the own links has before the target is asked through a peer, too. Sound targets
+/// answer within it, and then no second probe is sent.
+const OWN_CHECK_HEAD_START: Duration = Duration::from_millis(40);
+/// Probes of one check at most.
+const PROBES_PER_CHECK: u64 = 2;
 /// Divisor of a target's measuring budget that gives the part for checks of all VMs together.
 const CHECK_BUDGET_DIVISOR: u64 = 4;
 /// Number of these checks between two trials of the links, 200 ms apart.
@@ -81,6 +89,7 @@
         let vms = shared.routing().map_or(1, |routing| routing.configuration.entry_vms_max);
         let cost_us = settings.probe.as_ref().map_or(0, |probe| probe.cost_us);
         let budget_us_per_s = settings.measuring_budget_us_per_s / CHECK_BUDGET_DIVISOR;
+        let cost_us = cost_us * PROBES_PER_CHECK;
         let interval_us = (cost_us * vms * 1_000_000).checked_div(budget_us_per_s);
         let interval = interval_us.map(Duration::from_micros);
         self.next_at.extend(interval.map(|interval| (target, now + interval)));
@@ -126,8 +135,9 @@
     }
 }
 
-/// Checks whether a target that owes an answer answers a probe, and asks peers whether they reach it. A
-/// process without other traffic hears nothing while its targets work on slow requests.
+/// Checks whether a target that owes an answer answers a probe, and whether it answers one through a peer.
+/// A process without other traffic hears nothing while its targets work on slow requests, and nobody
+/// hears anything of targets whose slots are all at work.
 async fn ask_about_silence<D: Dialect>(
     shared: &Shared,
     target: SocketAddr,
@@ -142,28 +152,40 @@
     let connect = Connect { service, target, limit, request_id: "silence", is_about_silence: true };
     let asked = shared.connector.ask_about_silence(connect);
     let Some(probe) = checked_probe(shared, &runtime) else {
-        let answer = asked.await;
-        return record_reached(shared, &destination, answer, Check::NotSent);
+        let reached = asked.await.map(|(answer, _)| answer);
+        return record_reached(shared, &destination, reached, Check::NotSent);
     };
     if !checks.try_begin(target, &settings, shared, BootClock.now()) {
         return;
     }
-    let (check, answer) = join(check_target::<D>(&runtime, &destination, &probe), asked).await;
-    record_reached(shared, &destination, answer, check);
+    let through_peer = async {
+        sleep(OWN_CHECK_HEAD_START).await;
+        let (answer, opened) = asked.await?;
+        let sent = send_check_through_peer::<D>(&runtime, &destination, &probe, opened);
+        timeout(CHECK_LIMIT, sent).await.ok()??;
+        Some(answer)
+    };
+    let own = check_target::<D>(&runtime, &destination, &probe);
+    let (check, reached) = match select(pin!(own), pin!(through_peer)).await {
+        Either::Left((Check::Answered, _)) => (Check::Answered, None),
+        Either::Left((check, through_peer)) => (check, through_peer.await),
+        Either::Right((reached, own)) => (own.await, reached),
+    };
+    record_reached(shared, &destination, reached, check);
 }
 
 /// Records that a peer reached a target that does not answer this process, unless a check contradicts.
 fn record_reached(
     shared: &Shared,
     destination: &Destination,
-    answer: Option<PeerAnswer>,
+    reached: Option<PeerAnswer>,
     check: Check,
 ) {
-    let has_peer = answer.is_some();
     info!("silence_checked", kv: {
-        service: = destination.service, target: = destination.name, check: = check, has_peer
+        service: = destination.service, target: = destination.name, check: = check,
+        is_reached_by_peer = reached.is_some()
     });
-    if let (Some(answer), Check::NotSent | Check::Unanswered) = (answer, check) {
+    if let (Some(answer), Check::NotSent | Check::Unanswered) = (reached, check) {
         let is_checked = check == Check::Unanswered;
         let links = shared.connector.links();
         links.record_silent_target_reached(destination.address, answer, is_checked);
--- a/crates/thymeshift_entry/src/target_client/pool.rs
+++ b/crates/thymeshift_entry/src/target_client/pool.rs
@@ -149,6 +149,16 @@
         self.handshake(connection, OpenedConnection::direct(stream)).await
     }
 
+    /// Uses a connection to a target that was opened through a peer.
+    pub(crate) async fn relayed(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        opened: OpenedConnection,
+    ) -> Result<Connection, ConnectError> {
+        let connection = self.reserve(address)?;
+        self.handshake(connection, opened).await
+    }
+
     /// Tries this process's own links to a target, and keeps the connection if it lasts.
     pub(crate) async fn try_links(
         self: &Arc<Self>,
--- a/crates/thymeshift_entry/src/target_client/probe.rs
+++ b/crates/thymeshift_entry/src/target_client/probe.rs
@@ -29,6 +29,7 @@
 use crate::service::ServiceRuntime;
 use crate::shared::Shared;
 use crate::target_client::RequestBody;
+use crate::target_client::connector::OpenedConnection;
 use crate::target_client::pool::Connection;
 
 /// Interval between two scans for due probes.
@@ -204,6 +205,27 @@
     }
     let limit = Duration::from_millis(service.settings().connect_timeout_ms);
     let connection = service.pool().connect_direct(destination.address, limit).await.ok()?;
+    exchange_check::<D>(service, destination, probe, connection).await
+}
+
+/// Sends one probe through a peer that has opened a connection to the target, to learn whether the target
+/// answers anybody. Returns `None` if no answer arrives.
+pub(super) async fn send_check_through_peer<D: Dialect>(
+    service: &Arc<ServiceRuntime>,
+    destination: &Destination,
+    probe: &Probe,
+    opened: OpenedConnection,
+) -> Option<()> {
+    let connection = service.pool().relayed(destination.address, opened).await.ok()?;
+    exchange_check::<D>(service, destination, probe, connection).await
+}
+
+async fn exchange_check<D: Dialect>(
+    service: &ServiceRuntime,
+    destination: &Destination,
+    probe: &Probe,
+    connection: Connection,
+) -> Option<()> {
     let name = service.name().as_str().to_owned();
     counter!(metric::PROBES, "service" => name.clone()).increment(1);
     counter!(metric::MEASURING_US, "service" => name).increment(probe.cost_us);
