Processes wait less for a parent that stands still

Cause: the waits stand one behind the other. 1.2 s of silence, 40 ms a rank, then up to 0.48 s (a hall's fifth process) or 0.6 s for a parent in the relay tree.

Change: the wait grows with the level in the tree, not with the rank: 80, 200, 320 and 400 ms, with a quarter more at random instead of a half. A wait that ends early costs an exchange in the own hall.

--- a/crates/thymeshift_entry/src/control_plane/explain.rs
+++ b/crates/thymeshift_entry/src/control_plane/explain.rs
@@ -48,14 +48,15 @@
     behind_for: Option<Duration>,
     request: &ExplainRequest,
 ) -> Explanation {
-    let mut explanation = explain_in_force(routing, adjustments, request);
-    if let Some(behind_for) = behind_for {
+    let explanation = explain_in_force(routing, adjustments, request);
+    Explanation { verdict: explanation.verdict + &lag_note(behind_for), ..explanation }
+}
+
+fn lag_note(behind_for: Option<Duration>) -> String {
+    behind_for.map_or_else(String::new, |behind_for| {
         let behind_ms = behind_for.as_millis();
-        explanation.verdict += &format!(
-            "; this process is behind: a newer configuration has been known for {behind_ms} ms"
-        );
-    }
-    explanation
+        format!("; this process is behind: a newer configuration has been known for {behind_ms} ms")
+    })
 }
 
 fn explain_in_force(
--- a/crates/thymeshift_entry/src/control_plane/relay.rs
+++ b/crates/thymeshift_entry/src/control_plane/relay.rs
@@ -26,7 +26,7 @@
 use crate::shared::Shared;
 
 /// Maximum jitter added to the wait for the parent in the relay tree, as a fraction of the wait.
-const WAIT_JITTER_FRACTION_MAX: f64 = 0.5;
+const WAIT_JITTER_FRACTION_MAX: f64 = 0.25;
 
 /// Number of exchanges with a process that has announced a newer document.
 const FETCH_TRIES: u32 = 2;
--- a/crates/thymeshift_fleet/src/lib.rs
+++ b/crates/thymeshift_fleet/src/lib.rs
@@ -88,7 +88,6 @@
 pub use readers::Readers;
 pub use readers::SourceReport;
 pub use relay::FAN_OUT;
-pub use relay::RELAY_WAIT_LIMIT;
 pub use relay::RelayPosition;
 pub use relay::relay_position;
 pub use source_position::AnswerAge;
--- a/crates/thymeshift_fleet/src/relay.rs
+++ b/crates/thymeshift_fleet/src/relay.rs
@@ -8,7 +8,7 @@
 //!
 //! The tree needs no agreement. Processes that compute different rankings cause a few
 //! extra transfers, and a process whose parent is dead or unreachable fetches from the
-//! reader after [`RELAY_WAIT_LIMIT`].
+//! reader after a time that grows with its level in the tree.
 
 use std::time::Duration;
 
@@ -20,10 +20,10 @@
 
 /// Maximum number of children that a process notifies of a new document.
 pub const FAN_OUT: usize = 4;
-/// Time that a process waits for its parent after it was notified of a new document.
-pub const RELAY_WAIT_LIMIT: Duration = Duration::from_millis(400);
-/// Wait per rank for the first processes of a hall, which wait for those that rank before them.
-const WAIT_PER_RANK: Duration = Duration::from_millis(80);
+/// Time that a process waits for its parent after it was notified of a new document, by its level in the
+/// tree; the last one holds for all further levels. All processes above may stand still, and so may both
+/// readers before, which is noticed after 1.2 s.
+const WAIT_MS_BY_LEVEL: [u64; 5] = [0, 80, 200, 320, 400];
 
 /// A process's position in the relay tree of its data hall.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -36,11 +36,21 @@
 
 impl RelayPosition {
     /// Returns how long to wait for the parent before fetching a document from the process
-    /// that announced it. The first processes of a hall wait only briefly for one another:
-    /// until one of them has the document, no other process of the hall can get it.
+    /// that announced it.
     pub fn wait_limit(&self) -> Duration {
-        let rank = u32::try_from(self.rank).unwrap_or(u32::MAX);
-        if rank <= FAN_OUT as u32 { WAIT_PER_RANK * rank } else { RELAY_WAIT_LIMIT }
+        let level = self.level().min(WAIT_MS_BY_LEVEL.len() - 1);
+        Duration::from_millis(WAIT_MS_BY_LEVEL[level])
+    }
+
+    /// Returns the number of processes between the reader and this one, on the way through the tree.
+    fn level(&self) -> usize {
+        let mut level = 0;
+        let mut rank = self.rank;
+        while rank > 0 {
+            rank = (rank - 1) / FAN_OUT;
+            level += 1;
+        }
+        level
     }
 }
 
