--- a/crates/thymeshift_fleet/src/readers.rs
+++ b/crates/thymeshift_fleet/src/readers.rs
@@ -64,8 +64,8 @@
 /// Time after an outage within which the source lists again the targets that
 /// it forgot, if they still run.
 const LISTED_AGAIN_WITHIN: Duration = Duration::from_millis(2_300);
-/// Time for which a newer configuration may be known before a process reads the source itself. A
-/// configuration spreads in half of this time, also if a process waits for its parent in the relay tree.
+/// Time for which a newer configuration may be known before a process reads the source itself. Longer
+/// than any wait for a parent in the relay tree, so that a process first asks the one that announced it.
 const CONFIGURATION_BEHIND_MAX: Duration = Duration::from_millis(600);
 /// The same for a list of targets, which each process on its way may hold back for up to 400 ms.
 const TARGETS_BEHIND_MAX: Duration = Duration::from_millis(1_200);
