--- a/crates/thymeshift_entry/src/control_plane/lag_log.rs
+++ b/crates/thymeshift_entry/src/control_plane/lag_log.rs
@@ -13,8 +13,8 @@
 
 use crate::fleet::Fleet;
 
-/// Time for which a newer document must have been known until it is logged. Half of the time within
-/// which platforms expect a confirmed configuration to be in force.
+/// Time for which a newer document must have been known until it is logged. Documents that arrive as
+/// usual take less.
 const LOGGED_MIN: Duration = Duration::from_secs(1);
 
 /// Documents that are logged as behind.
--- a/crates/thymeshift_fleet/src/readers.rs
+++ b/crates/thymeshift_fleet/src/readers.rs
@@ -67,7 +67,7 @@
 /// Time for which a newer configuration may be known before a process reads the source itself. Longer
 /// than any wait for a parent in the relay tree, so that a process first asks the one that announced it.
 const CONFIGURATION_BEHIND_MAX: Duration = Duration::from_millis(600);
-/// The same for a list of targets, which each process on its way may hold back for up to 400 ms.
+/// The same for a list of targets, which each process on its way may hold back for a while.
 const TARGETS_BEHIND_MAX: Duration = Duration::from_millis(1_200);
 /// Additional time by the rank in the data hall, so that a hall whose processes are all behind does not
 /// call the source at the same moment. Each rank has one of [`CATCH_UP_SLOTS`] moments.
--- a/crates/thymeshift_fleet/src/relay.rs
+++ b/crates/thymeshift_fleet/src/relay.rs
@@ -21,8 +21,8 @@
 /// Maximum number of children that a process notifies of a new document.
 pub const FAN_OUT: usize = 4;
 /// Time that a process waits for its parent after it was notified of a new document, by its level in the
-/// tree; the last one holds for all further levels. All processes above may stand still, and so may both
-/// readers before, which is noticed after 1.2 s.
+/// tree; the last one holds for all further levels. All processes above may stand still, and the wait
+/// then adds to the time until the readers' silence is noticed.
 const WAIT_MS_BY_LEVEL: [u64; 5] = [0, 80, 200, 320, 400];
 
 /// A process's position in the relay tree of its data hall.
