--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -10,6 +10,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -361,6 +362,8 @@
 def finish(case, folder):
     """Runs `case(record)`, which returns whether the rule was broken, and ends with its exit code."""
     record = Record(os.path.join(folder, "record.txt"))
+    # A stop from outside ends the processes that were started, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         is_broken = case(record)
     except CannotRun as error:
