--- a/review/6/case.py
+++ b/review/6/case.py
@@ -12,7 +12,7 @@
 REQUESTS = 3400
 REQUESTS_PER_S = 40
 WORK_S = 0.35
-BACKENDS = 13
+BACKENDS = 15
 # Doses of `srv_grey` with `hang` in the site file: 0.14 of the backends fail 0.45 of their requests for 6.5 s.
 FAILING_BACKENDS = 2
 FAILING_SHARE = 0.45
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -308,6 +308,8 @@
     """A store, backends and a few entry processes in one zone."""
 
     def __init__(self, record, backends, first_configuration, entries=3):
+        if not os.path.exists(PROGRAM):
+            raise CannotRun(f"{PROGRAM} is missing: run the build of the deploy file")
         self.record, self.backends = record, backends
         self.store = Store(record)
         self.folder = tempfile.TemporaryDirectory(prefix="thymeshift-review-")
@@ -321,8 +323,6 @@
                         for i, group in enumerate(ports)]
 
     def __enter__(self):
-        if not os.path.exists(PROGRAM):
-            raise CannotRun(f"{PROGRAM} is missing: run the build of the deploy file")
         try:
             for entry in self.entries:
                 entry.start()
